Lay the ground: wire messages, kernel, refusal reasons, ledger entries, lint rules

Cause: an empty repository; the parts are written side by side and need one set of messages and types. Weighed: raw QUIC streams with own framing against Connect over HTTP/3 for the peer protocol; the latter needs no framing, deadlines or error codes of our own. Change: protos for callers, operators, peers and the platform; the micro-kernel; refusal reasons as one enum.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+GO ?= go
+LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+TOOL = $(GO) tool -modfile=tools/go.mod
+
+.PHONY: build test lint fmt generate
+
+build:
+	$(GO) build -o bin/ . ./crocusbench
+
+test:
+	$(GO) test ./...
+
+lint:
+	$(LINT) run ./...
+
+fmt:
+	$(LINT) fmt ./...
+
+# Generated code is committed. This target is for those who change the sources.
+generate:
+	mkdir -p bin
+	$(GO) build -modfile=tools/go.mod -o bin/ connectrpc.com/connect/cmd/protoc-gen-connect-go google.golang.org/protobuf/cmd/protoc-gen-go golang.org/x/tools/cmd/stringer github.com/bufbuild/buf/cmd/buf
+	PATH=$(CURDIR)/bin:$$PATH buf generate
+	PATH=$(CURDIR)/bin:$$PATH $(GO) generate ./...
