--- /dev/null
+++ b/models/run/book.go
@@ -0,0 +1,239 @@
+package run
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/crocusline/crocusline/models/ledger"
+	"github.com/crocusline/crocusline/models/refusal"
+)
+
+// Limits bound what a Book keeps.
+type Limits struct {
+	// Grace is how long an interrupted request goes on, and an acknowledged
+	// answer is kept, for a retry to pick it up.
+	Grace time.Duration
+	// Keep is how long an answer that was not acknowledged is kept.
+	Keep time.Duration
+	// Answers is the number of finished answers kept.
+	Answers int
+	// AnswerBytes bounds the memory of the finished answers kept.
+	AnswerBytes int
+	// Open is the number of requests queued and running.
+	Open int
+	// Bills is the number of bills that wait for the ledger.
+	Bills int
+	// Attempts is the number of ended attempts of non-idempotent work that are
+	// remembered.
+	Attempts int
+	// AttemptAge is how long an ended attempt is remembered at least.
+	AttemptAge time.Duration
+}
+
+// DefaultLimits returns the limits of a sidecar with little memory.
+func DefaultLimits() Limits {
+	return Limits{
+		Grace:       5 * time.Second,
+		Keep:        2 * time.Minute,
+		Answers:     2048,
+		AnswerBytes: 8 << 20,
+		Open:        4096,
+		Bills:       1 << 14,
+		Attempts:    1 << 16,
+		AttemptAge:  24 * time.Hour,
+	}
+}
+
+// Book is the record of the requests at one sidecar. It is not safe for
+// concurrent use.
+type Book struct {
+	server      string
+	incarnation string
+	limits      Limits
+
+	lastRun   ID
+	lastRelay RelayID
+	runs      map[ID]*record
+	relays    map[RelayID]*relay
+	byID      map[identity]*record
+	byRequest map[string]*record
+	fenced    map[string]bool
+	attempts  attemptLog
+	draining  bool
+	evicted   []Action
+	// unsettled maps the runs whose bill the ledger does not hold yet to the
+	// holder that pays.
+	unsettled map[ID]string
+
+	open      int
+	kept      int
+	keptBytes int
+}
+
+// NewBook returns the empty record of one sidecar incarnation.
+func NewBook(server, incarnation string, limits Limits) *Book {
+	return &Book{
+		server:      server,
+		incarnation: incarnation,
+		limits:      limits,
+		runs:        map[ID]*record{},
+		relays:      map[RelayID]*relay{},
+		byID:        map[identity]*record{},
+		byRequest:   map[string]*record{},
+		fenced:      map[string]bool{},
+		unsettled:   map[ID]string{},
+		attempts:    newAttemptLog(limits.Attempts, limits.AttemptAge),
+	}
+}
+
+// Drain refuses all new requests from now on. Retries still join.
+func (b *Book) Drain(draining bool) {
+	b.draining = draining
+}
+
+// Submit takes a request. It joins the run of an earlier one with the same
+// identity, or admits a new run. The error is a *refusal.Error: its outcome
+// "not run" says that this call started nothing.
+func (b *Book) Submit(now time.Time, req Request) (Admission, error) {
+	if err := b.check(&req); err != nil {
+		return Admission{}, err
+	}
+	if rec := b.byID[req.identity()]; rec != nil {
+		return b.join(rec, req)
+	}
+	if !req.Idempotent {
+		if err := b.attempts.check(req.attemptID()); err != nil {
+			return Admission{}, err
+		}
+	}
+	if req.JoinOnly {
+		return Admission{}, refusal.New(refusal.NotFound, 0, "The request is not at this server.")
+	}
+	if err := b.room(now, &req); err != nil {
+		return Admission{}, err
+	}
+	return b.admit(req), nil
+}
+
+func (b *Book) check(req *Request) error {
+	if b.fenced[req.Hold.Holder] {
+		return refusal.New(refusal.Fenced, 0, "The entry's incarnation was fenced at this server.")
+	}
+	if req.Incarnation != "" && req.Incarnation != b.incarnation {
+		return refusal.New(refusal.WrongIncarnation, 0, "The sidecar was restarted since the request was routed.")
+	}
+	if !req.Idempotent && (req.Key == "" || req.Attempt < 1 || req.Incarnation == "") {
+		return refusal.New(refusal.InvalidRequest, 0,
+			"Non-idempotent work needs a key, a registered attempt and the sidecar's incarnation.")
+	}
+	if req.ID == "" {
+		return refusal.New(refusal.InvalidRequest, 0, "The request has no id.")
+	}
+	return nil
+}
+
+// busyRetry is the time to come back when the record is full.
+const busyRetry = time.Second
+
+func (b *Book) room(now time.Time, req *Request) error {
+	if b.draining {
+		return refusal.New(refusal.Draining, 0, "The server is leaving: use another one.")
+	}
+	if !req.Deadline.IsZero() && !now.Before(req.Deadline) {
+		return refusal.New(refusal.DeadlineExpired, 0, "The deadline passed before the request came.")
+	}
+	if b.open >= b.limits.Open || b.open+len(b.unsettled) >= b.limits.Bills || !b.evict() {
+		return refusal.New(refusal.QueueFull, busyRetry, "The server holds all the requests it can.")
+	}
+	if !req.Idempotent && !b.attempts.room(now) {
+		return refusal.New(refusal.QueueFull, busyRetry, "The server remembers all the attempts it can.")
+	}
+	return nil
+}
+
+func (b *Book) admit(req Request) Admission {
+	b.lastRun++
+	rec := &record{
+		id:       b.lastRun,
+		request:  req,
+		state:    Queued,
+		payer:    req.Hold,
+		deadline: req.Deadline,
+		relays:   map[RelayID]*relay{},
+	}
+	b.runs[rec.id] = rec
+	b.byID[req.identity()] = rec
+	b.open++
+	return Admission{Run: rec.id, Relay: b.openRelay(rec, req), New: true}
+}
+
+func (b *Book) join(rec *record, req Request) (Admission, error) {
+	if !bytes.Equal(rec.request.Digest, req.Digest) || rec.request.Idempotent != req.Idempotent {
+		return Admission{}, refusal.New(refusal.KeyReused, 0,
+			"The idempotency key was used with other content: use a new key.")
+	}
+	if rec.payer == (ledger.Hold{}) && rec.charge == chargeNone {
+		rec.payer = req.Hold
+	}
+	if req.Deadline.After(rec.deadline) {
+		rec.deadline = req.Deadline
+	}
+	rec.interrupted = time.Time{}
+	return Admission{Run: rec.id, Relay: b.openRelay(rec, req)}, nil
+}
+
+func (b *Book) openRelay(rec *record, req Request) RelayID {
+	b.lastRelay++
+	r := &relay{id: b.lastRelay, record: rec, requestID: req.ID, hold: req.Hold, replayed: rec.state == Ran}
+	b.relays[r.id] = r
+	rec.relays[r.id] = r
+	if b.byRequest[req.ID] == nil {
+		b.byRequest[req.ID] = rec
+		rec.requestIDs = append(rec.requestIDs, req.ID)
+	}
+	return r.id
+}
+
+// Request returns the request that began a run.
+func (b *Book) Request(id ID) (Request, bool) {
+	rec := b.runs[id]
+	if rec == nil {
+		return Request{}, false
+	}
+	return rec.request, true
+}
+
+// Open returns the number of requests queued and running.
+func (b *Book) Open() int {
+	return b.open
+}
+
+// Relays returns the number of open relays.
+func (b *Book) Relays() int {
+	return len(b.relays)
+}
+
+// Unsettled returns the number of bills that the ledger does not hold yet.
+func (b *Book) Unsettled() int {
+	return len(b.unsettled)
+}
+
+// Inquire returns the state of an attempt of non-idempotent work. With fence
+// set, an attempt that was not seen is never run afterwards.
+func (b *Book) Inquire(now time.Time, workspace, key string, attempt int64, fence bool) (State, error) {
+	id := attemptID{workspace: workspace, key: key, attempt: attempt}
+	if rec := b.byID[identity{workspace: workspace, key: key}]; rec != nil && rec.request.attemptID() == id {
+		return rec.state, nil
+	}
+	if state := b.attempts.state(id); state != NotSeen {
+		return state, nil
+	}
+	if !fence {
+		return NotSeen, nil
+	}
+	if !b.attempts.room(now) {
+		return NotSeen, refusal.New(refusal.QueueFull, busyRetry, "The server remembers all the attempts it can.")
+	}
+	b.attempts.add(now, id, Fenced)
+	return Fenced, nil
+}
--- /dev/null
+++ b/models/run/fence.go
@@ -0,0 +1,143 @@
+package run
+
+import (
+	"time"
+
+	"github.com/crocusline/crocusline/models/ledger"
+)
+
+// FenceEntry refuses all later requests of an entry incarnation and cuts its
+// relays. settled says that no hold of the entry can be charged by this sidecar
+// any more: each is either in its shard's stream or will never be used.
+func (b *Book) FenceEntry(now time.Time, entry string) (settled bool, actions []Action) {
+	b.fenced[entry] = true
+	settled = true
+	for _, rec := range b.runs {
+		actions = append(actions, b.cutRelays(now, rec, entry)...)
+		b.passPayer(rec)
+		if rec.payer.Holder == entry && rec.chargeable() {
+			settled = false
+		}
+	}
+	for _, holder := range b.unsettled {
+		if holder == entry {
+			settled = false
+		}
+	}
+	return settled, actions
+}
+
+// cutRelays ends the relays of a fenced entry that have no last frame on its
+// way. Non-idempotent work is charged in any case, so its relays may go on.
+func (b *Book) cutRelays(now time.Time, rec *record, entry string) []Action {
+	if !rec.request.Idempotent {
+		return nil
+	}
+	var actions []Action
+	for id, r := range rec.relays {
+		if r.hold.Holder == entry && !r.handing {
+			delete(rec.relays, id)
+			delete(b.relays, id)
+			actions = append(actions, Cut{Relay: id})
+		}
+	}
+	if len(actions) > 0 && len(rec.relays) == 0 && !rec.done() {
+		rec.interrupted = now
+	}
+	return actions
+}
+
+// passPayer makes another relay's hold pay when the payer's entry was fenced
+// before the bill was due.
+func (b *Book) passPayer(rec *record) {
+	if !b.fenced[rec.payer.Holder] || rec.charge != chargeNone || !rec.request.Idempotent || rec.handing() {
+		return
+	}
+	rec.payer = ledger.Hold{}
+	var next *relay
+	for _, r := range rec.relays {
+		if next == nil || r.id < next.id {
+			next = r
+		}
+	}
+	if next != nil {
+		rec.payer = next.hold
+	}
+}
+
+// Advance cancels the runs and forgets the answers whose time is over.
+func (b *Book) Advance(now time.Time) []Action {
+	actions := b.evicted
+	b.evicted = nil
+	for _, rec := range b.runs {
+		at := rec.expiry(b.limits)
+		if at.IsZero() || now.Before(at) {
+			continue
+		}
+		actions = append(actions, b.expire(now, rec))
+	}
+	return actions
+}
+
+func (b *Book) expire(now time.Time, rec *record) Action {
+	if rec.done() {
+		b.forget(rec)
+		return Forget{Run: rec.id}
+	}
+	cancel := Cancel{
+		Run:     rec.id,
+		Expired: !rec.deadline.IsZero() && !now.Before(rec.deadline),
+		Started: rec.started,
+	}
+	b.open--
+	if !rec.request.Idempotent {
+		b.attempts.add(now, rec.request.attemptID(), Fenced)
+	}
+	b.drop(rec)
+	return cancel
+}
+
+// evict makes room for one more answer among the settled ones that nobody
+// reads. It returns false when there is none.
+func (b *Book) evict() bool {
+	for b.kept >= b.limits.Answers || b.keptBytes >= b.limits.AnswerBytes {
+		oldest := b.oldestSettled()
+		if oldest == nil {
+			return false
+		}
+		b.forget(oldest)
+		b.evicted = append(b.evicted, Forget{Run: oldest.id})
+	}
+	return true
+}
+
+func (b *Book) oldestSettled() *record {
+	var oldest *record
+	for _, rec := range b.runs {
+		if !rec.done() || rec.needed() {
+			continue
+		}
+		if oldest == nil || rec.finished.Before(oldest.finished) {
+			oldest = rec
+		}
+	}
+	return oldest
+}
+
+func (b *Book) forget(rec *record) {
+	b.kept--
+	b.keptBytes -= rec.result.Bytes
+	b.drop(rec)
+}
+
+// drop removes a run, its relays and its names.
+func (b *Book) drop(rec *record) {
+	delete(b.runs, rec.id)
+	delete(b.byID, rec.request.identity())
+	for _, id := range rec.requestIDs {
+		delete(b.byRequest, id)
+	}
+	for id := range rec.relays {
+		delete(b.relays, id)
+	}
+}
--- /dev/null
+++ b/models/run/progress.go
@@ -0,0 +1,178 @@
+package run
+
+import (
+	"time"
+
+	"github.com/crocusline/crocusline/models/ledger"
+	"github.com/crocusline/crocusline/models/refusal"
+)
+
+// Start marks a queued run as running. It returns false when the run is gone.
+func (b *Book) Start(id ID) bool {
+	rec := b.runs[id]
+	if rec == nil || rec.state != Queued {
+		return false
+	}
+	rec.state = Running
+	rec.started = true
+	return true
+}
+
+// Requeue marks a displaced run as queued again, to go on after the tokens it
+// already has.
+func (b *Book) Requeue(id ID, generated []string) bool {
+	rec := b.runs[id]
+	if rec == nil || rec.state != Running || !rec.request.Idempotent {
+		return false
+	}
+	rec.state = Queued
+	rec.request.Generated = generated
+	return true
+}
+
+// Finish records the whole answer of a run. Non-idempotent work is charged now,
+// since its effect took place.
+func (b *Book) Finish(now time.Time, id ID, result Result) []Action {
+	rec := b.runs[id]
+	if rec == nil || rec.done() {
+		return nil
+	}
+	b.open--
+	rec.state = Ran
+	rec.result = result
+	b.end(now, rec)
+	if rec.request.Idempotent {
+		return nil
+	}
+	b.attempts.add(now, rec.request.attemptID(), Ran)
+	return b.charge(rec)
+}
+
+func (b *Book) end(now time.Time, rec *record) {
+	rec.finished = now
+	b.kept++
+	b.keptBytes += rec.result.Bytes
+}
+
+// Fail records that a run ended without a whole answer. An attempt of
+// non-idempotent work that did not run is fenced, since its caller is told so.
+func (b *Book) Fail(now time.Time, id ID, outcome refusal.Outcome) {
+	rec := b.runs[id]
+	if rec == nil || rec.done() {
+		return
+	}
+	b.open--
+	if rec.request.Idempotent {
+		b.drop(rec)
+		return
+	}
+	if outcome == refusal.NotRun {
+		b.attempts.add(now, rec.request.attemptID(), Fenced)
+		b.drop(rec)
+		return
+	}
+	rec.state = Unresolved
+	b.end(now, rec)
+	b.attempts.add(now, rec.request.attemptID(), Unresolved)
+}
+
+// HandOver fixes who pays, before the last frame is sent to a relay. It returns
+// false when the answer may no longer go there.
+func (b *Book) HandOver(id RelayID) (Handover, bool) {
+	r := b.relays[id]
+	if r == nil || r.record.state != Ran {
+		return Handover{}, false
+	}
+	rec := r.record
+	r.handing = true
+	return Handover{
+		RequestID:    rec.request.ID,
+		PromptTokens: rec.result.PromptTokens,
+		OutputTokens: rec.result.OutputTokens,
+		BilledTokens: rec.billed(),
+		Hold:         rec.payer,
+		Body:         rec.result.Body,
+		Replayed:     r.replayed,
+	}, true
+}
+
+// CloseRelay ends a relay. handed says that the last frame was sent, which
+// makes the bill due.
+func (b *Book) CloseRelay(now time.Time, id RelayID, handed bool) []Action {
+	r := b.relays[id]
+	if r == nil {
+		return nil
+	}
+	rec := r.record
+	delete(b.relays, id)
+	delete(rec.relays, id)
+	if len(rec.relays) == 0 && !rec.done() {
+		rec.interrupted = now
+	}
+	if handed && r.handing {
+		return b.charge(rec)
+	}
+	b.passPayer(rec)
+	return nil
+}
+
+// charge makes the bill of a run due, once.
+func (b *Book) charge(rec *record) []Action {
+	if rec.charge != chargeNone {
+		return nil
+	}
+	rec.charge = chargeDue
+	b.unsettled[rec.id] = rec.payer.Holder
+	req := &rec.request
+	entries := []ledger.Entry{ledger.Bill{
+		RequestID: req.ID,
+		Workspace: req.Workspace,
+		Kind:      req.Kind,
+		Key:       req.Key,
+		Hold:      rec.payer,
+		Tokens:    rec.billed(),
+		Witness:   b.incarnation,
+		Server:    b.server,
+	}}
+	if !req.Idempotent {
+		entries = append(entries, b.outcome(rec))
+	}
+	return []Action{Charge{Run: rec.id, Shard: rec.payer.Shard, Entries: entries}}
+}
+
+func (b *Book) outcome(rec *record) ledger.Outcome {
+	out := ledger.Outcome{
+		Workspace: rec.request.Workspace,
+		Key:       rec.request.Key,
+		Attempt:   rec.request.Attempt,
+	}
+	if len(rec.result.Body) <= ledger.MaxKeptBody {
+		out.Body = rec.result.Body
+		out.BodyKept = true
+	}
+	return out
+}
+
+// Settle records that the ledger shard holds the bill of a run.
+func (b *Book) Settle(id ID) {
+	delete(b.unsettled, id)
+	if rec := b.runs[id]; rec != nil {
+		rec.charge = chargeSettled
+	}
+}
+
+// Acknowledge records that the whole answer reached the caller.
+func (b *Book) Acknowledge(now time.Time, requestID string) {
+	if rec := b.byRequest[requestID]; rec != nil && rec.done() && rec.acked.IsZero() {
+		rec.acked = now
+	}
+}
+
+// Withdraw takes back a run that was admitted in the same step but could not be
+// queued. It leaves no trace.
+func (b *Book) Withdraw(id ID) {
+	if rec := b.runs[id]; rec != nil && rec.state == Queued && !rec.started {
+		b.open--
+		b.drop(rec)
+	}
+}
--- /dev/null
+++ b/services/runner/answer.go
@@ -0,0 +1,73 @@
+package runner
+
+import (
+	"sync"
+
+	"github.com/crocusline/crocusline/models/refusal"
+)
+
+// answer is the tokens of one run so far. One job writes it; any number of
+// relays read it by position, each at its own pace.
+type answer struct {
+	mu     sync.Mutex
+	tokens []string
+	writer *job
+	ended  bool
+	err    *refusal.Error
+	// changed is closed and replaced on each change.
+	changed chan struct{}
+}
+
+func newAnswer(generated []string) *answer {
+	return &answer{tokens: append([]string(nil), generated...), changed: make(chan struct{})}
+}
+
+// write appends a token of the job that may write. It returns false for any
+// other job.
+func (a *answer) write(j *job, token string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.writer != j {
+		return false
+	}
+	a.tokens = append(a.tokens, token)
+	a.wake()
+	return true
+}
+
+// assign makes j the only writer and returns the tokens so far.
+func (a *answer) assign(j *job) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.writer = j
+	return a.tokens[:len(a.tokens):len(a.tokens)]
+}
+
+// end ends the answer: whole when err is nil.
+func (a *answer) end(err *refusal.Error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.err = err
+	a.writer = nil
+	a.wake()
+}
+
+func (a *answer) wake() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// from returns the tokens from a position on, whether the answer ended, and a
+// channel that is closed on the next change.
+func (a *answer) from(first int) (tokens []string, ended bool, err *refusal.Error, changed <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if first < len(a.tokens) {
+		tokens = a.tokens[first:len(a.tokens):len(a.tokens)]
+	}
+	return tokens, a.ended, a.err, a.changed
+}
--- /dev/null
+++ b/services/runner/relay.go
@@ -0,0 +1,99 @@
+package runner
+
+import (
+	"context"
+	"io"
+
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/run"
+)
+
+// Chunk is consecutive tokens of an answer.
+type Chunk struct {
+	First  int
+	Tokens []string
+}
+
+// Relay is one entry's stream of one answer. It reads the record of the run by
+// position, so that a slow one holds up neither the run nor other relays.
+type Relay struct {
+	runner *Runner
+	id     run.RelayID
+	answer *answer
+	next   int
+	cut    chan struct{}
+	isNew  bool
+}
+
+// maxChunk bounds the tokens of one chunk.
+const maxChunk = 256
+
+// New reports whether the relay's request started a run.
+func (r *Relay) New() bool {
+	return r.isNew
+}
+
+// Next waits for the next tokens and returns all that are ready. It returns
+// io.EOF after the last one of a whole answer, or a *refusal.Error.
+func (r *Relay) Next(ctx context.Context) (Chunk, error) {
+	for {
+		tokens, ended, refused, changed := r.answer.from(r.next)
+		if len(tokens) > 0 {
+			return r.take(tokens), nil
+		}
+		if ended && refused != nil {
+			return Chunk{}, refused
+		}
+		if ended {
+			return Chunk{}, io.EOF
+		}
+		select {
+		case <-changed:
+		case <-r.cut:
+			return Chunk{}, fencedRelay()
+		case <-ctx.Done():
+			return Chunk{}, ctx.Err()
+		}
+	}
+}
+
+func fencedRelay() error {
+	return &refusal.Error{
+		Reason:  refusal.Fenced,
+		Outcome: refusal.Unknown,
+		Advice:  "The entry's incarnation was fenced while the answer was on its way.",
+	}
+}
+
+func (r *Relay) take(tokens []string) Chunk {
+	if len(tokens) > maxChunk {
+		tokens = tokens[:maxChunk]
+	}
+	c := Chunk{First: r.next, Tokens: tokens}
+	r.next += len(tokens)
+	return c
+}
+
+// HandOver returns what the last frame says and fixes who pays. Call it after
+// Next returned io.EOF, send the frame, and Close the relay with the result.
+func (r *Relay) HandOver(ctx context.Context) (run.Handover, error) {
+	reply := make(chan handOverReply, 1)
+	if err := r.runner.ask(ctx, handOver{relay: r.id, reply: reply}); err != nil {
+		return run.Handover{}, err
+	}
+	select {
+	case got := <-reply:
+		if !got.ok {
+			return run.Handover{}, fencedRelay()
+		}
+		return got.handover, nil
+	case <-r.runner.done:
+		return run.Handover{}, shuttingDown()
+	}
+}
+
+// Close ends the relay. handed says that the last frame was sent: the bill is
+// due from then on.
+func (r *Relay) Close(handed bool) {
+	r.runner.post(relayClosed{relay: r.id, handed: handed})
+}
--- /dev/null
+++ b/services/runner/runner.go
@@ -0,0 +1,268 @@
+// Package runner runs the requests of one backend server: one goroutine decides
+// what is queued, started and cancelled, and each running request has one of
+// its own.
+package runner
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/kernel"
+	"github.com/crocusline/crocusline/models/ledger"
+	"github.com/crocusline/crocusline/models/rank"
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/run"
+)
+
+// Name is the name of the runner service.
+const Name = "runner"
+
+// BillingName is the name of the service that keeps the bills.
+const BillingName = "billing"
+
+// Biller keeps ledger entries until the shard's stream holds them, then calls
+// settled.
+type Biller interface {
+	Keep(shard int, entries []ledger.Entry, settled func())
+}
+
+// Load is the backend server's state as the decision loop saw it last.
+type Load struct {
+	Running  int
+	Slots    int
+	Queued   [rank.Count]int
+	Wait     [rank.Count]time.Duration
+	Draining bool
+}
+
+// Waiting says what a drained server still waits for.
+type Waiting struct {
+	// Requests are queued or running.
+	Requests int
+	// Relays still read an answer.
+	Relays int
+	// Bills are not in the ledger yet.
+	Bills int
+}
+
+// Defaults of the options.
+const (
+	DefaultSlots = 16
+	// DefaultBacklog is the number of events that may wait for the loop.
+	DefaultBacklog = 1024
+	// tick is how often the loop looks for runs and answers whose time is over.
+	tick = 100 * time.Millisecond
+)
+
+// Runner runs the requests of one backend server.
+type Runner struct {
+	server      string
+	incarnation string
+	backend     Backend
+	slots       int
+	limits      run.Limits
+	biller      Biller
+	log         hclog.Logger
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	events chan event
+	done   chan struct{}
+	jobs   sync.WaitGroup
+	load   atomic.Pointer[Load]
+	wait   atomic.Pointer[Waiting]
+
+	loop *loop
+}
+
+// Option changes a Runner at construction.
+type Option func(*Runner)
+
+// WithSlots sets how many requests the server runs at once.
+func WithSlots(n int) Option { return func(r *Runner) { r.slots = n } }
+
+// WithLimits sets the bounds of the record.
+func WithLimits(l run.Limits) Option { return func(r *Runner) { r.limits = l } }
+
+// WithBiller sets the keeper of the bills. Without it, Start looks for the
+// service named BillingName.
+func WithBiller(b Biller) Option { return func(r *Runner) { r.biller = b } }
+
+// New returns the runner of the backend server with the given name.
+func New(server, incarnation string, backend Backend, opts ...Option) *Runner {
+	r := &Runner{
+		server:      server,
+		incarnation: incarnation,
+		backend:     backend,
+		slots:       DefaultSlots,
+		limits:      run.DefaultLimits(),
+		events:      make(chan event, DefaultBacklog),
+		done:        make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	r.loop = newLoop(r)
+	r.load.Store(&Load{Slots: r.slots})
+	r.wait.Store(&Waiting{})
+	return r
+}
+
+// Name implements kernel.Service.
+func (r *Runner) Name() string { return Name }
+
+// Start implements kernel.Service.
+func (r *Runner) Start(ctx context.Context, k *kernel.Kernel) error {
+	if r.biller == nil {
+		biller, ok := k.Find(BillingName).(Biller)
+		if !ok {
+			return errors.WithStack(&kernel.NotFoundError{Name: BillingName, Want: "runner.Biller"})
+		}
+		r.biller = biller
+	}
+	r.log = k.Log().Named(Name)
+	r.ctx, r.cancel = context.WithCancel(ctx)
+	go r.loop.serve()
+	return nil
+}
+
+// Close cancels what still runs and waits for it.
+func (r *Runner) Close() error {
+	r.cancel()
+	<-r.done
+	r.jobs.Wait()
+	return nil
+}
+
+// Server returns the backend server's name.
+func (r *Runner) Server() string { return r.server }
+
+// Incarnation returns the sidecar's incarnation.
+func (r *Runner) Incarnation() string { return r.incarnation }
+
+// Load returns the server's state.
+func (r *Runner) Load() Load { return *r.load.Load() }
+
+// WaitsFor returns what still runs and which bills the ledger does not hold.
+func (r *Runner) WaitsFor() Waiting { return *r.wait.Load() }
+
+// Submit queues a request, or joins the run of an earlier one with the same
+// identity. The error is a *refusal.Error whose outcome says whether this call
+// started anything. The relay has to be closed.
+func (r *Runner) Submit(ctx context.Context, req run.Request) (*Relay, error) {
+	reply := make(chan submitReply, 1)
+	select {
+	case r.events <- submitted{request: req, reply: reply}:
+	case <-r.done:
+		return nil, refusal.New(refusal.ShuttingDown, 0, "The sidecar is shutting down: try another server.")
+	default:
+		countRefusal(refusal.QueueFull)
+		return nil, refusal.New(refusal.QueueFull, time.Second, "The sidecar is behind with its events.")
+	}
+	select {
+	case got := <-reply:
+		return got.relay, got.err
+	case <-r.done:
+		return nil, shuttingDown()
+	case <-ctx.Done():
+		go r.abandon(reply)
+		return nil, &refusal.Error{
+			Reason:  refusal.DeadlineExpired,
+			Outcome: refusal.Unknown,
+			Advice:  "The request was given up while it was taken in.",
+		}
+	}
+}
+
+// abandon closes the relay that an abandoned Submit opens.
+func (r *Runner) abandon(reply <-chan submitReply) {
+	select {
+	case got := <-reply:
+		if got.relay != nil {
+			got.relay.Close(false)
+		}
+	case <-r.done:
+	}
+}
+
+// Acknowledge says that a whole answer reached the caller.
+func (r *Runner) Acknowledge(ctx context.Context, requestID string) error {
+	return r.ask(ctx, acknowledged{requestID: requestID})
+}
+
+// Inquire returns the state of an attempt of non-idempotent work. With fence
+// set, an attempt that was not seen is never run afterwards.
+func (r *Runner) Inquire(ctx context.Context, workspace, key string, attempt int64, fence bool) (run.State, error) {
+	reply := make(chan inquireReply, 1)
+	err := r.ask(ctx, inquired{workspace: workspace, key: key, attempt: attempt, fence: fence, reply: reply})
+	if err != nil {
+		return run.NotSeen, err
+	}
+	select {
+	case got := <-reply:
+		return got.state, got.err
+	case <-r.done:
+		return run.NotSeen, shuttingDown()
+	}
+}
+
+// FenceEntry refuses all later requests of an entry incarnation. It returns
+// whether no hold of the entry can be charged by this sidecar any more.
+func (r *Runner) FenceEntry(ctx context.Context, entry string) (bool, error) {
+	reply := make(chan bool, 1)
+	if err := r.ask(ctx, fenced{entry: entry, reply: reply}); err != nil {
+		return false, err
+	}
+	select {
+	case settled := <-reply:
+		return settled, nil
+	case <-r.done:
+		return false, shuttingDown()
+	}
+}
+
+// Drain refuses new requests, or takes them again. It returns once the decision
+// is in force.
+func (r *Runner) Drain(ctx context.Context, draining bool) error {
+	reply := make(chan struct{}, 1)
+	if err := r.ask(ctx, drained{draining: draining, reply: reply}); err != nil {
+		return err
+	}
+	select {
+	case <-reply:
+		return nil
+	case <-r.done:
+		return shuttingDown()
+	}
+}
+
+// ask hands an event to the loop.
+func (r *Runner) ask(ctx context.Context, e event) error {
+	select {
+	case r.events <- e:
+		return nil
+	case <-r.done:
+		return shuttingDown()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// post hands over an event that must not be lost.
+func (r *Runner) post(e event) {
+	select {
+	case r.events <- e:
+	case <-r.done:
+	}
+}
+
+// queueID is the run's name in the queue.
+func queueID(id run.ID) string {
+	return strconv.FormatUint(uint64(id), 10)
+}
--- /dev/null
+++ b/services/runner/runner_test.go
@@ -0,0 +1,288 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/crocusline/crocusline/kernel"
+	"github.com/crocusline/crocusline/models/ledger"
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/run"
+	"github.com/crocusline/crocusline/services/server"
+)
+
+// tokenTime is how long the fake backend takes for a token.
+const tokenTime = 50 * time.Millisecond
+
+// fakeBackend generates the tokens t0, t1, ... up to MaxTokens, or fails.
+type fakeBackend struct {
+	mu      sync.Mutex
+	started map[string]int
+	// fail, if set, ends a request after it had an effect or not.
+	fail *refusal.Error
+}
+
+func (f *fakeBackend) Run(ctx context.Context, req run.Request, sink server.Sink) (run.Result, error) {
+	f.mu.Lock()
+	if f.started == nil {
+		f.started = map[string]int{}
+	}
+	f.started[req.ID]++
+	fail := f.fail
+	f.mu.Unlock()
+	if fail != nil {
+		return run.Result{}, fail
+	}
+	for i := len(req.Generated); i < req.MaxTokens; i++ {
+		select {
+		case <-time.After(tokenTime):
+			sink.Token(fmt.Sprintf("t%d", i))
+		case <-ctx.Done():
+			return run.Result{}, ctx.Err()
+		}
+	}
+	return run.Result{PromptTokens: 3, OutputTokens: int64(req.MaxTokens), Body: req.Body}, nil
+}
+
+func (f *fakeBackend) starts(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.started[id]
+}
+
+// fakeBiller holds entries until settle is called.
+type fakeBiller struct {
+	mu      sync.Mutex
+	bills   []ledger.Bill
+	pending []func()
+}
+
+func (f *fakeBiller) Keep(_ int, entries []ledger.Entry, settled func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bills = append(f.bills, entries[0].(ledger.Bill))
+	f.pending = append(f.pending, settled)
+}
+
+func (f *fakeBiller) settle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, done := range f.pending {
+		done()
+	}
+	f.pending = nil
+}
+
+func (f *fakeBiller) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.bills)
+}
+
+func startRunner(t *testing.T, backend Backend, opts ...Option) (*Runner, *fakeBiller) {
+	t.Helper()
+	biller := &fakeBiller{}
+	r := New("drafting-1", "sidecar/1", backend, append(opts, WithBiller(biller))...)
+	if err := r.Start(context.Background(), kernel.New(hclog.NewNullLogger())); err != nil {
+		t.Fatal(err)
+	}
+	return r, biller
+}
+
+func closeRunner(t *testing.T, r *Runner) {
+	t.Helper()
+	if err := r.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+func draft(id, key string, maxTokens int) run.Request {
+	return run.Request{
+		ID: id, Workspace: "clinic", Key: key, Idempotent: true, MaxTokens: maxTokens,
+		Hold: ledger.Hold{Holder: "entry/" + id, Sequence: 1, Tokens: 100},
+	}
+}
+
+func submit(t *testing.T, r *Runner, req run.Request) *Relay {
+	t.Helper()
+	relay, err := r.Submit(context.Background(), req)
+	if err != nil {
+		t.Fatalf("Submit(%s): %v", req.ID, err)
+	}
+	return relay
+}
+
+// read reads n tokens, or to the end of the answer when n is negative.
+func read(t *testing.T, relay *Relay, n int) []string {
+	t.Helper()
+	var got []string
+	for n < 0 || len(got) < n {
+		c, err := relay.Next(context.Background())
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			t.Fatalf("Next: %v", err)
+		}
+		got = append(got, c.Tokens...)
+	}
+	return got
+}
+
+func finish(t *testing.T, relay *Relay) run.Handover {
+	t.Helper()
+	h, err := relay.HandOver(context.Background())
+	if err != nil {
+		t.Fatalf("HandOver: %v", err)
+	}
+	relay.Close(true)
+	return h
+}
+
+func wantTokens(t *testing.T, got []string, first, last int) {
+	t.Helper()
+	if len(got) != last-first {
+		t.Fatalf("got %d tokens %v, want t%d to t%d", len(got), got, first, last-1)
+	}
+	for i, token := range got {
+		if token != fmt.Sprintf("t%d", first+i) {
+			t.Fatalf("token %d is %s", first+i, token)
+		}
+	}
+}
+
+func TestRetryPicksTheAnswerUpWhereItStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &fakeBackend{}
+		r, biller := startRunner(t, backend)
+		defer closeRunner(t, r)
+		first := submit(t, r, draft("r1", "k", 10))
+		wantTokens(t, read(t, first, 4), 0, 4)
+		first.Close(false)
+		time.Sleep(time.Second)
+		retry := draft("r2", "k", 10)
+		retry.FromToken = 4
+		second := submit(t, r, retry)
+		wantTokens(t, read(t, second, -1), 4, 10)
+		h := finish(t, second)
+		synctest.Wait()
+		if h.Hold.Holder != "entry/r1" || h.BilledTokens != 13 || h.OutputTokens != 10 {
+			t.Errorf("handover = %+v, want the first hold to pay 13", h)
+		}
+		if biller.count() != 1 || backend.starts("r1") != 1 || backend.starts("r2") != 0 {
+			t.Errorf("bills = %d, starts = %v, want one run billed once", biller.count(), backend.started)
+		}
+	})
+}
+
+func TestAbandonedRunIsCancelledAndNotBilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, biller := startRunner(t, &fakeBackend{})
+		defer closeRunner(t, r)
+		relay := submit(t, r, draft("r1", "", 1000))
+		read(t, relay, 1)
+		relay.Close(false)
+		time.Sleep(run.DefaultLimits().Grace + time.Second)
+		if w := r.WaitsFor(); w != (Waiting{}) || r.Load().Running != 0 || biller.count() != 0 {
+			t.Errorf("waits for %+v, load %+v, %d bills", w, r.Load(), biller.count())
+		}
+	})
+}
+
+func TestSlowRelayDoesNotHoldUpOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := startRunner(t, &fakeBackend{})
+		defer closeRunner(t, r)
+		slow := submit(t, r, draft("r1", "k", 100))
+		fast := submit(t, r, draft("r2", "k", 100))
+		began := time.Now()
+		wantTokens(t, read(t, fast, -1), 0, 100)
+		if took := time.Since(began); took != 100*tokenTime {
+			t.Errorf("fast relay took %s", took)
+		}
+		c, err := slow.Next(context.Background())
+		if err != nil || len(c.Tokens) != 100 {
+			t.Errorf("slow relay got %d tokens at once, %v, want all that is ready", len(c.Tokens), err)
+		}
+	})
+}
+
+func TestFailureReachesTheRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		backend := &fakeBackend{fail: refusal.New(refusal.ServerFailed, 0, "refused")}
+		r, biller := startRunner(t, backend)
+		defer closeRunner(t, r)
+		req := draft("r1", "k", 0)
+		req.Idempotent, req.Incarnation, req.Attempt = false, "sidecar/1", 1
+		_, err := submit(t, r, req).Next(context.Background())
+		if e, ok := refusal.As(err); !ok || e.Outcome != refusal.NotRun {
+			t.Errorf("error = %v, want not run", err)
+		}
+		_, err = r.Submit(context.Background(), req)
+		if e, ok := refusal.As(err); !ok || e.Reason != refusal.Fenced {
+			t.Errorf("second dispatch = %v, want fenced", err)
+		}
+		if backend.starts("r1") != 1 || biller.count() != 0 {
+			t.Errorf("starts = %d, bills = %d", backend.starts("r1"), biller.count())
+		}
+	})
+}
+
+func TestDrainRefusesQueuedAndEndsRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, biller := startRunner(t, &fakeBackend{}, WithSlots(1))
+		defer closeRunner(t, r)
+		running := submit(t, r, draft("r1", "", 10))
+		read(t, running, 1)
+		waiting := submit(t, r, draft("r2", "", 10))
+		if err := r.Drain(context.Background(), true); err != nil {
+			t.Fatal(err)
+		}
+		_, err := waiting.Next(context.Background())
+		if e, ok := refusal.As(err); !ok || e.Reason != refusal.Draining || e.Outcome != refusal.NotRun {
+			t.Errorf("queued request got %v, want draining (not run)", err)
+		}
+		waiting.Close(false)
+		if _, err = r.Submit(context.Background(), draft("r3", "", 1)); err == nil {
+			t.Error("new work accepted while draining")
+		}
+		wantTokens(t, read(t, running, -1), 1, 10)
+		finish(t, running)
+		synctest.Wait()
+		if w := r.WaitsFor(); w != (Waiting{Bills: 1}) {
+			t.Errorf("waits for %+v, want one bill", w)
+		}
+		biller.settle()
+		synctest.Wait()
+		if w := r.WaitsFor(); w != (Waiting{}) {
+			t.Errorf("waits for %+v, want nothing", w)
+		}
+	})
+}
+
+func TestFencedEntryIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := startRunner(t, &fakeBackend{})
+		defer closeRunner(t, r)
+		relay := submit(t, r, draft("r1", "k", 100))
+		read(t, relay, 1)
+		settled, err := r.FenceEntry(context.Background(), "entry/r1")
+		if !settled || err != nil {
+			t.Errorf("FenceEntry = %t, %v", settled, err)
+		}
+		for err == nil {
+			_, err = relay.Next(context.Background())
+		}
+		if e, ok := refusal.As(err); !ok || e.Reason != refusal.Fenced {
+			t.Errorf("relay got %v, want fenced", err)
+		}
+	})
+}
--- /dev/null
+++ b/services/server/engine.go
@@ -0,0 +1,150 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/run"
+)
+
+// Engine is a model engine that speaks the common completions API.
+type Engine struct {
+	address netip.AddrPort
+	config  config
+}
+
+// NewEngine returns the driver of the model engine at an address.
+func NewEngine(address netip.AddrPort, opts ...Option) *Engine {
+	return &Engine{address: address, config: newConfig(opts, true)}
+}
+
+type completionRequest struct {
+	Prompt    string   `json:"prompt"`
+	MaxTokens int      `json:"max_tokens"`
+	Stream    bool     `json:"stream"`
+	Priority  int      `json:"priority"`
+	RequestID string   `json:"request_id"`
+	Generated []string `json:"generated,omitempty"`
+
+	StreamOptions streamOptions `json:"stream_options"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type completionEvent struct {
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Text         string  `json:"text"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type usage struct {
+	PromptTokens     int64 `json:"prompt_tokens"`
+	CompletionTokens int64 `json:"completion_tokens"`
+}
+
+// complete streams the answer of a prompt. The connection is closed when the
+// context ends, which cancels the work at the engine.
+func (e *Engine) complete(ctx context.Context, req run.Request, sink Sink) (run.Result, error) {
+	body, err := json.Marshal(completionRequest{
+		Prompt:        req.Prompt,
+		MaxTokens:     req.MaxTokens,
+		Stream:        true,
+		Priority:      int(req.Rank),
+		RequestID:     req.ID,
+		Generated:     req.Generated,
+		StreamOptions: streamOptions{IncludeUsage: true},
+	})
+	if err != nil {
+		return run.Result{}, refusal.New(refusal.InvalidRequest, 0, "The prompt cannot be encoded.")
+	}
+	var s sent
+	hr, err := http.NewRequestWithContext(s.trace(ctx), http.MethodPost, baseURL(e.address)+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return run.Result{}, refusal.New(refusal.InvalidRequest, 0, err.Error())
+	}
+	hr.GetBody = nil // The transport must not repeat the request.
+	hr.Header.Set("Content-Type", "application/json")
+	hr.Header.Set("Accept", "text/event-stream")
+	resp, err := e.config.client.Do(hr)
+	if err != nil {
+		return run.Result{}, s.failed("The model engine did not answer: try another server.")
+	}
+	defer closeBody(resp.Body)
+	if err := engineRefusal(resp.StatusCode); err != nil {
+		return run.Result{}, err
+	}
+	result, err := readCompletion(resp.Body, req.Generated, sink)
+	if err != nil {
+		return run.Result{}, s.failed("The model engine ended the answer early: try another server.")
+	}
+	return result, nil
+}
+
+func engineRefusal(status int) error {
+	switch {
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+		return refusal.New(refusal.ServerFailed, retryElsewhere, "The model engine takes no work now: try another server.")
+	case status >= http.StatusInternalServerError:
+		e := refusal.New(refusal.ServerFailed, retryElsewhere, "The model engine failed: try another server.")
+		e.Outcome = refusal.Unknown
+		return e
+	default:
+		return refusal.New(refusal.ServerRejected, 0, "The model engine rejected the request: change it.")
+	}
+}
+
+// readCompletion passes on the tokens of a completion until its end mark.
+func readCompletion(r io.Reader, generated []string, sink Sink) (run.Result, error) {
+	result := run.Result{OutputTokens: int64(len(generated))}
+	for _, token := range generated {
+		result.Bytes += len(token)
+	}
+	events := NewReader(r)
+	for {
+		data, err := events.Next()
+		if err != nil {
+			return run.Result{}, err
+		}
+		if string(data) == endMark {
+			return result, nil
+		}
+		var event completionEvent
+		if err := json.Unmarshal(data, &event); err != nil {
+			return run.Result{}, errors.Wrap(err, "completion event")
+		}
+		if event.Usage != nil {
+			result.PromptTokens = event.Usage.PromptTokens
+		}
+		for _, c := range event.Choices {
+			if c.Index != 0 || c.Text == "" {
+				continue
+			}
+			result.OutputTokens++
+			result.Bytes += len(c.Text)
+			sink.Token(c.Text)
+		}
+	}
+}
+
+// endMark is the data of the event that ends a completion.
+const endMark = "[DONE]"
+
+func closeBody(body io.Closer) {
+	_ = body.Close()
+}
--- /dev/null
+++ b/services/server/reader.go
@@ -0,0 +1,70 @@
+package server
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// MaxEventBytes is the largest server-sent event that a Reader takes.
+const MaxEventBytes = 1 << 20
+
+// Reader reads the data of server-sent events.
+type Reader struct {
+	lines *bufio.Scanner
+	data  []byte
+}
+
+// NewReader returns a reader of the events of a stream.
+func NewReader(r io.Reader) *Reader {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, MaxEventBytes)
+	return &Reader{lines: lines}
+}
+
+// Next returns the data of the next event that has any. It is valid until the
+// next call. An event cut off by the end of the stream is not returned: the
+// error is then io.ErrUnexpectedEOF.
+func (r *Reader) Next() ([]byte, error) {
+	r.data = r.data[:0]
+	hasData := false
+	for r.lines.Scan() {
+		line := bytes.TrimSuffix(r.lines.Bytes(), []byte("\r"))
+		if len(line) == 0 {
+			if hasData {
+				return r.data, nil
+			}
+			continue
+		}
+		value, ok := dataOf(line)
+		if !ok {
+			continue
+		}
+		if len(r.data)+len(value) > MaxEventBytes {
+			return nil, errors.Errorf("event over %d bytes", MaxEventBytes)
+		}
+		if hasData {
+			r.data = append(r.data, '\n')
+		}
+		r.data = append(r.data, value...)
+		hasData = true
+	}
+	if err := r.lines.Err(); err != nil {
+		return nil, errors.Wrap(err, "read event")
+	}
+	if hasData {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return nil, io.EOF
+}
+
+// dataOf returns the value of a data field.
+func dataOf(line []byte) ([]byte, bool) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	if string(name) != "data" {
+		return nil, false
+	}
+	return bytes.TrimPrefix(value, []byte(" ")), true
+}
--- /dev/null
+++ b/services/server/server_test.go
@@ -0,0 +1,251 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/run"
+)
+
+type tokens []string
+
+func (t *tokens) Token(text string) { *t = append(*t, text) }
+
+func addressOf(t *testing.T, s *httptest.Server) netip.AddrPort {
+	t.Helper()
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
+}
+
+func serve(t *testing.T, handler http.HandlerFunc) netip.AddrPort {
+	t.Helper()
+	s := httptest.NewServer(handler)
+	t.Cleanup(s.Close)
+	return addressOf(t, s)
+}
+
+func wantRefusal(t *testing.T, err error, reason refusal.Reason, outcome refusal.Outcome) {
+	t.Helper()
+	e, ok := refusal.As(err)
+	if !ok || e.Reason != reason || e.Outcome != outcome {
+		t.Errorf("error = %v, want %s (%s)", err, reason, outcome)
+	}
+}
+
+func token(w io.Writer, text string) {
+	fmt.Fprintf(w, "data: {\"id\":\"x\",\"choices\":[{\"index\":0,\"text\":%q,\"finish_reason\":null}]}\n\n", text)
+}
+
+func TestEngineStreamsTokensAndGoesOnAfterGenerated(t *testing.T) {
+	var got map[string]any
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if err := json.NewDecoder(r.Body).Decode(&got); err != nil {
+			t.Error(err)
+		}
+		token(w, " melts")
+		token(w, ".")
+		fmt.Fprint(w, "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":4,\"completion_tokens\":3}}\n\ndata: [DONE]\n\n")
+	})
+	var sink tokens
+	req := run.Request{ID: "r1", Prompt: "ice", MaxTokens: 9, Rank: 1, Generated: []string{"Ice"}}
+	result, err := Driver{NewEngine(address)}.Run(context.Background(), req, &sink)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(sink, tokens{" melts", "."}) || result.PromptTokens != 4 || result.OutputTokens != 3 {
+		t.Errorf("tokens = %q, result = %+v", sink, result)
+	}
+	if got["request_id"] != "r1" || got["priority"] != 1.0 || got["stream"] != true || fmt.Sprint(got["generated"]) != "[Ice]" {
+		t.Errorf("request = %v", got)
+	}
+}
+
+func TestEngineAnswerWithoutEndMarkIsNotWhole(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) { token(w, "a") })
+	var sink tokens
+	_, err := Driver{NewEngine(address)}.Run(context.Background(), run.Request{ID: "r1"}, &sink)
+	wantRefusal(t, err, refusal.ServerFailed, refusal.Unknown)
+	if len(sink) != 1 {
+		t.Errorf("tokens = %q", sink)
+	}
+}
+
+func TestEngineStatus(t *testing.T) {
+	tests := []struct {
+		status  int
+		reason  refusal.Reason
+		outcome refusal.Outcome
+	}{
+		{http.StatusServiceUnavailable, refusal.ServerFailed, refusal.NotRun},
+		{http.StatusTooManyRequests, refusal.ServerFailed, refusal.NotRun},
+		{http.StatusInternalServerError, refusal.ServerFailed, refusal.Unknown},
+		{http.StatusBadRequest, refusal.ServerRejected, refusal.NotRun},
+	}
+	for _, tt := range tests {
+		address := serve(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(tt.status) })
+		_, err := Driver{NewEngine(address)}.Run(context.Background(), run.Request{ID: "r1"}, &tokens{})
+		wantRefusal(t, err, tt.reason, tt.outcome)
+	}
+}
+
+func TestCancelClosesTheEngineRequest(t *testing.T) {
+	closed := make(chan struct{})
+	began := make(chan struct{})
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		token(w, "a")
+		_ = http.NewResponseController(w).Flush()
+		close(began)
+		<-r.Context().Done()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-began; cancel() }()
+	if _, err := (Driver{NewEngine(address)}).Run(ctx, run.Request{ID: "r1"}, &tokens{}); err == nil {
+		t.Error("no error after the cancel")
+	}
+	<-closed
+}
+
+func TestPlainCall(t *testing.T) {
+	var key, id, body string
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		key, id, body = r.Header.Get("Idempotency-Key"), r.Header.Get("Request-Id"), string(b)
+		fmt.Fprint(w, "booked")
+	})
+	req := run.Request{ID: "r1", Key: "k", Body: []byte("bay 4")}
+	result, err := Driver{NewPlain(address)}.Run(context.Background(), req, nil)
+	if err != nil || string(result.Body) != "booked" || key != "k" || id != "r1" || body != "bay 4" {
+		t.Errorf("result = %+v, %v; key %q id %q body %q", result, err, key, id, body)
+	}
+}
+
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(l.Addr().String())
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	_, err = Driver{NewPlain(address)}.Run(context.Background(), run.Request{ID: "r1"}, nil)
+	wantRefusal(t, err, refusal.ServerFailed, refusal.NotRun)
+	_, err = Driver{NewEngine(address)}.Run(context.Background(), run.Request{ID: "r1"}, &tokens{})
+	wantRefusal(t, err, refusal.ServerFailed, refusal.NotRun)
+}
+
+// TestPlainCallIsNeverRepeated has the service close the connection after it
+// took the call. net/http repeats requests that carry an Idempotency-Key on a
+// reused connection unless told not to.
+func TestPlainCallIsNeverRepeated(t *testing.T) {
+	for _, body := range []string{"", "bay 4"} {
+		var calls atomic.Int32
+		address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			if calls.Add(1) > 1 {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err == nil {
+					_ = conn.Close()
+				}
+			}
+		})
+		driver := Driver{NewPlain(address)}
+		req := run.Request{ID: "r1", Key: "k", Body: []byte(body)}
+		if _, err := driver.Run(context.Background(), req, nil); err != nil {
+			t.Fatal(err)
+		}
+		_, err := driver.Run(context.Background(), req, nil)
+		wantRefusal(t, err, refusal.ServerFailed, refusal.Unknown)
+		if calls.Load() != 2 {
+			t.Errorf("body %q: service saw %d calls, want 2", body, calls.Load())
+		}
+	}
+}
+
+func TestPlainAnswerThatProvesNothing(t *testing.T) {
+	tests := []struct {
+		name    string
+		handler http.HandlerFunc
+		reason  refusal.Reason
+	}{
+		{"error status", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }, refusal.ServerFailed},
+		{"rejected", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusConflict) }, refusal.ServerRejected},
+		{"redirect", func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+		}, refusal.ServerRejected},
+		{"redirect to read", func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				http.Redirect(w, r, "/elsewhere", http.StatusFound)
+			}
+		}, refusal.ServerRejected},
+		{"cut off", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "10")
+			fmt.Fprint(w, "half")
+		}, refusal.ServerFailed},
+		{"too large", func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprint(w, strings.Repeat("x", MaxAnswerBytes+1))
+		}, refusal.ServerFailed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var calls atomic.Int32
+			address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				calls.Add(1)
+				tt.handler(w, r)
+			})
+			_, err := Driver{NewPlain(address)}.Run(context.Background(), run.Request{ID: "r1"}, nil)
+			wantRefusal(t, err, tt.reason, refusal.Unknown)
+			if calls.Load() != 1 {
+				t.Errorf("service saw %d calls, want 1", calls.Load())
+			}
+		})
+	}
+}
+
+func TestReader(t *testing.T) {
+	r := NewReader(strings.NewReader(": note\nevent: x\ndata: a\r\ndata:b\n\n\n\ndata: c\n\ndata: cut"))
+	for _, want := range []string{"a\nb", "c"} {
+		data, err := r.Next()
+		if err != nil || string(data) != want {
+			t.Errorf("Next = %q, %v, want %q", data, err, want)
+		}
+	}
+	if _, err := r.Next(); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("error = %v, want unexpected EOF", err)
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add([]byte("data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: [DONE]\n\n"))
+	f.Add([]byte("data\n\n:x\r\n\r\ndata:  y"))
+	f.Fuzz(func(t *testing.T, stream []byte) {
+		r := NewReader(strings.NewReader(string(stream)))
+		for {
+			data, err := r.Next()
+			if err != nil {
+				break
+			}
+			if len(data) > len(stream) {
+				t.Fatalf("event of %d bytes from %d", len(data), len(stream))
+			}
+		}
+		var sink tokens
+		result, err := readCompletion(strings.NewReader(string(stream)), nil, &sink)
+		if err == nil && int(result.OutputTokens) != len(sink) {
+			t.Fatalf("counted %d tokens, passed on %d", result.OutputTokens, len(sink))
+		}
+	})
+}
