Read settings and tables, fold the control stream, connect peers

Cause: processes need checked settings, and one versioned view of routes, pools, workspaces, planned stops and members that never goes back.

Weighed: the YAML library's own strict decoding against a walk over its tree. The library loses the position when a type's text decoder fails (addresses, durations, ranks), so the walk is ours and the scalars are the library's; each problem then has file, line and key. Weighed: checking rules inside the fold against checking them in the publisher. Releases with different rules would fold one record differently, so the fold decides by base version only. Planned stops raise the version but don't move the base of publications, so that a stop doesn't make an operator's publication lose.

Tests: make lint test passes, 0 lint issues. FuzzDecodeEvent ran 59159 and FuzzRestore 61625 inputs without a failure. Mutations, each failing a test: base check off (TestRacingPublishersHaveOneWinner), ended incarnations let back (TestReplacedIncarnationNeverComesBack), offset check off (TestStateNeverGoesBack), owner epoch check off (TestOwnerHintNeedsHigherEpoch), version counted from the last publication (TestPlannedStopDoesNotMoveTheBase), null maps not filled (TestRestoreTakesNullMaps), peer certificate not verified (TestServerRefusesOtherAuthority, TestClientRefusesOtherAuthority), reload off (TestReloadWithoutRestart).

--- /dev/null
+++ b/models/fleet/state.go
@@ -0,0 +1,179 @@
+package fleet
+
+import (
+	"maps"
+	"time"
+
+	"github.com/crocusline/crocusline/models/table"
+)
+
+// What the state remembers of the past.
+const (
+	// historyLength is how many operators' changes are kept, to recognise a
+	// second record of one and to name the winner of a race.
+	historyLength = 256
+	// goneWindow is how long, by the log's clock, an ended incarnation is
+	// remembered, so that a late record can't bring it back.
+	goneWindow = 7 * 24 * time.Hour
+)
+
+// State is the state of the fleet at one offset of the control stream. It
+// never changes once built: Apply returns a new one.
+type State struct {
+	// Next is the offset of the first event that the state does not hold.
+	Next    int64             `json:"next"`
+	Tables  *table.Tables     `json:"tables"`
+	Members map[string]Member `json:"members,omitempty"`
+	// Ended holds the incarnations that are gone, and when they went.
+	Ended   map[string]time.Time `json:"ended,omitempty"`
+	Owners  map[int]Owner        `json:"owners,omitempty"`
+	History []Publication        `json:"history,omitempty"`
+}
+
+// Publication is an operator's change that took effect.
+type Publication struct {
+	ID      string    `json:"id"`
+	By      string    `json:"by"`
+	Base    int64     `json:"base"`
+	Version int64     `json:"version"`
+	Time    time.Time `json:"time"`
+	// Server is set for planned stops and their ends.
+	Server string `json:"server,omitempty"`
+}
+
+// New returns the state at the start of the stream.
+func New() *State {
+	return &State{
+		Tables:  table.New(),
+		Members: map[string]Member{},
+		Ended:   map[string]time.Time{},
+		Owners:  map[int]Owner{},
+	}
+}
+
+// Apply returns the state after the event at the offset and says what the
+// event did. An event at an offset that the state already holds has no effect.
+func (s *State) Apply(offset int64, at time.Time, event Event) (*State, Result) {
+	if offset < s.Next {
+		return s, ignored(Duplicate, "offset %d is already applied", offset)
+	}
+	next := *s
+	next.Next = offset + 1
+	result := next.apply(at.UTC(), event)
+	return &next, result
+}
+
+// Skip returns the state past a record that this release can't decode.
+func (s *State) Skip(offset int64) *State {
+	next := *s
+	next.Next = max(s.Next, offset+1)
+	return &next
+}
+
+// Version returns the version of the tables in force.
+func (s *State) Version() int64 {
+	return s.Tables.Version
+}
+
+// Published returns the operator's change with the ID, if it took effect and
+// is remembered.
+func (s *State) Published(id string) (Publication, bool) {
+	for _, p := range s.History {
+		if p.ID == id {
+			return p, true
+		}
+	}
+	return Publication{}, false
+}
+
+// IsGone says whether the incarnation has ended for good.
+func (s *State) IsGone(incarnation string) bool {
+	_, ended := s.Ended[incarnation]
+	return ended
+}
+
+// SidecarOf returns the member beside the backend server.
+func (s *State) SidecarOf(server string) (Member, bool) {
+	for _, m := range s.Members {
+		if m.Role == Sidecar && m.Server == server {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+func (s *State) apply(at time.Time, event Event) Result {
+	switch e := event.(type) {
+	case Publish:
+		return s.publish(at, e)
+	case PlanStop:
+		return s.planStop(at, e)
+	case EndStop:
+		return s.endStop(at, e)
+	case Register:
+		return s.register(at, e.Member)
+	case Retire:
+		return s.end(at, e.Incarnation)
+	case Fence:
+		return s.end(at, e.Incarnation)
+	case OwnerHint:
+		return s.hint(e)
+	default:
+		return ignored(UnknownEvent, "unknown event %T", event)
+	}
+}
+
+func (s *State) register(at time.Time, m Member) Result {
+	if s.IsGone(m.Incarnation) {
+		return ignored(Gone, "incarnation %s has ended", m.Incarnation)
+	}
+	if _, known := s.Members[m.Incarnation]; known {
+		return ignored(AlreadyDone, "incarnation %s is registered", m.Incarnation)
+	}
+	members := maps.Clone(s.Members)
+	for incarnation, other := range s.Members {
+		if other.replacedBy(m) {
+			delete(members, incarnation)
+			s.markEnded(at, incarnation)
+		}
+	}
+	members[m.Incarnation] = m
+	s.Members = members
+	return Applied{Version: s.Version()}
+}
+
+// replacedBy says whether the two cannot both be alive: one name, or one
+// backend server.
+func (m Member) replacedBy(newer Member) bool {
+	if m.Role != newer.Role {
+		return false
+	}
+	return m.Name == newer.Name || m.Server != "" && m.Server == newer.Server
+}
+
+func (s *State) end(at time.Time, incarnation string) Result {
+	if s.IsGone(incarnation) {
+		return ignored(AlreadyDone, "incarnation %s has ended", incarnation)
+	}
+	s.markEnded(at, incarnation)
+	s.Members = maps.Clone(s.Members)
+	delete(s.Members, incarnation)
+	return Applied{Version: s.Version()}
+}
+
+func (s *State) markEnded(at time.Time, incarnation string) {
+	s.Ended = maps.Clone(s.Ended)
+	maps.DeleteFunc(s.Ended, func(_ string, since time.Time) bool {
+		return at.Sub(since) > goneWindow
+	})
+	s.Ended[incarnation] = at
+}
+
+func (s *State) hint(e OwnerHint) Result {
+	if known, ok := s.Owners[e.Shard]; ok && e.Owner.Epoch <= known.Epoch {
+		return ignored(OldEpoch, "shard %d is at epoch %d", e.Shard, known.Epoch)
+	}
+	s.Owners = maps.Clone(s.Owners)
+	s.Owners[e.Shard] = e.Owner
+	return Applied{Version: s.Version()}
+}
--- /dev/null
+++ b/models/table/file.go
@@ -0,0 +1,57 @@
+package table
+
+import (
+	"path/filepath"
+
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/modules/setting"
+)
+
+// Files of a tables directory.
+const (
+	RoutesFile     = "routes.yaml"
+	PoolsFile      = "pools.yaml"
+	WorkspacesFile = "workspaces.yaml"
+)
+
+type routesFile struct {
+	Routes map[string]Route `yaml:"routes" validate:"dive,keys,name,endkeys"`
+}
+
+type poolsFile struct {
+	Pools map[string]Pool `yaml:"pools" validate:"dive,keys,name,endkeys"`
+}
+
+type workspacesFile struct {
+	Workspaces map[string]Workspace `yaml:"workspaces" validate:"dive,keys,name,endkeys"`
+}
+
+// Load reads the tables from the YAML files of a directory. A bad value gives a
+// *setting.Error with file and line.
+func Load(dir string) (*Tables, error) {
+	t := New()
+	routes := routesFile{Routes: t.Routes}
+	pools := poolsFile{Pools: t.Pools}
+	workspaces := workspacesFile{Workspaces: t.Workspaces}
+	docs := map[string]*setting.Document{}
+	for _, file := range []struct {
+		table, name string
+		into        any
+	}{
+		{"routes", RoutesFile, &routes},
+		{"pools", PoolsFile, &pools},
+		{"workspaces", WorkspacesFile, &workspaces},
+	} {
+		doc, err := setting.DecodeFile(filepath.Join(dir, file.name), file.into)
+		if err != nil {
+			return nil, err
+		}
+		docs[file.table] = doc
+	}
+	var broken *RuleError
+	if err := t.Check(); errors.As(err, &broken) {
+		return nil, docs[broken.Table].Problem(broken.Key(), "%s", broken.Problem)
+	}
+	return t, nil
+}
--- /dev/null
+++ b/models/table/rule.go
@@ -0,0 +1,120 @@
+package table
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// RuleError says which entry of which table breaks a rule.
+type RuleError struct {
+	// Table is routes, pools or workspaces.
+	Table string
+	// Name is the entry's key.
+	Name string
+	// Field is the value at fault, or empty.
+	Field   string
+	Problem string
+}
+
+// Error implements error.
+func (e *RuleError) Error() string {
+	return e.Key() + ": " + e.Problem
+}
+
+// Key returns the path of the value at fault, as in the YAML files.
+func (e *RuleError) Key() string {
+	if e.Field == "" {
+		return fmt.Sprintf("%s[%s]", e.Table, e.Name)
+	}
+	return fmt.Sprintf("%s[%s].%s", e.Table, e.Name, e.Field)
+}
+
+// Check returns a *RuleError for the first entry, in the order of names, that
+// breaks a rule between entries or tables.
+func (t *Tables) Check() error {
+	if err := t.checkPools(); err != nil {
+		return err
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.Routes)) {
+		if err := t.checkRoute(name, t.Routes[name]); err != nil {
+			return err
+		}
+	}
+	return t.checkWorkspaces()
+}
+
+func (t *Tables) checkRoute(name string, r Route) error {
+	pool, known := t.Pools[r.Pool]
+	if !known {
+		return route(name, "pool", fmt.Sprintf("no pool is named %q", r.Pool))
+	}
+	if r.Timeout <= 0 {
+		return route(name, "timeout", "must be above 0")
+	}
+	switch pool.Kind {
+	case Model:
+		if r.MaxTokens <= 0 {
+			return route(name, "maxTokens", "model work needs a bound on its output above 0")
+		}
+		if r.Price != 0 {
+			return route(name, "price", "model work is charged by its tokens; remove the price")
+		}
+	case Plain:
+		if r.Price <= 0 {
+			return route(name, "price", "a plain call needs a price in tokens above 0")
+		}
+		if r.MaxTokens != 0 {
+			return route(name, "maxTokens", "a plain call generates no tokens; remove it")
+		}
+	}
+	return nil
+}
+
+func (t *Tables) checkPools() error {
+	kindOf := map[string]Kind{}
+	for _, name := range slices.Sorted(maps.Keys(t.Pools)) {
+		pool := t.Pools[name]
+		if len(pool.Servers) == 0 {
+			return &RuleError{Table: "pools", Name: name, Field: "servers", Problem: "a pool needs a backend server"}
+		}
+		seen := map[string]bool{}
+		for i, server := range pool.Servers {
+			field := fmt.Sprintf("servers[%d]", i)
+			if seen[server] {
+				return &RuleError{Table: "pools", Name: name, Field: field, Problem: fmt.Sprintf("%q stands twice", server)}
+			}
+			seen[server] = true
+			if kind, other := kindOf[server]; other && kind != pool.Kind {
+				problem := fmt.Sprintf("%q also stands in a pool of kind %s", server, kind)
+				return &RuleError{Table: "pools", Name: name, Field: field, Problem: problem}
+			}
+			kindOf[server] = pool.Kind
+		}
+	}
+	return nil
+}
+
+// checkWorkspaces refuses a token that two workspaces share, since a caller
+// could then spend the other's budget.
+func (t *Tables) checkWorkspaces() error {
+	ownerOf := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(t.Workspaces)) {
+		for i, token := range t.Workspaces[name].Tokens {
+			if owner, taken := ownerOf[token]; taken {
+				return &RuleError{
+					Table:   "workspaces",
+					Name:    name,
+					Field:   fmt.Sprintf("tokens[%d]", i),
+					Problem: fmt.Sprintf("also a token of workspace %q", owner),
+				}
+			}
+			ownerOf[token] = name
+		}
+	}
+	return nil
+}
+
+func route(name, field, problem string) error {
+	return &RuleError{Table: "routes", Name: name, Field: field, Problem: problem}
+}
--- /dev/null
+++ b/modules/certificate/certificate.go
@@ -0,0 +1,133 @@
+// Package certificate makes a certificate authority and certificates of its
+// own, for demonstrations and tests. Deployments bring theirs.
+package certificate
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// PeerName is the DNS name that the certificate of every peer carries. Peers
+// are reached by addresses that change, so the name is what is checked.
+const PeerName = "peer.crocusline"
+
+// File modes and sizes of what WriteFiles writes.
+const (
+	keyMode    = 0o600
+	certMode   = 0o644
+	serialBits = 120
+)
+
+// Authority signs certificates.
+type Authority struct {
+	cert     *x509.Certificate
+	key      *ecdsa.PrivateKey
+	validity time.Duration
+}
+
+// Pair is a certificate with its key, both in PEM.
+type Pair struct {
+	Cert []byte
+	Key  []byte
+}
+
+// NewAuthority returns an authority whose certificates are valid for validity
+// from now on.
+func NewAuthority(now time.Time, validity time.Duration) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	template, err := newTemplate("crocusline authority", now, validity)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return &Authority{cert: cert, key: key, validity: validity}, nil
+}
+
+// PEM returns the authority's certificate.
+func (a *Authority) PEM() []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: a.cert.Raw})
+}
+
+// Issue returns a certificate for a peer that also serves at the addresses.
+func (a *Authority) Issue(now time.Time, name string, addresses ...netip.Addr) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, errors.WithStack(err)
+	}
+	template, err := newTemplate(name, now, a.validity)
+	if err != nil {
+		return Pair{}, err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	template.DNSNames = []string{PeerName}
+	for _, address := range addresses {
+		template.IPAddresses = append(template.IPAddresses, net.IP(address.AsSlice()))
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return Pair{}, errors.WithStack(err)
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, errors.WithStack(err)
+	}
+	return Pair{
+		Cert: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}),
+		Key:  pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}),
+	}, nil
+}
+
+// WriteFiles writes ca.pem, peer.pem and peer.key into the directory, which it
+// creates.
+func WriteFiles(dir string, a *Authority, pair Pair) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return errors.WithStack(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "ca.pem"), a.PEM(), certMode); err != nil {
+		return errors.WithStack(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "peer.pem"), pair.Cert, certMode); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(os.WriteFile(filepath.Join(dir, "peer.key"), pair.Key, keyMode))
+}
+
+func newTemplate(name string, now time.Time, validity time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		// A peer's clock may be behind.
+		NotBefore: now.Add(-time.Hour),
+		NotAfter:  now.Add(validity),
+	}, nil
+}
--- /dev/null
+++ b/modules/setting/decoder.go
@@ -0,0 +1,180 @@
+package setting
+
+import (
+	"encoding"
+	"net/netip"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+)
+
+// decoder fills a value from a YAML tree. The library decodes the scalars; the
+// walk over the tree is here so that each problem is known by path and line,
+// also when a type's own text decoder finds it.
+type decoder struct {
+	doc *Document
+}
+
+func (d *decoder) value(node ast.Node, into reflect.Value, path string) error {
+	if path != "" {
+		d.doc.lines[path] = node.GetToken().Position.Line
+	}
+	if into.Kind() == reflect.Pointer {
+		into.Set(reflect.New(into.Type().Elem()))
+		into = into.Elem()
+	}
+	if isScalar(into) {
+		return d.scalar(node, into, path)
+	}
+	switch into.Kind() {
+	case reflect.Struct, reflect.Map:
+		return d.mapping(node, into, path)
+	case reflect.Slice:
+		return d.sequence(node, into, path)
+	default:
+		return d.scalar(node, into, path)
+	}
+}
+
+func (d *decoder) mapping(node ast.Node, into reflect.Value, path string) error {
+	mapping, ok := node.(ast.MapNode)
+	if !ok {
+		return d.doc.Problem(path, "want keys with values below it")
+	}
+	for it := mapping.MapRange(); it.Next(); {
+		key := it.Key().GetToken().Value
+		if into.Kind() == reflect.Map {
+			if err := d.mapValue(it, key, into, path); err != nil {
+				return err
+			}
+			continue
+		}
+		field, known := fieldOf(into, key)
+		at := join(path, key)
+		d.doc.lines[at] = it.Key().GetToken().Position.Line
+		if !known {
+			return d.doc.Problem(at, "unknown key; known here: %s", strings.Join(keysOf(into.Type()), ", "))
+		}
+		if err := d.value(it.Value(), field, at); err != nil {
+			return err
+		}
+		d.doc.lines[at] = it.Key().GetToken().Position.Line
+	}
+	return nil
+}
+
+func (d *decoder) mapValue(it *ast.MapNodeIter, key string, into reflect.Value, path string) error {
+	if into.IsNil() {
+		into.Set(reflect.MakeMap(into.Type()))
+	}
+	at := path + "[" + key + "]"
+	value := reflect.New(into.Type().Elem()).Elem()
+	if err := d.value(it.Value(), value, at); err != nil {
+		return err
+	}
+	d.doc.lines[at] = it.Key().GetToken().Position.Line
+	into.SetMapIndex(reflect.ValueOf(key), value)
+	return nil
+}
+
+func (d *decoder) sequence(node ast.Node, into reflect.Value, path string) error {
+	sequence, ok := node.(*ast.SequenceNode)
+	if !ok {
+		return d.doc.Problem(path, "want a list")
+	}
+	list := reflect.MakeSlice(into.Type(), len(sequence.Values), len(sequence.Values))
+	for i, item := range sequence.Values {
+		if err := d.value(item, list.Index(i), path+"["+strconv.Itoa(i)+"]"); err != nil {
+			return err
+		}
+	}
+	into.Set(list)
+	return nil
+}
+
+func (d *decoder) scalar(node ast.Node, into reflect.Value, path string) error {
+	if _, ok := node.(ast.ScalarNode); !ok {
+		return d.doc.Problem(path, "want %s", wanted(into))
+	}
+	text := node.GetToken().Value
+	var err error
+	switch target := into.Addr().Interface().(type) {
+	case *time.Duration:
+		*target, err = time.ParseDuration(text)
+	case *netip.AddrPort:
+		*target, err = netip.ParseAddrPort(text)
+	case encoding.TextUnmarshaler:
+		if err := target.UnmarshalText([]byte(text)); err != nil {
+			return d.doc.Problem(path, "%v", err)
+		}
+	default:
+		err = yaml.NodeToValue(node, into.Addr().Interface(), yaml.Strict())
+	}
+	if err != nil {
+		return d.doc.Problem(path, "%q is not %s", text, wanted(into))
+	}
+	return nil
+}
+
+func isScalar(v reflect.Value) bool {
+	_, text := v.Addr().Interface().(encoding.TextUnmarshaler)
+	return text
+}
+
+func wanted(v reflect.Value) string {
+	switch v.Interface().(type) {
+	case time.Duration:
+		return "a time with its unit, such as 500ms, 5s or 10m"
+	case netip.AddrPort:
+		return "an IP address with a port, such as 10.0.0.7:8443"
+	}
+	switch v.Kind() {
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int, reflect.Int32, reflect.Int64, reflect.Uint64:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "a single text value"
+	}
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+func fieldOf(v reflect.Value, key string) (reflect.Value, bool) {
+	for i := range v.NumField() {
+		if keyOf(v.Type().Field(i)) == key {
+			return v.Field(i), true
+		}
+	}
+	return reflect.Value{}, false
+}
+
+func keysOf(t reflect.Type) []string {
+	var keys []string
+	for i := range t.NumField() {
+		if key := keyOf(t.Field(i)); key != "" {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// keyOf returns the YAML key of a struct field, or "" if it has none.
+func keyOf(f reflect.StructField) string {
+	key, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	if key == "-" {
+		return ""
+	}
+	return key
+}
--- /dev/null
+++ b/modules/setting/setting_test.go
@@ -0,0 +1,120 @@
+package setting_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/modules/setting"
+)
+
+const sidecarYAML = `instance:
+  name: model-1-sidecar
+  region: qld-north
+  failureDomain: cairns
+  peerAddress: 127.0.0.1:7001
+platform:
+  url: http://127.0.0.1:7100
+peer:
+  listen: 127.0.0.1:7001
+  certFile: peer.pem
+  keyFile: peer.key
+  caFile: ca.pem
+operator:
+  listen: 127.0.0.1:7002
+server:
+  name: model-1
+  kind: model
+  url: http://127.0.0.1:7003
+  slots: 8
+  grace: 30s
+`
+
+func load(t *testing.T, text string, role setting.Role) (*setting.Settings, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "s.yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return setting.Load(file, role)
+}
+
+func TestLoad(t *testing.T) {
+	s, err := load(t, sidecarYAML, setting.Sidecar)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Server.Slots != 8 || s.Server.Grace.String() != "30s" || s.Peer.Listen.Port() != 7001 {
+		t.Fatalf("settings %+v", s)
+	}
+	if s.Platform.Timeout != setting.Default().Platform.Timeout {
+		t.Fatal("a default is gone")
+	}
+}
+
+func TestProblemsNameLineAndKey(t *testing.T) {
+	cases := []struct {
+		name, old, replacement string
+		line                   int
+		key, problem           string
+	}{
+		{"unknown key", "slots: 8", "slotz: 8", 19, "server.slotz", "unknown key"},
+		{"bad address", "listen: 127.0.0.1:7001", "listen: localhost", 9, "peer.listen", "IP address with a port"},
+		{"no failure domain", "  failureDomain: cairns\n", "", 1, "instance.failureDomain", `"" is not a name`},
+		{"no unit", "grace: 30s", "grace: 30", 20, "server.grace", "a time with its unit"},
+		{"wrong unit", "grace: 30s", "grace: 30 parsecs", 20, "server.grace", "a time with its unit"},
+		{"not a number", "slots: 8", "slots: many", 19, "server.slots", "a whole number"},
+		{"out of range", "slots: 8", "slots: 0", 19, "server.slots", "must be above 0"},
+		{"no choice", "kind: model", "kind: engine", 17, "server.kind", "not one of: model, plain"},
+		{"host name", "url: http://127.0.0.1:7003", "url: http://engine:7003", 18, "server.url", "IP address"},
+		{"missing address", "  listen: 127.0.0.1:7002\n", "", 13, "operator", "keys with values"},
+		{"missing server", "server:", "policy:", 16, "policy.name", "unknown key"},
+		{"twice", "slots: 8", "kind: plain", 19, "", "already defined"},
+		{"callers at a sidecar", "server:", "caller:\n  listen: 127.0.0.1:1\nserver:", 16, "caller.listen", "entries"},
+		{"syntax", "server:", "server: [", 0, "", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := load(t, strings.Replace(sidecarYAML, c.old, c.replacement, 1), setting.Sidecar)
+			var problem *setting.Error
+			if !errors.As(err, &problem) {
+				t.Fatalf("got %v", err)
+			}
+			if c.line != 0 && problem.Line != c.line || c.key != "" && problem.Key != c.key {
+				t.Errorf("line %d, key %q in %v; want %d, %q", problem.Line, problem.Key, problem, c.line, c.key)
+			}
+			if !strings.Contains(problem.Problem, c.problem) || strings.Contains(problem.Error(), "\n") {
+				t.Errorf("problem %q; want one line with %q", problem.Problem, c.problem)
+			}
+		})
+	}
+}
+
+func TestEntryNeedsCallerAddress(t *testing.T) {
+	text, _, _ := strings.Cut(sidecarYAML, "server:")
+	_, err := load(t, text, setting.Entry)
+	var problem *setting.Error
+	if !errors.As(err, &problem) || problem.Key != "caller.listen" {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestMissingFile(t *testing.T) {
+	_, err := setting.Load("nowhere.yaml", setting.Entry)
+	if err == nil || err.Error() != "nowhere.yaml: no such file or directory" {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestPathsStartFromTheFile(t *testing.T) {
+	s, err := load(t, strings.Replace(sidecarYAML, "caFile: ca.pem", "caFile: /etc/ca.pem", 1), setting.Sidecar)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !filepath.IsAbs(s.Peer.CertFile) || filepath.Base(s.Peer.CertFile) != "peer.pem" || s.Peer.CAFile != "/etc/ca.pem" {
+		t.Fatalf("peer %+v", s.Peer)
+	}
+}
