Add the stand-ins of platform, model engine and plain service

They are the ground truth of the proofs: the platform's log and list of instances, an engine that batches continuously, and a service that counts what it ran.

--- /dev/null
+++ b/standin/engine/engine.go
@@ -0,0 +1,260 @@
+// Package engine stands in for a model engine in tests. It batches
+// continuously over a fixed number of slots, honours priorities, caches prompt
+// prefixes in limited memory, and records what it ran. Its answers are a
+// deterministic function of the prompt, which Answer computes.
+package engine
+
+import (
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// Defaults of an engine.
+const (
+	defaultSlots         = 8
+	defaultTokenInterval = 20 * time.Millisecond
+	// defaultPrefillSpeed is in tokens per second.
+	defaultPrefillSpeed = 5000
+	// defaultCacheTokens is the size of the prefix cache in tokens.
+	defaultCacheTokens = 100_000
+)
+
+// Engine is a running stand-in.
+type Engine struct {
+	now           func() time.Time
+	tokenInterval time.Duration
+	prefillSpeed  int
+	initial       Faults
+
+	mu      sync.Mutex
+	faults  Faults
+	batch   *batch
+	ran     []*run
+	loads   []Load
+	orders  []OrderRecord
+	highest int64
+	role    string
+	models  []string
+
+	work   chan struct{}
+	quit   chan struct{}
+	closed sync.WaitGroup
+}
+
+// Option changes how an Engine is made.
+type Option func(*Engine)
+
+// WithSlots sets how many streams generate at once.
+func WithSlots(slots int) Option {
+	return func(e *Engine) { e.batch.slots = slots }
+}
+
+// WithTokenInterval sets the time between two tokens of a stream.
+func WithTokenInterval(d time.Duration) Option {
+	return func(e *Engine) { e.tokenInterval = d }
+}
+
+// WithPrefillSpeed sets how many prompt tokens a stream reads per second.
+func WithPrefillSpeed(tokensPerSecond int) Option {
+	return func(e *Engine) { e.prefillSpeed = tokensPerSecond }
+}
+
+// WithCache sets the size of the prefix cache in tokens.
+func WithCache(tokens int) Option {
+	return func(e *Engine) { e.batch.cache = newPrefixCache(tokens) }
+}
+
+// WithFaults makes the engine start with faults in force.
+func WithFaults(f Faults) Option {
+	return func(e *Engine) { e.initial = f }
+}
+
+// WithRole sets the engine's first role.
+func WithRole(role string) Option {
+	return func(e *Engine) { e.role = role }
+}
+
+// New starts an engine.
+func New(options ...Option) *Engine {
+	e := &Engine{
+		now:           time.Now,
+		tokenInterval: defaultTokenInterval,
+		prefillSpeed:  defaultPrefillSpeed,
+		batch:         &batch{slots: defaultSlots, cache: newPrefixCache(defaultCacheTokens)},
+		role:          "mixed",
+		models:        []string{},
+		work:          make(chan struct{}, 1),
+		quit:          make(chan struct{}),
+	}
+	for _, option := range options {
+		option(e)
+	}
+	e.faults = e.initial
+	e.sample()
+	e.closed.Go(e.generate)
+	return e
+}
+
+// Close stops the engine, aborts its streams and waits until it has stopped.
+func (e *Engine) Close() error {
+	close(e.quit)
+	e.closed.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range slices.Concat(e.batch.running, e.batch.waiting) {
+		e.batch.end(e.now(), s, finishAbort)
+	}
+	return nil
+}
+
+// generate steps the batch once per token interval while there is work.
+func (e *Engine) generate() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	<-timer.C
+	for {
+		interval, busy := e.next()
+		if busy {
+			timer.Reset(interval)
+			select {
+			case <-timer.C:
+				e.step()
+			case <-e.quit:
+				return
+			}
+			continue
+		}
+		select {
+		case <-e.work:
+		case <-e.quit:
+			return
+		}
+	}
+}
+
+// next returns the time to the next step and whether there is anything to do.
+func (e *Engine) next() (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.interval(), !e.batch.idle() && !e.faults.Freeze
+}
+
+func (e *Engine) step() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Freeze {
+		return
+	}
+	perStep := float64(e.prefillSpeed) * e.interval().Seconds()
+	e.batch.prefillStep = max(1, int(perStep))
+	e.batch.step(e.now())
+	e.sample()
+}
+
+// wake makes generate look for work.
+func (e *Engine) wake() {
+	select {
+	case e.work <- struct{}{}:
+	default:
+	}
+}
+
+// Ran is one line of the engine's record.
+type Ran struct {
+	RequestID string `json:"requestId"`
+	// PromptHash is the xxhash of the prompt, in hexadecimal digits.
+	PromptHash   string `json:"promptHash"`
+	PromptTokens int    `json:"promptTokens"`
+	// StartToken is the position of the first token generated here.
+	StartToken int `json:"startToken"`
+	// Tokens counts the tokens generated here.
+	Tokens    int  `json:"tokens"`
+	Finished  bool `json:"finished"`
+	Cancelled bool `json:"cancelled"`
+	Priority  int  `json:"priority"`
+	// Preempted counts how often the request lost its slot.
+	Preempted int       `json:"preempted"`
+	Began     time.Time `json:"began"`
+}
+
+// run is a request that the engine took.
+type run struct {
+	stream *stream
+	began  time.Time
+}
+
+// PromptHash returns a prompt's identity in the record.
+func PromptHash(prompt string) string {
+	return strconv.FormatUint(xxhash.Sum64String(prompt), 16)
+}
+
+// Ran returns the record of all requests that the engine ever took, in the
+// order they came.
+func (e *Engine) Ran() []Ran {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	list := make([]Ran, 0, len(e.ran))
+	for _, r := range e.ran {
+		s := r.stream
+		list = append(list, Ran{
+			RequestID:    s.id,
+			PromptHash:   PromptHash(s.prompt),
+			PromptTokens: s.promptTokens,
+			StartToken:   s.start,
+			Tokens:       s.generated(),
+			Finished:     s.finish == finishStop,
+			Cancelled:    s.finish == finishAbort,
+			Priority:     s.priority,
+			Preempted:    s.preempted,
+			Began:        r.began,
+		})
+	}
+	return list
+}
+
+// start queues a stream.
+func (e *Engine) start(s *stream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.ran = append(e.ran, &run{stream: s, began: e.now()})
+	e.batch.add(s)
+	e.sample()
+	e.wake()
+}
+
+// cancel ends a stream, if it has not ended.
+func (e *Engine) cancel(s *stream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.batch.end(e.now(), s, finishAbort)
+	e.sample()
+}
+
+// Cancel ends the stream of a request, and reports whether there was one.
+func (e *Engine) Cancel(requestID string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.batch.find(requestID)
+	if s == nil {
+		return false
+	}
+	e.batch.end(e.now(), s, finishAbort)
+	e.sample()
+	return true
+}
+
+// since returns the tokens generated from a position of the answer on, and
+// how the stream ended.
+func (e *Engine) since(s *stream, position int) ([]string, finish) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(s.tokens[s.promptTokens+position:]), s.finish
+}
+
+// errUnknownRequest says that no request of that name runs here.
+var errUnknownRequest = errors.New("no such request")
--- /dev/null
+++ b/standin/engine/prefix.go
@@ -0,0 +1,124 @@
+package engine
+
+import (
+	"container/list"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// BlockTokens is how many tokens one block of the prefix cache holds.
+const BlockTokens = 16
+
+// Blocks returns the identities of the full blocks of a token sequence. Each
+// identity covers all tokens up to the end of its block.
+func Blocks(tokens []string) []string {
+	digest := xxhash.New()
+	var blocks []string
+	for i, token := range tokens {
+		_, _ = digest.WriteString(token)
+		_, _ = digest.WriteString("\x00")
+		if (i+1)%BlockTokens == 0 {
+			blocks = append(blocks, strconv.FormatUint(digest.Sum64(), 16))
+		}
+	}
+	return blocks
+}
+
+// CacheEvent says that a block came into the prefix cache or left it.
+type CacheEvent struct {
+	// Sequence numbers the events of one engine from 1. A missing number is an
+	// event that was lost.
+	Sequence int64 `json:"sequence"`
+	// Action is "stored" or "removed".
+	Action string    `json:"action"`
+	Block  string    `json:"block"`
+	Time   time.Time `json:"time"`
+}
+
+// maxCacheEvents bounds the events kept for readers.
+const maxCacheEvents = 65_536
+
+// prefixCache is a least-recently-used cache of blocks.
+type prefixCache struct {
+	capacity int
+	recent   *list.List
+	blocks   map[string]*list.Element
+	events   []CacheEvent
+	sequence int64
+}
+
+func newPrefixCache(tokens int) *prefixCache {
+	return &prefixCache{
+		capacity: tokens / BlockTokens,
+		recent:   list.New(),
+		blocks:   map[string]*list.Element{},
+	}
+}
+
+// cached returns how many leading tokens of the sequence are in the cache.
+func (c *prefixCache) cached(tokens []string) int {
+	count := 0
+	for _, block := range Blocks(tokens) {
+		element, ok := c.blocks[block]
+		if !ok {
+			break
+		}
+		c.recent.MoveToFront(element)
+		count += BlockTokens
+	}
+	return count
+}
+
+// store puts the blocks of a sequence into the cache.
+func (c *prefixCache) store(now time.Time, tokens []string) {
+	for _, block := range Blocks(tokens) {
+		if element, ok := c.blocks[block]; ok {
+			c.recent.MoveToFront(element)
+			continue
+		}
+		if c.capacity == 0 {
+			return
+		}
+		if c.recent.Len() >= c.capacity {
+			c.evict(now)
+		}
+		c.blocks[block] = c.recent.PushFront(block)
+		c.publish(now, "stored", block)
+	}
+}
+
+func (c *prefixCache) evict(now time.Time) {
+	oldest := c.recent.Back()
+	block, _ := c.recent.Remove(oldest).(string)
+	delete(c.blocks, block)
+	c.publish(now, "removed", block)
+}
+
+func (c *prefixCache) publish(now time.Time, action, block string) {
+	c.sequence++
+	c.events = append(c.events, CacheEvent{Sequence: c.sequence, Action: action, Block: block, Time: now})
+	if len(c.events) > maxCacheEvents {
+		c.events = c.events[1:]
+	}
+}
+
+// eventsAfter returns the events of higher sequence that are at least lag old,
+// without those that are lost. Whether one is lost depends on its sequence
+// alone, so that it is lost to each reader.
+func (c *prefixCache) eventsAfter(sequence int64, latest time.Time, lostShare float64) []CacheEvent {
+	events := []CacheEvent{}
+	for _, event := range c.events {
+		if event.Sequence <= sequence || event.Time.After(latest) || lost(event.Sequence, lostShare) {
+			continue
+		}
+		events = append(events, event)
+	}
+	return events
+}
+
+func lost(sequence int64, share float64) bool {
+	draw := xxhash.Sum64String(strconv.FormatInt(sequence, 10)) % 10_000
+	return float64(draw) < share*10_000
+}
--- /dev/null
+++ b/standin/platform/instances.go
@@ -0,0 +1,69 @@
+package platform
+
+import (
+	"slices"
+	"time"
+
+	"github.com/crocusline/crocusline/modules/platform"
+)
+
+// snapshot is the list of instances from a time on.
+type snapshot struct {
+	from time.Time
+	list []platform.Instance
+}
+
+// SetInstances replaces the list of instances. Clients see it after
+// Faults.InstanceLag.
+func (s *Store) SetInstances(list []platform.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setInstances(slices.Clone(list))
+}
+
+// PutInstance adds an instance to the list, or replaces the one of its name.
+func (s *Store) PutInstance(instance platform.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := s.without(instance.Name)
+	s.setInstances(append(list, instance))
+}
+
+// RemoveInstance takes an instance off the list.
+func (s *Store) RemoveInstance(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setInstances(s.without(name))
+}
+
+// Instances returns the list as clients see it now.
+func (s *Store) Instances() []platform.Instance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := s.now().Add(-time.Duration(s.faults.InstanceLag))
+	for _, snap := range slices.Backward(s.instances) {
+		if !snap.from.After(limit) {
+			return slices.Clone(snap.list)
+		}
+	}
+	return nil
+}
+
+// maxSnapshots bounds the history of the list of instances.
+const maxSnapshots = 10_000
+
+func (s *Store) setInstances(list []platform.Instance) {
+	s.instances = append(s.instances, snapshot{from: s.now(), list: list})
+	if len(s.instances) > maxSnapshots {
+		s.instances = s.instances[1:]
+	}
+}
+
+// without returns a copy of the newest list that lacks the named instance.
+func (s *Store) without(name string) []platform.Instance {
+	if len(s.instances) == 0 {
+		return nil
+	}
+	list := slices.Clone(s.instances[len(s.instances)-1].list)
+	return slices.DeleteFunc(list, func(i platform.Instance) bool { return i.Name == name })
+}
--- /dev/null
+++ b/standin/platform/store.go
@@ -0,0 +1,231 @@
+// Package platform stands in for the platform in tests: an append-only log in
+// memory and a lagging list of instances, with faults on command. Store can be
+// used in process, as a modules/platform.Log, or served over HTTP by Handler.
+package platform
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/crocusline/crocusline/modules/platform"
+	"github.com/crocusline/crocusline/standin/control"
+)
+
+// Store is the platform's state.
+type Store struct {
+	now     func() time.Time
+	sleep   func(context.Context, time.Duration) error
+	initial Faults
+
+	mu        sync.Mutex
+	random    *rand.Rand
+	faults    Faults
+	limiter   *rate.Limiter
+	streams   map[string]*stream
+	instances []snapshot
+	appends   int64
+}
+
+// Option changes how a Store is made.
+type Option func(*Store)
+
+// WithClock makes the store take the time from now.
+func WithClock(now func() time.Time) Option {
+	return func(s *Store) { s.now = now }
+}
+
+// WithSleep makes the store wait by calling sleep, which returns early with an
+// error when the context ends.
+func WithSleep(sleep func(context.Context, time.Duration) error) Option {
+	return func(s *Store) { s.sleep = sleep }
+}
+
+// WithFaults makes the store start with faults in force.
+func WithFaults(f Faults) Option {
+	return func(s *Store) { s.initial = f }
+}
+
+// WithSeed seeds the draws of LoseAnswerShare.
+func WithSeed(seed uint64) Option {
+	return func(s *Store) { s.random = rand.New(rand.NewPCG(seed, 0)) }
+}
+
+// New returns an empty store.
+func New(options ...Option) *Store {
+	s := &Store{
+		now:     time.Now,
+		sleep:   control.Sleep,
+		random:  rand.New(rand.NewPCG(1, 0)),
+		streams: map[string]*stream{},
+	}
+	for _, option := range options {
+		option(s)
+	}
+	s.SetFaults(s.initial)
+	return s
+}
+
+// As returns the log as the named client sees it.
+func (s *Store) As(client string) platform.Log {
+	return &view{store: s, client: client}
+}
+
+// Appends returns how many records were ever added, to all streams together.
+func (s *Store) Appends() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.appends
+}
+
+// view is the log as one client sees it.
+type view struct {
+	store  *Store
+	client string
+}
+
+// Append implements platform.Log.
+func (v *view) Append(ctx context.Context, name string, data []byte) (int64, error) {
+	return v.store.append(ctx, v.client, name, data)
+}
+
+// Read implements platform.Log.
+func (v *view) Read(ctx context.Context, name string, from int64, limit int, wait time.Duration) (platform.Batch, error) {
+	return v.store.read(ctx, v.client, name, from, limit, wait)
+}
+
+// Causes of an UnavailableError.
+var (
+	errRefused = errors.New("no connection to the platform")
+	errLost    = errors.New("answer lost")
+)
+
+func (s *Store) append(ctx context.Context, client, name string, data []byte) (int64, error) {
+	delay, err := s.enter(ctx, client, name)
+	if err != nil {
+		return 0, err
+	}
+	offset, lost, err := s.add(name, data)
+	if err != nil {
+		return 0, err
+	}
+	if err := s.sleep(ctx, delay); err != nil {
+		return 0, &platform.UnavailableError{Stream: name, Cause: err}
+	}
+	if lost {
+		return 0, &platform.UnavailableError{Stream: name, Cause: errLost}
+	}
+	return offset, nil
+}
+
+// add adds a record and says whether its answer is to be lost.
+func (s *Store) add(name string, data []byte) (offset int64, lost bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	if !s.limiter.AllowN(now, 1) {
+		return 0, false, &platform.LimitError{Stream: name}
+	}
+	st := s.stream(name)
+	offset = st.add(now, data)
+	st.prune(now, &s.faults)
+	s.appends++
+	if s.faults.LoseNextAnswers > 0 {
+		s.faults.LoseNextAnswers--
+		return offset, true, nil
+	}
+	return offset, s.random.Float64() < s.faults.LoseAnswerShare, nil
+}
+
+func (s *Store) read(ctx context.Context, client, name string, from int64, limit int, wait time.Duration) (platform.Batch, error) {
+	delay, err := s.enter(ctx, client, name)
+	if err != nil {
+		return platform.Batch{}, err
+	}
+	if err := s.sleep(ctx, delay); err != nil {
+		return platform.Batch{}, &platform.UnavailableError{Stream: name, Cause: err}
+	}
+	deadline := newDeadline(wait)
+	defer deadline.stop()
+	for {
+		batch, changed, err := s.look(client, name, from, limit)
+		if err != nil || len(batch.Records) > 0 || wait <= 0 {
+			return batch, err
+		}
+		select {
+		case <-changed:
+		case <-deadline.passed:
+			return batch, nil
+		case <-ctx.Done():
+			return platform.Batch{}, &platform.UnavailableError{Stream: name, Cause: ctx.Err()}
+		}
+	}
+}
+
+// look reads without waiting. The channel is closed when another look may give
+// another answer.
+func (s *Store) look(client, name string, from int64, limit int) (platform.Batch, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.refuses(client) {
+		return platform.Batch{}, nil, &platform.UnavailableError{Stream: name, Cause: errRefused}
+	}
+	st := s.stream(name)
+	st.prune(s.now(), &s.faults)
+	batch := platform.Batch{Oldest: st.oldest, Next: st.next()}
+	if from < st.oldest {
+		return batch, nil, &platform.GapError{Stream: name, From: from, Oldest: st.oldest}
+	}
+	batch.Records = st.slice(from, limit)
+	return batch, st.changed, nil
+}
+
+// enter refuses or delays a call. It returns the delay that is left for after
+// the effect.
+func (s *Store) enter(ctx context.Context, client, name string) (time.Duration, error) {
+	delay := time.Duration(s.Faults().Slowness) / 2
+	if err := s.sleep(ctx, delay); err != nil {
+		return 0, &platform.UnavailableError{Stream: name, Cause: err}
+	}
+	f := s.Faults()
+	if !f.refuses(client) {
+		return delay, nil
+	}
+	if f.Hang {
+		<-ctx.Done()
+	}
+	return 0, &platform.UnavailableError{Stream: name, Cause: errRefused}
+}
+
+func (s *Store) stream(name string) *stream {
+	st, ok := s.streams[name]
+	if !ok {
+		st = newStream()
+		s.streams[name] = st
+	}
+	return st
+}
+
+// deadline ends a long poll.
+type deadline struct {
+	timer  *time.Timer
+	passed <-chan time.Time
+}
+
+func newDeadline(wait time.Duration) deadline {
+	if wait <= 0 {
+		return deadline{}
+	}
+	timer := time.NewTimer(wait)
+	return deadline{timer: timer, passed: timer.C}
+}
+
+func (d deadline) stop() {
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+}
