Add the queue in front of a backend server as pure state

One order of service for all entries: rank first with a floor for lower ranks, fair share by tokens within a rank, refusal at once of what cannot meet its deadline, displacement by urgent work.

--- /dev/null
+++ b/models/queue/queue_test.go
@@ -0,0 +1,370 @@
+package queue_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/crocusline/crocusline/models/queue"
+	"github.com/crocusline/crocusline/models/rank"
+	"github.com/crocusline/crocusline/models/refusal"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// server runs what the queue starts, one token each 20 ms, in virtual time.
+type server struct {
+	t       testing.TB
+	q       *queue.Queue
+	now     time.Time
+	known   map[string]queue.Request
+	left    map[string]int64
+	running map[string]bool
+	done    map[string]string
+	// tokens served by rank and by workspace.
+	byRank      [rank.Count]int64
+	byWorkspace map[string]int64
+	count       int
+}
+
+func newServer(t testing.TB, opts ...queue.Option) *server {
+	return &server{
+		t: t, q: queue.New(opts...), now: epoch,
+		known: map[string]queue.Request{}, left: map[string]int64{},
+		running: map[string]bool{}, done: map[string]string{}, byWorkspace: map[string]int64{},
+	}
+}
+
+func (s *server) offer(r queue.Request) error {
+	if r.ID == "" {
+		s.count++
+		r.ID = fmt.Sprintf("r%06d", s.count)
+	}
+	if _, err := s.q.Offer(s.now, r); err != nil {
+		return err
+	}
+	s.known[r.ID], s.left[r.ID] = r, r.MaxTokens
+	s.next()
+	return nil
+}
+
+func (s *server) next() []queue.Action {
+	actions := s.q.Next(s.now)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case queue.Start:
+			if s.running[a.ID] || s.done[a.ID] != "" || s.known[a.ID].ID == "" {
+				s.t.Fatalf("%s started twice, after its end or unknown", a.ID)
+			}
+			s.running[a.ID] = true
+		case queue.Preempt:
+			if !s.running[a.ID] {
+				s.t.Fatalf("%s displaced while not running", a.ID)
+			}
+			delete(s.running, a.ID)
+		case queue.Expire:
+			s.end(a.ID, "expired")
+		}
+	}
+	return actions
+}
+
+func (s *server) end(id, how string) {
+	if s.done[id] != "" {
+		s.t.Fatalf("%s ended twice: %s, %s", id, s.done[id], how)
+	}
+	s.done[id] = how
+	delete(s.running, id)
+}
+
+// step lets each running request generate one token.
+func (s *server) step() {
+	s.now = s.now.Add(20 * time.Millisecond)
+	for id := range s.running {
+		r := s.known[id]
+		s.left[id]--
+		s.byRank[r.Rank]++
+		s.byWorkspace[r.Workspace]++
+		s.q.TokensServed(id, 1)
+		if s.left[id] <= 0 {
+			s.q.Finish(s.now, id)
+			s.end(id, "finished")
+		}
+	}
+	s.next()
+}
+
+// backlog keeps n requests of the kind given waiting.
+func (s *server) backlog(n int, r queue.Request) {
+	for s.q.Load(s.now).Queued[r.Rank] < n {
+		if err := s.offer(r); err != nil {
+			s.t.Fatal(err)
+		}
+	}
+}
+
+func TestNoRequestIsLost(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(rt, "slots")
+		s := newServer(t, queue.WithSlots(slots), queue.WithLimit(6), queue.WithFloor(rank.Bulk, 0.2))
+		accepted := 0
+		for range rapid.IntRange(1, 120).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 5).Draw(rt, "event") {
+			case 0, 1, 2:
+				r := queue.Request{
+					Workspace:    rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "workspace"),
+					Kind:         rapid.SampledFrom([]string{"k", "l"}).Draw(rt, "kind"),
+					Rank:         rank.Rank(rapid.IntRange(0, 2).Draw(rt, "rank")),
+					PromptTokens: 10, MaxTokens: rapid.Int64Range(0, 30).Draw(rt, "tokens"),
+				}
+				if d := rapid.IntRange(0, 2000).Draw(rt, "deadline"); d > 0 {
+					r.Deadline = s.now.Add(time.Duration(d) * time.Millisecond)
+				}
+				if s.offer(r) == nil {
+					accepted++
+				}
+			case 3:
+				for id := range s.known {
+					if s.done[id] == "" {
+						s.q.Cancel(s.now, id)
+						s.end(id, "cancelled")
+						s.next()
+						break
+					}
+				}
+			default:
+				s.step()
+			}
+			load := s.q.Load(s.now)
+			open := load.Running
+			for _, n := range load.Queued {
+				open += n
+			}
+			if load.Running > slots || load.Running != len(s.running) || open+len(s.done) != accepted {
+				rt.Fatalf("%d accepted, %d ended, load %+v", accepted, len(s.done), load)
+			}
+			if load.Running < slots && open > load.Running {
+				rt.Fatalf("a slot idles while requests wait: %+v", load)
+			}
+		}
+		for range 4000 {
+			s.step()
+		}
+		if len(s.done) != accepted {
+			rt.Fatalf("%d accepted, %d ended", accepted, len(s.done))
+		}
+	})
+}
+
+func TestRankOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		s := newServer(t, queue.WithSlots(3), queue.WithoutPrediction())
+		for range 60 {
+			r := queue.Request{
+				Workspace: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "workspace"), Kind: "k",
+				Rank: rank.Rank(rapid.IntRange(0, 2).Draw(rt, "rank")), MaxTokens: 5,
+			}
+			if err := s.offer(r); err != nil {
+				rt.Fatal(err)
+			}
+			if rapid.Bool().Draw(rt, "step") {
+				s.step()
+			}
+			load := s.q.Load(s.now)
+			for id := range s.running {
+				if s.known[id].Rank > rank.Urgent && load.Queued[rank.Urgent] > 0 {
+					rt.Fatalf("%s work runs while urgent work waits", s.known[id].Rank)
+				}
+			}
+		}
+	})
+}
+
+func TestFloorIsKeptDuringFlood(t *testing.T) {
+	for _, floor := range []float64{0.05, 0.1, 0.25} {
+		s := newServer(t, queue.WithSlots(8), queue.WithoutPrediction(),
+			queue.WithFloor(rank.Bulk, floor), queue.WithWaitLimit(rank.Urgent, 0))
+		rng := rand.New(rand.NewPCG(1, 1))
+		for range 20000 {
+			s.backlog(20, queue.Request{Workspace: "a", Kind: "u", Rank: rank.Urgent, MaxTokens: 20 + rng.Int64N(60)})
+			s.backlog(20, queue.Request{Workspace: "b", Kind: "b", Rank: rank.Bulk, MaxTokens: 50 + rng.Int64N(200)})
+			s.step()
+		}
+		got := float64(s.byRank[rank.Bulk]) / float64(s.byRank[rank.Bulk]+s.byRank[rank.Urgent])
+		if math.Abs(got-floor) > floor/10 {
+			t.Errorf("bulk got %.4f of the service, floor %.2f", got, floor)
+		}
+	}
+}
+
+func TestFairShareByWeight(t *testing.T) {
+	s := newServer(t, queue.WithSlots(8), queue.WithoutPrediction(), queue.WithLimit(1000))
+	rng := rand.New(rand.NewPCG(2, 2))
+	weights := map[string]int{"large1": 1, "large2": 1, "small1": 1, "small2": 1, "double": 2}
+	queued := func(w string) int {
+		n := 0
+		for id, r := range s.known {
+			if r.Workspace == w && s.done[id] == "" && !s.running[id] {
+				n++
+			}
+		}
+		return n
+	}
+	// The first second goes to the workspace that came first, so it is left out.
+	const warmUp = 50
+	for i := range 6000 {
+		if i == warmUp {
+			clear(s.byWorkspace)
+		}
+		for _, w := range []string{"large1", "large2", "small1", "small2", "double"} {
+			want, tokens := 2, 20+rng.Int64N(20)
+			if w[:5] == "large" {
+				want, tokens = 100, 100+rng.Int64N(300)
+			}
+			for queued(w) < want {
+				r := queue.Request{Workspace: w, Kind: "k", Rank: rank.Normal, Weight: weights[w], MaxTokens: tokens}
+				if err := s.offer(r); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		s.step()
+		for id := range s.done {
+			delete(s.known, id)
+			delete(s.done, id)
+		}
+	}
+	var sum, squares float64
+	for w, n := range s.byWorkspace {
+		x := float64(n) / float64(weights[w])
+		sum += x
+		squares += x * x
+	}
+	if jain := sum * sum / (float64(len(weights)) * squares); jain < 0.99 {
+		t.Errorf("Jain's index %.4f of %v", jain, s.byWorkspace)
+	}
+}
+
+func TestUrgentDisplacesBulk(t *testing.T) {
+	s := newServer(t, queue.WithSlots(1))
+	if err := s.offer(queue.Request{ID: "bulk", Rank: rank.Bulk, MaxTokens: 10}); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		s.step()
+	}
+	if err := s.offer(queue.Request{ID: "urgent", Rank: rank.Urgent, MaxTokens: 4}); err != nil {
+		t.Fatal(err)
+	}
+	if !s.running["urgent"] || s.running["bulk"] {
+		t.Fatalf("running: %v", s.running)
+	}
+	for range 4 + 7 {
+		s.step()
+	}
+	if s.done["bulk"] != "finished" || s.byRank[rank.Bulk] != 10 {
+		t.Errorf("bulk %s after %d tokens, want 10 in all", s.done["bulk"], s.byRank[rank.Bulk])
+	}
+}
+
+func TestRefusesAtOnceWithIncreasingReturn(t *testing.T) {
+	s := newServer(t, queue.WithSlots(1), queue.WithDefaultKindShare(1))
+	var last time.Duration
+	refused := 0
+	for range 8 {
+		err := s.offer(queue.Request{Workspace: "a", Kind: "k", Rank: rank.Normal, MaxTokens: 50, Deadline: s.now.Add(3 * time.Second)})
+		if err == nil {
+			continue
+		}
+		e, ok := refusal.As(err)
+		if !ok || e.Reason != refusal.DeadlineUnreachable || e.Outcome != refusal.NotRun {
+			t.Fatalf("refused with %v", err)
+		}
+		if e.RetryAfter <= last {
+			t.Errorf("come back after %v, the one before after %v", e.RetryAfter, last)
+		}
+		last = e.RetryAfter
+		refused++
+	}
+	// Each runs 1 s, so three fit before the deadline.
+	if refused != 5 {
+		t.Errorf("%d of 8 refused, want 5", refused)
+	}
+}
+
+func TestKindShareLeavesRoomForOthers(t *testing.T) {
+	s := newServer(t, queue.WithSlots(1), queue.WithLimit(10), queue.WithKindShare("flood", 0.3))
+	waiting := 0
+	for range 20 {
+		if s.offer(queue.Request{Workspace: "a", Kind: "flood", Rank: rank.Bulk, MaxTokens: 10}) == nil {
+			waiting++
+		}
+	}
+	if waiting != 1+3 {
+		t.Errorf("%d of the flood accepted, want 4", waiting)
+	}
+	if err := s.offer(queue.Request{Workspace: "a", Kind: "other", Rank: rank.Bulk, MaxTokens: 10}); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestWaitingRequestExpiresAtOnce(t *testing.T) {
+	s := newServer(t, queue.WithSlots(1), queue.WithoutPrediction())
+	for _, id := range []string{"first", "second"} {
+		r := queue.Request{ID: id, Kind: "k", Rank: rank.Normal, MaxTokens: 50, Deadline: s.now.Add(1500 * time.Millisecond)}
+		if err := s.offer(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	at, ok := s.q.Wake()
+	if want := s.now.Add(500 * time.Millisecond); !ok || !at.Equal(want) {
+		t.Fatalf("wake at %v, %v; want %v", at, ok, want)
+	}
+	for s.done["second"] == "" {
+		s.step()
+	}
+	if s.done["second"] != "expired" || s.now.Sub(at) > 20*time.Millisecond {
+		t.Errorf("second %s at %v, its last start was %v", s.done["second"], s.now, at)
+	}
+}
+
+func TestDrainHandsBackWhatNeverStarted(t *testing.T) {
+	s := newServer(t, queue.WithSlots(1))
+	for _, id := range []string{"a", "b"} {
+		if err := s.offer(queue.Request{ID: id, Rank: rank.Normal, MaxTokens: 5}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	actions := s.q.Drain(s.now)
+	if len(actions) != 1 || actions[0].(queue.Expire).ID != "b" {
+		t.Fatalf("drain returned %v", actions)
+	}
+	if err := s.offer(queue.Request{ID: "c"}); err == nil {
+		t.Error("a draining server took new work")
+	}
+	if load := s.q.Load(s.now); load.Running != 1 || !load.Draining {
+		t.Errorf("load %+v", load)
+	}
+}
+
+// A kind of work whose expected run time is too long still gets a trial, or
+// the expectation could never be corrected.
+func TestExpectationRecovers(t *testing.T) {
+	s := newServer(t, queue.WithSlots(2), queue.WithTokenTime(time.Second))
+	for i := range 5 {
+		r := queue.Request{Kind: "k", Rank: rank.Normal, MaxTokens: 50, Deadline: s.now.Add(3 * time.Second)}
+		if err := s.offer(r); err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		for range 50 {
+			s.step()
+		}
+	}
+	if len(s.done) != 5 {
+		t.Errorf("%d of 5 done", len(s.done))
+	}
+}
