--- /dev/null
+++ b/models/admission/admission.go
@@ -0,0 +1,154 @@
+// Package admission decides at an entry whether a request goes on: it limits
+// the streams of a workspace, and refuses at once a share of the kinds of work
+// that the sidecars have been refusing.
+//
+// A Gate is pure state; the caller serialises all calls.
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/crocusline/crocusline/models/refusal"
+)
+
+// Defaults of the options.
+const (
+	DefaultStreams   = 256
+	DefaultHalfLife  = 5 * time.Second
+	DefaultSlack     = 2.0
+	DefaultLeast     = 10.0
+	DefaultStreamEnd = time.Second
+)
+
+// Option changes a Gate at construction.
+type Option func(*Gate)
+
+// WithStreams sets how many streams a workspace may have open at this entry.
+func WithStreams(n int) Option { return func(g *Gate) { g.streams = n } }
+
+// WithWorkspaceStreams sets the limit of one workspace.
+func WithWorkspaceStreams(workspace string, n int) Option {
+	return func(g *Gate) { g.limits[workspace] = n }
+}
+
+// WithHalfLife sets how fast what the sidecars answered is forgotten.
+func WithHalfLife(d time.Duration) Option { return func(g *Gate) { g.halfLife = d } }
+
+// WithSlack sets how many requests of a kind are let through for each that the
+// sidecars accept. Lower refuses earlier; it must exceed 1. 0 turns the limit
+// on floods off.
+func WithSlack(slack float64) Option { return func(g *Gate) { g.slack = slack } }
+
+// Request is what the gate goes by.
+type Request struct {
+	Workspace string
+	Kind      string
+}
+
+// Gate decides about the requests of one entry.
+type Gate struct {
+	streams  int
+	limits   map[string]int
+	halfLife time.Duration
+	slack    float64
+
+	open  map[string]int
+	kinds map[string]*kind
+}
+
+// kind is the recent experience with one kind of work.
+type kind struct {
+	at       time.Time
+	asked    float64
+	accepted float64
+	// owed adds up the share to be refused; at 1 a request is.
+	owed float64
+	// back is when the sidecars last said to come back.
+	back time.Time
+}
+
+// New returns a gate with no streams open.
+func New(opts ...Option) *Gate {
+	g := &Gate{
+		streams:  DefaultStreams,
+		limits:   map[string]int{},
+		halfLife: DefaultHalfLife,
+		slack:    DefaultSlack,
+		open:     map[string]int{},
+		kinds:    map[string]*kind{},
+	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	return g
+}
+
+// Admit opens a stream or returns a *refusal.Error. The caller ends each stream
+// with Done.
+func (g *Gate) Admit(now time.Time, r Request) error {
+	limit, ok := g.limits[r.Workspace]
+	if !ok {
+		limit = g.streams
+	}
+	if g.open[r.Workspace] >= limit {
+		return refusal.New(refusal.TooManyStreams, DefaultStreamEnd, "end some of the workspace's open streams first")
+	}
+	if err := g.flood(now, r.Kind); err != nil {
+		return err
+	}
+	g.open[r.Workspace]++
+	return nil
+}
+
+// Done ends a stream of a workspace.
+func (g *Gate) Done(workspace string) {
+	if g.open[workspace]--; g.open[workspace] <= 0 {
+		delete(g.open, workspace)
+	}
+}
+
+// Open returns the number of a workspace's open streams.
+func (g *Gate) Open(workspace string) int { return g.open[workspace] }
+
+// Accepted says that a sidecar took in a request of the kind.
+func (g *Gate) Accepted(now time.Time, kindName string) { g.kind(now, kindName).accepted++ }
+
+// Refused says that the sidecars refused a request of the kind for their load,
+// and when to come back.
+func (g *Gate) Refused(now time.Time, kindName string, retryAfter time.Duration) {
+	k := g.kind(now, kindName)
+	if back := now.Add(retryAfter); back.After(k.back) {
+		k.back = back
+	}
+}
+
+// flood refuses the share of a kind's requests that goes beyond the slack over
+// what the sidecars accept.
+func (g *Gate) flood(now time.Time, name string) error {
+	k := g.kind(now, name)
+	k.asked++
+	if g.slack <= 0 || k.asked < DefaultLeast || !k.back.After(now) {
+		return nil
+	}
+	k.owed += max(0, 1-g.slack*k.accepted/k.asked)
+	if k.owed < 1 {
+		return nil
+	}
+	k.owed--
+	return refusal.New(refusal.ShareExceeded, k.back.Sub(now), "too much work of this kind: come back after the given time")
+}
+
+// kind returns the experience with a kind of work, aged to now.
+func (g *Gate) kind(now time.Time, name string) *kind {
+	k := g.kinds[name]
+	if k == nil {
+		k = &kind{at: now}
+		g.kinds[name] = k
+	}
+	fade := math.Exp2(-float64(now.Sub(k.at)) / float64(g.halfLife))
+	k.asked *= fade
+	k.accepted *= fade
+	k.at = now
+	return k
+}
--- a/models/queue/queue_test.go
+++ b/models/queue/queue_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -84,7 +86,7 @@
 // step lets each running request generate one token.
 func (s *server) step() {
 	s.now = s.now.Add(20 * time.Millisecond)
-	for id := range s.running {
+	for _, id := range slices.Sorted(maps.Keys(s.running)) {
 		r := s.known[id]
 		s.left[id]--
 		s.byRank[r.Rank]++
@@ -128,7 +130,7 @@
 					accepted++
 				}
 			case 3:
-				for id := range s.known {
+				for _, id := range slices.Sorted(maps.Keys(s.known)) {
 					if s.done[id] == "" {
 						s.q.Cancel(s.now, id)
 						s.end(id, "cancelled")
@@ -249,6 +251,36 @@
 	}
 }
 
+// A workspace whose answers end early pays for what it used, not for what was
+// expected.
+func TestShortAnswersAreChargedByUse(t *testing.T) {
+	s := newServer(t, queue.WithSlots(4), queue.WithoutPrediction())
+	queued := map[string]int{}
+	for range 8000 {
+		for _, w := range []string{"early", "late"} {
+			tokens := map[string]int64{"early": 20, "late": 200}[w]
+			for ; queued[w] < 10; queued[w]++ {
+				s.count++
+				id := fmt.Sprintf("%s%06d", w, s.count)
+				r := queue.Request{ID: id, Workspace: w, Kind: "k", Rank: rank.Normal, MaxTokens: 200}
+				if err := s.offer(r); err != nil {
+					t.Fatal(err)
+				}
+				s.left[id] = tokens
+			}
+		}
+		s.step()
+		for id := range s.done {
+			queued[s.known[id].Workspace]--
+			delete(s.done, id)
+		}
+	}
+	early, late := float64(s.byWorkspace["early"]), float64(s.byWorkspace["late"])
+	if ratio := early / late; ratio < 0.9 || ratio > 1.1 {
+		t.Errorf("early got %v tokens, late %v", early, late)
+	}
+}
+
 func TestUrgentDisplacesBulk(t *testing.T) {
 	s := newServer(t, queue.WithSlots(1))
 	if err := s.offer(queue.Request{ID: "bulk", Rank: rank.Bulk, MaxTokens: 10}); err != nil {
--- /dev/null
+++ b/models/retry/retry.go
@@ -0,0 +1,164 @@
+// Package retry decides whether a failed attempt is tried again, and when.
+// Retries are paid from a budget that successful requests fill, so that they
+// stay a small share of the traffic while a whole fleet fails.
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/crocusline/crocusline/models/refusal"
+)
+
+// Defaults of the options.
+const (
+	DefaultShare    = 0.08
+	DefaultBurst    = 10.0
+	DefaultTries    = 3
+	DefaultInterval = 50 * time.Millisecond
+	DefaultMost     = 2 * time.Second
+)
+
+// Option changes a Budget at construction.
+type Option func(*Budget)
+
+// WithShare sets the retries earned by each successful request.
+func WithShare(share float64) Option { return func(b *Budget) { b.share = share } }
+
+// WithBurst sets the most retries that can be saved up.
+func WithBurst(n float64) Option { return func(b *Budget) { b.burst = n } }
+
+// WithTries sets how often a request is tried in all.
+func WithTries(n int) Option { return func(b *Budget) { b.tries = n } }
+
+// WithInterval sets the first and the longest pause before a retry.
+func WithInterval(first, most time.Duration) Option {
+	return func(b *Budget) { b.interval, b.most = first, most }
+}
+
+// WithRand sets the random source of the pauses.
+func WithRand(r *rand.Rand) Option { return func(b *Budget) { b.rand = r } }
+
+// Unlimited turns the budget off. It is a baseline for measurements.
+func Unlimited() Option { return func(b *Budget) { b.unlimited = true } }
+
+// Budget decides about the retries of one entry.
+type Budget struct {
+	share     float64
+	burst     float64
+	tries     int
+	interval  time.Duration
+	most      time.Duration
+	rand      *rand.Rand
+	unlimited bool
+	saved     float64
+}
+
+// New returns a full budget.
+func New(opts ...Option) *Budget {
+	b := &Budget{
+		share:    DefaultShare,
+		burst:    DefaultBurst,
+		tries:    DefaultTries,
+		interval: DefaultInterval,
+		most:     DefaultMost,
+		rand:     rand.New(rand.NewPCG(0, 0)),
+	}
+	for _, opt := range opts {
+		opt(b)
+	}
+	b.saved = b.burst
+	return b
+}
+
+// Attempt is an attempt that failed.
+type Attempt struct {
+	Idempotent bool
+	// Dispatched says that a server may have received the request.
+	Dispatched bool
+	// Err is what is known of the attempt.
+	Err *refusal.Error
+	// Tries counts the attempts so far, this one included.
+	Tries int
+	// Left is the time until the request's deadline.
+	Left time.Duration
+}
+
+// Verdict says whether to try again.
+type Verdict struct {
+	Retry bool
+	// After is the pause before the retry.
+	After time.Duration
+	// Err is what the caller is told when there is no retry.
+	Err *refusal.Error
+}
+
+// Succeeded says that a request was answered.
+func (b *Budget) Succeeded() { b.saved = min(b.saved+b.share, b.burst) }
+
+// Decide says whether to try again after a failed attempt, and takes the retry
+// from the budget.
+func (b *Budget) Decide(a Attempt) Verdict {
+	if !b.safe(a) || !worthwhile(a.Err.Reason) || a.Tries >= b.tries {
+		return Verdict{Err: a.Err}
+	}
+	after := b.pause(a)
+	if after >= a.Left {
+		return Verdict{Err: a.Err}
+	}
+	if free(a.Err.Reason) || b.unlimited {
+		return Verdict{Retry: true, After: after}
+	}
+	if b.saved < 1 {
+		return Verdict{Err: &refusal.Error{
+			Reason:     refusal.RetryBudget,
+			Outcome:    a.Err.Outcome,
+			RetryAfter: max(a.Err.RetryAfter, b.most),
+			Advice:     "too many requests fail now: come back after the given time",
+		}}
+	}
+	b.saved--
+	return Verdict{Retry: true, After: after}
+}
+
+// safe says whether a second run cannot repeat an effect.
+func (b *Budget) safe(a Attempt) bool {
+	return a.Idempotent || !a.Dispatched || a.Err.Outcome == refusal.NotRun
+}
+
+// pause is the time before the retry. What another server can take at once does
+// not wait.
+func (b *Budget) pause(a Attempt) time.Duration {
+	if free(a.Err.Reason) {
+		return 0
+	}
+	policy := backoff.ExponentialBackOff{
+		InitialInterval: b.interval, Multiplier: backoff.DefaultMultiplier, MaxInterval: b.most,
+	}
+	policy.Reset()
+	var d time.Duration
+	for range a.Tries {
+		d = policy.NextBackOff()
+	}
+	return d/2 + time.Duration(b.rand.Int64N(int64(d/2)+1))
+}
+
+// free says whether a refusal costs the server nothing and says nothing about
+// its load, so that moving on needs no budget.
+func free(r refusal.Reason) bool {
+	return r == refusal.Draining || r == refusal.WrongIncarnation || r == refusal.ShuttingDown
+}
+
+// worthwhile says whether another server may answer differently.
+func worthwhile(r refusal.Reason) bool {
+	switch r {
+	case refusal.Draining, refusal.WrongIncarnation, refusal.ShuttingDown, refusal.ServerFailed,
+		refusal.QueueFull, refusal.DeadlineUnreachable, refusal.ShareExceeded, refusal.NotReady,
+		refusal.OutcomeUnknown:
+		return true
+	default:
+		return false
+	}
+}
