--- a/models/fleet/state.go
+++ b/models/fleet/state.go
@@ -54,20 +54,26 @@
 // Apply returns the state after the event at the offset and says what the
 // event did. An event at an offset that the state already holds has no effect.
 func (s *State) Apply(offset int64, at time.Time, event Event) (*State, Result) {
+	next, results := s.ApplyAll(offset, at, event)
+	return next, results[0]
+}
+
+// ApplyAll is Apply for the events of one record, which take effect in order.
+// A nil event, which this release can't decode, has no effect.
+func (s *State) ApplyAll(offset int64, at time.Time, events ...Event) (*State, []Result) {
+	results := make([]Result, len(events))
 	if offset < s.Next {
-		return s, ignored(Duplicate, "offset %d is already applied", offset)
+		for i := range results {
+			results[i] = ignored(Duplicate, "offset %d is already applied", offset)
+		}
+		return s, results
 	}
 	next := *s
 	next.Next = offset + 1
-	result := next.apply(at.UTC(), event)
-	return &next, result
-}
-
-// Skip returns the state past a record that this release can't decode.
-func (s *State) Skip(offset int64) *State {
-	next := *s
-	next.Next = max(s.Next, offset+1)
-	return &next
+	for i, event := range events {
+		results[i] = next.apply(at.UTC(), event)
+	}
+	return &next, results
 }
 
 // Version returns the version of the tables in force.
--- a/modules/metric/metric.go
+++ b/modules/metric/metric.go
@@ -90,12 +90,12 @@
 	s.set.GetOrCreateGauge(name, f)
 }
 
-// ServeHTTP implements http.Handler. It writes the set and the process's own
-// metrics.
+// ServeHTTP implements http.Handler. It writes the set, the library's default
+// set and the process's own metrics.
 func (s *Set) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	s.set.WritePrometheus(w)
-	metrics.WriteProcessMetrics(w)
+	metrics.WritePrometheus(w, true)
 }
 
 func byReason(name, reason string) string {
--- a/modules/platform/client.go
+++ b/modules/platform/client.go
@@ -29,11 +29,43 @@
 	instances platformv1connect.InstanceServiceClient
 }
 
+// ClientHeader carries the caller's name on each call, for the platform's own
+// logs and limits.
+const ClientHeader = "Crocusline-Client"
+
+// ClientOption changes a new Client.
+type ClientOption func(*clientOptions)
+
+type clientOptions struct {
+	name string
+}
+
+// WithName sets the name, such as an incarnation, that each call carries.
+func WithName(name string) ClientOption {
+	return func(o *clientOptions) { o.name = name }
+}
+
 // NewClient returns a client of the platform at baseURL.
-func NewClient(client *http.Client, baseURL string) *Client {
+func NewClient(client *http.Client, baseURL string, opts ...ClientOption) *Client {
+	var o clientOptions
+	for _, opt := range opts {
+		opt(&o)
+	}
+	named := connect.WithInterceptors(nameCalls(o.name))
 	return &Client{
-		log:       platformv1connect.NewLogServiceClient(client, baseURL),
-		instances: platformv1connect.NewInstanceServiceClient(client, baseURL),
+		log:       platformv1connect.NewLogServiceClient(client, baseURL, named),
+		instances: platformv1connect.NewInstanceServiceClient(client, baseURL, named),
+	}
+}
+
+func nameCalls(name string) connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, req connect.AnyRequest) (connect.AnyResponse, error) {
+			if name != "" {
+				req.Header().Set(ClientHeader, name)
+			}
+			return next(ctx, req)
+		}
 	}
 }
 
