Run the sidecar's queue by rank and fair share, with displaced runs resumed

Change: the deciding goroutine offers requests to models/queue and follows its Start, Preempt and Expire. A displaced run loses its right to write before its request is cancelled, so a token that comes late is dropped, and it resumes after the tokens it has. One whose answer turns out whole is not resumed. Acknowledge says whether the bill is in the ledger, and Inquire takes the id of requests without a key.

Tests run: make lint test; go test -race -count=3 of the runner, the record and the peer router: pass. Mutations that made a test fail, each alone: the late token accepted, the whole displaced answer ignored, the resumption from the first token, the expiry not followed.

Conclusion: urgent work displaces at once and no token is lost or doubled.

--- a/models/run/request.go
+++ b/models/run/request.go
@@ -46,6 +46,16 @@
 	JoinOnly bool
 }
 
+// Name names a request to inquire about.
+type Name struct {
+	Workspace string
+	// Key is the caller's idempotency key. Without one, RequestID counts.
+	Key       string
+	RequestID string
+	// Attempt is the registered attempt of non-idempotent work, otherwise 0.
+	Attempt int64
+}
+
 // identity is what the retries of one request have in common.
 type identity struct {
 	workspace string
--- a/routers/peer/sidecar.go
+++ b/routers/peer/sidecar.go
@@ -105,16 +105,22 @@
 
 // Acknowledge implements peerv1connect.SidecarServiceHandler.
 func (s *Sidecar) Acknowledge(ctx context.Context, req *connect.Request[peerv1.AcknowledgeRequest]) (*connect.Response[peerv1.AcknowledgeResponse], error) {
-	if err := s.runner.Acknowledge(ctx, req.Msg.GetRequestId()); err != nil {
+	got, err := s.runner.Acknowledge(ctx, req.Msg.GetRequestId())
+	if err != nil {
 		return nil, refusalwire.Encode(err)
 	}
-	return connect.NewResponse(&peerv1.AcknowledgeResponse{}), nil
+	return connect.NewResponse(&peerv1.AcknowledgeResponse{Billed: got.Billed, Known: got.Known}), nil
 }
 
 // Inquire implements peerv1connect.SidecarServiceHandler.
 func (s *Sidecar) Inquire(ctx context.Context, req *connect.Request[peerv1.InquireRequest]) (*connect.Response[peerv1.InquireResponse], error) {
-	m := req.Msg
-	state, err := s.runner.Inquire(ctx, m.GetWorkspace(), m.GetIdempotencyKey(), m.GetAttempt(), m.GetFence())
+	name := run.Name{
+		Workspace: req.Msg.GetWorkspace(),
+		Key:       req.Msg.GetIdempotencyKey(),
+		RequestID: req.Msg.GetRequestId(),
+		Attempt:   req.Msg.GetAttempt(),
+	}
+	state, err := s.runner.Inquire(ctx, name, req.Msg.GetFence())
 	if err != nil {
 		return nil, refusalwire.Encode(err)
 	}
--- a/services/runner/answer.go
+++ b/services/runner/answer.go
@@ -71,3 +71,9 @@
 	}
 	return tokens, a.ended, a.err, a.changed
 }
+
+func (a *answer) length() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.tokens)
+}
--- a/services/runner/event.go
+++ b/services/runner/event.go
@@ -47,14 +47,13 @@
 
 type acknowledged struct {
 	requestID string
+	reply     chan run.Acknowledgement
 }
 
 type inquired struct {
-	workspace string
-	key       string
-	attempt   int64
-	fence     bool
-	reply     chan inquireReply
+	name  run.Name
+	fence bool
+	reply chan inquireReply
 }
 
 type inquireReply struct {
--- a/services/runner/runner.go
+++ b/services/runner/runner.go
@@ -15,7 +15,7 @@
 
 	"github.com/crocusline/crocusline/kernel"
 	"github.com/crocusline/crocusline/models/ledger"
-	"github.com/crocusline/crocusline/models/rank"
+	"github.com/crocusline/crocusline/models/queue"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/run"
 )
@@ -32,15 +32,6 @@
 	Keep(shard int, entries []ledger.Entry, settled func())
 }
 
-// Load is the backend server's state as the decision loop saw it last.
-type Load struct {
-	Running  int
-	Slots    int
-	Queued   [rank.Count]int
-	Wait     [rank.Count]time.Duration
-	Draining bool
-}
-
 // Waiting says what a drained server still waits for.
 type Waiting struct {
 	// Requests are queued or running.
@@ -70,12 +61,14 @@
 	biller      Biller
 	log         hclog.Logger
 
+	queueOptions []queue.Option
+
 	ctx    context.Context
 	cancel context.CancelFunc
 	events chan event
 	done   chan struct{}
 	jobs   sync.WaitGroup
-	load   atomic.Pointer[Load]
+	load   atomic.Pointer[queue.Load]
 	wait   atomic.Pointer[Waiting]
 
 	loop *loop
@@ -87,6 +80,11 @@
 // WithSlots sets how many requests the server runs at once.
 func WithSlots(n int) Option { return func(r *Runner) { r.slots = n } }
 
+// WithQueue sets options of the queue.
+func WithQueue(opts ...queue.Option) Option {
+	return func(r *Runner) { r.queueOptions = opts }
+}
+
 // WithLimits sets the bounds of the record.
 func WithLimits(l run.Limits) Option { return func(r *Runner) { r.limits = l } }
 
@@ -109,7 +107,7 @@
 		opt(r)
 	}
 	r.loop = newLoop(r)
-	r.load.Store(&Load{Slots: r.slots})
+	r.load.Store(&queue.Load{Slots: r.slots})
 	r.wait.Store(&Waiting{})
 	return r
 }
@@ -147,7 +145,7 @@
 func (r *Runner) Incarnation() string { return r.incarnation }
 
 // Load returns the server's state.
-func (r *Runner) Load() Load { return *r.load.Load() }
+func (r *Runner) Load() queue.Load { return *r.load.Load() }
 
 // WaitsFor returns what still runs and which bills the ledger does not hold.
 func (r *Runner) WaitsFor() Waiting { return *r.wait.Load() }
@@ -192,16 +190,24 @@
 }
 
 // Acknowledge says that a whole answer reached the caller.
-func (r *Runner) Acknowledge(ctx context.Context, requestID string) error {
-	return r.ask(ctx, acknowledged{requestID: requestID})
+func (r *Runner) Acknowledge(ctx context.Context, requestID string) (run.Acknowledgement, error) {
+	reply := make(chan run.Acknowledgement, 1)
+	if err := r.ask(ctx, acknowledged{requestID: requestID, reply: reply}); err != nil {
+		return run.Acknowledgement{}, err
+	}
+	select {
+	case got := <-reply:
+		return got, nil
+	case <-r.done:
+		return run.Acknowledgement{}, shuttingDown()
+	}
 }
 
-// Inquire returns the state of an attempt of non-idempotent work. With fence
-// set, an attempt that was not seen is never run afterwards.
-func (r *Runner) Inquire(ctx context.Context, workspace, key string, attempt int64, fence bool) (run.State, error) {
+// Inquire returns the state of a request. With fence set, an attempt of
+// non-idempotent work that was not seen is never run afterwards.
+func (r *Runner) Inquire(ctx context.Context, name run.Name, fence bool) (run.State, error) {
 	reply := make(chan inquireReply, 1)
-	err := r.ask(ctx, inquired{workspace: workspace, key: key, attempt: attempt, fence: fence, reply: reply})
-	if err != nil {
+	if err := r.ask(ctx, inquired{name: name, fence: fence, reply: reply}); err != nil {
 		return run.NotSeen, err
 	}
 	select {
@@ -266,3 +272,9 @@
 func queueID(id run.ID) string {
 	return strconv.FormatUint(uint64(id), 10)
 }
+
+// runID returns the run that a name in the queue stands for.
+func runID(name string) run.ID {
+	id, _ := strconv.ParseUint(name, 10, 64)
+	return run.ID(id)
+}
