Add the coordination library, the ledger fold and its client

Cause: budgets, registrations and bills must be agreed through the platform's log alone, which loses answers, forgets records and goes away.

Change: - coordination/fence folds a stream of enveloped records: duplicates by (writer, sequence), epochs by claim, gaps as errors, chunked checkpoints. A record names the log time that its writer had seen; one older than the writer window is stale, so writers can be forgotten without a late copy counting. - coordination/escrow and coordination/once are the pure state of budgets and of registered attempts. - models/ledger folds entries over them; Grant and Return are numbered per holder and workspace in place of an id, Register has an id per call. - models/allowance sizes what an entry holds of a budget. - services/stream tails a stream and appends with read-back, one record in flight, several appends a record. - services/ledger is the client: Reserve, Release, Register, Void, Post. - modules/platform/platformtest is an in-memory log with faults, for tests.

Found on the way: after an outage the tailer said "unreachable" until a long poll ended. It now polls without waiting until the log has answered once.

Mutations, each made at least one test fail: no dedupe, no staleness, epoch unchecked, owner unchecked, any claim wins, torn checkpoint taken, order of expiry lost on restore, grant not checked, top-up counted twice, close keeps tokens outstanding, spend above the hold, void not needed for the next attempt, ran after void, bill not deduplicated by hold, by key, by key after a restore, closed holder billed, return reconciled before it is decided, retry under a new sequence number, gap skipped, no batching, long poll after an outage, no checkpoint of an idle stream, given-up append still sent, recall off.

Tests: make lint test; go test -race -count=3 ./services/...

--- /dev/null
+++ b/models/allowance/allowance_test.go
@@ -0,0 +1,105 @@
+package allowance_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/crocusline/crocusline/models/allowance"
+)
+
+var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func Example() {
+	a := allowance.New(allowance.DefaultPolicy)
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	a.Use(now, 100)
+	fmt.Println("ask for", a.Want(now, 100, 10_000), "when the budget is full")
+	fmt.Println("ask for", a.Want(now, 100, 160), "when it is nearly spent")
+	a.Reconcile(allowance.Sums{Granted: 150, Sequence: a.Next()})
+	fmt.Println(a.Cut(100), a.Free())
+	fmt.Println("give back", a.Surplus(now.Add(time.Minute), false), "when idle")
+	// Output:
+	// ask for 150 when the budget is full
+	// ask for 110 when it is nearly spent
+	// true 50
+	// give back 50 when idle
+}
+
+func TestReturnStaysCountedUntilDecided(t *testing.T) {
+	a := allowance.New(allowance.DefaultPolicy)
+	a.Reconcile(allowance.Sums{Granted: 100, Sequence: a.Next()})
+	a.Next()
+	a.Return(60)
+	a.Reconcile(allowance.Sums{Granted: 100, Sequence: 1})
+	if a.Free() != 40 {
+		t.Fatalf("%d tokens free while the return is not decided, want 40", a.Free())
+	}
+	a.Reconcile(allowance.Sums{Granted: 100, Sequence: 2})
+	if a.Free() != 100 {
+		t.Fatalf("%d tokens free after the return had no effect, want 100", a.Free())
+	}
+}
+
+func TestZeroPolicyDrawsEachHold(t *testing.T) {
+	a := allowance.New(allowance.Policy{})
+	for i := range 10 {
+		now := start.Add(time.Duration(i) * time.Second)
+		a.Use(now, 100)
+		if got := a.Want(now, 100, 1_000_000); got != 100 {
+			t.Fatalf("asks for %d, want 100", got)
+		}
+		if got := a.Refill(now, 1_000_000); got != 0 {
+			t.Fatalf("refills %d", got)
+		}
+	}
+}
+
+func TestWantCoversNeedAndStaysWithinBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := allowance.New(allowance.DefaultPolicy)
+		a.Reconcile(allowance.Sums{Granted: rapid.Int64Range(0, 50).Draw(t, "granted")})
+		now := start
+		for range rapid.IntRange(0, 20).Draw(t, "uses") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			a.Use(now, rapid.Int64Range(1, 1000).Draw(t, "tokens"))
+		}
+		need := a.Free() + rapid.Int64Range(1, 1000).Draw(t, "need")
+		free := rapid.Int64Range(0, 10_000).Draw(t, "free")
+		want := a.Want(now, need, free)
+		if a.Free()+want < need {
+			t.Fatalf("asks for %d, need %d, has %d", want, need, a.Free())
+		}
+		if want > need-a.Free() && want > free {
+			t.Fatalf("asks for %d more than needed of %d free", want, free)
+		}
+		if refill := a.Refill(now, free); refill < 0 || refill > free {
+			t.Fatalf("refills %d of %d free", refill, free)
+		}
+		if surplus := a.Surplus(now, rapid.Bool().Draw(t, "short")); surplus < 0 || surplus > a.Free() {
+			t.Fatalf("gives back %d of %d", surplus, a.Free())
+		}
+	})
+}
+
+func TestShrinksNearTheEnd(t *testing.T) {
+	a := allowance.New(allowance.DefaultPolicy)
+	for i := range 100 {
+		a.Use(start.Add(time.Duration(i)*100*time.Millisecond), 100)
+	}
+	now := start.Add(10 * time.Second)
+	last := int64(math.MaxInt64)
+	for _, free := range []int64{1_000_000, 10_000, 1000, 100} {
+		want := a.Want(now, 100, free)
+		if want > last {
+			t.Fatalf("asks for %d of %d free, and for %d of more", want, free, last)
+		}
+		last = want
+	}
+	if last != 100 {
+		t.Fatalf("asks for %d at the end, want the need only", last)
+	}
+}
--- a/models/ledger/entry.go
+++ b/models/ledger/entry.go
@@ -32,18 +32,21 @@
 // Grant moves tokens from the budget to an entry instance's allowance. It has
 // no effect when the budget does not cover it.
 type Grant struct {
-	ID        string `json:"id"`
 	Workspace string `json:"workspace"`
 	Holder    string `json:"holder"`
-	Tokens    int64  `json:"tokens"`
+	// Sequence numbers the holder's grants and returns in one workspace, from
+	// 1. One that is not above the last has no effect.
+	Sequence uint64 `json:"sequence"`
+	Tokens   int64  `json:"tokens"`
 }
 
 // Return moves unspent tokens from an allowance back to the budget.
 type Return struct {
-	ID        string `json:"id"`
 	Workspace string `json:"workspace"`
 	Holder    string `json:"holder"`
-	Tokens    int64  `json:"tokens"`
+	// Sequence is numbered together with the holder's grants.
+	Sequence uint64 `json:"sequence"`
+	Tokens   int64  `json:"tokens"`
 }
 
 // Bill settles a hold: Tokens are spent, the rest of the hold goes back to the
@@ -65,6 +68,8 @@
 
 // Register registers an attempt of a non-idempotent request at one sidecar.
 type Register struct {
+	// ID tells the calls that tried to register apart.
+	ID        string `json:"id"`
 	Workspace string `json:"workspace"`
 	Key       string `json:"key"`
 	Digest    []byte `json:"digest"`
--- /dev/null
+++ b/models/ledger/state.go
@@ -0,0 +1,301 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/coordination/escrow"
+	"github.com/crocusline/crocusline/coordination/once"
+)
+
+//go:generate stringer -type=Effect -linecomment -output=effect_string.go
+
+// ClosedWindow is how long, by the log's clock, the fold remembers that a
+// holder was closed. Bills of that holder count as written off within it.
+const ClosedWindow = 7 * 24 * time.Hour
+
+// Effect says what an entry did to the state it met.
+type Effect int
+
+// The effects.
+const (
+	Applied    Effect = iota // applied
+	Duplicate                // duplicate
+	Uncovered                // uncovered
+	WrittenOff               // writtenOff
+	Ignored                  // ignored
+	Conflict                 // conflict
+	Malformed                // malformed
+)
+
+// WriteOff sums the bills that came after their holder was closed.
+type WriteOff struct {
+	Bills  int64 `json:"bills"`
+	Tokens int64 `json:"tokens"`
+}
+
+// budget is a workspace's budget and what was billed to it.
+type budget struct {
+	Escrow     *escrow.Budget `json:"escrow"`
+	Bills      int64          `json:"bills"`
+	Duplicates int64          `json:"duplicates"`
+	WriteOff   WriteOff       `json:"writeOff"`
+	// Short is the log time of the last grant that was not covered.
+	Short time.Time `json:"short"`
+}
+
+// holder is what the shard knows of an entry incarnation.
+type holder struct {
+	// Settled holds the sequence numbers of the holds that are billed.
+	Settled escrow.Ranges `json:"settled"`
+	// ClosedAt is the log time of the CloseHolder, zero while the holder lives.
+	ClosedAt time.Time `json:"closedAt"`
+}
+
+// billedKey remembers the bill of a caller's key.
+type billedKey struct {
+	Key string    `json:"key"`
+	At  time.Time `json:"at"`
+}
+
+// State is the state of one shard. It is not safe for concurrent use.
+type State struct {
+	budgets  map[string]*budget
+	holders  map[string]*holder
+	attempts *once.Registry
+	// billed lists the keys of bills in the order of their log time.
+	billed     []billedKey
+	billedKeys map[string]bool
+	now        time.Time
+}
+
+// New returns the state of an empty stream.
+func New() *State {
+	return &State{
+		budgets:    map[string]*budget{},
+		holders:    map[string]*holder{},
+		attempts:   once.New(),
+		billedKeys: map[string]bool{},
+	}
+}
+
+// Apply applies an entry that the log took at now.
+func (s *State) Apply(now time.Time, entry Entry) Effect {
+	if now.After(s.now) {
+		s.now = now.UTC()
+	}
+	s.forget()
+	switch e := entry.(type) {
+	case TopUp:
+		return effectOf(s.budget(e.Workspace).Escrow.TopUp(e.ID, e.Tokens))
+	case Grant:
+		return s.grant(e)
+	case Return:
+		return s.giveBack(e)
+	case Bill:
+		return s.bill(e)
+	case Register:
+		return s.register(e)
+	case Outcome:
+		body := e.Body
+		if !e.BodyKept || len(body) > MaxKeptBody {
+			body = nil
+		}
+		kept := e.BodyKept && len(e.Body) <= MaxKeptBody
+		return onceEffect(s.attempts.Finish(s.now, attemptKey(e.Workspace, e.Key), e.Attempt, body, kept))
+	case Void:
+		return onceEffect(s.attempts.Void(s.now, attemptKey(e.Workspace, e.Key), e.Attempt))
+	case CloseHolder:
+		return s.closeHolder(e)
+	}
+	return Malformed
+}
+
+func (s *State) grant(e Grant) Effect {
+	if e.Holder == "" {
+		return Malformed
+	}
+	if !s.holder(e.Holder).ClosedAt.IsZero() {
+		return Ignored
+	}
+	b := s.budget(e.Workspace)
+	effect := effectOf(b.Escrow.Grant(e.Holder, e.Sequence, e.Tokens))
+	if effect == Uncovered {
+		b.Short = s.now
+	}
+	return effect
+}
+
+func (s *State) giveBack(e Return) Effect {
+	b := s.budgets[e.Workspace]
+	h := s.holders[e.Holder]
+	if b == nil || h == nil || !h.ClosedAt.IsZero() {
+		return Ignored
+	}
+	return effectOf(b.Escrow.Return(e.Holder, e.Sequence, e.Tokens))
+}
+
+func (s *State) bill(e Bill) Effect {
+	if e.Tokens < 0 || e.Hold.Tokens < 0 || e.Hold.Sequence == 0 {
+		return Malformed
+	}
+	b := s.budgets[e.Workspace]
+	h := s.holders[e.Hold.Holder]
+	if b == nil || h == nil {
+		return Ignored
+	}
+	if h.Settled.Has(e.Hold.Sequence) {
+		b.Duplicates++
+		return Duplicate
+	}
+	if !h.ClosedAt.IsZero() {
+		h.Settled.Add(e.Hold.Sequence)
+		b.WriteOff.Bills++
+		b.WriteOff.Tokens += min(e.Tokens, e.Hold.Tokens)
+		return WrittenOff
+	}
+	key := attemptKey(e.Workspace, e.Key)
+	repeated := e.Key != "" && s.billedKeys[key]
+	spent := e.Tokens
+	if repeated {
+		spent = 0
+	}
+	if err := b.Escrow.Settle(e.Hold.Holder, e.Hold.Tokens, spent); err != nil {
+		return effectOf(err)
+	}
+	h.Settled.Add(e.Hold.Sequence)
+	return s.count(b, e, key, repeated)
+}
+
+// count counts a bill whose hold was settled just now. A bill of no tokens only
+// gives the hold back.
+func (s *State) count(b *budget, e Bill, key string, repeated bool) Effect {
+	if repeated {
+		b.Duplicates++
+		return Duplicate
+	}
+	if e.Tokens == 0 {
+		return Applied
+	}
+	b.Bills++
+	if e.Key != "" {
+		s.billedKeys[key] = true
+		s.billed = append(s.billed, billedKey{Key: key, At: s.now})
+	}
+	return Applied
+}
+
+func (s *State) register(e Register) Effect {
+	return onceEffect(s.attempts.Register(s.now, attemptKey(e.Workspace, e.Key), once.Attempt{
+		ID:        e.ID,
+		Number:    e.Attempt,
+		Digest:    e.Digest,
+		Requester: e.Entry,
+		Runner:    e.Sidecar,
+		Place:     e.Server,
+	}))
+}
+
+func (s *State) closeHolder(e CloseHolder) Effect {
+	if e.Holder == "" {
+		return Malformed
+	}
+	h := s.holder(e.Holder)
+	if !h.ClosedAt.IsZero() {
+		return Duplicate
+	}
+	h.ClosedAt = s.now
+	for name, other := range s.holders {
+		if !other.ClosedAt.IsZero() && s.now.Sub(other.ClosedAt) > ClosedWindow {
+			delete(s.holders, name)
+		}
+	}
+	for _, b := range s.budgets {
+		b.Escrow.Close(e.Holder)
+	}
+	return Applied
+}
+
+func (s *State) forget() {
+	n := 0
+	for n < len(s.billed) && s.now.Sub(s.billed[n].At) > KeyWindow {
+		delete(s.billedKeys, s.billed[n].Key)
+		n++
+	}
+	s.billed = s.billed[n:]
+}
+
+func (s *State) budget(workspace string) *budget {
+	b := s.budgets[workspace]
+	if b == nil {
+		b = &budget{Escrow: escrow.New()}
+		s.budgets[workspace] = b
+	}
+	return b
+}
+
+func (s *State) holder(name string) *holder {
+	h := s.holders[name]
+	if h == nil {
+		h = &holder{}
+		s.holders[name] = h
+	}
+	return h
+}
+
+// attemptKey joins a workspace and a caller's key. Workspaces hold no NUL.
+func attemptKey(workspace, key string) string { return workspace + "\x00" + key }
+
+func onceEffect(e once.Effect) Effect {
+	switch e {
+	case once.Applied:
+		return Applied
+	case once.Conflict:
+		return Conflict
+	default:
+		return Ignored
+	}
+}
+
+func effectOf(err error) Effect {
+	if err == nil {
+		return Applied
+	}
+	var (
+		duplicate *escrow.DuplicateError
+		uncovered *escrow.UncoveredError
+		invalid   *escrow.InvalidError
+	)
+	switch {
+	case errors.As(err, &duplicate):
+		return Duplicate
+	case errors.As(err, &uncovered):
+		return Uncovered
+	case errors.As(err, &invalid):
+		return Malformed
+	default:
+		return Ignored
+	}
+}
+
+// Check returns an error if an invariant of a budget does not hold.
+func (s *State) Check() error {
+	for workspace, b := range s.budgets {
+		if err := b.Escrow.Check(); err != nil {
+			return errors.WithMessagef(err, "budget of %s", workspace)
+		}
+	}
+	return nil
+}
+
+// Workspaces returns the workspaces with a budget, sorted.
+func (s *State) Workspaces() []string {
+	names := make([]string, 0, len(s.budgets))
+	for name := range s.budgets {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/services/ledger/client.go
@@ -0,0 +1,222 @@
+// Package ledger gives a process its part in the ledger: holds on budgets,
+// registrations of non-idempotent requests, and bills.
+package ledger
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/time/rate"
+
+	"github.com/crocusline/crocusline/coordination/fence"
+	"github.com/crocusline/crocusline/kernel"
+	"github.com/crocusline/crocusline/models/allowance"
+	"github.com/crocusline/crocusline/models/ledger"
+	"github.com/crocusline/crocusline/modules/platform"
+	"github.com/crocusline/crocusline/services/stream"
+)
+
+// Name is the client's name in the kernel.
+const Name = "ledger"
+
+const (
+	// DefaultTimeout is how long a call waits for the log.
+	DefaultTimeout = 2 * time.Second
+	// DefaultRecallWait is how long a draw that the budget does not cover waits
+	// for other instances to give back what they do not use.
+	DefaultRecallWait = 250 * time.Millisecond
+	// DefaultShards is the number of ledger shards.
+	DefaultShards = 4
+)
+
+// Client is a process's part in the ledger. It is a kernel.Service.
+type Client struct {
+	incarnation string
+	log         platform.Log
+	logger      hclog.Logger
+	count       int
+	policy      allowance.Policy
+	timeout     time.Duration
+	recallWait  time.Duration
+	interval    time.Duration
+	limiter     *rate.Limiter
+	schedule    fence.Schedule
+	// wake takes the workspaces whose allowance is to be balanced.
+	wake chan string
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu       sync.Mutex
+	shards   map[int]*shard
+	accounts map[string]*account
+}
+
+// Option configures a Client.
+type Option func(*Client)
+
+// WithShards sets the number of ledger shards, which must be the same in all
+// processes.
+func WithShards(n int) Option { return func(c *Client) { c.count = n } }
+
+// WithPolicy sets how allowances are sized.
+func WithPolicy(p allowance.Policy) Option { return func(c *Client) { c.policy = p } }
+
+// WithTimeout sets how long a call waits for the log.
+func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
+
+// WithRecallWait sets how long a draw that the budget does not cover waits for
+// other instances to give back what they do not use.
+func WithRecallWait(d time.Duration) Option { return func(c *Client) { c.recallWait = d } }
+
+// WithInterval sets the least time between two appends to one shard's stream.
+func WithInterval(d time.Duration) Option { return func(c *Client) { c.interval = d } }
+
+// WithLimiter sets a limit on appends that the streams of one process share.
+func WithLimiter(l *rate.Limiter) Option { return func(c *Client) { c.limiter = l } }
+
+// WithSchedule sets when checkpoints are written.
+func WithSchedule(s fence.Schedule) Option { return func(c *Client) { c.schedule = s } }
+
+// WithLogger sets the logger.
+func WithLogger(l hclog.Logger) Option { return func(c *Client) { c.logger = l } }
+
+// New returns the client of the process's life that incarnation names.
+func New(incarnation string, log platform.Log, opts ...Option) *Client {
+	c := &Client{
+		incarnation: incarnation,
+		log:         log,
+		logger:      hclog.NewNullLogger(),
+		count:       DefaultShards,
+		policy:      allowance.DefaultPolicy,
+		timeout:     DefaultTimeout,
+		recallWait:  DefaultRecallWait,
+		interval:    stream.DefaultInterval,
+		limiter:     rate.NewLimiter(rate.Inf, 1),
+		schedule:    stream.DefaultSchedule,
+		wake:        make(chan string, wakeQueue),
+		shards:      map[int]*shard{},
+		accounts:    map[string]*account{},
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Name implements kernel.Service.
+func (c *Client) Name() string { return Name }
+
+// Start implements kernel.Service. It does not wait for the log.
+func (c *Client) Start(ctx context.Context, _ *kernel.Kernel) error {
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	c.done.Go(func() { c.keepBalance(c.ctx) })
+	return nil
+}
+
+// Close implements kernel.Service. It gives back the allowances, as far as the
+// log answers in time.
+func (c *Client) Close() error {
+	if c.cancel == nil {
+		return nil
+	}
+	c.returnAll()
+	c.cancel()
+	c.done.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, sh := range c.shards {
+		if err := sh.stream.Close(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ShardOf returns the shard of a workspace.
+func (c *Client) ShardOf(workspace string) int { return ledger.ShardOf(workspace, c.count) }
+
+// Post appends entries to a shard's stream. It returns once the stream holds
+// them, whatever their effect.
+func (c *Client) Post(ctx context.Context, number int, entries ...ledger.Entry) error {
+	body, err := ledger.Encode(entries...)
+	if err != nil {
+		return err
+	}
+	_, err = c.shard(number).stream.Append(ctx, body)
+	return err
+}
+
+// Budget returns the budget of a workspace as far as this process has read the
+// shard's stream.
+func (c *Client) Budget(ctx context.Context, workspace string) (ledger.Budget, error) {
+	sh := c.shard(c.ShardOf(workspace))
+	if err := c.ready(ctx, sh); err != nil {
+		return ledger.Budget{}, err
+	}
+	return sh.view(workspace, c.incarnation).budget, nil
+}
+
+// Budgets returns the budgets of all shards, sorted by workspace.
+func (c *Client) Budgets(ctx context.Context) ([]ledger.Budget, error) {
+	var all []ledger.Budget
+	for number := range c.count {
+		sh := c.shard(number)
+		if err := c.ready(ctx, sh); err != nil {
+			return nil, err
+		}
+		sh.stream.View(func(stream.Status) {
+			for _, workspace := range sh.state.Workspaces() {
+				all = append(all, sh.state.Budget(workspace))
+			}
+		})
+	}
+	slices.SortFunc(all, compareBudgets)
+	return all, nil
+}
+
+// Settled says whether a hold was billed, as far as this process has read the
+// shard's stream.
+func (c *Client) Settled(hold ledger.Hold) (settled bool) {
+	sh := c.shard(hold.Shard)
+	sh.stream.View(func(stream.Status) { settled = sh.state.Settled(hold) })
+	return settled
+}
+
+// shard returns a shard, and begins to read its stream on first use.
+func (c *Client) shard(number int) *shard {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sh := c.shards[number]
+	if sh == nil {
+		sh = c.open(number)
+		c.shards[number] = sh
+	}
+	return sh
+}
+
+func (c *Client) open(number int) *shard {
+	sh := &shard{
+		number: number,
+		state:  ledger.New(),
+		holds:  newHolds(c.incarnation, number),
+		short:  c.wake,
+	}
+	sh.stream = stream.New(ledger.StreamOf(number), c.incarnation, c.log, sh,
+		stream.WithInterval(c.interval),
+		stream.WithLimiter(c.limiter),
+		stream.WithLogger(c.logger),
+		stream.WithCheckpoints(c.schedule, func() bool { return true }),
+	)
+	sh.stream.Run(c.ctx)
+	return sh
+}
+
+// ready waits until the shard's stream was read once.
+func (c *Client) ready(ctx context.Context, sh *shard) error {
+	return sh.stream.Wait(ctx, func(st stream.Status) bool { return st.Ready })
+}
