Bill a request once by its id where the caller gave no key

Cause: a request that goes on at another server takes a second hold, and both sidecars may bill it; the fold knew repeats only by hold and caller's key. Ruled out: one hold for both servers, since a zero bill of the cancelled run could then take the place of the real one. Change: the window of bills goes by the caller's key, or else the request's id.

--- a/models/ledger/entry.go
+++ b/models/ledger/entry.go
@@ -50,8 +50,8 @@
 }
 
 // Bill settles a hold: Tokens are spent, the rest of the hold goes back to the
-// budget. The first bill of a hold counts, and the first bill of a caller's key
-// within the deduplication window.
+// budget. The first bill of a hold counts, and the first bill of a request (by
+// the caller's key, or else the request's id) within KeyWindow.
 type Bill struct {
 	RequestID string `json:"requestId"`
 	Workspace string `json:"workspace"`
@@ -66,6 +66,15 @@
 	Server  string `json:"server"`
 }
 
+// identity names the request that the bill is for. A request that went on at
+// another server has a hold there and here, but one identity.
+func (b Bill) identity() string {
+	if b.Key != "" {
+		return "key:" + b.Key
+	}
+	return "request:" + b.RequestID
+}
+
 // Register registers an attempt of a non-idempotent request at one sidecar.
 type Register struct {
 	// ID tells the calls that tried to register apart.
--- a/models/ledger/state.go
+++ b/models/ledger/state.go
@@ -156,8 +156,8 @@
 		b.WriteOff.Tokens += min(e.Tokens, e.Hold.Tokens)
 		return WrittenOff
 	}
-	key := attemptKey(e.Workspace, e.Key)
-	repeated := e.Key != "" && s.billedKeys[key]
+	key := attemptKey(e.Workspace, e.identity())
+	repeated := s.billedKeys[key]
 	spent := e.Tokens
 	if repeated {
 		spent = 0
@@ -180,10 +180,8 @@
 		return Applied
 	}
 	b.Bills++
-	if e.Key != "" {
-		s.billedKeys[key] = true
-		s.billed = append(s.billed, billedKey{Key: key, At: s.now})
-	}
+	s.billedKeys[key] = true
+	s.billed = append(s.billed, billedKey{Key: key, At: s.now})
 	return Applied
 }
 
--- a/models/ledger/state_test.go
+++ b/models/ledger/state_test.go
@@ -222,3 +222,29 @@
 		_ = ledger.New().Restore(data)
 	})
 }
+
+// A request without a caller's key that went on at another server has two
+// holds, and either sidecar may bill it.
+func TestRequestWithoutKeyIsBilledOnce(t *testing.T) {
+	s := ledger.New()
+	hold := func(sequence uint64) ledger.Hold {
+		return ledger.Hold{Holder: "a/1", Sequence: sequence, Tokens: 40}
+	}
+	for _, e := range []ledger.Entry{
+		ledger.TopUp{ID: "t", Workspace: "clinic", Tokens: 200},
+		ledger.Grant{Sequence: 1, Workspace: "clinic", Holder: "a/1", Tokens: 120},
+		ledger.Bill{RequestID: "r", Workspace: "clinic", Hold: hold(1), Tokens: 0},
+		ledger.Bill{RequestID: "r", Workspace: "clinic", Hold: hold(2), Tokens: 30},
+	} {
+		if got := s.Apply(start, e); got != ledger.Applied {
+			t.Fatalf("%+v: %s", e, got)
+		}
+	}
+	late := ledger.Bill{RequestID: "r", Workspace: "clinic", Hold: hold(3), Tokens: 30}
+	if got := s.Apply(start.Add(ledger.KeyWindow), late); got != ledger.Duplicate {
+		t.Fatalf("second bill of the request: %s", got)
+	}
+	if b := s.Budget("clinic"); b.Settled != 30 || b.Bills != 1 {
+		t.Fatalf("budget %+v", b)
+	}
+}
