--- a/models/ledger/state_test.go
+++ b/models/ledger/state_test.go
@@ -232,7 +232,7 @@
 	}
 	for _, e := range []ledger.Entry{
 		ledger.TopUp{ID: "t", Workspace: "clinic", Tokens: 200},
-		ledger.Grant{Sequence: 1, Workspace: "clinic", Holder: "a/1", Tokens: 120},
+		ledger.Grant{Sequence: 1, Workspace: "clinic", Holder: "a/1", Tokens: 160},
 		ledger.Bill{RequestID: "r", Workspace: "clinic", Hold: hold(1), Tokens: 0},
 		ledger.Bill{RequestID: "r", Workspace: "clinic", Hold: hold(2), Tokens: 30},
 	} {
@@ -240,11 +240,15 @@
 			t.Fatalf("%+v: %s", e, got)
 		}
 	}
+	another := ledger.Bill{RequestID: "r2", Workspace: "clinic", Hold: hold(4), Tokens: 10}
+	if got := s.Apply(start, another); got != ledger.Applied {
+		t.Fatalf("another request's bill: %s", got)
+	}
 	late := ledger.Bill{RequestID: "r", Workspace: "clinic", Hold: hold(3), Tokens: 30}
 	if got := s.Apply(start.Add(ledger.KeyWindow), late); got != ledger.Duplicate {
 		t.Fatalf("second bill of the request: %s", got)
 	}
-	if b := s.Budget("clinic"); b.Settled != 30 || b.Bills != 1 {
+	if b := s.Budget("clinic"); b.Settled != 40 || b.Bills != 2 {
 		t.Fatalf("budget %+v", b)
 	}
 }
