Add the entry's request path: admission, dispatch, pools, receipts, caller router

Cause: nothing took a caller's request to a sidecar. Weighed for interrupted idempotent work: one hold for all servers tried (a cancelled run's settlement could take the place of the real bill) against a hold for each leg, freed by a bill of nothing once its sidecar can bill it no more; the latter is taken. Weighed for retries through another entry: asking the pool's sidecars on each first try against only when the caller says it retries; the latter, since it costs first tries nothing.

--- /dev/null
+++ b/routers/caller/handler.go
@@ -0,0 +1,182 @@
+// Package caller serves callers' requests over Connect.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"connectrpc.com/connect"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/models/refusal"
+	callerv1 "github.com/crocusline/crocusline/modules/wire/caller/v1"
+	"github.com/crocusline/crocusline/modules/wire/caller/v1/callerv1connect"
+	commonv1 "github.com/crocusline/crocusline/modules/wire/common/v1"
+	"github.com/crocusline/crocusline/services/dispatch"
+	"github.com/crocusline/crocusline/services/refusalwire"
+)
+
+// Admission decides whether a request is taken, and how it is to be run.
+type Admission interface {
+	// Admit returns the request's plan and a function that ends its admission.
+	Admit(token string, req dispatch.Request) (dispatch.Plan, func(), error)
+	// Served tells how a request of the kind ended.
+	Served(kind string, err error)
+}
+
+// Dispatcher runs admitted requests.
+type Dispatcher interface {
+	Dispatch(ctx context.Context, req dispatch.Request, p dispatch.Plan, sink dispatch.Sink) (dispatch.Answer, error)
+}
+
+// Receipts keeps what is to be settled after an answer.
+type Receipts interface {
+	Keep(r dispatch.Receipt)
+}
+
+// Counters are the handler's metrics.
+type Counters interface {
+	Refused(reason refusal.Reason)
+	Answered()
+}
+
+// Handler implements caller.v1.RouterService.
+type Handler struct {
+	log        hclog.Logger
+	admission  Admission
+	dispatcher Dispatcher
+	receipts   Receipts
+	counters   Counters
+}
+
+// New returns the service's path and handler. A message over maxBytes is
+// refused before it is read.
+func New(log hclog.Logger, a Admission, d Dispatcher, r Receipts, c Counters, maxBytes int) (string, http.Handler) {
+	h := &Handler{log: log, admission: a, dispatcher: d, receipts: r, counters: c}
+	return callerv1connect.NewRouterServiceHandler(h, connect.WithReadMaxBytes(maxBytes))
+}
+
+// Submit implements caller.v1.RouterService.
+func (h *Handler) Submit(ctx context.Context, req *connect.Request[callerv1.SubmitRequest], stream *connect.ServerStream[callerv1.SubmitResponse]) error {
+	answer, err := h.serve(ctx, req.Header(), req.Msg, &streamSink{stream: stream})
+	if err != nil {
+		return err
+	}
+	done := &callerv1.SubmitResponse{Event: &callerv1.SubmitResponse_Done{Done: doneMessage(answer)}}
+	if err := stream.Send(done); err != nil {
+		return err
+	}
+	h.keep(answer)
+	return nil
+}
+
+// Call implements caller.v1.RouterService.
+func (h *Handler) Call(ctx context.Context, req *connect.Request[callerv1.CallRequest]) (*connect.Response[callerv1.CallResponse], error) {
+	request := req.Msg.GetRequest()
+	if request == nil {
+		return nil, h.refuse("", refusal.New(refusal.InvalidRequest, 0, `the field "request" is missing`))
+	}
+	sink := &textSink{}
+	answer, err := h.serve(ctx, req.Header(), request, sink)
+	if err != nil {
+		return nil, err
+	}
+	h.keep(answer)
+	return connect.NewResponse(&callerv1.CallResponse{Text: sink.text(), Done: doneMessage(answer)}), nil
+}
+
+func (h *Handler) keep(answer dispatch.Answer) {
+	if answer.Receipt != nil {
+		h.receipts.Keep(*answer.Receipt)
+	}
+}
+
+func (h *Handler) serve(ctx context.Context, header http.Header, msg *callerv1.SubmitRequest, sink dispatch.Sink) (dispatch.Answer, error) {
+	req, err := request(msg)
+	if err != nil {
+		return dispatch.Answer{}, h.refuse(msg.GetWorkspace(), err)
+	}
+	plan, release, err := h.admission.Admit(bearerToken(header), req)
+	if err != nil {
+		return dispatch.Answer{}, h.refuse(req.Workspace, err)
+	}
+	defer release()
+	answer, err := h.dispatcher.Dispatch(ctx, req, plan, sink)
+	h.admission.Served(req.Kind, err)
+	if err != nil {
+		return dispatch.Answer{}, h.refuse(req.Workspace, err)
+	}
+	h.counters.Answered()
+	h.log.Info("request answered", "requestId", answer.RequestID, "workspace", req.Workspace,
+		"kind", req.Kind, "server", answer.Server, "tokens", answer.Tokens,
+		"billedTokens", answer.Usage.BilledTokens, "replayed", answer.Replayed)
+	return answer, nil
+}
+
+// refuse counts and logs the end of a request and turns it into a Connect error.
+func (h *Handler) refuse(workspace string, err error) error {
+	var sinkErr *dispatch.SinkError
+	if errors.As(err, &sinkErr) {
+		h.log.Info("caller gone", "workspace", workspace, "error", sinkErr.Cause)
+		return connect.NewError(connect.CodeCanceled, err)
+	}
+	e, ok := refusal.As(err)
+	if !ok {
+		h.log.Error("unexpected error", "workspace", workspace, "error", err)
+		e = refusal.New(refusal.Unspecified, 0, "internal error")
+		e.Outcome = refusal.Unknown
+	}
+	h.counters.Refused(e.Reason)
+	h.log.Info("request refused", "workspace", workspace, "reason", e.Reason,
+		"outcome", e.Outcome, "retryAfter", e.RetryAfter)
+	return refusalwire.Encode(e)
+}
+
+// request checks the parts of a message that need no tables.
+func request(msg *callerv1.SubmitRequest) (dispatch.Request, error) {
+	req := dispatch.Request{
+		Workspace:      msg.GetWorkspace(),
+		Kind:           msg.GetKind(),
+		IdempotencyKey: msg.GetIdempotencyKey(),
+		Retry:          msg.GetRetry() || msg.GetFromToken() > 0,
+		Prompt:         msg.GetPrompt(),
+		Body:           msg.GetBody(),
+		MaxTokens:      int(msg.GetMaxTokens()),
+		FromToken:      msg.GetFromToken(),
+	}
+	switch {
+	case req.FromToken < 0 || req.MaxTokens < 0:
+		return req, refusal.New(refusal.InvalidRequest, 0, "fromToken and maxTokens must not be negative")
+	case req.FromToken > 0 && req.IdempotencyKey == "":
+		return req, refusal.New(refusal.MissingIdempotencyKey, 0, "fromToken needs the idempotencyKey of the request that it goes on with")
+	case msg.GetTimeout() == nil:
+		return req, nil
+	}
+	req.Timeout = msg.GetTimeout().AsDuration()
+	if req.Timeout <= 0 {
+		return req, refusal.New(refusal.DeadlineExpired, 0, "the timeout is not in the future; give a longer one")
+	}
+	return req, nil
+}
+
+func bearerToken(h http.Header) string {
+	token, _ := strings.CutPrefix(h.Get("Authorization"), "Bearer ")
+	return token
+}
+
+func doneMessage(a dispatch.Answer) *callerv1.Done {
+	return &callerv1.Done{
+		RequestId: a.RequestID,
+		Body:      a.Body,
+		Tokens:    a.Tokens,
+		Server:    a.Server,
+		Replayed:  a.Replayed,
+		Usage: &commonv1.Usage{
+			PromptTokens: a.Usage.PromptTokens,
+			OutputTokens: a.Usage.OutputTokens,
+			BilledTokens: a.Usage.BilledTokens,
+		},
+	}
+}
--- a/routers/peer/sidecar.go
+++ b/routers/peer/sidecar.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/crocusline/crocusline/models/ledger"
+	"github.com/crocusline/crocusline/models/queue"
 	"github.com/crocusline/crocusline/models/rank"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/run"
@@ -162,7 +163,11 @@
 }
 
 func (s *Sidecar) load() *commonv1.Load {
-	l := s.runner.Load()
+	return LoadMessage(s.runner.Load())
+}
+
+// LoadMessage returns the wire form of a backend server's load.
+func LoadMessage(l queue.Load) *commonv1.Load {
 	msg := &commonv1.Load{Running: int32(l.Running), Slots: int32(l.Slots), Draining: l.Draining}
 	for r := range rank.Count {
 		msg.Queued = append(msg.Queued, int32(l.Queued[r]))
--- /dev/null
+++ b/services/dispatch/dispatch.go
@@ -0,0 +1,166 @@
+// Package dispatch takes an accepted request to a backend server and brings
+// its whole answer back: it pays from the budget, chooses servers, resumes
+// idempotent work elsewhere and runs non-idempotent work at most once.
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/crocusline/crocusline/models/ledger"
+	"github.com/crocusline/crocusline/models/placement"
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/retry"
+	"github.com/crocusline/crocusline/models/table"
+	commonv1 "github.com/crocusline/crocusline/modules/wire/common/v1"
+	"github.com/crocusline/crocusline/modules/wire/peer/v1/peerv1connect"
+	registry "github.com/crocusline/crocusline/services/ledger"
+)
+
+// Ledger is what dispatch needs of the ledger. Errors of Reserve and Register
+// are of type *refusal.Error.
+type Ledger interface {
+	// Reserve sets tokens of the workspace's budget aside for one request.
+	Reserve(ctx context.Context, workspace string, tokens int64) (ledger.Hold, error)
+	// Release takes a hold back whose request did not run.
+	Release(workspace string, hold ledger.Hold)
+	// Register registers an attempt, or returns the one that has the key.
+	Register(ctx context.Context, r registry.Registration) (registry.Registered, error)
+	// Void records that an attempt did not and will not run.
+	Void(ctx context.Context, workspace, key string, attempt int64) error
+}
+
+// Sidecar is the process in front of a backend server.
+type Sidecar struct {
+	Server      string
+	Incarnation string
+	Client      peerv1connect.SidecarServiceClient
+}
+
+// Directory knows the sidecars that are members now.
+type Directory interface {
+	// Sidecar returns the current sidecar of a backend server.
+	Sidecar(server string) (Sidecar, bool)
+}
+
+// Chooser orders a pool's servers for a request and learns from what comes of
+// it.
+type Chooser interface {
+	// Choose returns the servers to try in order, or a *refusal.Error.
+	Choose(pool string, r placement.Request) ([]string, error)
+	Observe(pool, server string, load *commonv1.Load)
+	Failed(pool, server string)
+	Succeeded(pool, server string)
+}
+
+// Retries decides whether a failed leg is followed by another.
+type Retries interface {
+	Decide(a retry.Attempt) retry.Verdict
+	Succeeded()
+}
+
+// Receipts settles requests after their answer.
+type Receipts interface {
+	// Keep holds on to a receipt until its bill is in the shard's stream.
+	Keep(r Receipt)
+	// Abandon settles a hold whose request may have run at a sidecar, once
+	// that is known.
+	Abandon(r Receipt)
+}
+
+// Counters are the dispatcher's metrics.
+type Counters interface {
+	Retried(reason refusal.Reason)
+}
+
+// Dispatcher takes requests to backend servers.
+type Dispatcher struct {
+	entry     string
+	log       hclog.Logger
+	ledger    Ledger
+	directory Directory
+	chooser   Chooser
+	retries   Retries
+	receipts  Receipts
+	counters  Counters
+	now       func() time.Time
+}
+
+// Option sets one part of a dispatcher.
+type Option func(*Dispatcher)
+
+// WithLedger sets where budgets and registrations are kept.
+func WithLedger(l Ledger) Option { return func(d *Dispatcher) { d.ledger = l } }
+
+// WithDirectory sets where sidecars are found.
+func WithDirectory(dir Directory) Option { return func(d *Dispatcher) { d.directory = dir } }
+
+// WithChooser sets how servers are chosen.
+func WithChooser(c Chooser) Option { return func(d *Dispatcher) { d.chooser = c } }
+
+// WithRetries sets the retry budget.
+func WithRetries(r Retries) Option { return func(d *Dispatcher) { d.retries = r } }
+
+// WithReceipts sets where receipts are kept.
+func WithReceipts(r Receipts) Option { return func(d *Dispatcher) { d.receipts = r } }
+
+// WithCounters sets the metrics.
+func WithCounters(c Counters) Option { return func(d *Dispatcher) { d.counters = c } }
+
+// WithLog sets the logger.
+func WithLog(log hclog.Logger) Option { return func(d *Dispatcher) { d.log = log } }
+
+// New returns a dispatcher of the given entry incarnation.
+func New(entry string, opts ...Option) *Dispatcher {
+	d := &Dispatcher{entry: entry, log: hclog.NewNullLogger(), now: time.Now}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
+}
+
+// Dispatch runs a request by its plan. It returns once the answer is whole, or
+// with a *refusal.Error, or with a *SinkError when the caller is gone.
+func (d *Dispatcher) Dispatch(ctx context.Context, req Request, p Plan, sink Sink) (Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
+	defer cancel()
+	j := &job{
+		Dispatcher: d,
+		req:        req,
+		plan:       p,
+		requestID:  uuid.Must(uuid.NewV7()).String(),
+		relay:      relay{sink: sink, from: req.FromToken},
+	}
+	if p.Route.Idempotent {
+		return j.runIdempotent(ctx)
+	}
+	return j.runOnce(ctx)
+}
+
+// Plan is how the tables in force say that a request is to be run.
+type Plan struct {
+	Route table.Route
+	// Servers are the pool's backend servers.
+	Servers      []string
+	TableVersion int64
+	MaxTokens    int
+	Timeout      time.Duration
+	// Weight is the workspace's share among others.
+	Weight int
+	// Cost is the most that the request may cost, in tokens.
+	Cost int64
+}
+
+// job is one request under way.
+type job struct {
+	*Dispatcher
+	req       Request
+	plan      Plan
+	requestID string
+	relay     relay
+	// mayHaveRun says that a server was lost that may have run the request.
+	mayHaveRun bool
+}
--- /dev/null
+++ b/services/pool/pool.go
@@ -0,0 +1,253 @@
+// Package pool knows the backend servers of each pool at an entry: which sidecar
+// stands before each, and in which order to try them.
+package pool
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/crocusline/crocusline/kernel"
+	"github.com/crocusline/crocusline/models/fleet"
+	"github.com/crocusline/crocusline/models/placement"
+	"github.com/crocusline/crocusline/models/queue"
+	"github.com/crocusline/crocusline/models/rank"
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/modules/peer"
+	commonv1 "github.com/crocusline/crocusline/modules/wire/common/v1"
+	peerv1 "github.com/crocusline/crocusline/modules/wire/peer/v1"
+	"github.com/crocusline/crocusline/modules/wire/peer/v1/peerv1connect"
+	"github.com/crocusline/crocusline/services/dispatch"
+)
+
+// Name is the service's name.
+const Name = "pool"
+
+const (
+	// probeBacklog bounds the probes that wait to be sent.
+	probeBacklog = 64
+	// probeTimeout is how long a probe may take.
+	probeTimeout = time.Second
+)
+
+// Control is what the service needs of the control stream.
+type Control interface {
+	State() *fleet.State
+	// Subscribe calls f with each new state, in order.
+	Subscribe(f func(*fleet.State))
+}
+
+// Service orders servers and finds sidecars. It implements dispatch.Chooser
+// and dispatch.Directory.
+type Service struct {
+	log     hclog.Logger
+	control Control
+	client  *http.Client
+	options []placement.Option
+	probes  chan probe
+	done    sync.WaitGroup
+	cancel  context.CancelFunc
+
+	mu       sync.Mutex
+	pools    map[string]*placement.Placement
+	sidecars map[string]dispatch.Sidecar
+	clients  map[netip.AddrPort]peerv1connect.SidecarServiceClient
+}
+
+type probe struct {
+	pool   string
+	server string
+}
+
+// New returns the service. The options are those of each pool's placement.
+func New(log hclog.Logger, c Control, client *http.Client, opts ...placement.Option) *Service {
+	return &Service{
+		log:      log.Named(Name),
+		control:  c,
+		client:   client,
+		options:  opts,
+		probes:   make(chan probe, probeBacklog),
+		pools:    map[string]*placement.Placement{},
+		sidecars: map[string]dispatch.Sidecar{},
+		clients:  map[netip.AddrPort]peerv1connect.SidecarServiceClient{},
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Start implements kernel.Service.
+func (s *Service) Start(ctx context.Context, _ *kernel.Kernel) error {
+	ctx, s.cancel = context.WithCancel(ctx)
+	s.update(s.control.State())
+	s.control.Subscribe(s.update)
+	s.done.Go(func() { s.probeFailed(ctx) })
+	return nil
+}
+
+// Close implements kernel.Service.
+func (s *Service) Close() error {
+	s.cancel()
+	s.done.Wait()
+	return nil
+}
+
+// Sidecar implements dispatch.Directory.
+func (s *Service) Sidecar(server string) (dispatch.Sidecar, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sidecar, ok := s.sidecars[server]
+	return sidecar, ok
+}
+
+// Choose implements dispatch.Chooser.
+func (s *Service) Choose(pool string, r placement.Request) ([]string, error) {
+	s.mu.Lock()
+	p, ok := s.pools[pool]
+	if !ok {
+		s.mu.Unlock()
+		return nil, refusal.New(refusal.NoServer, time.Second, "the pool "+pool+" is not in the tables in force")
+	}
+	candidates, err := p.Choose(time.Now(), r)
+	s.mu.Unlock()
+	for _, server := range candidates.Probe {
+		s.enqueueProbe(probe{pool: pool, server: server})
+	}
+	return candidates.Servers, err
+}
+
+// Observe implements dispatch.Chooser.
+func (s *Service) Observe(pool, server string, load *commonv1.Load) {
+	if load == nil {
+		return
+	}
+	s.with(pool, func(p *placement.Placement, now time.Time) { p.Observe(now, server, loadFrom(load)) })
+}
+
+// Failed implements dispatch.Chooser.
+func (s *Service) Failed(pool, server string) {
+	s.with(pool, func(p *placement.Placement, now time.Time) { p.Failed(now, server) })
+}
+
+// Succeeded implements dispatch.Chooser.
+func (s *Service) Succeeded(pool, server string) {
+	s.with(pool, func(p *placement.Placement, now time.Time) { p.Succeeded(now, server) })
+}
+
+func (s *Service) with(pool string, f func(*placement.Placement, time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p, ok := s.pools[pool]; ok {
+		f(p, time.Now())
+	}
+}
+
+// update follows the tables and members in force.
+func (s *Service) update(state *fleet.State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.updateSidecars(state)
+	pools := map[string]*placement.Placement{}
+	for name, pool := range state.Tables.Pools {
+		p, known := s.pools[name]
+		if !known {
+			p = placement.New(s.placementOptions()...)
+		}
+		p.SetServers(servers(state, pool.Servers))
+		pools[name] = p
+	}
+	s.pools = pools
+}
+
+func (s *Service) placementOptions() []placement.Option {
+	seeded := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return append([]placement.Option{placement.WithRand(seeded)}, s.options...)
+}
+
+func (s *Service) updateSidecars(state *fleet.State) {
+	s.sidecars = map[string]dispatch.Sidecar{}
+	for _, m := range state.Members {
+		if m.Role != fleet.Sidecar {
+			continue
+		}
+		client, known := s.clients[m.Address]
+		if !known {
+			client = peerv1connect.NewSidecarServiceClient(s.client, peer.URL(m.Address))
+			s.clients[m.Address] = client
+		}
+		s.sidecars[m.Server] = dispatch.Sidecar{Server: m.Server, Incarnation: m.Incarnation, Client: client}
+	}
+}
+
+// servers returns the pool's servers that may be tried: a sidecar stands before
+// them and no stop of theirs is planned.
+func servers(state *fleet.State, names []string) []placement.Server {
+	var list []placement.Server
+	for _, name := range names {
+		m, ok := state.SidecarOf(name)
+		if !ok || state.Tables.Stopping(name) {
+			continue
+		}
+		list = append(list, placement.Server{Name: name, Domain: m.FailureDomain, Region: m.Region})
+	}
+	return list
+}
+
+func (s *Service) enqueueProbe(p probe) {
+	select {
+	case s.probes <- p:
+	default:
+		// The placement asks again after its backoff.
+	}
+}
+
+// probeFailed asks failed servers whether they are back.
+func (s *Service) probeFailed(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case p := <-s.probes:
+			s.probe(ctx, p)
+		}
+	}
+}
+
+func (s *Service) probe(ctx context.Context, p probe) {
+	sidecar, ok := s.Sidecar(p.server)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	resp, err := sidecar.Client.Probe(ctx, connect.NewRequest(&peerv1.ProbeRequest{}))
+	if err != nil {
+		s.Failed(p.pool, p.server)
+		return
+	}
+	s.Succeeded(p.pool, p.server)
+	s.Observe(p.pool, p.server, resp.Msg.GetLoad())
+}
+
+func loadFrom(m *commonv1.Load) queue.Load {
+	load := queue.Load{
+		Running:  int(m.GetRunning()),
+		Slots:    int(m.GetSlots()),
+		Draining: m.GetDraining(),
+	}
+	for i := range rank.Count {
+		if i < len(m.GetQueued()) {
+			load.Queued[i] = int(m.GetQueued()[i])
+		}
+		if i < len(m.GetWait()) {
+			load.Wait[i] = m.GetWait()[i].AsDuration()
+		}
+	}
+	return load
+}
