Test how dispatch ends a request when servers refuse, break or vanish

Cause: the truthfulness of the three answers rests on dispatch. Change: fake sidecars over HTTP that refuse, lose the call, break the stream or are replaced. Mutations, each made once and seen to fail: the note that a lost server may have run the request left out (TestNotRunOnlyWhenNothingRan), a lost attempt taken as not run without fencing it (4 tests).

--- /dev/null
+++ b/services/dispatch/dispatch_test.go
@@ -0,0 +1,172 @@
+package dispatch
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/crocusline/crocusline/coordination/once"
+	"github.com/crocusline/crocusline/models/refusal"
+	registry "github.com/crocusline/crocusline/services/ledger"
+)
+
+func draining() error {
+	return refusal.New(refusal.Draining, time.Second, "leaving")
+}
+
+// wantRefusal checks how a request ended without an answer.
+func wantRefusal(t *testing.T, err error, reason refusal.Reason, outcome refusal.Outcome) {
+	t.Helper()
+	e, ok := refusal.As(err)
+	if !ok || e.Reason != reason || e.Outcome != outcome {
+		t.Fatalf("error %v, want %s with outcome %s", err, reason, outcome)
+	}
+}
+
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	first, second := &fakeSidecar{breakAfter: 2}, &fakeSidecar{}
+	f := newFleet(t, first, second)
+	sink := &recordingSink{}
+	got, err := f.dispatch(true, sink)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text := strings.Join(sink.text, ""); text != "abcd" {
+		t.Errorf("caller got %q", text)
+	}
+	if got.Server != "server-2" || got.Receipt.Bill.Hold.Sequence != 2 || got.Receipt.Bill.Tokens != 7 {
+		t.Errorf("answer %+v, receipt %+v", got, got.Receipt)
+	}
+	if len(f.abandoned) != 1 || f.abandoned[0].Sequence != 1 {
+		t.Errorf("abandoned holds %v", f.abandoned)
+	}
+}
+
+func TestRefusedLegKeepsItsHold(t *testing.T) {
+	f := newFleet(t, &fakeSidecar{refuse: draining()}, &fakeSidecar{})
+	got, err := f.dispatch(true, &recordingSink{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Receipt.Bill.Hold.Sequence != 1 || len(f.abandoned) != 0 {
+		t.Errorf("hold %d pays, abandoned %v", got.Receipt.Bill.Hold.Sequence, f.abandoned)
+	}
+}
+
+func TestNotRunOnlyWhenNothingRan(t *testing.T) {
+	f := newFleet(t, &fakeSidecar{refuse: draining()}, &fakeSidecar{refuse: draining()})
+	_, err := f.dispatch(true, &recordingSink{})
+	wantRefusal(t, err, refusal.NoServer, refusal.NotRun)
+	if len(f.open) != 0 {
+		t.Errorf("holds %v not released", f.open)
+	}
+
+	f = newFleet(t, &fakeSidecar{lose: true}, &fakeSidecar{refuse: draining()})
+	_, err = f.dispatch(true, &recordingSink{})
+	wantRefusal(t, err, refusal.NoServer, refusal.Unknown)
+}
+
+func TestRefusedAttemptIsVoidedBeforeTheNext(t *testing.T) {
+	second := &fakeSidecar{}
+	f := newFleet(t, &fakeSidecar{refuse: draining()}, second)
+	if _, err := f.dispatch(false, &recordingSink{}); err != nil {
+		t.Fatal(err)
+	}
+	if len(f.voided) != 1 || f.voided[0] != 1 || second.runs != 1 {
+		t.Errorf("voided %v, runs %d", f.voided, second.runs)
+	}
+}
+
+func TestLostAttemptIsFencedBeforeTheNext(t *testing.T) {
+	first, second := &fakeSidecar{lose: true}, &fakeSidecar{}
+	f := newFleet(t, first, second)
+	if _, err := f.dispatch(false, &recordingSink{}); err != nil {
+		t.Fatal(err)
+	}
+	if first.fenced != 1 || len(f.voided) != 1 || second.runs != 1 {
+		t.Errorf("fenced %d, voided %v, runs %d", first.fenced, f.voided, second.runs)
+	}
+}
+
+func TestLostAnswerIsFetchedNotRepeated(t *testing.T) {
+	first, second := &fakeSidecar{lose: true, state: stateRan}, &fakeSidecar{}
+	f := newFleet(t, first, second)
+	got, err := f.dispatch(false, &recordingSink{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Server != "server-1" || second.runs != 0 || len(f.voided) != 0 {
+		t.Errorf("server %s, runs elsewhere %d, voided %v", got.Server, second.runs, f.voided)
+	}
+}
+
+func TestUnprovedEffectIsUnknown(t *testing.T) {
+	first, second := &fakeSidecar{lose: true, state: stateUnknown}, &fakeSidecar{}
+	f := newFleet(t, first, second)
+	_, err := f.dispatch(false, &recordingSink{})
+	wantRefusal(t, err, refusal.OutcomeUnknown, refusal.Unknown)
+	if second.runs != 0 || len(f.abandoned) != 1 {
+		t.Errorf("runs elsewhere %d, abandoned %v", second.runs, f.abandoned)
+	}
+}
+
+func TestReplacedSidecarMakesTheOutcomeUnknown(t *testing.T) {
+	first, second := &fakeSidecar{lose: true}, &fakeSidecar{}
+	f := newFleet(t, first, second)
+	first.incarnation = "server-1/2"
+	_, err := f.dispatch(false, &recordingSink{})
+	wantRefusal(t, err, refusal.OutcomeUnknown, refusal.Unknown)
+	if second.runs != 0 {
+		t.Errorf("ran again elsewhere")
+	}
+}
+
+func TestRegisteredKey(t *testing.T) {
+	tests := []struct {
+		name       string
+		registered registry.Registered
+		reason     refusal.Reason
+		outcome    refusal.Outcome
+	}{
+		{"other content", registry.Registered{Conflict: true}, refusal.KeyReused, refusal.NotRun},
+		{"sidecar gone", registry.Registered{Attempt: 1, Server: "server-1", Sidecar: "server-1/0"}, refusal.OutcomeUnknown, refusal.Unknown},
+		{"answer lost", registry.Registered{Attempt: 1, Server: "server-9", Sidecar: "server-9/1", Status: once.Ran}, refusal.OutcomeUnknown, refusal.Unknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			only := &fakeSidecar{}
+			f := newFleet(t, only)
+			f.registered = &test.registered
+			_, err := f.dispatch(false, &recordingSink{})
+			wantRefusal(t, err, test.reason, test.outcome)
+			if only.runs != 0 || len(f.open) != 0 {
+				t.Errorf("runs %d, holds left %v", only.runs, f.open)
+			}
+		})
+	}
+}
+
+func TestJoinsAnotherEntrysAttempt(t *testing.T) {
+	only := &fakeSidecar{state: stateRunning}
+	f := newFleet(t, only)
+	f.registered = &registry.Registered{Attempt: 1, Server: "server-1", Sidecar: "server-1/1"}
+	if _, err := f.dispatch(false, &recordingSink{}); err != nil {
+		t.Fatal(err)
+	}
+	if only.runs != 1 || only.fenced != 0 {
+		t.Errorf("runs %d, fenced %d", only.runs, only.fenced)
+	}
+}
+
+func TestKeptAnswerIsReplayed(t *testing.T) {
+	only := &fakeSidecar{}
+	f := newFleet(t, only)
+	f.registered = &registry.Registered{Attempt: 1, Server: "server-1", BodyKept: true, Body: []byte("ok")}
+	got, err := f.dispatch(false, &recordingSink{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !got.Replayed || string(got.Body) != "ok" || only.runs != 0 || len(f.open) != 0 {
+		t.Errorf("answer %+v, runs %d, holds left %v", got, only.runs, f.open)
+	}
+}
--- /dev/null
+++ b/services/dispatch/fake_test.go
@@ -0,0 +1,207 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/crocusline/crocusline/models/ledger"
+	"github.com/crocusline/crocusline/models/placement"
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/retry"
+	"github.com/crocusline/crocusline/models/table"
+	commonv1 "github.com/crocusline/crocusline/modules/wire/common/v1"
+	peerv1 "github.com/crocusline/crocusline/modules/wire/peer/v1"
+	"github.com/crocusline/crocusline/modules/wire/peer/v1/peerv1connect"
+	registry "github.com/crocusline/crocusline/services/ledger"
+	"github.com/crocusline/crocusline/services/refusalwire"
+)
+
+// answer is what the fake sidecars generate.
+var answer = []string{"a", "b", "c", "d"}
+
+// fakeSidecar runs requests as its script says.
+type fakeSidecar struct {
+	peerv1connect.UnimplementedSidecarServiceHandler
+	incarnation string
+	// refuse is the answer to each Run.
+	refuse error
+	// breakAfter breaks the stream after that many tokens, if it is not 0.
+	breakAfter int
+	// lose breaks the connection before anything is known.
+	lose bool
+
+	mu     sync.Mutex
+	state  string
+	runs   int
+	fenced int
+}
+
+func (f *fakeSidecar) Run(_ context.Context, req *connect.Request[peerv1.RunRequest], stream *connect.ServerStream[peerv1.RunResponse]) error {
+	if f.refuse != nil {
+		return refusalwire.Encode(f.refuse)
+	}
+	f.mu.Lock()
+	lost := f.lose && !req.Msg.GetJoinOnly()
+	if !lost {
+		f.runs++
+	}
+	f.mu.Unlock()
+	if lost {
+		panic(http.ErrAbortHandler)
+	}
+	first := len(req.Msg.GetGenerated())
+	for i := first; i < len(answer); i++ {
+		if f.breakAfter > 0 && i == f.breakAfter {
+			panic(http.ErrAbortHandler)
+		}
+		chunk := &peerv1.Chunk{First: int64(i), Tokens: answer[i : i+1]}
+		if err := stream.Send(&peerv1.RunResponse{Event: &peerv1.RunResponse_Chunk{Chunk: chunk}}); err != nil {
+			return err
+		}
+	}
+	return stream.Send(&peerv1.RunResponse{Event: &peerv1.RunResponse_Finished{Finished: &peerv1.Finished{
+		Tokens: int64(len(answer)), RequestId: req.Msg.GetRequestId(), Hold: req.Msg.GetHold(),
+		Usage: &commonv1.Usage{BilledTokens: 7},
+	}}})
+}
+
+func (f *fakeSidecar) Inquire(_ context.Context, req *connect.Request[peerv1.InquireRequest]) (*connect.Response[peerv1.InquireResponse], error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.state
+	if state == "" {
+		state = "notSeen"
+	}
+	if state == "notSeen" && req.Msg.GetFence() {
+		f.fenced++
+		state = stateFenced
+	}
+	return connect.NewResponse(&peerv1.InquireResponse{State: state, Incarnation: f.incarnation}), nil
+}
+
+// fleet is a set of fake sidecars and the books of the parts around dispatch.
+type fleet struct {
+	t        *testing.T
+	order    []string
+	sidecars map[string]Sidecar
+
+	mu        sync.Mutex
+	holds     uint64
+	open      map[uint64]bool
+	attempts  int64
+	voided    []int64
+	abandoned []ledger.Hold
+	// registered is the registry's answer, if it is not to grant.
+	registered *registry.Registered
+}
+
+func newFleet(t *testing.T, fakes ...*fakeSidecar) *fleet {
+	f := &fleet{t: t, sidecars: map[string]Sidecar{}, open: map[uint64]bool{}}
+	for i, fake := range fakes {
+		name := fmt.Sprintf("server-%d", i+1)
+		fake.incarnation = name + "/1"
+		mux := http.NewServeMux()
+		mux.Handle(peerv1connect.NewSidecarServiceHandler(fake))
+		server := httptest.NewServer(mux)
+		t.Cleanup(server.Close)
+		f.order = append(f.order, name)
+		f.sidecars[name] = Sidecar{
+			Server:      name,
+			Incarnation: fake.incarnation,
+			Client:      peerv1connect.NewSidecarServiceClient(server.Client(), server.URL),
+		}
+	}
+	return f
+}
+
+func (f *fleet) dispatch(idempotent bool, sink Sink) (Answer, error) {
+	d := New("entry/1", WithLedger(f), WithDirectory(f), WithChooser(f), WithReceipts(f), WithCounters(f),
+		WithRetries(NewRetries(retry.WithInterval(time.Millisecond, time.Millisecond))))
+	plan := Plan{
+		Route:   table.Route{Pool: "pool", Idempotent: idempotent},
+		Servers: f.order,
+		Timeout: 10 * time.Second,
+		Cost:    10,
+	}
+	return d.Dispatch(f.t.Context(), Request{Workspace: "w", Kind: "k", IdempotencyKey: "key"}, plan, sink)
+}
+
+func (f *fleet) Reserve(context.Context, string, int64) (ledger.Hold, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.holds++
+	f.open[f.holds] = true
+	return ledger.Hold{Holder: "entry/1", Sequence: f.holds, Tokens: 10}, nil
+}
+
+func (f *fleet) Release(_ string, hold ledger.Hold) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.open[hold.Sequence] {
+		f.t.Errorf("hold %d released twice", hold.Sequence)
+	}
+	delete(f.open, hold.Sequence)
+}
+
+func (f *fleet) Register(_ context.Context, r registry.Registration) (registry.Registered, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.registered != nil {
+		return *f.registered, nil
+	}
+	f.attempts++
+	return registry.Registered{Granted: true, Attempt: f.attempts, Sidecar: r.Sidecar, Server: r.Server}, nil
+}
+
+func (f *fleet) Void(_ context.Context, _, _ string, attempt int64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.voided = append(f.voided, attempt)
+	return nil
+}
+
+func (f *fleet) Sidecar(server string) (Sidecar, bool) {
+	s, ok := f.sidecars[server]
+	return s, ok
+}
+
+func (f *fleet) Choose(_ string, r placement.Request) ([]string, error) {
+	var servers []string
+	for _, name := range f.order {
+		if !contains(r.Exclude, name) {
+			servers = append(servers, name)
+		}
+	}
+	if len(servers) == 0 {
+		return nil, refusal.New(refusal.NoServer, time.Second, "none left")
+	}
+	return servers, nil
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) Observe(string, string, *commonv1.Load) {}
+func (f *fleet) Failed(string, string)                  {}
+func (f *fleet) Succeeded(string, string)               {}
+func (f *fleet) Retried(refusal.Reason)                 {}
+func (f *fleet) Keep(Receipt)                           {}
+
+func (f *fleet) Abandon(r Receipt) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.abandoned = append(f.abandoned, r.Bill.Hold)
+}
