--- /dev/null
+++ b/cmd/check.go
@@ -0,0 +1,62 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/crocusline/crocusline/models/table"
+	"github.com/crocusline/crocusline/modules/setting"
+)
+
+// checkCommand checks settings and tables and starts nothing.
+type checkCommand struct {
+	entries  []string
+	sidecars []string
+	tables   []string
+}
+
+func newCheckCommand() *checkCommand { return &checkCommand{} }
+
+func (c *checkCommand) attach() *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand("check")
+	sub.Description = "Check settings and tables without starting or publishing anything."
+	sub.StringSlice(&c.entries, "", "entry", "settings file of an entry; may be repeated")
+	sub.StringSlice(&c.sidecars, "", "sidecar", "settings file of a sidecar; may be repeated")
+	sub.StringSlice(&c.tables, "", "tables", "tables directory; may be repeated")
+	sub.AdditionalHelpAppend = "\n  crocusline check --entry entry-1.yaml --sidecar model-1.yaml --tables ./tables"
+	return sub
+}
+
+// run names every file that is at fault, not only the first.
+func (c *checkCommand) run(_ context.Context, con console) error {
+	if len(c.entries)+len(c.sidecars)+len(c.tables) == 0 {
+		return usagef("nothing to check; give --entry, --sidecar or --tables")
+	}
+	bad := 0
+	report := func(name string, err error) {
+		if err != nil {
+			bad++
+			con.notef("%v", err)
+			return
+		}
+		fmt.Fprintf(con.out, "%s: ok\n", name)
+	}
+	for _, file := range c.entries {
+		_, err := setting.Load(file, setting.Entry)
+		report(file, err)
+	}
+	for _, file := range c.sidecars {
+		_, err := setting.Load(file, setting.Sidecar)
+		report(file, err)
+	}
+	for _, dir := range c.tables {
+		_, err := table.Load(dir)
+		report(dir, err)
+	}
+	if bad > 0 {
+		return usagef("%d of %d at fault", bad, len(c.entries)+len(c.sidecars)+len(c.tables))
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/cmd_test.go
@@ -0,0 +1,110 @@
+package cmd
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/crocusline/crocusline/standin/platform"
+)
+
+// outcome is how a command ended.
+type outcome struct {
+	code ExitCode
+	out  string
+	err  string
+}
+
+// execute runs a command line as main does.
+func execute(t *testing.T, args ...string) outcome {
+	t.Helper()
+	return executeWith(t, "", args...)
+}
+
+func executeWith(t *testing.T, stdin string, args ...string) outcome {
+	t.Helper()
+	var out, errs bytes.Buffer
+	con := console{
+		in:  strings.NewReader(stdin),
+		out: &out,
+		err: &errs,
+		env: func(string) string { return "" },
+	}
+	code := run(args, con, commands())
+	return outcome{code: code, out: out.String(), err: errs.String()}
+}
+
+// want fails unless the command ended with the code and wrote all the texts.
+func (o outcome) want(t *testing.T, code ExitCode, texts ...string) {
+	t.Helper()
+	if o.code != code {
+		t.Errorf("exit code %s, want %s", o.code, code)
+	}
+	for _, text := range texts {
+		if !strings.Contains(o.out+o.err, text) {
+			t.Errorf("no %q in the output", text)
+		}
+	}
+	if t.Failed() {
+		t.Logf("output:\n%s\nerrors:\n%s", o.out, o.err)
+	}
+}
+
+// servePlatform returns the store of a platform and its URL.
+func servePlatform(t *testing.T) (*platform.Store, string) {
+	t.Helper()
+	store := platform.New()
+	server := httptest.NewServer(store.Handler())
+	t.Cleanup(server.Close)
+	return store, server.URL
+}
+
+// copyTables copies the demonstration's tables, with one text replaced.
+func copyTables(t *testing.T, old, text string) string {
+	t.Helper()
+	dir := t.TempDir()
+	for _, name := range []string{"routes.yaml", "pools.yaml", "workspaces.yaml"} {
+		data, err := os.ReadFile(filepath.Join("..", "examples", "demo", "tables", name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		data = bytes.ReplaceAll(data, []byte(old), []byte(text))
+		if err := os.WriteFile(filepath.Join(dir, name), data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+const demoTables = "../examples/demo/tables"
+
+func TestNoCommand(t *testing.T) {
+	execute(t).want(t, Usage, "--help")
+}
+
+func TestVersion(t *testing.T) {
+	execute(t, "version").want(t, Succeeded, "crocusline", "go1.")
+}
+
+func TestCheckNamesEachFault(t *testing.T) {
+	execute(t, "check", "--entry", "../examples/demo/entry-1.yaml", "--sidecar", "../examples/demo/model-1.yaml",
+		"--tables", demoTables).want(t, Succeeded, "entry-1.yaml: ok", "tables: ok")
+	bad := copyTables(t, "pool: drafting", "pool: draughting")
+	execute(t, "check", "--tables", bad, "--entry", "../examples/demo/model-1.yaml").
+		want(t, Usage, "routes.yaml:", `no pool is named "draughting"`, "model-1.yaml", "2 of 2 at fault")
+	execute(t, "check").want(t, Usage, "nothing to check")
+}
+
+func TestCerts(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "certs")
+	execute(t, "certs", "--address", "127.0.0.1", dir).want(t, Succeeded, "ca.pem")
+	for _, name := range []string{"ca.pem", "peer.pem", "peer.key"} {
+		if _, err := os.Stat(filepath.Join(dir, name)); err != nil {
+			t.Error(err)
+		}
+	}
+	execute(t, "certs", "--address", "localhost", dir).want(t, Usage, "localhost")
+}
--- /dev/null
+++ b/cmd/publish.go
@@ -0,0 +1,128 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/models/fleet"
+	"github.com/crocusline/crocusline/models/table"
+)
+
+// noBase stands for the version that is published when the command runs.
+const noBase = -1
+
+// publishCommand publishes a new version of the tables.
+type publishCommand struct {
+	platformFlags
+	operatorFlags
+	dir  string
+	id   string
+	base int64
+	wait time.Duration
+}
+
+func newPublishCommand() *publishCommand {
+	return &publishCommand{platformFlags: newPlatformFlags(), base: noBase, wait: 15 * time.Second}
+}
+
+func (p *publishCommand) attach() *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand("publish")
+	sub.Description = "Publish the tables of a directory: routes, pools and workspaces."
+	sub.AddPositionalValue(&p.dir, "directory", 1, true, "directory with routes.yaml, pools.yaml and workspaces.yaml")
+	p.platformFlags.attach(sub)
+	p.operatorFlags.attach(sub)
+	sub.Int64(&p.base, "", "base", "published version that the tables were made from; -1 takes the one now published")
+	sub.String(&p.id, "", "id", "id of the publication; give the same one to repeat a publication whose end is unknown")
+	sub.Duration(&p.wait, "", "wait", "how long to wait until all instances have the version")
+	sub.AdditionalHelpAppend = `
+  The publication takes effect only if no other came in between; the loser is
+  told who won. With --operator the command waits until all instances have it.
+
+  crocusline publish -p http://10.0.0.2:7000 -o http://10.0.0.7:7103 ./tables
+  crocusline publish -p http://10.0.0.2:7000 --base 41 ./tables`
+	return sub
+}
+
+func (p *publishCommand) run(ctx context.Context, con console) error {
+	wanted, err := table.Load(p.dir)
+	if err != nil {
+		return err
+	}
+	id, err := newID(p.id)
+	if err != nil {
+		return err
+	}
+	s, err := p.open(ctx, con)
+	if err != nil {
+		return err
+	}
+	defer s.end()
+	con.notef("id=%s base=%d", id, s.state.Tables.Published)
+	if done, known := s.state.Published(id); known {
+		fmt.Fprintf(con.out, "publication %s took effect before, as version %d\n", id, done.Version)
+		return p.follow(ctx, con, done.Version)
+	}
+	if p.base != noBase && p.base != s.state.Tables.Published {
+		return lost(s.state, p.base)
+	}
+	delta := table.Diff(s.state.Tables, wanted)
+	if delta.Empty() {
+		fmt.Fprintf(con.out, "nothing to change; version %d is in force\n", s.state.Version())
+		return nil
+	}
+	result, err := s.publish(ctx, fleet.Publish{ID: id, By: p.operator(), Delta: delta})
+	if err != nil {
+		return err
+	}
+	switch r := result.(type) {
+	case fleet.Applied:
+		fmt.Fprintf(con.out, "published version %d: %s\n", r.Version, summary(delta))
+		return p.follow(ctx, con, r.Version)
+	case fleet.Ignored:
+		if done, known := s.control.State().Published(id); known {
+			fmt.Fprintf(con.out, "publication %s took effect as version %d\n", id, done.Version)
+			return p.follow(ctx, con, done.Version)
+		}
+		return lost(s.control.State(), delta.Base)
+	default:
+		return errors.Errorf("unexpected result %T", result)
+	}
+}
+
+// lost says who published on the base instead.
+func lost(state *fleet.State, base int64) error {
+	now := state.Tables.Published
+	for _, p := range state.History {
+		if p.Server == "" && p.Base == base {
+			return errors.Errorf("not published: %s published version %d on base %d at %s (id %s); version %d is published now. "+
+				"Compare your tables with it and publish again",
+				p.By, p.Version, base, p.Time.UTC().Format(time.RFC3339), p.ID, now)
+		}
+	}
+	return errors.Errorf("not published: base %d is not the published version, which is %d. "+
+		"Compare your tables with it and publish again", base, now)
+}
+
+func summary(d table.Delta) string {
+	return fmt.Sprintf("%d routes, %d pools, %d workspaces set; %d, %d, %d removed",
+		len(d.Routes), len(d.Pools), len(d.Workspaces), len(d.DropRoutes), len(d.DropPools), len(d.DropWorkspaces))
+}
+
+// follow shows how many instances have the version, until all have it.
+func (p *publishCommand) follow(ctx context.Context, con console, version int64) error {
+	clients, err := p.clients(con)
+	if err != nil {
+		return err
+	}
+	if len(clients) == 0 {
+		con.notef("give --operator to see which instances have version %d", version)
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.wait)
+	defer cancel()
+	return waitInForce(ctx, con, clients, version)
+}
--- a/main.go
+++ b/main.go
@@ -2,8 +2,12 @@
 // servers.
 package main
 
-import "os"
+import (
+	"os"
+
+	"github.com/crocusline/crocusline/cmd"
+)
 
 func main() {
-	os.Exit(0)
+	os.Exit(cmd.Main(os.Args[1:]))
 }
