--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -25,6 +25,8 @@
 // commands returns all commands in the order of the help.
 func commands() []command {
 	return []command{
+		newEntryCommand(),
+		newSidecarCommand(),
 		newSubmitCommand(),
 		newPublishCommand(),
 		newTopUpCommand(),
--- /dev/null
+++ b/cmd/counters.go
@@ -0,0 +1,45 @@
+package cmd
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/modules/metric"
+)
+
+// entryCounters are the metrics of an entry.
+type entryCounters struct {
+	set      *metric.Set
+	answered *metrics.Counter
+	dropped  *metrics.Counter
+	written  *metrics.Counter
+}
+
+func newEntryCounters() *entryCounters {
+	var names []string
+	for _, reason := range refusal.Reasons() {
+		names = append(names, reason.String())
+	}
+	set := metric.New(metric.WithRefusals(names...), metric.WithRetries(names...))
+	return &entryCounters{
+		set:      set,
+		answered: set.Counter("crocusline_answers_total"),
+		dropped:  set.Counter("crocusline_receipts_dropped_total"),
+		written:  set.Counter("crocusline_receipts_written_total"),
+	}
+}
+
+// Refused counts a request that ended without a whole answer.
+func (c *entryCounters) Refused(reason refusal.Reason) { c.set.Refused(reason.String()) }
+
+// Retried counts a retry at another backend server.
+func (c *entryCounters) Retried(reason refusal.Reason) { c.set.Retried(reason.String()) }
+
+// Answered counts a whole answer.
+func (c *entryCounters) Answered() { c.answered.Inc() }
+
+// ReceiptDropped counts a receipt that found no room.
+func (c *entryCounters) ReceiptDropped() { c.dropped.Inc() }
+
+// ReceiptWritten counts a bill that the entry wrote in the sidecar's place.
+func (c *entryCounters) ReceiptWritten() { c.written.Inc() }
--- /dev/null
+++ b/cmd/entry.go
@@ -0,0 +1,124 @@
+package cmd
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/crocusline/crocusline/kernel"
+	limits "github.com/crocusline/crocusline/models/admission"
+	"github.com/crocusline/crocusline/models/placement"
+	"github.com/crocusline/crocusline/models/retry"
+	"github.com/crocusline/crocusline/modules/peer"
+	"github.com/crocusline/crocusline/modules/setting"
+	"github.com/crocusline/crocusline/modules/web"
+	"github.com/crocusline/crocusline/routers/caller"
+	"github.com/crocusline/crocusline/routers/operator"
+	peerrouter "github.com/crocusline/crocusline/routers/peer"
+	"github.com/crocusline/crocusline/services/admission"
+	"github.com/crocusline/crocusline/services/dispatch"
+	"github.com/crocusline/crocusline/services/pool"
+	"github.com/crocusline/crocusline/services/receipt"
+	"github.com/crocusline/crocusline/services/status"
+)
+
+// entryCommand runs an entry instance.
+type entryCommand struct {
+	settings string
+}
+
+func newEntryCommand() *entryCommand {
+	return &entryCommand{}
+}
+
+func (c *entryCommand) attach() *flaggy.Subcommand {
+	sub := flaggy.NewSubcommand("entry")
+	sub.Description = "Run an entry instance, which takes callers' requests."
+	sub.String(&c.settings, "s", "settings", "settings file (YAML)")
+	return sub
+}
+
+func (c *entryCommand) run(ctx context.Context, out console) error {
+	if c.settings == "" {
+		return usagef("--settings is missing: name the settings file")
+	}
+	p, err := newProcess(c.settings, out.err, setting.Entry)
+	if err != nil {
+		return err
+	}
+	e, err := newEntry(p)
+	if err != nil {
+		return err
+	}
+	return p.run(ctx, e.services()...)
+}
+
+// entry holds the services of an entry instance.
+type entry struct {
+	*process
+	pool       *pool.Service
+	receipt    *receipt.Service
+	admission  *admission.Service
+	dispatcher *dispatch.Dispatcher
+	counters   *entryCounters
+	status     *status.Service
+}
+
+func newEntry(p *process) (*entry, error) {
+	policy, err := placement.ParsePolicy(p.settings.Policy.Placement)
+	if err != nil {
+		return nil, err
+	}
+	e := &entry{process: p, counters: newEntryCounters()}
+	e.pool = pool.New(p.log, p.control, p.peers.HTTP(),
+		placement.WithPolicy(policy),
+		placement.WithLocation(p.member.FailureDomain, p.member.Region))
+	e.receipt = receipt.New(p.log, p.ledger, e.pool, e.counters)
+	e.admission = admission.New(p.control, limits.WithStreams(p.settings.Caller.StreamsPerWorkspace))
+	e.dispatcher = dispatch.New(p.member.Incarnation,
+		dispatch.WithLog(p.log.Named("dispatch")),
+		dispatch.WithLedger(p.ledger),
+		dispatch.WithDirectory(e.pool),
+		dispatch.WithChooser(e.pool),
+		dispatch.WithRetries(dispatch.NewRetries(
+			retry.WithShare(p.settings.Policy.RetryBudget),
+			retry.WithBurst(float64(p.settings.Policy.RetryBurst)))),
+		dispatch.WithReceipts(e.receipt),
+		dispatch.WithCounters(e.counters))
+	e.status = status.New(p.control, p.statusOptions()...)
+	return e, nil
+}
+
+// services are in the order in which they start.
+func (e *entry) services() []kernel.Service {
+	return []kernel.Service{
+		e.control,
+		e.ledger,
+		e.pool,
+		e.receipt,
+		e.status,
+		&listener{name: "peerListener", listen: e.listenPeers},
+		operator.New(e.log, e.settings.Operator.Listen, e.status, e.counters.set),
+		&listener{name: "callerListener", listen: e.listenCallers, before: e.admission.Drain},
+	}
+}
+
+func (e *entry) listenPeers() (closer, error) {
+	mux := http.NewServeMux()
+	mux.Handle(peerrouter.NewTables(e.control))
+	mux.Handle(operator.NewStatus(e.status))
+	return peer.NewServer(e.settings.Peer.Listen, e.identity, mux, peer.WithServerIdle(e.settings.Peer.IdleTimeout))
+}
+
+func (e *entry) listenCallers() (closer, error) {
+	s := e.settings.Caller
+	mux := http.NewServeMux()
+	mux.Handle(caller.New(e.log.Named("caller"), e.admission, e.dispatcher, e.receipt, e.counters, s.BodyBytes))
+	opts := []web.Option{
+		web.WithHeaderBytes(s.HeaderBytes),
+		web.WithDrain(s.DrainTimeout),
+		web.WithWriteTimeout(s.WriteTimeout),
+	}
+	return web.NewServer(s.Listen, mux, opts...)
+}
--- /dev/null
+++ b/cmd/process.go
@@ -0,0 +1,124 @@
+package cmd
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/crocusline/crocusline/kernel"
+	"github.com/crocusline/crocusline/models/fleet"
+	"github.com/crocusline/crocusline/modules/log"
+	"github.com/crocusline/crocusline/modules/peer"
+	"github.com/crocusline/crocusline/modules/platform"
+	"github.com/crocusline/crocusline/modules/setting"
+	"github.com/crocusline/crocusline/services/control"
+	"github.com/crocusline/crocusline/services/ledger"
+	"github.com/crocusline/crocusline/services/status"
+)
+
+// process is what an entry and a sidecar have in common.
+type process struct {
+	settings *setting.Settings
+	log      hclog.Logger
+	member   fleet.Member
+	identity *peer.Identity
+	peers    *peer.Client
+	platform *platform.Client
+	control  *control.Service
+	ledger   *ledger.Client
+	kernel   *kernel.Kernel
+}
+
+// newProcess prepares a process of the role. Nothing runs yet but the peer
+// client, which Close ends.
+func newProcess(file string, logTo io.Writer, role setting.Role) (*process, error) {
+	settings, err := setting.Load(file, role)
+	if err != nil {
+		return nil, err
+	}
+	logger, err := log.New(logTo, settings.Log.Level)
+	if err != nil {
+		return nil, err
+	}
+	identity, err := peer.NewIdentity(peer.Files{
+		Cert: settings.Peer.CertFile,
+		Key:  settings.Peer.KeyFile,
+		CA:   settings.Peer.CAFile,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p := &process{
+		settings: settings,
+		log:      logger,
+		member:   member(settings),
+		identity: identity,
+		peers: peer.NewClient(identity,
+			peer.WithIdle(settings.Peer.IdleTimeout), peer.WithDial(settings.Peer.DialTimeout)),
+	}
+	p.platform = platform.NewClient(&http.Client{}, settings.Platform.URL, platform.WithName(p.member.Incarnation))
+	p.control = control.New(logger, p.platform, p.member, p.controlOptions()...)
+	p.ledger = ledger.New(p.member.Incarnation, p.platform, p.ledgerOptions()...)
+	p.kernel = kernel.New(logger)
+	return p, nil
+}
+
+func member(s *setting.Settings) fleet.Member {
+	m := fleet.Member{
+		Incarnation:   s.Instance.Name + "/" + uuid.Must(uuid.NewV7()).String(),
+		Name:          s.Instance.Name,
+		Address:       s.Instance.PeerAddress,
+		Region:        s.Instance.Region,
+		FailureDomain: s.Instance.FailureDomain,
+	}
+	if s.Server != nil {
+		m.Role = fleet.Sidecar
+		m.Server = s.Server.Name
+	}
+	return m
+}
+
+func (p *process) ledgerOptions() []ledger.Option {
+	return []ledger.Option{
+		ledger.WithLogger(p.log.Named(ledger.Name)),
+		ledger.WithShards(p.settings.Ledger.Shards),
+		ledger.WithInterval(p.settings.Ledger.BatchInterval),
+	}
+}
+
+func (p *process) statusOptions() []status.Option {
+	return []status.Option{
+		status.WithLedger(p.ledger),
+		status.WithPeers(status.NewPeers(p.peers.HTTP())),
+	}
+}
+
+func (p *process) controlOptions() []control.Option {
+	return []control.Option{
+		control.WithPeers(control.NewPeerSource(p.peers.HTTP()), p.settings.Peer.Seeds...),
+	}
+}
+
+// run starts the services, waits until the context ends and closes them.
+func (p *process) run(ctx context.Context, services ...kernel.Service) error {
+	if err := p.kernel.Add(services...); err != nil {
+		return err
+	}
+	if err := p.kernel.Start(context.WithoutCancel(ctx)); err != nil {
+		return err
+	}
+	p.log.Info("process started", "incarnation", p.member.Incarnation, "role", p.member.Role)
+	<-ctx.Done()
+	started := time.Now()
+	p.log.Info("process draining")
+	err := p.kernel.Close()
+	if closeErr := p.peers.Close(); err == nil {
+		err = closeErr
+	}
+	p.log.Info("process ended", "took", time.Since(started))
+	return err
+}
