Add crocusbench load and measure the policy against its targets

Cause: queue, placement, retry budget and admission were tested one by one; nothing showed what callers get when they work together under load and faults.

Change: standin/load plays a workload file (arrivals, prompts, deadlines, faults, all seeded) in virtual time against the decision code, with fakes of the engines at the interface. A waiting item keeps its estimator.

Ruled out: a modelled network or hosts; one constant time for each hop and the lag of the load are enough for these decisions.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test lint fmt generate
+.PHONY: build test lint fmt generate bench
 
 build:
 	$(GO) build -o bin/ . ./crocusbench
@@ -10,6 +10,10 @@
 test:
 	$(GO) test ./...
 
+# Prints each measure of the policy under load and faults with its target.
+bench:
+	$(GO) test -count=1 -v ./tests/policy
+
 lint:
 	$(LINT) run ./...
 
--- a/crocusbench/main.go
+++ b/crocusbench/main.go
@@ -47,7 +47,7 @@
 	parser := flaggy.NewParser("crocusbench")
 	parser.Description = "Stand-ins for what surrounds crocusline, and the load tool."
 	parser.DisableShowVersionWithVersion()
-	commands := []command{newPlatformCommand(), newEngineCommand(), newServiceCommand()}
+	commands := []command{newPlatformCommand(), newEngineCommand(), newServiceCommand(), newLoadCommand()}
 	used := make([]*flaggy.Subcommand, len(commands))
 	for i, c := range commands {
 		used[i] = c.flags()
@@ -61,5 +61,5 @@
 			return commands[i], nil
 		}
 	}
-	return nil, errors.New("no command: use platform, engine or service, or --help")
+	return nil, errors.New("no command: use platform, engine, service or load, or --help")
 }
--- a/models/queue/estimate.go
+++ b/models/queue/estimate.go
@@ -45,13 +45,13 @@
 
 // cost is the expected total of tokens of a request.
 func (q *Queue) cost(it *item) float64 {
-	output := q.estimator(it.Kind).fraction * float64(it.MaxTokens)
+	output := it.expect.fraction * float64(it.MaxTokens)
 	return float64(it.PromptTokens) + max(output, float64(it.served))
 }
 
 // duration is the expected total run time of a request.
 func (q *Queue) duration(it *item) time.Duration {
-	return time.Duration(q.cost(it) * q.estimator(it.Kind).pace)
+	return time.Duration(q.cost(it) * it.expect.pace)
 }
 
 // remaining is the expected run time that a request has left.
--- a/models/queue/queue.go
+++ b/models/queue/queue.go
@@ -76,7 +76,7 @@
 	if _, taken := q.items[r.ID]; taken {
 		return Decision{}, &DuplicateError{ID: r.ID}
 	}
-	it := &item{Request: r}
+	it := &item{Request: r, expect: q.estimator(r.Kind)}
 	wait, err := q.admit(now, it)
 	if err != nil {
 		return Decision{}, err
@@ -116,7 +116,7 @@
 		return
 	}
 	if it.running {
-		q.estimator(it.Kind).learn(it, it.elapsed+now.Sub(it.started))
+		it.expect.learn(it, it.elapsed+now.Sub(it.started))
 	}
 	q.leave(now, it)
 }
--- a/models/queue/request.go
+++ b/models/queue/request.go
@@ -90,6 +90,7 @@
 	// served counts generated tokens; charged the tokens on the counters.
 	served  int64
 	charged float64
+	expect  *estimator
 }
 
 func (it *item) weight() float64 {
--- /dev/null
+++ b/standin/load/entry.go
@@ -0,0 +1,172 @@
+package load
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/crocusline/crocusline/models/admission"
+	"github.com/crocusline/crocusline/models/placement"
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/retry"
+)
+
+// entry takes callers' requests and tries them at servers.
+type entry struct {
+	run    *run
+	domain string
+	gate   *admission.Gate
+	budget *retry.Budget
+	places map[string]*placement.Placement
+}
+
+func (r *run) newEntry(i int) *entry {
+	w := r.workload
+	e := &entry{run: r, domain: w.Domains[i%len(w.Domains)], places: map[string]*placement.Placement{}}
+	var gate []admission.Option
+	if !w.Policy.Gate {
+		gate = append(gate, admission.WithSlack(0))
+	}
+	e.gate = admission.New(gate...)
+	budget := []retry.Option{retry.WithRand(r.random("retry", i))}
+	if !w.Policy.RetryBudget {
+		budget = append(budget, retry.Unlimited())
+	}
+	e.budget = retry.New(budget...)
+	for p := range w.Pools {
+		pool := &w.Pools[p]
+		place := placement.New(
+			placement.WithPolicy(w.Policy.Placement),
+			placement.WithLocation(e.domain, region),
+			placement.WithRand(r.random("placement/"+pool.Name, i)))
+		place.SetServers(r.serversOf(pool))
+		e.places[pool.Name] = place
+	}
+	return e
+}
+
+func (e *entry) place(s *server) *placement.Placement { return e.places[s.pool.Name] }
+
+// submit takes a caller's request.
+func (e *entry) submit(r *request) {
+	err := e.gate.Admit(e.run.now, admission.Request{Workspace: r.workspace, Kind: r.stream.Kind})
+	if refused, ok := refusal.As(err); ok {
+		r.end(refused)
+		return
+	}
+	e.run.result.passed++
+	e.dispatch(r)
+}
+
+// dispatch tries the request at the next server.
+func (e *entry) dispatch(r *request) {
+	place := e.places[r.stream.Pool]
+	c, err := place.Choose(e.run.now, placement.Request{Prompt: r.prompt, Rank: r.stream.Rank, Exclude: r.tried})
+	for _, name := range c.Probe {
+		e.probe(place, e.run.servers[name])
+	}
+	if refused, ok := refusal.As(err); ok {
+		e.close(r, refused)
+		return
+	}
+	s := e.run.servers[c.Servers[0]]
+	r.tries++
+	e.run.result.dispatched++
+	a := &attempt{
+		id: fmt.Sprintf("%s/%d", r.id, e.run.result.dispatched), request: r, entry: e, server: s, base: r.served,
+	}
+	e.run.after(e.run.workload.Hop, func() { e.arrive(a) })
+}
+
+// arrive is the attempt's arrival at its server.
+func (e *entry) arrive(a *attempt) {
+	s := a.server
+	if s.lost {
+		e.run.after(e.run.workload.Detect, func() {
+			e.place(s).Failed(e.run.now, s.name)
+			e.decide(a, false, refusal.New(refusal.ServerFailed, retry.DefaultMost, "the server is out of reach"))
+		})
+		return
+	}
+	err := s.offer(a)
+	e.observe(s)
+	if refused, ok := refusal.As(err); ok {
+		e.refused(a, refused)
+		return
+	}
+	e.run.after(e.run.workload.Hop, func() { e.gate.Accepted(e.run.now, a.request.stream.Kind) })
+}
+
+// observe brings the server's present load to the entry, late.
+func (e *entry) observe(s *server) {
+	load := s.queue.Load(e.run.now)
+	e.run.after(e.run.workload.Hop+s.pool.LoadLag, func() {
+		e.place(s).Observe(e.run.now, s.name, load)
+	})
+}
+
+// refused brings the sidecar's refusal back.
+func (e *entry) refused(a *attempt, err *refusal.Error) {
+	e.run.after(e.run.workload.Hop, func() {
+		e.gate.Refused(e.run.now, a.request.stream.Kind, err.RetryAfter)
+		e.failed(a, err)
+	})
+}
+
+// failed takes in that an attempt broke while it ran.
+func (e *entry) failed(a *attempt, err *refusal.Error) {
+	if a.request.stream.Idempotent {
+		// What was relayed counts: the next attempt goes on from there.
+		a.request.served = a.base + a.served
+	}
+	e.decide(a, true, err)
+}
+
+// decide tries the request again or ends it.
+func (e *entry) decide(a *attempt, dispatched bool, err *refusal.Error) {
+	r := a.request
+	left := time.Hour
+	if !r.deadline.IsZero() {
+		left = r.deadline.Sub(e.run.now)
+	}
+	v := e.budget.Decide(retry.Attempt{
+		Idempotent: r.stream.Idempotent, Dispatched: dispatched, Err: err, Tries: r.tries, Left: left,
+	})
+	if !v.Retry {
+		e.close(r, v.Err)
+		return
+	}
+	e.run.result.retried++
+	r.tried = append(r.tried, a.server.name)
+	e.run.after(v.After, func() { e.dispatch(r) })
+}
+
+// finished takes in that an attempt gave the whole answer.
+func (e *entry) finished(a *attempt) {
+	e.observe(a.server)
+	e.run.after(e.run.workload.Hop, func() {
+		e.budget.Succeeded()
+		e.place(a.server).Succeeded(e.run.now, a.server.name)
+		e.close(a.request, nil)
+	})
+}
+
+func (e *entry) close(r *request, err *refusal.Error) {
+	e.gate.Done(r.workspace)
+	r.end(err)
+}
+
+// probe asks a failed server whether it is back.
+func (e *entry) probe(place *placement.Placement, s *server) {
+	wait := 2 * e.run.workload.Hop
+	if s.lost {
+		wait = e.run.workload.Detect
+	}
+	lost := s.lost
+	e.run.after(wait, func() {
+		if lost {
+			place.Failed(e.run.now, s.name)
+		} else {
+			place.Succeeded(e.run.now, s.name)
+		}
+	})
+}
--- /dev/null
+++ b/standin/load/measure.go
@@ -0,0 +1,130 @@
+package load
+
+import (
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/crocusline/crocusline/models/rank"
+)
+
+// Quantile returns a quantile, in percent, of a histogram of times.
+func Quantile(h *hdrhistogram.Histogram, percent float64) time.Duration {
+	return time.Duration(h.ValueAtQuantile(percent)) * time.Microsecond
+}
+
+// Goodput is the rate of tokens of whole answers in time, a second.
+func (r *Result) Goodput() float64 {
+	from, until := int(r.workload.WarmUp/time.Second), int(r.workload.Duration/time.Second)
+	sum := 0
+	for k, g := range r.groups {
+		if k.Workspace == "" {
+			sum += sumInts(g.Useful[from:until])
+		}
+	}
+	return float64(sum) / float64(until-from)
+}
+
+// Wasted is the share of the generated tokens that were for answers that
+// nobody got.
+func (r *Result) Wasted() float64 { return ratio(float64(r.wasted), float64(r.generated)) }
+
+// HitRate is the share of a pool's prompt tokens that the prefix caches held.
+func (r *Result) HitRate(pool string) float64 {
+	return ratio(float64(r.cachedTokens[pool]), float64(r.promptTokens[pool]))
+}
+
+// Imbalance is the use of a pool's busiest server relative to the mean.
+func (r *Result) Imbalance(pool string) float64 { return ratio(r.busyMax[pool], r.busyMean[pool]) }
+
+// Amplification is the number of attempts for each request that passed the
+// entry's gate.
+func (r *Result) Amplification() float64 { return ratio(float64(r.dispatched), float64(r.passed)) }
+
+// Share is the part of a pool's generated tokens that went to a rank.
+func (r *Result) Share(pool string, of rank.Rank) float64 {
+	return ratio(float64(r.Group(Key{Pool: pool, Rank: of}).Tokens), float64(r.tokens(pool)))
+}
+
+// Jain is Jain's index of the tokens that the workspaces of a rank got, all of
+// them entitled to the same.
+func (r *Result) Jain(pool string, of rank.Rank) float64 {
+	var sum, squares float64
+	names := r.names(pool, of)
+	for _, w := range names {
+		x := float64(r.Group(Key{Pool: pool, Rank: of, Workspace: w}).Tokens)
+		sum += x
+		squares += x * x
+	}
+	return ratio(sum*sum, squares*float64(len(names)))
+}
+
+// window is the time over which the goodput after a fault is averaged.
+const window = 10
+
+// SlotShare is the part of the time that a pool's slots were in use between two
+// times that went to a rank.
+func (r *Result) SlotShare(pool string, of rank.Rank, from, until time.Duration) float64 {
+	var own, total time.Duration
+	for each := rank.Urgent; each <= rank.Bulk; each++ {
+		for _, d := range r.Group(Key{Pool: pool, Rank: each}).Slots[int(from/time.Second):int(until/time.Second)] {
+			total += d
+			if each == of {
+				own += d
+			}
+		}
+	}
+	return ratio(float64(own), float64(total))
+}
+
+// Recovery is the time from the fault until a pool's goodput stays at a share of
+// what the same workload gives without faults. ok is false when it does not come
+// back before the arrivals end.
+func (r *Result) Recovery(without *Result, pool string, fault time.Duration, share float64) (d time.Duration, ok bool) {
+	from, until := int(fault/time.Second), int(r.workload.Duration/time.Second)
+	back := from
+	for at := from; at+window <= until; at++ {
+		if float64(r.useful(pool, at)) < share*float64(without.useful(pool, at)) {
+			back = at + 1
+		}
+	}
+	return time.Duration(back-from) * time.Second, back+window <= until
+}
+
+// useful counts a pool's tokens of whole answers in the window that starts at a
+// second.
+func (r *Result) useful(pool string, at int) int {
+	sum := 0
+	for of := rank.Urgent; of <= rank.Bulk; of++ {
+		sum += sumInts(r.Group(Key{Pool: pool, Rank: of}).Useful[at : at+window])
+	}
+	return sum
+}
+
+func sumInts(values []int) int {
+	sum := 0
+	for _, v := range values {
+		sum += v
+	}
+	return sum
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// names lists the workspaces of a rank in a fixed order.
+func (r *Result) names(pool string, of rank.Rank) []string {
+	var all []string
+	for k := range r.groups {
+		if k.Pool == pool && k.Rank == of && k.Workspace != "" {
+			all = append(all, k.Workspace)
+		}
+	}
+	slices.Sort(all)
+	return all
+}
