Keep a peer connection open while an answer is read over it

Cause: under 50 streams of some seconds the entry's legs failed with a local H3 error every 30 s. Ruled out: the sidecar (its log shows no end of these runs) and the QUIC idle time (probes are sent). Change: calls are counted here until the answer's body is closed, one transport a peer. The measured processes also end in reverse order of their start, so that bills still find the platform.

--- a/modules/peer/client.go
+++ b/modules/peer/client.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"crypto/tls"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -8,12 +9,12 @@
 
 	"github.com/pkg/errors"
 	"github.com/quic-go/quic-go"
-	"github.com/quic-go/quic-go/http3"
 )
 
 const (
-	defaultIdle = 6 * time.Second
-	defaultDial = time.Second
+	defaultIdle  = 6 * time.Second
+	defaultDial  = time.Second
+	defaultSweep = 30 * time.Second
 	// keepAlivesPerIdle is how many probes a silent connection sends within the
 	// idle time, so that a lost packet does not end it.
 	keepAlivesPerIdle = 3
@@ -22,11 +23,15 @@
 // Client calls peers over HTTP/3. It opens a connection at the first call and
 // closes it once no call has used it for a while.
 type Client struct {
-	transport *http3.Transport
-	http      *http.Client
-	sweep     time.Duration
-	stop      chan struct{}
-	done      sync.WaitGroup
+	tls   *tls.Config
+	quic  *quic.Config
+	http  *http.Client
+	sweep time.Duration
+	stop  chan struct{}
+	done  sync.WaitGroup
+
+	mu          sync.Mutex
+	connections map[string]*connection
 }
 
 // ClientOption changes a new Client.
@@ -36,14 +41,14 @@
 // lost.
 func WithIdle(d time.Duration) ClientOption {
 	return func(c *Client) {
-		c.transport.QUICConfig.MaxIdleTimeout = d
-		c.transport.QUICConfig.KeepAlivePeriod = d / keepAlivesPerIdle
+		c.quic.MaxIdleTimeout = d
+		c.quic.KeepAlivePeriod = d / keepAlivesPerIdle
 	}
 }
 
 // WithDial sets how long a new connection may take.
 func WithDial(d time.Duration) ClientOption {
-	return func(c *Client) { c.transport.QUICConfig.HandshakeIdleTimeout = d }
+	return func(c *Client) { c.quic.HandshakeIdleTimeout = d }
 }
 
 // WithSweep sets the time between two closings of unused connections.
@@ -53,25 +58,22 @@
 
 // NewClient returns a client that shows the identity to peers.
 func NewClient(id *Identity, opts ...ClientOption) *Client {
-	transport := &http3.Transport{
-		TLSClientConfig: id.ClientConfig(),
-		QUICConfig: &quic.Config{
+	c := &Client{
+		tls: id.ClientConfig(),
+		quic: &quic.Config{
 			HandshakeIdleTimeout: defaultDial,
 			MaxIdleTimeout:       defaultIdle,
 			KeepAlivePeriod:      defaultIdle / keepAlivesPerIdle,
 		},
-		DisableCompression: true,
-	}
-	c := &Client{
-		transport: transport,
-		http:      &http.Client{Transport: transport},
-		sweep:     30 * time.Second,
-		stop:      make(chan struct{}),
+		sweep:       defaultSweep,
+		stop:        make(chan struct{}),
+		connections: map[string]*connection{},
 	}
+	c.http = &http.Client{Transport: c}
 	for _, opt := range opts {
 		opt(c)
 	}
-	c.done.Go(c.closeIdle)
+	c.done.Go(c.sweepUnused)
 	return c
 }
 
@@ -85,14 +87,42 @@
 	return "https://" + address.String()
 }
 
+// Connections returns the number of peers that a connection is kept for.
+func (c *Client) Connections() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.connections)
+}
+
+// RoundTrip implements http.RoundTripper.
+func (c *Client) RoundTrip(req *http.Request) (*http.Response, error) {
+	conn := c.acquire(req.URL.Host)
+	resp, err := conn.transport.RoundTrip(req)
+	if err != nil {
+		c.release(conn)
+		return nil, err
+	}
+	resp.Body = &countedBody{ReadCloser: resp.Body, release: sync.OnceFunc(func() { c.release(conn) })}
+	return resp, nil
+}
+
 // Close ends all connections and waits for the client's goroutine.
 func (c *Client) Close() error {
 	close(c.stop)
 	c.done.Wait()
-	return errors.WithStack(c.transport.Close())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var first error
+	for host, conn := range c.connections {
+		if err := conn.transport.Close(); err != nil && first == nil {
+			first = errors.WithStack(err)
+		}
+		delete(c.connections, host)
+	}
+	return first
 }
 
-func (c *Client) closeIdle() {
+func (c *Client) sweepUnused() {
 	ticker := time.NewTicker(c.sweep)
 	defer ticker.Stop()
 	for {
@@ -100,7 +130,7 @@
 		case <-c.stop:
 			return
 		case <-ticker.C:
-			c.transport.CloseIdleConnections()
+			c.closeUnused()
 		}
 	}
 }
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -34,11 +34,14 @@
 
 	mu        sync.Mutex
 	processes map[string]*process
+	started   int
 }
 
 // process is one process that the cluster started.
 type process struct {
-	cmd    *exec.Cmd
+	cmd *exec.Cmd
+	// number counts the processes started before.
+	number int
 	log    *os.File
 	exited chan struct{}
 	err    error
@@ -73,7 +76,8 @@
 		_ = log.Close()
 		return errors.Wrapf(err, "start %s", name)
 	}
-	p := &process{cmd: cmd, log: log, exited: make(chan struct{})}
+	c.started++
+	p := &process{cmd: cmd, number: c.started, log: log, exited: make(chan struct{})}
 	c.processes[name] = p
 	go p.wait()
 	return nil
@@ -148,26 +152,30 @@
 	return p, nil
 }
 
-// Close ends all processes and waits for them. It returns the first failure.
+// Close ends all processes, the last started first, and waits for each. It
+// returns the first failure.
 func (c *Cluster) Close() error {
-	c.mu.Lock()
-	names := make([]string, 0, len(c.processes))
-	for name := range c.processes {
-		names = append(names, name)
+	var first error
+	for {
+		name, ok := c.newest()
+		if !ok {
+			return first
+		}
+		if err := c.Stop(name); err != nil && first == nil {
+			first = err
+		}
 	}
-	c.mu.Unlock()
-	failures := make([]error, len(names))
-	var wg sync.WaitGroup
-	for i, name := range names {
-		wg.Go(func() { failures[i] = c.Stop(name) })
-	}
-	wg.Wait()
-	for _, err := range failures {
-		if err != nil {
-			return err
+}
+
+func (c *Cluster) newest() (name string, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for n, p := range c.processes {
+		if !ok || p.number > c.processes[name].number {
+			name, ok = n, true
 		}
 	}
-	return nil
+	return name, ok
 }
 
 // AwaitOK waits until a URL answers with 200, or the process has ended.
