Write receipts in batches and look at abandoned ones ever less often

Cause: an entry that idled after 750 interrupted streams used 13% of a core (680 ms in 5 s) asking their sidecar about each once a second. Ruled out: the control stream (10 ms in 5 s in fresh processes) and the ledger's streams. Change: the time between two looks doubles up to 16 s; bills that the entry writes go in one post a shard; the last round before the end has a time limit.

--- a/cmd/counters.go
+++ b/cmd/counters.go
@@ -41,5 +41,5 @@
 // ReceiptDropped counts a receipt that found no room.
 func (c *entryCounters) ReceiptDropped() { c.dropped.Inc() }
 
-// ReceiptWritten counts a bill that the entry wrote in the sidecar's place.
-func (c *entryCounters) ReceiptWritten() { c.written.Inc() }
+// ReceiptsWritten counts bills that the entry wrote in the sidecar's place.
+func (c *entryCounters) ReceiptsWritten(n int) { c.written.Add(n) }
--- a/services/receipt/receipt.go
+++ b/services/receipt/receipt.go
@@ -28,8 +28,12 @@
 	capacity = 16384
 	// settleInterval is the pause between rounds over the receipts.
 	settleInterval = time.Second
+	// longestPause is the longest time between two looks at a receipt.
+	longestPause = 16 * time.Second
 	// callTimeout bounds one call to a sidecar or the ledger.
 	callTimeout = 2 * time.Second
+	// lastRoundTimeout bounds the round before the process ends.
+	lastRoundTimeout = 5 * time.Second
 	// sidecarPatience is how long the sidecar has to get its bill into the
 	// stream before the entry writes its own copy.
 	sidecarPatience = 5 * time.Second
@@ -47,7 +51,7 @@
 // Counters are the service's metrics.
 type Counters interface {
 	ReceiptDropped()
-	ReceiptWritten()
+	ReceiptsWritten(n int)
 }
 
 // Service keeps receipts. It implements dispatch.Receipts.
@@ -69,6 +73,17 @@
 	// answered says that the caller has the whole answer.
 	answered bool
 	since    time.Time
+	// next is when to look again, and pause the time until the look after that.
+	next  time.Time
+	pause time.Duration
+}
+
+// later doubles the pause: a sidecar keeps an interrupted request for its grace
+// time, and many of them asked for each second would cost the entry dear.
+func (p pending) later(now time.Time) pending {
+	p.pause = min(max(2*p.pause, settleInterval), longestPause)
+	p.next = now.Add(p.pause)
+	return p
 }
 
 // New returns the service.
@@ -127,7 +142,7 @@
 		case p := <-s.ring:
 			s.take(ctx, p)
 		case <-ticker.C:
-			s.settleAll(ctx)
+			s.settleAll(ctx, sidecarPatience)
 		case <-ctx.Done():
 			s.lastRound(context.WithoutCancel(ctx))
 			return
@@ -148,7 +163,10 @@
 	s.kept = append(s.kept, p)
 }
 
+// lastRound settles what it can before the process ends.
 func (s *Service) lastRound(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, lastRoundTimeout)
+	defer cancel()
 	for {
 		select {
 		case p := <-s.ring:
@@ -158,36 +176,62 @@
 		}
 		break
 	}
-	s.settleAll(ctx)
-	for _, p := range s.kept {
-		if p.answered {
-			s.write(ctx, p)
-		}
+	s.settleAll(ctx, 0)
+	if len(s.kept) > 0 {
+		s.log.Warn("receipts left behind", "count", len(s.kept))
 	}
 }
 
-func (s *Service) settleAll(ctx context.Context) {
-	rest := s.kept[:0]
+// settleAll makes one round. An answered receipt older than patience whose bill
+// the sidecar has not settled is written by this entry.
+func (s *Service) settleAll(ctx context.Context, patience time.Duration) {
+	var rest []pending
+	due := map[int][]pending{}
+	now := s.now()
 	for _, p := range s.kept {
-		if !s.settle(ctx, p) {
+		if patience > 0 && now.Before(p.next) {
 			rest = append(rest, p)
+			continue
+		}
+		switch s.progress(ctx, p, patience) {
+		case settled:
+		case writable:
+			due[p.Bill.Hold.Shard] = append(due[p.Bill.Hold.Shard], p)
+		case waiting:
+			rest = append(rest, p.later(now))
+		}
+	}
+	for shard, receipts := range due {
+		if !s.write(ctx, shard, receipts) {
+			rest = append(rest, receipts...)
 		}
 	}
 	s.kept = rest
 }
 
-// settle says whether a receipt is settled.
-func (s *Service) settle(ctx context.Context, p pending) bool {
-	if !p.answered {
-		return s.free(ctx, p)
-	}
-	if s.acknowledge(ctx, p) {
-		return true
-	}
-	if s.now().Sub(p.since) < sidecarPatience {
-		return false
+// progress is how far a receipt has come.
+type progress int
+
+const (
+	// waiting receipts need another round.
+	waiting progress = iota
+	// writable receipts are for this entry to write.
+	writable
+	// settled receipts are done with.
+	settled
+)
+
+func (s *Service) progress(ctx context.Context, p pending, patience time.Duration) progress {
+	switch {
+	case !p.answered:
+		return s.abandoned(ctx, p)
+	case s.acknowledge(ctx, p):
+		return settled
+	case s.now().Sub(p.since) >= patience:
+		return writable
+	default:
+		return waiting
 	}
-	return s.write(ctx, p)
 }
 
 // acknowledge tells the sidecar that the answer arrived, and says whether the
@@ -204,36 +248,44 @@
 	return err == nil && resp.Msg.GetBilled()
 }
 
-// write puts the entry's copy of the bill into the stream. The fold takes the
-// first of the two.
-func (s *Service) write(ctx context.Context, p pending) bool {
+// write puts the entry's copies of bills into a shard's stream. The fold takes
+// the first of the two.
+func (s *Service) write(ctx context.Context, shard int, receipts []pending) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := s.ledger.Post(ctx, p.Bill.Hold.Shard, p.Bill); err != nil {
-		s.log.Warn("bill not written", "requestId", p.Bill.RequestID, "error", err)
+	bills := make([]ledger.Entry, 0, len(receipts))
+	for _, p := range receipts {
+		if !p.answered {
+			p.Bill.Tokens = 0
+		}
+		bills = append(bills, p.Bill)
+	}
+	if err := s.ledger.Post(ctx, shard, bills...); err != nil {
+		s.log.Warn("bills not written", "shard", shard, "count", len(bills), "error", err)
 		return false
 	}
-	s.counters.ReceiptWritten()
+	s.counters.ReceiptsWritten(len(bills))
 	return true
 }
 
-// free settles a hold whose request may have run. It waits until the sidecar
-// cannot bill the hold any more: because it was told to refuse the request, or
-// because its incarnation is gone. A bill of nothing then frees the hold. The
-// fold takes the first bill of a hold, so that one on its way still counts.
-func (s *Service) free(ctx context.Context, p pending) bool {
+// abandoned says how far the receipt of a request is that may have run. Its
+// hold waits until the sidecar cannot bill it any more: because it was told to
+// refuse the request, or because its incarnation is gone. A bill of nothing then
+// frees the hold. The fold takes the first bill of a hold, so that one on its
+// way still counts.
+func (s *Service) abandoned(ctx context.Context, p pending) progress {
 	if s.ledger.Settled(p.Bill.Hold) {
-		return true
+		return settled
 	}
 	sidecar, ok := s.directory.Sidecar(p.Server)
-	if !ok {
-		return false
-	}
-	p.Bill.Tokens = 0
-	if sidecar.Incarnation != p.Sidecar {
-		return s.write(ctx, p)
+	switch {
+	case !ok:
+		return waiting
+	case sidecar.Incarnation != p.Sidecar || s.fenced(ctx, sidecar, p):
+		return writable
+	default:
+		return waiting
 	}
-	return s.fenced(ctx, sidecar, p) && s.write(ctx, p)
 }
 
 // fenced says whether the sidecar will neither run nor bill the request.
--- /dev/null
+++ b/standin/capacity/streams.go
@@ -0,0 +1,191 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/models/table"
+	callerv1 "github.com/crocusline/crocusline/modules/wire/caller/v1"
+	"github.com/crocusline/crocusline/modules/wire/caller/v1/callerv1connect"
+)
+
+// Names of the measures of running processes.
+const (
+	entryToken     = "entryToken"
+	sidecarToken   = "sidecarToken"
+	entryRequest   = "entryRequest"
+	sidecarRequest = "sidecarRequest"
+	entryStream    = "entryStream"
+	sidecarStream  = "sidecarStream"
+	entryChange    = "entryChange"
+	entryTraffic   = "entryTraffic"
+)
+
+const (
+	// tokenStreams is the number of streams while the cost of a token is taken.
+	tokenStreams = 50
+	// shortAnswer is the length of the answers, in tokens, while the cost of a
+	// request is taken.
+	shortAnswer = 4
+	// openTime is how long streams are open before memory is read.
+	openTime = 2 * time.Second
+	// changeTimeSpan is how long changes are published for.
+	changeTimeSpan = 5 * time.Second
+)
+
+func tokenHash() string {
+	return table.HashToken(token)
+}
+
+// processMeasures cost an entry and a sidecar that run.
+func (p *processes) measures() []Measure {
+	tokens := []int{2500, 5000, 10000, 20000}
+	requests := []int{100, 200, 400, 800}
+	streams := []int{100, 200, 400, 800}
+	changes := []int{5, 10, 20, 40}
+	return []Measure{
+		{entryChange, "processor time of an entry in 5 s", "us", "change of configuration", changes, p.cpuOf(entryOperatorPort, p.change)},
+		{entryTraffic, "traffic of an entry with the platform in 5 s", "B", "change of configuration", changes, p.trafficOf(entryOperatorPort, p.change)},
+		{entryToken, "processor time of an entry", "us", "token relayed", tokens, p.cpuOf(entryOperatorPort, p.relay)},
+		{sidecarToken, "processor time of a sidecar", "us", "token relayed", tokens, p.cpuOf(sidecarOperatorPort, p.relay)},
+		{entryRequest, "processor time of an entry", "us", "request of 4 tokens", requests, p.cpuOf(entryOperatorPort, p.burst)},
+		{sidecarRequest, "processor time of a sidecar", "us", "request of 4 tokens", requests, p.cpuOf(sidecarOperatorPort, p.burst)},
+		{entryStream, "resident memory of an entry", "B", "open stream", streams, p.memoryOf(entryOperatorPort)},
+		{sidecarStream, "resident memory of a sidecar", "B", "open stream", streams, p.memoryOf(sidecarOperatorPort)},
+	}
+}
+
+// load puts a load of about the size on the processes and returns the size that
+// it came to.
+type load func(ctx context.Context, size int) (float64, error)
+
+// cpuOf returns a sample of the processor time, in microseconds, that a load
+// costs a process.
+func (p *processes) cpuOf(port int, l load) func(context.Context, int) (float64, error) {
+	return func(ctx context.Context, size int) (float64, error) {
+		before, after, scale, err := p.around(ctx, port, size, l)
+		return (after.cpu - before.cpu) * scale * float64(time.Second/time.Microsecond), err
+	}
+}
+
+// trafficOf returns a sample of the bytes that a load makes a process exchange.
+func (p *processes) trafficOf(port int, l load) func(context.Context, int) (float64, error) {
+	return func(ctx context.Context, size int) (float64, error) {
+		before, after, scale, err := p.around(ctx, port, size, l)
+		return (after.traffic - before.traffic) * scale, err
+	}
+}
+
+// around reads a process's usage before and after a load. The scale brings the
+// difference to the size asked for.
+func (p *processes) around(ctx context.Context, port, size int, l load) (before, after usage, scale float64, err error) {
+	if before, err = p.usageOf(ctx, port); err != nil {
+		return before, after, 0, err
+	}
+	done, err := l(ctx, size)
+	if err != nil {
+		return before, after, 0, err
+	}
+	after, err = p.usageOf(ctx, port)
+	return before, after, float64(size) / done, err
+}
+
+// memoryOf returns a sample of a process's memory while streams are open.
+func (p *processes) memoryOf(port int) func(context.Context, int) (float64, error) {
+	return func(ctx context.Context, size int) (float64, error) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		done := make(chan error, 1)
+		go func() {
+			_, err := p.submit(ctx, size, 1000)
+			done <- err
+		}()
+		time.Sleep(openTime)
+		u, err := p.usageOf(ctx, port)
+		cancel()
+		<-done
+		return u.resident, err
+	}
+}
+
+// relay streams about that many tokens.
+func (p *processes) relay(ctx context.Context, size int) (float64, error) {
+	return p.submit(ctx, tokenStreams, size/tokenStreams)
+}
+
+// burst sends that many short requests.
+func (p *processes) burst(ctx context.Context, size int) (float64, error) {
+	_, err := p.submit(ctx, size, shortAnswer)
+	return float64(size), err
+}
+
+// submit sends requests at the same time and returns the tokens of their
+// answers: between half of and all of those asked for.
+func (p *processes) submit(ctx context.Context, requests, tokens int) (float64, error) {
+	client := callerv1connect.NewRouterServiceClient(&http.Client{Transport: &http.Transport{}}, "http://"+address(entryCallerPort))
+	counts := make([]int64, requests)
+	failures := make([]error, requests)
+	var wg sync.WaitGroup
+	for i := range requests {
+		wg.Go(func() { counts[i], failures[i] = stream(ctx, client, i, tokens) })
+	}
+	wg.Wait()
+	var total int64
+	for i, err := range failures {
+		if err != nil {
+			return 0, err
+		}
+		total += counts[i]
+	}
+	return float64(total), nil
+}
+
+// stream reads one answer and returns its tokens.
+func stream(ctx context.Context, client callerv1connect.RouterServiceClient, i, tokens int) (int64, error) {
+	req := connect.NewRequest(&callerv1.SubmitRequest{
+		Workspace: workspaceName,
+		Kind:      "draft",
+		Prompt:    fmt.Sprintf("request %d of %s", i, time.Now()),
+		MaxTokens: int32(tokens),
+	})
+	req.Header().Set("Authorization", "Bearer "+token)
+	answer, err := client.Submit(ctx, req)
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	defer answer.Close()
+	var done *callerv1.Done
+	for answer.Receive() {
+		done = answer.Msg().GetDone()
+	}
+	return done.GetTokens(), errors.WithStack(answer.Err())
+}
+
+// change publishes that many changes of the tables within the time span.
+func (p *processes) change(ctx context.Context, size int) (float64, error) {
+	ticker := time.NewTicker(changeTimeSpan / time.Duration(size))
+	defer ticker.Stop()
+	for i := range size {
+		<-ticker.C
+		if err := p.writeWorkspaces(i); err != nil {
+			return 0, err
+		}
+		if err := p.crocusline(ctx, "publish", "--platform", "http://"+address(platformPort), "--wait", "0", filepath.Join(p.dir, "tables")); err != nil {
+			return 0, err
+		}
+	}
+	return float64(size), nil
+}
+
+// writeWorkspaces makes a workspace table that differs from the one before.
+func (p *processes) writeWorkspaces(i int) error {
+	text := fmt.Sprintf("workspaces:\n  %s:\n    tokens: [%s]\n    weight: %d\n", workspaceName, tokenHash(), 1+(i+1)%2)
+	return writeFile(filepath.Join(p.dir, "tables", "workspaces.yaml"), text)
+}
