Post undecided returns again, and grant nothing that a release covers

Cause 1: a return posted during an outage counted as returned at the entry and never reached the fold. The entry's own sums wait for the number to be decided, so nothing corrected them until the next move of that budget, which never comes while it is idle. Change: the return is posted again with the same number until the fold has decided it or a later move. Ruled out: giving the tokens back to the allowance after a timeout, since the late return may still take effect.

Cause 2: between the failed cut and the grant, a release could cover the hold, so that the grant asked for a negative number of tokens. The fold ignored it as malformed, at the price of an append.

Client.Err tells with a *ClosedError that a shard's owner took this process for dead, Reserve refuses from then on, and Closed lets a sidecar ask about the holder of a hold. Pauses after failed log calls are spread by incarnation in place of a random source, so that virtual time repeats.

--- a/services/ledger/balance.go
+++ b/services/ledger/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/crocusline/crocusline/models/ledger"
@@ -54,6 +55,7 @@
 	for name := range c.accounts {
 		names = append(names, name)
 	}
+	slices.Sort(names)
 	return names
 }
 
@@ -95,10 +97,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.allowance.Reconcile(v.sums)
+	if again := a.undecided(v.sums.Sequence); again != nil {
+		return *again
+	}
 	if tokens := a.allowance.Surplus(now, short || all); tokens > 0 {
 		entry := ledger.Return{Workspace: a.workspace, Holder: c.incarnation, Tokens: tokens}
 		entry.Sequence = a.allowance.Next()
 		a.allowance.Return(tokens)
+		a.returning = &entry
 		return entry
 	}
 	if short || all || !sh.stream.Status().Reachable {
@@ -111,3 +117,13 @@
 	}
 	return nil
 }
+
+// undecided returns the last return if the stream has decided neither it nor a
+// later move. It is posted again with the same number, so that tokens given
+// back during an outage are not lost between this process and the budget.
+func (a *account) undecided(decided uint64) *ledger.Return {
+	if a.returning != nil && a.returning.Sequence <= decided {
+		a.returning = nil
+	}
+	return a.returning
+}
--- a/services/ledger/client.go
+++ b/services/ledger/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -187,6 +188,42 @@
 	return settled
 }
 
+// Closed says whether the holder of a hold was closed, so that the hold pays
+// for nothing. It waits until the shard's stream was read once.
+func (c *Client) Closed(ctx context.Context, hold ledger.Hold) (closed bool, err error) {
+	sh := c.shard(hold.Shard)
+	if err := c.ready(ctx, sh); err != nil {
+		return false, err
+	}
+	sh.stream.View(func(stream.Status) { closed = sh.state.Closed(hold.Holder) })
+	return closed, nil
+}
+
+// ClosedError says that a shard's owner took this process for dead. Its holds
+// pay for nothing any more, so that the process has to be restarted.
+type ClosedError struct {
+	Incarnation string
+	Shard       int
+}
+
+// Error implements error.
+func (e *ClosedError) Error() string {
+	return fmt.Sprintf("%s was closed in ledger shard %d: restart the process", e.Incarnation, e.Shard)
+}
+
+// Err returns a *ClosedError once this process was taken for dead. A process
+// with an error is not ready, and has to be restarted.
+func (c *Client) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, sh := range c.shards {
+		if sh.closed.Load() {
+			return &ClosedError{Incarnation: c.incarnation, Shard: sh.number}
+		}
+	}
+	return nil
+}
+
 // shard returns a shard, and begins to read its stream on first use.
 func (c *Client) shard(number int) *shard {
 	c.mu.Lock()
--- a/services/ledger/client_test.go
+++ b/services/ledger/client_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/crocusline/crocusline/coordination/once"
 	"github.com/crocusline/crocusline/kernel"
 	model "github.com/crocusline/crocusline/models/ledger"
@@ -245,3 +247,44 @@
 		}
 	})
 }
+
+func TestReturnOutlivesOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := platformtest.New()
+		c := start(t, "entry1", log)
+		topUp(t, c, "clinic", 1000)
+		c.Release("clinic", reserve(t, c, "clinic", 100))
+		log.SetDown(true)
+		time.Sleep(30 * time.Second)
+		log.SetDown(false)
+		time.Sleep(10 * time.Second)
+		if b := budget(t, c, "clinic"); b.Outstanding != 0 || b.Free() != 1000 {
+			t.Fatalf("budget %+v", b)
+		}
+	})
+}
+
+func TestClosedClientSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := start(t, "entry1", platformtest.New())
+		topUp(t, c, "clinic", 1000)
+		hold := reserve(t, c, "clinic", 100)
+		if err := c.Err(); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Post(t.Context(), hold.Shard, model.CloseHolder{Holder: "entry1/1"}); err != nil {
+			t.Fatal(err)
+		}
+		var closed *ledger.ClosedError
+		if err := c.Err(); !errors.As(err, &closed) || closed.Shard != hold.Shard {
+			t.Errorf("error %v", err)
+		}
+		_, err := c.Reserve(t.Context(), "clinic", 10)
+		if why, ok := refusal.As(err); !ok || why.Reason != refusal.Fenced || why.Outcome != refusal.NotRun {
+			t.Errorf("error %v", err)
+		}
+		if closed, err := c.Closed(t.Context(), hold); err != nil || !closed {
+			t.Errorf("closed %v, error %v", closed, err)
+		}
+	})
+}
--- a/services/ledger/reserve.go
+++ b/services/ledger/reserve.go
@@ -33,6 +33,8 @@
 
 	mu        sync.Mutex
 	allowance *allowance.Allowance
+	// returning is the last return, while the stream may not hold it yet.
+	returning *ledger.Return
 	// recalled is when a grant of this process was last refused.
 	recalled time.Time
 }
@@ -64,13 +66,16 @@
 	if tokens <= 0 {
 		return ledger.Hold{}, refusal.New(refusal.InvalidRequest, 0, "ask for at least one token")
 	}
+	sh := c.shard(c.ShardOf(workspace))
+	if sh.closed.Load() {
+		return ledger.Hold{}, refusal.New(refusal.Fenced, retryLog, "this instance was taken for dead; retry at another one")
+	}
 	a := c.account(workspace)
 	a.mu.Lock()
 	a.allowance.Use(time.Now(), tokens)
 	covered := a.allowance.Cut(tokens)
 	low := a.allowance.Refill(time.Now(), math.MaxInt64) > 0
 	a.mu.Unlock()
-	sh := c.shard(c.ShardOf(workspace))
 	if !covered {
 		if err := c.draw(ctx, sh, a, tokens); err != nil {
 			return ledger.Hold{}, err
@@ -155,10 +160,15 @@
 	return exhausted(sh.view(a.workspace, c.incarnation).budget)
 }
 
-// grant appends one grant and takes over what the shard's state says then.
+// grant appends one grant and takes over what the shard's state says then. It
+// appends none if a release has made the allowance cover the hold meanwhile.
 func (c *Client) grant(ctx context.Context, sh *shard, a *account, tokens int64) error {
 	free := sh.view(a.workspace, c.incarnation).budget.Free()
 	a.mu.Lock()
+	if a.allowance.Free() >= tokens {
+		a.mu.Unlock()
+		return nil
+	}
 	entry := ledger.Grant{
 		Workspace: a.workspace,
 		Holder:    c.incarnation,
--- a/services/ledger/shard.go
+++ b/services/ledger/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/crocusline/crocusline/models/allowance"
@@ -18,6 +19,8 @@
 	holds *holds
 	// short takes the workspaces whose budget did not cover a grant.
 	short chan<- string
+	// closed says that the shard's owner took this process for dead.
+	closed atomic.Bool
 }
 
 // Apply implements stream.Fold. A malformed body has no effect anywhere.
@@ -38,6 +41,10 @@
 	switch e := entry.(type) {
 	case ledger.Bill:
 		s.holds.settle(e.Hold)
+	case ledger.CloseHolder:
+		if e.Holder == s.holds.holder {
+			s.closed.Store(true)
+		}
 	case ledger.Grant:
 		if effect == ledger.Uncovered {
 			select {
@@ -58,7 +65,13 @@
 		*s.state = *ledger.New()
 		return nil
 	}
-	return s.state.Restore(data)
+	if err := s.state.Restore(data); err != nil {
+		return err
+	}
+	if s.state.Closed(s.holds.holder) {
+		s.closed.Store(true)
+	}
+	return nil
 }
 
 // view returns a workspace's budget and this process's account.
--- a/services/stream/append.go
+++ b/services/stream/append.go
@@ -215,7 +215,7 @@
 // resolve appends the record, with the same sequence number again and again,
 // until it was read back or nobody waits for it any more.
 func (s *Stream) resolve(ctx context.Context, batch []*item, answer chan verdict) (verdict, error) {
-	pause := newBackoff()
+	pause := s.newBackoff()
 	for {
 		wait, err := s.attempt(ctx, batch)
 		if err != nil {
--- a/services/stream/stream.go
+++ b/services/stream/stream.go
@@ -132,12 +132,17 @@
 // stagger lengthens a schedule by up to its own length, by the incarnation, so
 // that of several processes one writes the checkpoint and the others see it.
 func stagger(s fence.Schedule, incarnation string) fence.Schedule {
+	part := share(incarnation)
+	s.Records += int64(part * float64(s.Records))
+	s.Interval += time.Duration(part * float64(s.Interval))
+	return s
+}
+
+// share returns a number from 0 up to 1 that differs between incarnations.
+func share(incarnation string) float64 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(incarnation))
-	share := float64(h.Sum32()) / (1 << 32)
-	s.Records += int64(share * float64(s.Records))
-	s.Interval += time.Duration(share * float64(s.Interval))
-	return s
+	return float64(h.Sum32()) / (1 << 32)
 }
 
 // Name implements kernel.Service.
--- a/services/stream/tail.go
+++ b/services/stream/tail.go
@@ -16,16 +16,19 @@
 	maxBackoff = 2 * time.Second
 )
 
-func newBackoff() *backoff.ExponentialBackOff {
+// newBackoff returns pauses that differ between processes and are the same in
+// each run of one process, so that a simulation can be repeated.
+func (s *Stream) newBackoff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = minBackoff
+	b.RandomizationFactor = 0
+	b.InitialInterval = minBackoff + time.Duration(share(s.incarnation)*float64(minBackoff))
 	b.MaxInterval = maxBackoff
 	return b
 }
 
 // tail folds the stream until the context ends.
 func (s *Stream) tail(ctx context.Context) {
-	pause := newBackoff()
+	pause := s.newBackoff()
 	booted := false
 	for ctx.Err() == nil {
 		var err error
