--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,10 @@
 	$(GO) build -modfile=tools/go.mod -o bin/ connectrpc.com/connect/cmd/protoc-gen-connect-go google.golang.org/protobuf/cmd/protoc-gen-go golang.org/x/tools/cmd/stringer github.com/bufbuild/buf/cmd/buf
 	PATH=$(CURDIR)/bin:$$PATH buf generate
 	PATH=$(CURDIR)/bin:$$PATH $(GO) generate ./...
+
+# Seeded faults in virtual time. SEEDS is the number of seeds, FROM the first.
+SEEDS ?= 10000
+FROM ?= 0
+.PHONY: soak
+soak:
+	$(GO) test ./tests/simulation -run TestSeeds -count=1 -timeout 6h -v -args -seeds=$(SEEDS) -from=$(FROM)
