Find and fence idempotent requests by their id alone

Cause: an entry that gives up a request has a hold that no one settles. It could not learn from the sidecar that the hold is safe to settle by a zero bill: a key was needed, a cancelled run was forgotten, and an acknowledged answer whose bill was still owed looked as if it had never been seen.

Change: Inquire names idempotent work by its request id. With fence it strikes the request's hold: its relays are cut, another waiting request pays, later calls of the id are refused. "ran" is answered while a bill is due or owed, and while a last frame is on its way. Fences are bounded by number and age (16384, 10 minutes). A request id that names another request is refused.

Ruled out: cancelling the run on a fence, since a retry under the same key may wait for it.

--- a/models/run/book.go
+++ b/models/run/book.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"time"
 
-	"github.com/crocusline/crocusline/models/ledger"
 	"github.com/crocusline/crocusline/models/refusal"
 )
 
@@ -28,6 +27,10 @@
 	Attempts int
 	// AttemptAge is how long an ended attempt is remembered at least.
 	AttemptAge time.Duration
+	// Fences is the number of fenced idempotent requests that are remembered.
+	Fences int
+	// FenceAge is how long a fenced idempotent request is remembered at least.
+	FenceAge time.Duration
 }
 
 // DefaultLimits returns the limits of a sidecar with little memory.
@@ -41,6 +44,8 @@
 		Bills:       1 << 14,
 		Attempts:    1 << 16,
 		AttemptAge:  24 * time.Hour,
+		Fences:      1 << 14,
+		FenceAge:    10 * time.Minute,
 	}
 }
 
@@ -59,11 +64,14 @@
 	byRequest map[string]*record
 	fenced    map[string]bool
 	attempts  attemptLog
-	draining  bool
-	evicted   []Action
-	// unsettled maps the runs whose bill the ledger does not hold yet to the
-	// holder that pays.
-	unsettled map[ID]string
+	// requests remembers the fenced idempotent requests.
+	requests attemptLog
+	draining bool
+	evicted  []Action
+	// unsettled maps the runs whose bill the ledger does not hold yet to who
+	// pays, and owed the request whose hold pays to the run.
+	unsettled map[ID]payer
+	owed      map[string]ID
 
 	open      int
 	kept      int
@@ -81,8 +89,10 @@
 		byID:        map[identity]*record{},
 		byRequest:   map[string]*record{},
 		fenced:      map[string]bool{},
-		unsettled:   map[ID]string{},
+		unsettled:   map[ID]payer{},
+		owed:        map[string]ID{},
 		attempts:    newAttemptLog(limits.Attempts, limits.AttemptAge),
+		requests:    newAttemptLog(limits.Fences, limits.FenceAge),
 	}
 }
 
@@ -98,7 +108,11 @@
 	if err := b.check(&req); err != nil {
 		return Admission{}, err
 	}
-	if rec := b.byID[req.identity()]; rec != nil {
+	rec := b.byID[req.identity()]
+	if other := b.byRequest[req.ID]; other != nil && other != rec {
+		return Admission{}, refusal.New(refusal.InvalidRequest, 0, "The request id names another request here.")
+	}
+	if rec != nil {
 		return b.join(rec, req)
 	}
 	if !req.Idempotent {
@@ -129,6 +143,9 @@
 	if req.ID == "" {
 		return refusal.New(refusal.InvalidRequest, 0, "The request has no id.")
 	}
+	if b.requests.state(attemptID{requestID: req.ID}) == Fenced {
+		return refusal.New(refusal.Fenced, 0, "The request was fenced at this server.")
+	}
 	return nil
 }
 
@@ -157,7 +174,7 @@
 		id:       b.lastRun,
 		request:  req,
 		state:    Queued,
-		payer:    req.Hold,
+		payer:    payer{hold: req.Hold, requestID: req.ID},
 		deadline: req.Deadline,
 		relays:   map[RelayID]*relay{},
 	}
@@ -172,8 +189,8 @@
 		return Admission{}, refusal.New(refusal.KeyReused, 0,
 			"The idempotency key was used with other content: use a new key.")
 	}
-	if rec.payer == (ledger.Hold{}) && rec.charge == chargeNone {
-		rec.payer = req.Hold
+	if rec.payer == (payer{}) && rec.charge == chargeNone {
+		rec.payer = payer{hold: req.Hold, requestID: req.ID}
 	}
 	if req.Deadline.After(rec.deadline) {
 		rec.deadline = req.Deadline
@@ -225,27 +242,3 @@
 	}
 	return NotSeen
 }
-
-// Inquire returns the state of a request. With fence set, an attempt of
-// non-idempotent work that was not seen is never run afterwards.
-func (b *Book) Inquire(now time.Time, name Name, fence bool) (State, error) {
-	if name.Key == "" {
-		if rec := b.byRequest[name.RequestID]; rec != nil {
-			return rec.state, nil
-		}
-		return NotSeen, nil
-	}
-	rec := b.byID[identity{workspace: name.Workspace, key: name.Key}]
-	if rec != nil && rec.request.Attempt == name.Attempt {
-		return rec.state, nil
-	}
-	id := attemptID{workspace: name.Workspace, key: name.Key, attempt: name.Attempt}
-	if state := b.attempts.state(id); state != NotSeen || !fence {
-		return state, nil
-	}
-	if !b.attempts.room(now) {
-		return NotSeen, refusal.New(refusal.QueueFull, busyRetry, "The server remembers all the attempts it can.")
-	}
-	b.attempts.add(now, id, Fenced)
-	return Fenced, nil
-}
--- a/models/run/book_test.go
+++ b/models/run/book_test.go
@@ -235,10 +235,10 @@
 
 func TestFencedAttemptIsNeverRunAndTheNextMay(t *testing.T) {
 	b := newTestBook(DefaultLimits())
-	if s, _ := b.Inquire(start, attempt1, false); s != NotSeen {
+	if s, _, _ := b.Inquire(start, attempt1, false); s != NotSeen {
 		t.Errorf("state = %s, want notSeen", s)
 	}
-	if s, _ := b.Inquire(start, attempt1, true); s != Fenced {
+	if s, _, _ := b.Inquire(start, attempt1, true); s != Fenced {
 		t.Errorf("state = %s, want fenced", s)
 	}
 	wantRefusal(t, b, booking("r1", "k", "entry/a", 1), refusal.Fenced, refusal.NotRun)
@@ -250,11 +250,11 @@
 func TestSeenAttemptIsNotFenced(t *testing.T) {
 	b := newTestBook(DefaultLimits())
 	adm := submit(t, b, booking("r1", "k", "entry/a", 1))
-	if s, _ := b.Inquire(start, attempt1, true); s != Queued {
+	if s, _, _ := b.Inquire(start, attempt1, true); s != Queued {
 		t.Errorf("state = %s, want queued", s)
 	}
 	finish(t, b, adm)
-	if s, _ := b.Inquire(start, attempt1, true); s != Ran {
+	if s, _, _ := b.Inquire(start, attempt1, true); s != Ran {
 		t.Errorf("state = %s, want ran", s)
 	}
 }
--- a/models/run/fence.go
+++ b/models/run/fence.go
@@ -1,10 +1,6 @@
 package run
 
-import (
-	"time"
-
-	"github.com/crocusline/crocusline/models/ledger"
-)
+import "time"
 
 // FenceEntry refuses all later requests of an entry incarnation and cuts its
 // relays. settled says that no hold of the entry can be charged by this sidecar
@@ -13,29 +9,29 @@
 	b.fenced[entry] = true
 	settled = true
 	for _, rec := range b.runs {
-		actions = append(actions, b.cutRelays(now, rec, entry)...)
+		actions = append(actions, b.cutRelays(now, rec, func(r *relay) bool { return r.hold.Holder == entry })...)
 		b.passPayer(rec)
-		if rec.payer.Holder == entry && rec.chargeable() {
+		if rec.payer.hold.Holder == entry && rec.chargeable() {
 			settled = false
 		}
 	}
-	for _, holder := range b.unsettled {
-		if holder == entry {
+	for _, p := range b.unsettled {
+		if p.hold.Holder == entry {
 			settled = false
 		}
 	}
 	return settled, actions
 }
 
-// cutRelays ends the relays of a fenced entry that have no last frame on its
-// way. Non-idempotent work is charged in any case, so its relays may go on.
-func (b *Book) cutRelays(now time.Time, rec *record, entry string) []Action {
+// cutRelays ends the fenced relays that have no last frame on its way.
+// Non-idempotent work is charged in any case, so its relays may go on.
+func (b *Book) cutRelays(now time.Time, rec *record, isFenced func(*relay) bool) []Action {
 	if !rec.request.Idempotent {
 		return nil
 	}
 	var actions []Action
 	for id, r := range rec.relays {
-		if r.hold.Holder == entry && !r.handing {
+		if isFenced(r) && !r.handing {
 			delete(rec.relays, id)
 			delete(b.relays, id)
 			actions = append(actions, Cut{Relay: id})
@@ -47,13 +43,18 @@
 	return actions
 }
 
-// passPayer makes another relay's hold pay when the payer's entry was fenced
-// before the bill was due.
+// isFenced reports whether the payer's entry or request was fenced.
+func (b *Book) isFenced(p payer) bool {
+	return b.fenced[p.hold.Holder] || b.requests.state(attemptID{requestID: p.requestID}) == Fenced
+}
+
+// passPayer makes another relay's hold pay when the payer was fenced before the
+// bill was due.
 func (b *Book) passPayer(rec *record) {
-	if !b.fenced[rec.payer.Holder] || rec.charge != chargeNone || !rec.request.Idempotent || rec.handing() {
+	if !b.isFenced(rec.payer) || rec.charge != chargeNone || !rec.request.Idempotent || rec.handing() {
 		return
 	}
-	rec.payer = ledger.Hold{}
+	rec.payer = payer{}
 	var next *relay
 	for _, r := range rec.relays {
 		if next == nil || r.id < next.id {
@@ -61,7 +62,7 @@
 		}
 	}
 	if next != nil {
-		rec.payer = next.hold
+		rec.payer = payer{hold: next.hold, requestID: next.requestID}
 	}
 }
 
--- /dev/null
+++ b/models/run/inquire_test.go
@@ -0,0 +1,133 @@
+package run
+
+import (
+	"testing"
+	"time"
+
+	"github.com/crocusline/crocusline/models/refusal"
+)
+
+func inquire(t *testing.T, b *Book, requestID string, fence bool) (State, []Action) {
+	t.Helper()
+	state, actions, err := b.Inquire(start, Name{RequestID: requestID}, fence)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return state, actions
+}
+
+func wantState(t *testing.T, b *Book, requestID string, fence bool, want State) {
+	t.Helper()
+	if got, _ := inquire(t, b, requestID, fence); got != want {
+		t.Errorf("Inquire(%s, %t) = %s, want %s", requestID, fence, got, want)
+	}
+}
+
+func TestRequestIsFoundAndFencedByItsIDAlone(t *testing.T) {
+	for _, key := range []string{"", "k"} {
+		b := newTestBook(DefaultLimits())
+		wantState(t, b, "r1", false, NotSeen)
+		adm := submit(t, b, draft("r1", key, "entry/a", 1))
+		wantState(t, b, "r1", false, Queued)
+		b.Start(adm.Run)
+		wantState(t, b, "r1", false, Running)
+		if state, acts := inquire(t, b, "r1", true); state != Fenced || len(acts) != 1 || acts[0] != (Cut{Relay: adm.Relay}) {
+			t.Errorf("key %q: Inquire = %s, %v, want fenced and the relay cut", key, state, acts)
+		}
+		b.Finish(start, adm.Run, Result{OutputTokens: 20})
+		if _, ok := b.HandOver(adm.Relay); ok {
+			t.Errorf("key %q: handover of a fenced request", key)
+		}
+		wantRefusal(t, b, draft("r1", key, "entry/a", 1), refusal.Fenced, refusal.NotRun)
+	}
+}
+
+func TestCancelledRequestIsFenced(t *testing.T) {
+	limits := DefaultLimits()
+	b := newTestBook(limits)
+	adm := submit(t, b, draft("r1", "k", "entry/a", 1))
+	b.Start(adm.Run)
+	b.CloseRelay(start, adm.Relay, false)
+	b.Advance(start.Add(limits.Grace))
+	wantState(t, b, "r1", false, NotSeen)
+	wantState(t, b, "r1", true, Fenced)
+	wantRefusal(t, b, draft("r1", "k", "entry/a", 1), refusal.Fenced, refusal.NotRun)
+	if retry := submit(t, b, draft("r2", "k", "entry/b", 2)); !retry.New {
+		t.Error("a retry under the same key was not started")
+	}
+}
+
+func TestBillOwedIsRanUntilItIsSettled(t *testing.T) {
+	limits := DefaultLimits()
+	b := newTestBook(limits)
+	adm := submit(t, b, draft("r1", "k", "entry/a", 1))
+	finish(t, b, adm)
+	if _, ok := b.HandOver(adm.Relay); !ok {
+		t.Fatal("HandOver refused")
+	}
+	wantState(t, b, "r1", true, Ran)
+	b.CloseRelay(start, adm.Relay, true)
+	wantState(t, b, "r1", true, Ran)
+	b.Acknowledge(start, "r1")
+	b.Advance(start.Add(limits.Grace))
+	if _, known := b.Request(adm.Run); known {
+		t.Fatal("acknowledged answer still kept")
+	}
+	wantState(t, b, "r1", true, Ran)
+	b.Settle(adm.Run)
+	wantState(t, b, "r1", true, Fenced)
+}
+
+func TestFenceOfThePayerMakesTheRetryPay(t *testing.T) {
+	b := newTestBook(DefaultLimits())
+	first := submit(t, b, draft("r1", "k", "entry/a", 1))
+	retry := submit(t, b, draft("r2", "k", "entry/a", 2))
+	b.CloseRelay(start, first.Relay, false)
+	wantState(t, b, "r1", true, Fenced)
+	finish(t, b, first)
+	_, acts := handOver(t, b, retry)
+	if got := bills(acts); len(got) != 1 || got[0].Hold.Sequence != 2 {
+		t.Fatalf("bills = %+v, want the retry's hold to pay", got)
+	}
+	wantState(t, b, "r2", true, Ran)
+}
+
+func TestFenceOfAJoinedRetryLeavesTheRunAlone(t *testing.T) {
+	b := newTestBook(DefaultLimits())
+	first := submit(t, b, draft("r1", "k", "entry/a", 1))
+	submit(t, b, draft("r2", "k", "entry/b", 2))
+	wantState(t, b, "r2", true, Fenced)
+	finish(t, b, first)
+	if _, acts := handOver(t, b, first); len(bills(acts)) != 1 || bills(acts)[0].Hold.Sequence != 1 {
+		t.Errorf("actions = %v, want the first hold to pay", acts)
+	}
+}
+
+func TestFencesAreBounded(t *testing.T) {
+	limits := DefaultLimits()
+	limits.Fences = 1
+	b := newTestBook(limits)
+	wantState(t, b, "r1", true, Fenced)
+	if _, _, err := b.Inquire(start, Name{RequestID: "r2"}, true); err == nil {
+		t.Error("one fence too many was taken")
+	}
+	if s, _, err := b.Inquire(start.Add(limits.FenceAge), Name{RequestID: "r2"}, true); err != nil || s != Fenced {
+		t.Errorf("Inquire = %s, %v after the old fence aged", s, err)
+	}
+	if _, _, err := b.Inquire(start, Name{Workspace: "clinic", Key: "k"}, true); err == nil {
+		t.Error("a fence without a request id or an attempt was taken")
+	}
+}
+
+func TestRequestIDOfAnotherRequestIsRefused(t *testing.T) {
+	b := newTestBook(DefaultLimits())
+	submit(t, b, draft("r1", "k1", "entry/a", 1))
+	wantRefusal(t, b, draft("r1", "k2", "entry/a", 2), refusal.InvalidRequest, refusal.NotRun)
+}
+
+func TestFenceAgeOutlivesTheGraceTime(t *testing.T) {
+	limits := DefaultLimits()
+	if limits.FenceAge < limits.Grace+time.Minute {
+		t.Errorf("FenceAge = %s with a grace time of %s", limits.FenceAge, limits.Grace)
+	}
+}
--- a/models/run/progress.go
+++ b/models/run/progress.go
@@ -89,7 +89,7 @@
 		PromptTokens: rec.result.PromptTokens,
 		OutputTokens: rec.result.OutputTokens,
 		BilledTokens: rec.billed(),
-		Hold:         rec.payer,
+		Hold:         rec.payer.hold,
 		Body:         rec.result.Body,
 		Replayed:     r.replayed,
 	}, true
@@ -121,14 +121,15 @@
 		return nil
 	}
 	rec.charge = chargeDue
-	b.unsettled[rec.id] = rec.payer.Holder
+	b.unsettled[rec.id] = rec.payer
+	b.owed[rec.payer.requestID] = rec.id
 	req := &rec.request
 	entries := []ledger.Entry{ledger.Bill{
 		RequestID: req.ID,
 		Workspace: req.Workspace,
 		Kind:      req.Kind,
 		Key:       req.Key,
-		Hold:      rec.payer,
+		Hold:      rec.payer.hold,
 		Tokens:    rec.billed(),
 		Witness:   b.incarnation,
 		Server:    b.server,
@@ -136,7 +137,7 @@
 	if !req.Idempotent {
 		entries = append(entries, b.outcome(rec))
 	}
-	return []Action{Charge{Run: rec.id, Shard: rec.payer.Shard, Entries: entries}}
+	return []Action{Charge{Run: rec.id, Shard: rec.payer.hold.Shard, Entries: entries}}
 }
 
 func (b *Book) outcome(rec *record) ledger.Outcome {
@@ -154,6 +155,9 @@
 
 // Settle records that the ledger shard holds the bill of a run.
 func (b *Book) Settle(id ID) {
+	if p := b.unsettled[id]; b.owed[p.requestID] == id {
+		delete(b.owed, p.requestID)
+	}
 	delete(b.unsettled, id)
 	if rec := b.runs[id]; rec != nil {
 		rec.charge = chargeSettled
--- a/models/run/record.go
+++ b/models/run/record.go
@@ -30,11 +30,17 @@
 	interrupted time.Time
 	finished    time.Time
 	acked       time.Time
-	// payer is the hold that pays. It is empty after its entry was fenced.
-	payer  ledger.Hold
+	// payer is empty after it was fenced, until a retry joins.
+	payer  payer
 	charge chargeState
 }
 
+// payer is the hold that pays for a run, and the request that brought it.
+type payer struct {
+	hold      ledger.Hold
+	requestID string
+}
+
 // relay is one entry's stream of one answer.
 type relay struct {
 	id        RelayID
@@ -81,7 +87,7 @@
 	if cost == 0 {
 		cost = r.result.PromptTokens + r.result.OutputTokens
 	}
-	return min(cost, r.payer.Tokens)
+	return min(cost, r.payer.hold.Tokens)
 }
 
 // expiry returns when the run is cancelled or its answer forgotten, or the zero
--- a/models/run/request.go
+++ b/models/run/request.go
@@ -46,12 +46,13 @@
 	JoinOnly bool
 }
 
-// Name names a request to inquire about.
+// Name names a request to inquire about: idempotent work by RequestID alone,
+// with a caller's key or without, non-idempotent work by the rest.
 type Name struct {
-	Workspace string
-	// Key is the caller's idempotency key. Without one, RequestID counts.
-	Key       string
 	RequestID string
+	Workspace string
+	// Key is the caller's idempotency key.
+	Key string
 	// Attempt is the registered attempt of non-idempotent work, otherwise 0.
 	Attempt int64
 }
@@ -70,11 +71,13 @@
 	return identity{workspace: r.Workspace, key: r.Key}
 }
 
-// attemptID names one registered attempt of a non-idempotent request.
+// attemptID names one registered attempt of a non-idempotent request, or an
+// idempotent request by its id alone.
 type attemptID struct {
 	workspace string
 	key       string
 	attempt   int64
+	requestID string
 }
 
 func (r *Request) attemptID() attemptID {
--- a/modules/wire/peer/v1/peerv1connect/peer.connect.go
+++ b/modules/wire/peer/v1/peerv1connect/peer.connect.go
@@ -68,8 +68,10 @@
 	Run(context.Context, *connect.Request[v1.RunRequest]) (*connect.ServerStreamForClient[v1.RunResponse], error)
 	// Acknowledge says that the whole answer reached the caller.
 	Acknowledge(context.Context, *connect.Request[v1.AcknowledgeRequest]) (*connect.Response[v1.AcknowledgeResponse], error)
-	// Inquire asks what became of a request. With fence set, a request not seen
-	// is never run afterwards.
+	// Inquire asks what became of a request: idempotent work is named by its
+	// request id alone, other work by workspace, key and attempt. With fence set,
+	// an attempt not seen is never run afterwards, and the hold of an idempotent
+	// request is never charged afterwards unless its bill is due ("ran").
 	Inquire(context.Context, *connect.Request[v1.InquireRequest]) (*connect.Response[v1.InquireResponse], error)
 	// Fence refuses all later requests of an entry's incarnation, and says
 	// whether all its earlier ones are billed.
@@ -163,8 +165,10 @@
 	Run(context.Context, *connect.Request[v1.RunRequest], *connect.ServerStream[v1.RunResponse]) error
 	// Acknowledge says that the whole answer reached the caller.
 	Acknowledge(context.Context, *connect.Request[v1.AcknowledgeRequest]) (*connect.Response[v1.AcknowledgeResponse], error)
-	// Inquire asks what became of a request. With fence set, a request not seen
-	// is never run afterwards.
+	// Inquire asks what became of a request: idempotent work is named by its
+	// request id alone, other work by workspace, key and attempt. With fence set,
+	// an attempt not seen is never run afterwards, and the hold of an idempotent
+	// request is never charged afterwards unless its bill is due ("ran").
 	Inquire(context.Context, *connect.Request[v1.InquireRequest]) (*connect.Response[v1.InquireResponse], error)
 	// Fence refuses all later requests of an entry's incarnation, and says
 	// whether all its earlier ones are billed.
--- a/services/runner/loop.go
+++ b/services/runner/loop.go
@@ -90,7 +90,8 @@
 	case acknowledged:
 		e.reply <- l.book.Acknowledge(now, e.requestID)
 	case inquired:
-		state, err := l.book.Inquire(now, e.name, e.fence)
+		state, actions, err := l.book.Inquire(now, e.name, e.fence)
+		l.apply(now, actions)
 		e.reply <- inquireReply{state: state, err: err}
 	case fenced:
 		ok, actions := l.book.FenceEntry(now, e.entry)
--- a/services/runner/runner.go
+++ b/services/runner/runner.go
@@ -203,8 +203,8 @@
 	}
 }
 
-// Inquire returns the state of a request. With fence set, an attempt of
-// non-idempotent work that was not seen is never run afterwards.
+// Inquire returns the state of a request, and fences it if asked: see
+// run.Book.Inquire.
 func (r *Runner) Inquire(ctx context.Context, name run.Name, fence bool) (run.State, error) {
 	reply := make(chan inquireReply, 1)
 	if err := r.ask(ctx, inquired{name: name, fence: fence, reply: reply}); err != nil {
