--- a/models/table/rule.go
+++ b/models/table/rule.go
@@ -73,6 +73,7 @@
 
 func (t *Tables) checkPools() error {
 	kindOf := map[string]Kind{}
+	roleOf := map[string]string{}
 	for _, name := range slices.Sorted(maps.Keys(t.Pools)) {
 		pool := t.Pools[name]
 		if len(pool.Servers) == 0 {
@@ -91,6 +92,29 @@
 			}
 			kindOf[server] = pool.Kind
 		}
+		if err := checkEngines(name, pool, roleOf); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkEngines checks what a pool asks of its engines. roleOf holds the roles
+// that the pools before it gave.
+func checkEngines(name string, pool Pool, roleOf map[string]string) error {
+	if pool.Kind != Model && (pool.Role != "" || len(pool.Models) > 0) {
+		return &RuleError{Table: "pools", Name: name, Problem: "only a pool of kind model has models or a role"}
+	}
+	if pool.Role == "" {
+		return nil
+	}
+	for i, server := range pool.Servers {
+		if role, given := roleOf[server]; given && role != pool.Role {
+			field := fmt.Sprintf("servers[%d]", i)
+			problem := fmt.Sprintf("%q has role %s in another pool", server, role)
+			return &RuleError{Table: "pools", Name: name, Field: field, Problem: problem}
+		}
+		roleOf[server] = pool.Role
 	}
 	return nil
 }
--- a/models/table/table.go
+++ b/models/table/table.go
@@ -61,6 +61,11 @@
 	// Slots is how many requests each server runs at once. 0 leaves it to the
 	// sidecar's settings.
 	Slots int `json:"slots,omitempty" yaml:"slots" validate:"gte=0"`
+	// Models are the models, adapters and versions that each engine has to
+	// hold. None leaves the engine's own.
+	Models []string `json:"models,omitempty" yaml:"models" validate:"dive,required"`
+	// Role is the role of each engine. Empty leaves the engine's own.
+	Role string `json:"role,omitempty" yaml:"role"`
 }
 
 // Workspace is one customer, who pays from a budget of the same name.
--- a/models/table/table_test.go
+++ b/models/table/table_test.go
@@ -85,6 +85,8 @@
 		{"unknown kind", "pools", "kind: plain", "kind: plane", `pools.yaml:6: pools[dispatch].kind: unknown kind "plane"`},
 		{"server twice", "pools", "model-2", "model-1", `pools.yaml:4: pools[drafting].servers[1]: "model-1" stands twice`},
 		{"two kinds of server", "pools", "dispatch-1", "model-1", "pools.yaml:4: pools[drafting].servers[0]"},
+		{"two roles", "pools", "servers: [model-1, model-2]\n", "servers: [model-1, model-2]\n    role: prefill\n  other:\n    kind: model\n    servers: [model-2]\n    role: decode\n", `pools.yaml:8: pools[other].servers[0]: "model-2" has role prefill in another pool`},
+		{"role of a service", "pools", "kind: plain\n", "kind: plain\n    role: decode\n", "pools.yaml:5: pools[dispatch]: only a pool of kind model"},
 		{"no server", "pools", "[dispatch-1]", "[]", "pools.yaml:7: pools[dispatch].servers"},
 		{"plain token", "workspaces", table.HashToken("secret"), "secret", `workspaces.yaml:3: workspaces[mackay].tokens[0]: "secret" is not a SHA-256`},
 	}
