--- a/models/ledger/entry.go
+++ b/models/ledger/entry.go
@@ -32,23 +32,26 @@
 // Grant moves tokens from the budget to an entry instance's allowance. It has
 // no effect when the budget does not cover it.
 type Grant struct {
-	ID        string `json:"id"`
 	Workspace string `json:"workspace"`
 	Holder    string `json:"holder"`
-	Tokens    int64  `json:"tokens"`
+	// Sequence numbers the holder's grants and returns in one workspace, from
+	// 1. One that is not above the last has no effect.
+	Sequence uint64 `json:"sequence"`
+	Tokens   int64  `json:"tokens"`
 }
 
 // Return moves unspent tokens from an allowance back to the budget.
 type Return struct {
-	ID        string `json:"id"`
 	Workspace string `json:"workspace"`
 	Holder    string `json:"holder"`
-	Tokens    int64  `json:"tokens"`
+	// Sequence is numbered together with the holder's grants.
+	Sequence uint64 `json:"sequence"`
+	Tokens   int64  `json:"tokens"`
 }
 
 // Bill settles a hold: Tokens are spent, the rest of the hold goes back to the
-// budget. The first bill of a hold counts, and the first bill of a caller's key
-// within the deduplication window.
+// budget. The first bill of a hold counts, and the first bill of a request (by
+// the caller's key, or else the request's id) within KeyWindow.
 type Bill struct {
 	RequestID string `json:"requestId"`
 	Workspace string `json:"workspace"`
@@ -63,8 +66,19 @@
 	Server  string `json:"server"`
 }
 
+// identity names the request that the bill is for. A request that went on at
+// another server has a hold there and here, but one identity.
+func (b Bill) identity() string {
+	if b.Key != "" {
+		return "key:" + b.Key
+	}
+	return "request:" + b.RequestID
+}
+
 // Register registers an attempt of a non-idempotent request at one sidecar.
 type Register struct {
+	// ID tells the calls that tried to register apart.
+	ID        string `json:"id"`
 	Workspace string `json:"workspace"`
 	Key       string `json:"key"`
 	Digest    []byte `json:"digest"`
