Find idempotent requests by their key again

Change: workspace and key find the request; a fence needs its id. A test of the book asks by key. Ruled out: fencing by key, since a key has many requests, each with a hold of its own.

--- a/models/run/inquire.go
+++ b/models/run/inquire.go
@@ -14,11 +14,17 @@
 // is so. A run that other
 // requests wait for goes on, and theirs pays.
 func (b *Book) Inquire(now time.Time, name Name, fence bool) (State, []Action, error) {
-	if name.Attempt == 0 {
+	switch {
+	case name.Attempt != 0:
+		state, err := b.inquireAttempt(now, name, fence)
+		return state, nil, err
+	case name.RequestID != "":
 		return b.inquireRequest(now, name.RequestID, fence)
+	case name.Key == "" || fence:
+		return NotSeen, nil, refusal.New(refusal.InvalidRequest, 0, "Name the request by its id, or the attempt by its key and number.")
+	default:
+		return b.byID[identity{workspace: name.Workspace, key: name.Key}].stateOrNotSeen(), nil, nil
 	}
-	state, err := b.inquireAttempt(now, name, fence)
-	return state, nil, err
 }
 
 func (b *Book) inquireAttempt(now time.Time, name Name, fence bool) (State, error) {
@@ -38,9 +44,6 @@
 }
 
 func (b *Book) inquireRequest(now time.Time, requestID string, fence bool) (State, []Action, error) {
-	if requestID == "" {
-		return NotSeen, nil, refusal.New(refusal.InvalidRequest, 0, "Name the request by its id, or the attempt by its key and number.")
-	}
 	if _, owed := b.owed[requestID]; owed {
 		return Ran, nil, nil
 	}
@@ -73,6 +76,7 @@
 	return rec.payer.requestID != requestID || rec.charge == chargeNone && !rec.handing()
 }
 
+// stateOrNotSeen returns the state of a run that may be missing.
 func (r *record) stateOrNotSeen() State {
 	if r == nil {
 		return NotSeen
--- a/models/run/inquire_test.go
+++ b/models/run/inquire_test.go
@@ -103,6 +103,18 @@
 	}
 }
 
+func TestRequestIsFoundByItsKey(t *testing.T) {
+	b := newTestBook(DefaultLimits())
+	name := Name{Workspace: "clinic", Key: "k"}
+	if s, _, err := b.Inquire(start, name, false); err != nil || s != NotSeen {
+		t.Errorf("Inquire = %s, %v, want notSeen", s, err)
+	}
+	submit(t, b, draft("r1", "k", "entry/a", 1))
+	if s, _, err := b.Inquire(start, name, false); err != nil || s != Queued {
+		t.Errorf("Inquire = %s, %v, want queued", s, err)
+	}
+}
+
 func TestFencesAreBounded(t *testing.T) {
 	limits := DefaultLimits()
 	limits.Fences = 1
--- a/models/run/request.go
+++ b/models/run/request.go
@@ -47,7 +47,9 @@
 }
 
 // Name names a request to inquire about: idempotent work by RequestID alone,
-// with a caller's key or without, non-idempotent work by the rest.
+// with a caller's key or without, non-idempotent work by the rest. Idempotent
+// work that was sent under another id is found by Workspace and Key, but not
+// fenced.
 type Name struct {
 	RequestID string
 	Workspace string
--- a/modules/wire/peer/v1/peerv1connect/peer.connect.go
+++ b/modules/wire/peer/v1/peerv1connect/peer.connect.go
@@ -69,7 +69,8 @@
 	// Acknowledge says that the whole answer reached the caller.
 	Acknowledge(context.Context, *connect.Request[v1.AcknowledgeRequest]) (*connect.Response[v1.AcknowledgeResponse], error)
 	// Inquire asks what became of a request: idempotent work is named by its
-	// request id alone, other work by workspace, key and attempt. With fence set,
+	// request id alone (or found, not fenced, by workspace and key), other work by
+	// workspace, key and attempt. With fence set,
 	// an attempt not seen is never run afterwards, and the hold of an idempotent
 	// request is never charged afterwards unless its bill is due ("ran").
 	Inquire(context.Context, *connect.Request[v1.InquireRequest]) (*connect.Response[v1.InquireResponse], error)
@@ -166,7 +167,8 @@
 	// Acknowledge says that the whole answer reached the caller.
 	Acknowledge(context.Context, *connect.Request[v1.AcknowledgeRequest]) (*connect.Response[v1.AcknowledgeResponse], error)
 	// Inquire asks what became of a request: idempotent work is named by its
-	// request id alone, other work by workspace, key and attempt. With fence set,
+	// request id alone (or found, not fenced, by workspace and key), other work by
+	// workspace, key and attempt. With fence set,
 	// an attempt not seen is never run afterwards, and the hold of an idempotent
 	// request is never charged afterwards unless its bill is due ("ran").
 	Inquire(context.Context, *connect.Request[v1.InquireRequest]) (*connect.Response[v1.InquireResponse], error)
