--- /dev/null
+++ b/tests/sidecar/world_test.go
@@ -0,0 +1,330 @@
+// Package sidecar_test proves whole answers, bills, planned stops and work that
+// runs at most once, with the real sidecar and dispatch code before the
+// stand-ins of engine and plain service, in virtual time.
+package sidecar_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/crocusline/crocusline/kernel"
+	model "github.com/crocusline/crocusline/models/ledger"
+	"github.com/crocusline/crocusline/models/placement"
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/table"
+	"github.com/crocusline/crocusline/modules/platform/platformtest"
+	commonv1 "github.com/crocusline/crocusline/modules/wire/common/v1"
+	"github.com/crocusline/crocusline/modules/wire/peer/v1/peerv1connect"
+	"github.com/crocusline/crocusline/routers/peer"
+	"github.com/crocusline/crocusline/services/billing"
+	"github.com/crocusline/crocusline/services/dispatch"
+	"github.com/crocusline/crocusline/services/drain"
+	"github.com/crocusline/crocusline/services/ledger"
+	"github.com/crocusline/crocusline/services/receipt"
+	"github.com/crocusline/crocusline/services/runner"
+	"github.com/crocusline/crocusline/services/server"
+	"github.com/crocusline/crocusline/standin/engine"
+	"github.com/crocusline/crocusline/standin/service"
+)
+
+const (
+	// tokenTime is the time between two tokens of the engines.
+	tokenTime = 50 * time.Millisecond
+	// settleTime is enough for receipts, bills and idle allowances to settle.
+	settleTime = 2 * time.Minute
+	topUp      = 1_000_000
+	price      = 7
+)
+
+// world is the processes of one test.
+type world struct {
+	t   *testing.T
+	net *network
+	log *platformtest.Log
+
+	mu       sync.Mutex
+	sidecars map[string]*sidecar
+	last     byte
+}
+
+func newWorld(t *testing.T, workspaces ...string) *world {
+	w := &world{t: t, net: newNetwork(), log: platformtest.New(), sidecars: map[string]*sidecar{}}
+	admin := w.ledger("admin/1")
+	for _, ws := range workspaces {
+		entry := model.TopUp{ID: "top-up", Workspace: ws, Tokens: topUp}
+		if err := admin.Post(t.Context(), admin.ShardOf(ws), entry); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return w
+}
+
+// address returns an unused address.
+func (w *world) address() netip.AddrPort {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last++
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, w.last}), 80)
+}
+
+// ledger starts a process's part in the ledger.
+func (w *world) ledger(incarnation string) *ledger.Client {
+	w.t.Helper()
+	c := ledger.New(incarnation, w.log, ledger.WithShards(2))
+	if err := c.Start(context.Background(), nil); err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { w.close(c) })
+	return c
+}
+
+func (w *world) close(c interface{ Close() error }) {
+	if err := c.Close(); err != nil {
+		w.t.Error(err)
+	}
+}
+
+// budget returns a workspace's budget as the stream has it now.
+func (w *world) budget(workspace string) model.Budget {
+	w.t.Helper()
+	c := ledger.New("reader/1", w.log, ledger.WithShards(2))
+	if err := c.Start(context.Background(), nil); err != nil {
+		w.t.Fatal(err)
+	}
+	defer w.close(c)
+	b, err := c.Budget(w.t.Context(), workspace)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return b
+}
+
+// wantBills checks the bills of a workspace, and that all the rest of its
+// budget is free again.
+func (w *world) wantBills(workspace string, bills, tokens int64) {
+	w.t.Helper()
+	time.Sleep(settleTime)
+	b := w.budget(workspace)
+	if b.Bills != bills || b.Settled != tokens || b.Outstanding != 0 {
+		w.t.Errorf("%s: %d bills, %d tokens settled, %d outstanding, want %d, %d, 0",
+			workspace, b.Bills, b.Settled, b.Outstanding, bills, tokens)
+	}
+}
+
+// engine starts a model engine and returns its driver.
+func (w *world) engine(opts ...engine.Option) (*engine.Engine, server.Server) {
+	w.t.Helper()
+	e := engine.New(append([]engine.Option{engine.WithTokenInterval(tokenTime)}, opts...)...)
+	address := w.address()
+	w.net.serve(w.t, address.String(), e.Handler())
+	w.t.Cleanup(func() { w.close(e) })
+	return e, server.NewEngine(address, server.WithClient(w.net.client(w.t, true)))
+}
+
+// service starts a plain service and returns its driver.
+func (w *world) service() (*service.Service, server.Server) {
+	w.t.Helper()
+	s := service.New()
+	address := w.address()
+	w.net.serve(w.t, address.String(), s.Handler())
+	return s, server.NewPlain(address, server.WithClient(w.net.client(w.t, false)))
+}
+
+// mortalPoster stops posting once its process is dead.
+type mortalPoster struct {
+	*ledger.Client
+	mu   sync.Mutex
+	dead bool
+}
+
+var errDead = errors.New("process is dead")
+
+func (m *mortalPoster) die() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.dead = true
+}
+
+func (m *mortalPoster) Post(ctx context.Context, shard int, entries ...model.Entry) error {
+	m.mu.Lock()
+	dead := m.dead
+	m.mu.Unlock()
+	if dead {
+		return errDead
+	}
+	return m.Client.Post(ctx, shard, entries...)
+}
+
+// sidecar is one sidecar process.
+type sidecar struct {
+	server      string
+	incarnation string
+	backend     server.Server
+	kernel      *kernel.Kernel
+	runner      *runner.Runner
+	drain       *drain.Drainer
+	bills       *billing.Keeper
+	poster      *mortalPoster
+	host        *host
+	client      peerv1connect.SidecarServiceClient
+}
+
+// sidecar starts the sidecar of a backend server, in place of an earlier one.
+func (w *world) sidecar(name, incarnation string, backend server.Server, opts ...runner.Option) *sidecar {
+	w.t.Helper()
+	s := &sidecar{server: name, incarnation: incarnation, backend: backend}
+	s.poster = &mortalPoster{Client: w.ledger(incarnation)}
+	s.kernel = kernel.New(hclog.NewNullLogger())
+	s.bills = billing.New(billing.WithPoster(s.poster))
+	s.runner = runner.New(name, incarnation, server.Driver{Server: backend}, opts...)
+	s.drain = drain.New()
+	if err := s.kernel.Add(s.bills, s.runner, s.drain); err != nil {
+		w.t.Fatal(err)
+	}
+	if err := s.kernel.Start(context.Background()); err != nil {
+		w.t.Fatal(err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewSidecarServiceHandler(peer.NewSidecar(s.runner, nil)))
+	address := w.address().String()
+	s.host = w.net.serve(w.t, address, mux)
+	s.client = peerv1connect.NewSidecarServiceClient(w.net.client(w.t, true), "http://"+address)
+	w.t.Cleanup(func() { w.close(s.kernel) })
+	w.mu.Lock()
+	w.sidecars[name] = s
+	w.mu.Unlock()
+	return s
+}
+
+// kill ends a sidecar as a crash would: nothing more leaves it.
+func (s *sidecar) kill() {
+	s.poster.die()
+	s.host.kill()
+}
+
+// Sidecar implements dispatch.Directory.
+func (w *world) Sidecar(name string) (dispatch.Sidecar, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s, ok := w.sidecars[name]
+	if !ok {
+		return dispatch.Sidecar{}, false
+	}
+	return dispatch.Sidecar{Server: name, Incarnation: s.incarnation, Client: s.client}, true
+}
+
+// fixedChooser tries the servers in the order given.
+type fixedChooser []string
+
+func (f fixedChooser) Choose(_ string, r placement.Request) ([]string, error) {
+	left := slices.DeleteFunc(slices.Clone(f), func(s string) bool { return slices.Contains(r.Exclude, s) })
+	if len(left) == 0 {
+		return nil, refusal.New(refusal.NoServer, time.Second, "no server is left")
+	}
+	return left, nil
+}
+
+func (fixedChooser) Observe(string, string, *commonv1.Load) {}
+func (fixedChooser) Failed(string, string)                  {}
+func (fixedChooser) Succeeded(string, string)               {}
+
+// noCounters counts nothing.
+type noCounters struct{}
+
+func (noCounters) Retried(refusal.Reason) {}
+func (noCounters) ReceiptDropped()        {}
+func (noCounters) ReceiptWritten()        {}
+
+// entry is one entry process.
+type entry struct {
+	*dispatch.Dispatcher
+	receipts *receipt.Service
+	poster   *mortalPoster
+}
+
+func (w *world) entry(incarnation string, servers ...string) *entry {
+	w.t.Helper()
+	c := w.ledger(incarnation)
+	e := &entry{poster: &mortalPoster{Client: c}}
+	e.receipts = receipt.New(hclog.NewNullLogger(), e.poster, w, noCounters{})
+	if err := e.receipts.Start(context.Background(), nil); err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { w.close(e.receipts) })
+	e.Dispatcher = dispatch.New(incarnation, dispatch.WithLedger(c), dispatch.WithDirectory(w),
+		dispatch.WithChooser(fixedChooser(servers)), dispatch.WithRetries(dispatch.NewRetries()),
+		dispatch.WithReceipts(e.receipts), dispatch.WithCounters(noCounters{}))
+	return e
+}
+
+// sink is a caller that checks the order of its tokens.
+type sink struct {
+	mu     sync.Mutex
+	first  int64
+	tokens []string
+	// onToken is called after each delivery with the number of tokens so far.
+	onToken func(n int)
+}
+
+func (s *sink) Accepted(_, _ string, first int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.first, s.tokens = first, nil
+	return nil
+}
+
+func (s *sink) Tokens(first int64, tokens []string) error {
+	s.mu.Lock()
+	want := s.first + int64(len(s.tokens))
+	s.tokens = append(s.tokens, tokens...)
+	n := len(s.tokens)
+	s.mu.Unlock()
+	if first != want {
+		return fmt.Errorf("token %d delivered, want %d", first, want)
+	}
+	if s.onToken != nil {
+		s.onToken(n)
+	}
+	return nil
+}
+
+// draft runs a request for model work and hands its receipt over, as the
+// caller router does.
+func (e *entry) draft(ctx context.Context, req dispatch.Request, max int, to *sink, servers ...string) (dispatch.Answer, error) {
+	req.Kind = "draft"
+	return e.run(ctx, req, dispatch.Plan{
+		Route:     table.Route{Pool: "drafting", Idempotent: true, MaxTokens: max},
+		Servers:   servers,
+		MaxTokens: max,
+		Timeout:   time.Minute,
+		Weight:    1,
+		Cost:      int64(max + len(engine.Words(req.Prompt))),
+	}, to)
+}
+
+// book runs a booking.
+func (e *entry) book(ctx context.Context, workspace, key, body string) (dispatch.Answer, error) {
+	return e.run(ctx, dispatch.Request{Workspace: workspace, Kind: "booking", IdempotencyKey: key, Body: []byte(body)}, dispatch.Plan{
+		Route:   table.Route{Pool: "booking", Price: price},
+		Timeout: 10 * time.Second,
+		Weight:  1,
+		Cost:    price,
+	}, &sink{})
+}
+
+func (e *entry) run(ctx context.Context, req dispatch.Request, p dispatch.Plan, to *sink) (dispatch.Answer, error) {
+	answer, err := e.Dispatch(ctx, req, p, to)
+	if err == nil && answer.Receipt != nil {
+		e.receipts.Keep(*answer.Receipt)
+	}
+	return answer, err
+}
