Prove whole answers and work that runs at most once

The real sidecar, dispatch, receipts and ledger client run before the stand-ins of engine and plain service, over an in-memory network in virtual time. Answers are compared with engine.Answer, runs with the service's own record.

- A server lost in mid-stream three ways: resumed elsewhere, no token doubled or missing, one bill, no token left outstanding.
- Answers crossed and late: two workspaces, one key, each gets its own.
- A retry with the same key at another entry gets the rest of one run.

--- a/tests/sidecar/answer_test.go
+++ b/tests/sidecar/answer_test.go
@@ -115,7 +115,7 @@
 		for _, ws := range []string{"north", "south"} {
 			wg.Go(func() {
 				body := "bay of " + ws
-				answer, err := e.book(t.Context(), ws, "k", body)
+				answer, err := e.book(t.Context(), ws, "k", body, false)
 				var got service.Answer
 				if err != nil || json.Unmarshal(answer.Body, &got) != nil || got.BodyHash != service.BodyHash([]byte(body)) {
 					t.Errorf("%s: answer %s, %v", ws, answer.Body, err)
--- a/tests/sidecar/world_test.go
+++ b/tests/sidecar/world_test.go
@@ -4,9 +4,11 @@
 package sidecar_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -174,6 +176,7 @@
 	drain       *drain.Drainer
 	bills       *billing.Keeper
 	poster      *mortalPoster
+	late        *lateRuns
 	host        *host
 	client      peerv1connect.SidecarServiceClient
 }
@@ -196,7 +199,8 @@
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewSidecarServiceHandler(peer.NewSidecar(s.runner, nil)))
 	address := w.address().String()
-	s.host = w.net.serve(w.t, address, mux)
+	s.late = &lateRuns{next: mux}
+	s.host = w.net.serve(w.t, address, s.late)
 	s.client = peerv1connect.NewSidecarServiceClient(w.net.client(w.t, true), "http://"+address)
 	w.t.Cleanup(func() { w.close(s.kernel) })
 	w.mu.Lock()
@@ -205,6 +209,42 @@
 	return s
 }
 
+// lateRuns delivers Run calls late on command, also those whose caller is gone.
+type lateRuns struct {
+	next http.Handler
+
+	mu    sync.Mutex
+	delay time.Duration
+}
+
+// hold delays the next Run call.
+func (l *lateRuns) hold(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
+// take returns the delay of the call that came now.
+func (l *lateRuns) take() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	d := l.delay
+	l.delay = 0
+	return d
+}
+
+func (l *lateRuns) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == peerv1connect.SidecarServiceRunProcedure {
+		if d := l.take(); d > 0 {
+			body, _ := io.ReadAll(r.Body)
+			time.Sleep(d)
+			r = r.WithContext(context.WithoutCancel(r.Context()))
+			r.Body = io.NopCloser(bytes.NewReader(body))
+		}
+	}
+	l.next.ServeHTTP(w, r)
+}
+
 // kill ends a sidecar as a crash would: nothing more leaves it.
 func (s *sidecar) kill() {
 	s.poster.die()
@@ -311,9 +351,10 @@
 	}, to)
 }
 
-// book runs a booking.
-func (e *entry) book(ctx context.Context, workspace, key, body string) (dispatch.Answer, error) {
-	return e.run(ctx, dispatch.Request{Workspace: workspace, Kind: "booking", IdempotencyKey: key, Body: []byte(body)}, dispatch.Plan{
+// book runs a booking. retry says that it was sent before.
+func (e *entry) book(ctx context.Context, workspace, key, body string, retry bool) (dispatch.Answer, error) {
+	req := dispatch.Request{Workspace: workspace, Kind: "booking", IdempotencyKey: key, Body: []byte(body), Retry: retry}
+	return e.run(ctx, req, dispatch.Plan{
 		Route:   table.Route{Pool: "booking", Price: price},
 		Timeout: 10 * time.Second,
 		Weight:  1,
