--- a/modules/setting/policy.go
+++ b/modules/setting/policy.go
@@ -3,7 +3,7 @@
 // Policy says how work is placed and what each rank keeps under load.
 type Policy struct {
 	// Placement is the way a backend server is chosen.
-	Placement string `yaml:"placement" validate:"oneof=random roundRobin twoChoices affinity boundedAffinity"`
+	Placement string `yaml:"placement" validate:"oneof=random roundRobin twoChoices pureAffinity affinity"`
 	// Allowance is the way budget tokens are handed to entries.
 	Allowance string `yaml:"allowance" validate:"oneof=single static adaptive"`
 	// Floors are the shares of a server that ranks keep during a flood of more
@@ -23,7 +23,7 @@
 
 func defaultPolicy() Policy {
 	return Policy{
-		Placement:   "boundedAffinity",
+		Placement:   "affinity",
 		Allowance:   "adaptive",
 		Floors:      Floors{Normal: 0.2, Bulk: 0.05},
 		RetryBudget: 0.1,
--- a/standin/demo/fleet.go
+++ b/standin/demo/fleet.go
@@ -53,7 +53,7 @@
 		return err
 	}
 	for _, workspace := range []string{"clinics", "stores"} {
-		if _, err := d.crocusline(ctx, "topup", "--platform", platform, "--id", "demo-"+workspace, workspace, fmt.Sprint(topUpTokens)); err != nil {
+		if _, err := d.crocusline(ctx, "topup", "--platform", platform, "--shards", "4", "--id", "demo-"+workspace, workspace, fmt.Sprint(topUpTokens)); err != nil {
 			return err
 		}
 	}
