Give back idle tokens after the log was away

A return whose append failed was counted as returned and never sent again, so the idle allowance had no surplus left to give back until the entry next drew on the budget.

Change: a return that the shard has not decided is posted again under its own sequence number, which the fold takes once.

With the new condition turned off TestIdleTokensGoBackAfterAnOutage fails with 150 tokens outstanding.

--- a/services/ledger/balance.go
+++ b/services/ledger/balance.go
@@ -95,11 +95,15 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.allowance.Reconcile(v.sums)
+	if a.pending.Sequence > v.sums.Sequence {
+		// The log was away: until the return is decided, its tokens are nobody's.
+		return a.pending
+	}
 	if tokens := a.allowance.Surplus(now, short || all); tokens > 0 {
-		entry := ledger.Return{Workspace: a.workspace, Holder: c.incarnation, Tokens: tokens}
-		entry.Sequence = a.allowance.Next()
+		a.pending = ledger.Return{Workspace: a.workspace, Holder: c.incarnation, Tokens: tokens}
+		a.pending.Sequence = a.allowance.Next()
 		a.allowance.Return(tokens)
-		return entry
+		return a.pending
 	}
 	if short || all || !sh.stream.Status().Reachable {
 		return nil
--- /dev/null
+++ b/services/ledger/balance_test.go
@@ -0,0 +1,27 @@
+package ledger_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/crocusline/crocusline/modules/platform/platformtest"
+)
+
+// TestIdleTokensGoBackAfterAnOutage has the log away at the moment when an idle
+// allowance is given back.
+func TestIdleTokensGoBackAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := platformtest.New()
+		c := start(t, "entry", log)
+		topUp(t, c, "clinic", 1000)
+		c.Release("clinic", reserve(t, c, "clinic", 100))
+		log.SetDown(true)
+		time.Sleep(time.Minute)
+		log.SetDown(false)
+		time.Sleep(time.Minute)
+		if b := budget(t, c, "clinic"); b.Outstanding != 0 {
+			t.Errorf("%d tokens outstanding", b.Outstanding)
+		}
+	})
+}
--- a/services/ledger/reserve.go
+++ b/services/ledger/reserve.go
@@ -33,6 +33,8 @@
 
 	mu        sync.Mutex
 	allowance *allowance.Allowance
+	// pending is the last return, which may not be decided yet.
+	pending ledger.Return
 	// recalled is when a grant of this process was last refused.
 	recalled time.Time
 }
