Count cancelled requests as work until they have ended

Cause: a run cancelled after its grace time left the record at once, so a stop could be called safe while the backend server still ended it (seen once in tests/sidecar with the queue's drain turned off).

Change: what a drain waits for includes the jobs that have not ended. Without it TestDrainWaitsForACancelledRequestToEnd fails.

--- a/services/runner/loop.go
+++ b/services/runner/loop.go
@@ -15,7 +15,9 @@
 	queue   *queue.Queue
 	answers map[run.ID]*answer
 	jobs    map[run.ID]*job
-	relays  map[run.RelayID]*Relay
+	// active counts the jobs that have not ended, those cancelled included.
+	active int
+	relays map[run.RelayID]*Relay
 }
 
 func newLoop(r *Runner) *loop {
@@ -84,6 +86,7 @@
 		delete(l.relays, e.relay)
 		l.apply(now, l.book.CloseRelay(now, e.relay, e.handed))
 	case jobEnded:
+		l.active--
 		l.endJob(now, e)
 	case settled:
 		l.book.Settle(e.run)
@@ -184,6 +187,7 @@
 		return
 	}
 	l.jobs[id] = l.runner.startJob(id, req, l.answers[id])
+	l.active++
 }
 
 // displace stops a run, which is queued again and goes on after the tokens that
@@ -314,7 +318,7 @@
 	load := l.queue.Load(now)
 	l.runner.load.Store(&load)
 	l.runner.wait.Store(&Waiting{
-		Requests: l.book.Open(),
+		Requests: l.book.Open() + l.active - len(l.jobs),
 		Relays:   l.book.Relays(),
 		Bills:    l.book.Unsettled(),
 	})
--- a/services/runner/runner.go
+++ b/services/runner/runner.go
@@ -34,7 +34,7 @@
 
 // Waiting says what a drained server still waits for.
 type Waiting struct {
-	// Requests are queued or running.
+	// Requests are queued, running, or cancelled and about to end.
 	Requests int
 	// Relays still read an answer.
 	Relays int
--- a/services/runner/runner_test.go
+++ b/services/runner/runner_test.go
@@ -32,6 +32,8 @@
 	fail *refusal.Error
 	// late, if set, is a token that comes after a request was cancelled.
 	late string
+	// linger is how long a cancelled request takes to end.
+	linger time.Duration
 }
 
 func (f *fakeBackend) Run(ctx context.Context, req run.Request, sink server.Sink) (run.Result, error) {
@@ -53,6 +55,7 @@
 			if f.late != "" {
 				sink.Token(f.late)
 			}
+			time.Sleep(f.linger)
 			return run.Result{}, ctx.Err()
 		}
 	}
@@ -381,3 +384,25 @@
 		}
 	})
 }
+
+func TestDrainWaitsForACancelledRequestToEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := run.DefaultLimits()
+		r, _ := startRunner(t, &fakeBackend{linger: time.Minute}, WithLimits(limits))
+		defer closeRunner(t, r)
+		relay, err := r.Submit(t.Context(), run.Request{ID: "r1", Idempotent: true, MaxTokens: 1000})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		relay.Close(false)
+		time.Sleep(limits.Grace + time.Second)
+		if got := r.WaitsFor(); got.Requests != 1 {
+			t.Errorf("waits for %+v, want the request that is ending", got)
+		}
+		time.Sleep(time.Minute)
+		if got := r.WaitsFor(); got != (Waiting{}) {
+			t.Errorf("waits for %+v", got)
+		}
+	})
+}
