Prove bills and planned stops

- "Not run" is not billed.
Loss of the sidecar or of the entry, with the log away, loses no bill; loss of both does, and the hold stays outstanding.
- A planned stop under load, from an entry that knows nothing of the plan: two streams end whole, the queued request and all later ones run elsewhere.
- Safe only when nothing runs, nothing is owed and no abandoned request runs on; also with the sidecar cut off from the log.

--- a/tests/sidecar/world_test.go
+++ b/tests/sidecar/world_test.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -21,8 +22,11 @@
 	"github.com/crocusline/crocusline/kernel"
 	model "github.com/crocusline/crocusline/models/ledger"
 	"github.com/crocusline/crocusline/models/placement"
+	"github.com/crocusline/crocusline/models/rank"
 	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/retry"
 	"github.com/crocusline/crocusline/models/table"
+	"github.com/crocusline/crocusline/modules/platform"
 	"github.com/crocusline/crocusline/modules/platform/platformtest"
 	commonv1 "github.com/crocusline/crocusline/modules/wire/common/v1"
 	"github.com/crocusline/crocusline/modules/wire/peer/v1/peerv1connect"
@@ -81,7 +85,12 @@
 // ledger starts a process's part in the ledger.
 func (w *world) ledger(incarnation string) *ledger.Client {
 	w.t.Helper()
-	c := ledger.New(incarnation, w.log, ledger.WithShards(2))
+	return w.ledgerOver(incarnation, w.log)
+}
+
+func (w *world) ledgerOver(incarnation string, log platform.Log) *ledger.Client {
+	w.t.Helper()
+	c := ledger.New(incarnation, log, ledger.WithShards(2))
 	if err := c.Start(context.Background(), nil); err != nil {
 		w.t.Fatal(err)
 	}
@@ -141,29 +150,42 @@
 	return s, server.NewPlain(address, server.WithClient(w.net.client(w.t, false)))
 }
 
-// mortalPoster stops posting once its process is dead.
-type mortalPoster struct {
-	*ledger.Client
-	mu   sync.Mutex
-	dead bool
+// wire is one process's way to the log, which can be cut.
+type wire struct {
+	platform.Log
+	mu    sync.Mutex
+	isCut bool
+}
+
+var errCut = errors.New("no way to the log")
+
+func (c *wire) cut(cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isCut = cut
 }
 
-var errDead = errors.New("process is dead")
+func (c *wire) err(stream string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isCut {
+		return &platform.UnavailableError{Stream: stream, Cause: errCut}
+	}
+	return nil
+}
 
-func (m *mortalPoster) die() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.dead = true
+func (c *wire) Append(ctx context.Context, stream string, data []byte) (int64, error) {
+	if err := c.err(stream); err != nil {
+		return 0, err
+	}
+	return c.Log.Append(ctx, stream, data)
 }
 
-func (m *mortalPoster) Post(ctx context.Context, shard int, entries ...model.Entry) error {
-	m.mu.Lock()
-	dead := m.dead
-	m.mu.Unlock()
-	if dead {
-		return errDead
+func (c *wire) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (platform.Batch, error) {
+	if err := c.err(stream); err != nil {
+		return platform.Batch{}, err
 	}
-	return m.Client.Post(ctx, shard, entries...)
+	return c.Log.Read(ctx, stream, from, limit, wait)
 }
 
 // sidecar is one sidecar process.
@@ -175,7 +197,7 @@
 	runner      *runner.Runner
 	drain       *drain.Drainer
 	bills       *billing.Keeper
-	poster      *mortalPoster
+	wire        *wire
 	late        *lateRuns
 	host        *host
 	client      peerv1connect.SidecarServiceClient
@@ -184,10 +206,9 @@
 // sidecar starts the sidecar of a backend server, in place of an earlier one.
 func (w *world) sidecar(name, incarnation string, backend server.Server, opts ...runner.Option) *sidecar {
 	w.t.Helper()
-	s := &sidecar{server: name, incarnation: incarnation, backend: backend}
-	s.poster = &mortalPoster{Client: w.ledger(incarnation)}
+	s := &sidecar{server: name, incarnation: incarnation, backend: backend, wire: &wire{Log: w.log}}
 	s.kernel = kernel.New(hclog.NewNullLogger())
-	s.bills = billing.New(billing.WithPoster(s.poster))
+	s.bills = billing.New(billing.WithPoster(w.ledgerOver(incarnation, s.wire)))
 	s.runner = runner.New(name, incarnation, server.Driver{Server: backend}, opts...)
 	s.drain = drain.New()
 	if err := s.kernel.Add(s.bills, s.runner, s.drain); err != nil {
@@ -247,7 +268,7 @@
 
 // kill ends a sidecar as a crash would: nothing more leaves it.
 func (s *sidecar) kill() {
-	s.poster.die()
+	s.wire.cut(true)
 	s.host.kill()
 }
 
@@ -288,20 +309,32 @@
 type entry struct {
 	*dispatch.Dispatcher
 	receipts *receipt.Service
-	poster   *mortalPoster
+	wire     *wire
+	world    *world
+}
+
+// kill ends an entry as a crash would. Its calls have to be cancelled as well.
+func (e *entry) kill() { e.wire.cut(true) }
+
+// Sidecar implements dispatch.Directory. A dead entry reaches none.
+func (e *entry) Sidecar(name string) (dispatch.Sidecar, bool) {
+	if e.wire.err("") != nil {
+		return dispatch.Sidecar{}, false
+	}
+	return e.world.Sidecar(name)
 }
 
 func (w *world) entry(incarnation string, servers ...string) *entry {
 	w.t.Helper()
-	c := w.ledger(incarnation)
-	e := &entry{poster: &mortalPoster{Client: c}}
-	e.receipts = receipt.New(hclog.NewNullLogger(), e.poster, w, noCounters{})
+	e := &entry{wire: &wire{Log: w.log}, world: w}
+	c := w.ledgerOver(incarnation, e.wire)
+	e.receipts = receipt.New(hclog.NewNullLogger(), c, e, noCounters{})
 	if err := e.receipts.Start(context.Background(), nil); err != nil {
 		w.t.Fatal(err)
 	}
 	w.t.Cleanup(func() { w.close(e.receipts) })
-	e.Dispatcher = dispatch.New(incarnation, dispatch.WithLedger(c), dispatch.WithDirectory(w),
-		dispatch.WithChooser(fixedChooser(servers)), dispatch.WithRetries(dispatch.NewRetries()),
+	e.Dispatcher = dispatch.New(incarnation, dispatch.WithLedger(c), dispatch.WithDirectory(e),
+		dispatch.WithChooser(fixedChooser(servers)), dispatch.WithRetries(dispatch.NewRetries(retry.WithRand(rand.New(rand.NewPCG(1, 1))))),
 		dispatch.WithReceipts(e.receipts), dispatch.WithCounters(noCounters{}))
 	return e
 }
@@ -342,7 +375,7 @@
 func (e *entry) draft(ctx context.Context, req dispatch.Request, max int, to *sink, servers ...string) (dispatch.Answer, error) {
 	req.Kind = "draft"
 	return e.run(ctx, req, dispatch.Plan{
-		Route:     table.Route{Pool: "drafting", Idempotent: true, MaxTokens: max},
+		Route:     table.Route{Pool: "drafting", Rank: rank.Normal, Idempotent: true, MaxTokens: max},
 		Servers:   servers,
 		MaxTokens: max,
 		Timeout:   time.Minute,
