Start the order service beside model engines

The sidecar follows the plan in force before it subscribes to later ones: the other way round, a state read first could be followed last and take a planned stop back. Found by reading; no test shows it.

--- a/cmd/sidecar.go
+++ b/cmd/sidecar.go
@@ -24,6 +24,7 @@
 	peerrouter "github.com/crocusline/crocusline/routers/peer"
 	"github.com/crocusline/crocusline/services/billing"
 	"github.com/crocusline/crocusline/services/drain"
+	"github.com/crocusline/crocusline/services/order"
 	"github.com/crocusline/crocusline/services/runner"
 	"github.com/crocusline/crocusline/services/server"
 	"github.com/crocusline/crocusline/services/status"
@@ -67,6 +68,8 @@
 	runner  *runner.Runner
 	drain   *drain.Drainer
 	status  *status.Service
+	// engine is nil beside a plain service.
+	engine *server.Engine
 }
 
 func newSidecar(p *process) (*sidecar, error) {
@@ -75,6 +78,7 @@
 		return nil, err
 	}
 	s := &sidecar{process: p, billing: billing.New()}
+	s.engine, _ = backend.(*server.Engine)
 	s.runner = runner.New(p.settings.Server.Name, p.member.Incarnation, server.Driver{Server: backend},
 		s.runnerOptions()...)
 	s.drain = drain.New()
@@ -102,21 +106,27 @@
 
 // services are in the order in which they start.
 func (s *sidecar) services() []kernel.Service {
-	return []kernel.Service{
+	services := []kernel.Service{
 		s.control,
 		s.ledger,
 		s.billing,
 		s.runner,
 		s.drain,
 		s.status,
+	}
+	if s.engine != nil {
+		services = append(services, order.New(s.engine))
+	}
+	return append(services,
 		&listener{name: "peerListener", listen: s.listenPeers, before: s.finish},
 		operator.New(s.log, s.settings.Operator.Listen, s.status, metric.New()),
-	}
+	)
 }
 
 func (s *sidecar) listenPeers() (closer, error) {
-	s.control.Subscribe(s.followPlan)
+	// In this order: the subscription's states are this one and later ones.
 	s.followPlan(s.control.State())
+	s.control.Subscribe(s.followPlan)
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewSidecarServiceHandler(peerrouter.NewSidecar(s.runner, s.control)))
 	mux.Handle(peerrouter.NewTables(s.control))
