Spread frequent prefixes: affinity leaves servers busier than the mean

Cause: affinity left the prefix's servers only once they were full, an observed load faded to "empty" within 2 s, and each new observation forgot the requests still on their way.

Ruled out: the queue (two choices on the same queue waits 0.17 s), the engines' speed (same).

Change: a load reports the requests that a new one may not overtake; servers in prefix order are taken while they are at most 1/16 of their slots above the mean; an old observation fades to the mean; sends within the lag of the load still count.

Mutations that made a test fail: limit by the mean off, fading off, sends forgotten at each observation.

--- a/models/placement/order.go
+++ b/models/placement/order.go
@@ -3,10 +3,13 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/crocusline/crocusline/models/rank"
 )
 
 // order sorts the usable servers by the policy, most suitable first.
@@ -31,41 +34,69 @@
 	return p.affinity(now, r, usable)
 }
 
-// affinity takes, of the servers most likely to hold the prefix, the first
-// with room. When none has room it takes the least busy server of all.
+// affinity takes, in the order in which servers are likely to hold the prefix,
+// those that are not much busier than the mean first, and of the rest the least
+// busy. So a frequent prefix spreads over as many servers as it needs. Servers
+// are compared by all their work and by what is ahead of the rank.
 func (p *Placement) affinity(now time.Time, r Request, usable []*state) []*state {
-	ordered := p.byPrefix(r.Prompt, usable)
-	near := min(p.candidates, len(ordered))
-	slices.SortStableFunc(ordered[:near], func(a, b *state) int {
-		return cmp.Compare(p.crowding(now, r, a), p.crowding(now, r, b))
-	})
-	if ordered[0].hasRoom(now, r.Rank, p.memory) {
-		return ordered
-	}
-	rest := ordered[near:]
-	slices.SortStableFunc(rest, func(a, b *state) int {
-		return cmp.Compare(a.busy(now, r.Rank, p.memory), b.busy(now, r.Rank, p.memory))
-	})
-	if len(rest) > 0 && rest[0].busy(now, r.Rank, p.memory) < ordered[0].busy(now, r.Rank, p.memory) {
-		return slices.Insert(slices.Delete(ordered, near, near+1), 0, rest[0])
+	all, own := p.estimate(now, rank.Bulk, usable), p.estimate(now, r.Rank, usable)
+	crowding := make(map[*state]float64, len(usable))
+	for _, s := range usable {
+		if all.of[s] > all.mean+p.spread || own.of[s] > own.mean+p.spread || own.of[s] >= 1 {
+			crowding[s] = 1 + own.of[s]
+		}
 	}
+	ordered := p.byPrefix(r.Prompt, usable)
+	slices.SortStableFunc(ordered, func(a, b *state) int { return cmp.Compare(crowding[a], crowding[b]) })
 	return ordered
 }
 
 // nearest sorts servers with room before others, the own region and failure
 // domain first, for requests without a prompt.
 func (p *Placement) nearest(now time.Time, r Request, usable []*state) []*state {
+	busy := p.estimate(now, r.Rank, usable)
 	p.shuffle(usable)
 	slices.SortStableFunc(usable, func(a, b *state) int {
 		return cmp.Or(
-			cmp.Compare(p.crowding(now, r, a), p.crowding(now, r, b)),
+			cmp.Compare(busy.wait(a), busy.wait(b)),
 			cmp.Compare(p.distance(a), p.distance(b)),
-			cmp.Compare(a.busy(now, r.Rank, p.memory), b.busy(now, r.Rank, p.memory)),
+			cmp.Compare(busy.of[a], busy.of[b]),
 		)
 	})
 	return usable
 }
 
+// estimate is how busy servers probably are now.
+type estimate struct {
+	of   map[*state]float64
+	mean float64
+}
+
+// wait is 0 for a server with room, and how busy it is otherwise.
+func (e estimate) wait(s *state) float64 {
+	if e.of[s] < 1 {
+		return 0
+	}
+	return e.of[s]
+}
+
+// estimate takes what was observed of each server, faded to the mean by its age.
+func (p *Placement) estimate(now time.Time, r rank.Rank, servers []*state) estimate {
+	e := estimate{of: make(map[*state]float64, len(servers))}
+	for _, s := range servers {
+		s.forget(now.Add(-p.memory))
+		e.mean += s.busy(r) / float64(len(servers))
+	}
+	for _, s := range servers {
+		weight := 1.0
+		if p.memory > 0 {
+			weight = math.Exp(-float64(now.Sub(s.observed)) / float64(p.memory))
+		}
+		e.of[s] = e.mean + weight*(s.busy(r)-e.mean)
+	}
+	return e
+}
+
 // distance is 0 within the failure domain, 1 within the region and 2 beyond.
 func (p *Placement) distance(s *state) int {
 	switch {
@@ -77,14 +108,6 @@
 	return 0
 }
 
-// crowding is 0 for a server with room, and how busy it is otherwise.
-func (p *Placement) crowding(now time.Time, r Request, s *state) float64 {
-	if s.hasRoom(now, r.Rank, p.memory) {
-		return 0
-	}
-	return s.busy(now, r.Rank, p.memory)
-}
-
 // byPrefix sorts servers by rendezvous hashing of the prompt's prefix, those of
 // the own region first.
 func (p *Placement) byPrefix(prompt string, usable []*state) []*state {
@@ -118,9 +141,9 @@
 
 // twoChoices puts the less busy of two random servers first.
 func (p *Placement) twoChoices(now time.Time, r Request, usable []*state) []*state {
+	busy := p.estimate(now, r.Rank, usable)
 	p.shuffle(usable)
-	if len(usable) > 1 &&
-		usable[1].busy(now, r.Rank, p.memory) < usable[0].busy(now, r.Rank, p.memory) {
+	if len(usable) > 1 && busy.of[usable[1]] < busy.of[usable[0]] {
 		usable[0], usable[1] = usable[1], usable[0]
 	}
 	return usable
--- a/models/placement/placement.go
+++ b/models/placement/placement.go
@@ -15,7 +15,9 @@
 // Defaults of the options.
 const (
 	DefaultCandidates  = 3
-	DefaultMemory      = 2 * time.Second
+	DefaultMemory      = 5 * time.Second
+	DefaultLag         = 500 * time.Millisecond
+	DefaultSpread      = 1.0 / 16
 	DefaultBackoff     = 500 * time.Millisecond
 	DefaultMaxBackoff  = 15 * time.Second
 	DefaultPrefixBytes = 1024
@@ -29,7 +31,7 @@
 // The policies. All but Affinity are baselines for measurements.
 const (
 	// Affinity prefers the servers that hold the prompt's prefix while they
-	// have room.
+	// are not busier than the rest.
 	Affinity Policy = iota // affinity
 	// PureAffinity always takes the servers that hold the prefix.
 	PureAffinity // pureAffinity
@@ -55,7 +57,15 @@
 	return func(pl *Placement) { pl.domain, pl.region = domain, region }
 }
 
-// WithMemory sets how fast an observed load is forgotten. 0 keeps it.
+// WithLag sets how late an observed load may be.
+func WithLag(d time.Duration) Option { return func(pl *Placement) { pl.lag = d } }
+
+// WithSpread sets how much busier than the mean, as a part of its slots, a
+// server may be and still be preferred for the prefix that it holds.
+func WithSpread(spread float64) Option { return func(pl *Placement) { pl.spread = spread } }
+
+// WithMemory sets how fast an observed load fades to the mean of the pool. 0
+// keeps it.
 func WithMemory(d time.Duration) Option { return func(pl *Placement) { pl.memory = d } }
 
 // WithBackoff sets how long a failed server is left alone at first and at most.
@@ -96,6 +106,8 @@
 	domain      string
 	region      string
 	memory      time.Duration
+	lag         time.Duration
+	spread      float64
 	backoff     time.Duration
 	maxBackoff  time.Duration
 	prefixBytes int
@@ -110,6 +122,8 @@
 	p := &Placement{
 		candidates:  DefaultCandidates,
 		memory:      DefaultMemory,
+		lag:         DefaultLag,
+		spread:      DefaultSpread,
 		backoff:     DefaultBackoff,
 		maxBackoff:  DefaultMaxBackoff,
 		prefixBytes: DefaultPrefixBytes,
@@ -151,14 +165,15 @@
 	if p.policy == Affinity || p.policy == PureAffinity {
 		c.Preferred = c.Servers[0] == p.byPrefix(r.Prompt, usable)[0].Name
 	}
-	p.find(c.Servers[0]).sent++
+	first := p.find(c.Servers[0])
+	first.sent = append(first.sent, now)
 	return c, nil
 }
 
 // Observe takes in the load that an answer of a server carried.
 func (p *Placement) Observe(now time.Time, server string, load queue.Load) {
 	if s := p.find(server); s != nil {
-		s.load, s.observed, s.sent = load, now, 0
+		s.observe(now, load, p.lag)
 	}
 }
 
--- a/models/placement/placement_test.go
+++ b/models/placement/placement_test.go
@@ -29,7 +29,7 @@
 func full() queue.Load {
 	l := queue.Load{Running: 8, Slots: 8}
 	for r := range l.Wait {
-		l.Queued[r], l.Wait[r] = 4, time.Second
+		l.Queued[r], l.Ahead[r], l.Wait[r] = 4, 8+4*(r+1), time.Second
 	}
 	return l
 }
@@ -79,6 +79,52 @@
 	}
 }
 
+// A prefix that is asked for often goes to as many servers as it needs, and a
+// request of another prefix still finds its own server.
+func TestFrequentPrefixSpreads(t *testing.T) {
+	p := placement.New(placement.WithLocation("d0", "north"))
+	p.SetServers(servers(9))
+	for _, s := range servers(9) {
+		p.Observe(epoch, s.Name, queue.Load{Slots: 16})
+	}
+	sent := map[string]int{}
+	for range 90 {
+		sent[choose(t, p, epoch, placement.Request{Prompt: "report"}).Servers[0]]++
+	}
+	for name, n := range sent {
+		if n > 12 {
+			t.Errorf("%s got %d of 90", name, n)
+		}
+	}
+	p.Observe(epoch.Add(time.Second), "s00", queue.Load{Slots: 16})
+	if got := choose(t, p, epoch.Add(time.Second), placement.Request{Prompt: "report"}); got.Servers[0] != "s00" {
+		t.Errorf("chose %v though only s00 is idle", got)
+	}
+}
+
+// A load that is known late does not cover what was sent shortly before.
+func TestLateLoadDoesNotCoverRecentRequests(t *testing.T) {
+	p := placement.New(placement.WithLag(time.Second), placement.WithSpread(1))
+	p.SetServers(servers(2))
+	idle := queue.Load{Slots: 4}
+	p.Observe(epoch, "s00", idle)
+	p.Observe(epoch, "s01", idle)
+	first := choose(t, p, epoch, placement.Request{Prompt: "report"}).Servers[0]
+	for range 3 {
+		choose(t, p, epoch, placement.Request{Prompt: "report"})
+	}
+	for _, c := range []struct {
+		after time.Duration
+		same  bool
+	}{{100 * time.Millisecond, false}, {2 * time.Second, true}} {
+		p.Observe(epoch.Add(c.after), first, idle)
+		got := choose(t, p, epoch.Add(c.after), placement.Request{Prompt: "report"}).Servers[0]
+		if (got == first) != c.same {
+			t.Errorf("chose %s after %v, first %s", got, c.after, first)
+		}
+	}
+}
+
 func TestPrefersOwnRegionAndDomain(t *testing.T) {
 	p := placement.New(placement.WithLocation("d1", "south"))
 	all := append(servers(6), placement.Server{Name: "z", Domain: "d7", Region: "south"})
--- a/models/placement/server.go
+++ b/models/placement/server.go
@@ -6,7 +6,7 @@
 package placement
 
 import (
-	"math"
+	"slices"
 	"time"
 
 	"github.com/crocusline/crocusline/models/queue"
@@ -25,8 +25,8 @@
 	Server
 	load     queue.Load
 	observed time.Time
-	// sent counts the requests sent there since the last observation.
-	sent     int
+	// sent holds the times of the requests that the observation may not cover.
+	sent     []time.Time
 	failures int
 	// until is when a failed server may be probed.
 	until   time.Time
@@ -39,25 +39,20 @@
 // usable says whether the server may be chosen.
 func (s *state) usable() bool { return !s.load.Draining && !s.failed() }
 
-// busy estimates the requests running and waiting at or above the rank, as a
-// share of the slots. What was observed counts less the older it is.
-func (s *state) busy(now time.Time, r rank.Rank, memory time.Duration) float64 {
-	slots := max(s.load.Slots, 1)
-	open := float64(s.load.Running)
-	for q := rank.Urgent; q <= r; q++ {
-		open += float64(s.load.Queued[q])
-	}
-	if memory > 0 && !s.observed.IsZero() {
-		open *= math.Exp(-float64(now.Sub(s.observed)) / float64(memory))
-	}
-	return (open + float64(s.sent)) / float64(slots)
+// observe takes in a load that is known late by at most lag.
+func (s *state) observe(now time.Time, load queue.Load, lag time.Duration) {
+	s.load, s.observed = load, now
+	s.forget(now.Add(-lag))
 }
 
-// hasRoom says whether a request of the rank would start at once there, as far
-// as is known.
-func (s *state) hasRoom(now time.Time, r rank.Rank, memory time.Duration) bool {
-	if s.load.Slots == 0 {
-		return true
-	}
-	return s.busy(now, r, memory) < 1 || s.load.Wait[r] == 0 && s.sent == 0
+// forget drops the requests that were sent up to a time.
+func (s *state) forget(until time.Time) {
+	s.sent = slices.DeleteFunc(s.sent, func(at time.Time) bool { return !at.After(until) })
+}
+
+// busy is the part of the slots that a new request of the rank would find
+// taken, by what was observed and was sent since. It passes 1 when requests
+// wait.
+func (s *state) busy(r rank.Rank) float64 {
+	return float64(s.load.Ahead[r]+len(s.sent)) / float64(max(s.load.Slots, 1))
 }
--- a/models/queue/predict.go
+++ b/models/queue/predict.go
@@ -129,9 +129,17 @@
 // Load returns the state of the server.
 func (q *Queue) Load(now time.Time) Load {
 	load := Load{Running: len(q.running), Slots: q.slots, Draining: q.draining}
+	waiting := 0
 	for r := rank.Urgent; r <= rank.Bulk; r++ {
+		waiting += q.lanes[r].waiting
 		load.Queued[r] = q.lanes[r].waiting
 		load.Wait[r] = q.wait(now, r, "")
+		load.Ahead[r] = waiting
+		for _, it := range q.running {
+			if !q.displaceable(it, r) {
+				load.Ahead[r]++
+			}
+		}
 	}
 	return load
 }
--- a/models/queue/request.go
+++ b/models/queue/request.go
@@ -67,9 +67,11 @@
 type Load struct {
 	Running int
 	Slots   int
-	// Queued and Wait are indexed by rank: requests waiting, and the predicted
-	// wait of a new request.
+	// Queued, Ahead and Wait are indexed by rank: requests waiting, requests
+	// running or waiting that a new one may not overtake or displace, and the
+	// predicted wait of a new request.
 	Queued   [rank.Count]int
+	Ahead    [rank.Count]int
 	Wait     [rank.Count]time.Duration
 	Draining bool
 }
