--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,15 @@
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test lint fmt generate bench
+.PHONY: build test lint fmt generate demo bench
 
 build:
 	$(GO) build -o bin/ . ./crocusbench
 
+# Runs a small fleet on loopback and checks answers and bills. See README.md.
+demo: build
+	bin/crocusbench demo
+
 test:
 	$(GO) test ./...
 
