Take members off whose processes ended without saying so

Cause: an instance that is killed and replaced under another name stayed in the list of members for ever, so that publish never saw a version in force everywhere. Ruled out: the list alone (it lags), silence alone (a partition).

--- a/services/control/control.go
+++ b/services/control/control.go
@@ -119,7 +119,7 @@
 		stream.WithInterval(s.interval),
 		stream.WithLimiter(s.limiter),
 		stream.WithLogger(s.log),
-		stream.WithCheckpoints(s.schedule, s.writesCheckpoints),
+		stream.WithCheckpoints(s.schedule, s.OnDuty),
 	)
 	return s
 }
--- a/services/control/score_test.go
+++ b/services/control/duty_test.go
@@ -17,7 +17,7 @@
 	}
 	turns := map[string]int{}
 	for turn := range int64(60) {
-		turns[writer(state, turn)]++
+		turns[onDuty(state, turn)]++
 	}
 	if len(turns) != 3 || turns["d/1"] != 0 {
 		t.Fatalf("turns %v", turns)
--- a/services/control/peers.go
+++ b/services/control/peers.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"net/netip"
@@ -98,34 +97,3 @@
 	peers = slices.Compact(peers)
 	return slices.DeleteFunc(peers, func(a netip.AddrPort) bool { return a == s.member.Address })
 }
-
-// writesCheckpoints says whether it is this process's turn to write checkpoints
-// of the control stream. The turn goes round by the minute, so that a member
-// that is gone does not keep it. Two writers at once do no harm.
-func (s *Service) writesCheckpoints() bool {
-	turn := time.Now().Truncate(checkpointTurn).Unix()
-	return writer(s.State(), turn) == s.member.Incarnation
-}
-
-// checkpointTurn is how long one member writes the checkpoints.
-const checkpointTurn = time.Minute
-
-// writer returns the incarnation of the entry that comes first in the turn's
-// order, or that of the first sidecar where there is no entry.
-func writer(state *fleet.State, turn int64) string {
-	var first fleet.Member
-	for _, m := range state.Members {
-		if first.Incarnation == "" || before(turn, m, first) {
-			first = m
-		}
-	}
-	return first.Incarnation
-}
-
-func before(turn int64, a, b fleet.Member) bool {
-	return cmp.Or(
-		cmp.Compare(a.Role, b.Role),
-		cmp.Compare(score(turn, a.Incarnation), score(turn, b.Incarnation)),
-		cmp.Compare(a.Incarnation, b.Incarnation),
-	) < 0
-}
--- a/services/status/fleet.go
+++ b/services/status/fleet.go
@@ -39,6 +39,15 @@
 	return resp.Msg, nil
 }
 
+// Alive says whether the incarnation itself answers at its address.
+func (s *Service) Alive(ctx context.Context, m fleet.Member) bool {
+	if s.peers == nil {
+		return false
+	}
+	status, err := s.peers.Status(ctx, m.Address)
+	return err == nil && status.GetIncarnation() == m.Incarnation
+}
+
 // Fleet returns the state of all processes that answer in time, and of what
 // they share.
 func (s *Service) Fleet(ctx context.Context) *operatorv1.FleetResponse {
