--- a/cmd/sidecar.go
+++ b/cmd/sidecar.go
@@ -12,6 +12,9 @@
 
 	"github.com/crocusline/crocusline/kernel"
 	"github.com/crocusline/crocusline/models/fleet"
+	"github.com/crocusline/crocusline/models/queue"
+	"github.com/crocusline/crocusline/models/rank"
+	record "github.com/crocusline/crocusline/models/run"
 	"github.com/crocusline/crocusline/modules/metric"
 	"github.com/crocusline/crocusline/modules/peer"
 	"github.com/crocusline/crocusline/modules/setting"
@@ -164,3 +167,17 @@
 	}
 	return lines
 }
+
+func (s *sidecar) runnerOptions() []runner.Option {
+	server, policy := s.settings.Server, s.settings.Policy
+	limits := record.DefaultLimits()
+	limits.Grace = server.Grace
+	return []runner.Option{
+		runner.WithSlots(server.Slots),
+		runner.WithLimits(limits),
+		runner.WithQueue(
+			queue.WithLimit(server.QueueLength),
+			queue.WithFloor(rank.Normal, policy.Floors.Normal),
+			queue.WithFloor(rank.Bulk, policy.Floors.Bulk)),
+	}
+}
