--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 GO ?= go
+PREFIX ?= /usr/local
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test lint fmt generate demo bench
+.PHONY: build install test lint fmt generate demo bench
 
 build:
 	$(GO) build -o bin/ . ./crocusbench
@@ -11,6 +12,11 @@
 demo: build
 	bin/crocusbench demo
 
+# Installs the one binary that is shipped.
+install:
+	$(GO) build -trimpath -o bin/crocusline .
+	install -D -m 0755 bin/crocusline $(DESTDIR)$(PREFIX)/bin/crocusline
+
 test:
 	$(GO) test ./...
 
--- a/routers/operator/operator.go
+++ b/routers/operator/operator.go
@@ -3,11 +3,13 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/netip"
 	"strings"
 
 	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/crocusline/crocusline/kernel"
@@ -35,10 +37,10 @@
 	web     *web.Server
 }
 
-// New returns the listener at the address, which shows the metrics beside the
+// New returns the listener at the address, which shows the counters beside the
 // status.
-func New(log hclog.Logger, address netip.AddrPort, status Status, metrics http.Handler) *Server {
-	return &Server{log: log.Named(Name), address: address, handler: Handler(status, metrics)}
+func New(log hclog.Logger, address netip.AddrPort, status Status, counters http.Handler) *Server {
+	return &Server{log: log.Named(Name), address: address, handler: Handler(status, counters)}
 }
 
 // Name implements kernel.Service.
@@ -62,10 +64,13 @@
 func (s *Server) Address() netip.AddrPort { return s.web.Address() }
 
 // Handler returns the handler of the operators' listener.
-func Handler(status Status, metrics http.Handler) http.Handler {
+func Handler(status Status, counters http.Handler) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(NewStatus(status))
-	mux.Handle("GET /metrics", metrics)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		counters.ServeHTTP(w, r)
+		writeGauges(w, status.Status())
+	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		writeText(w, http.StatusOK, "ok")
 	})
@@ -80,6 +85,21 @@
 	return mux
 }
 
+// writeGauges adds to the metrics what the status says.
+func writeGauges(w io.Writer, s *operatorv1.StatusResponse) {
+	metrics.WriteGaugeUint64(w, "crocusline_ready", oneIf(s.GetReady()))
+	metrics.WriteGaugeUint64(w, "crocusline_log_reachable", oneIf(s.GetLogReachable()))
+	metrics.WriteGaugeUint64(w, "crocusline_table_version", uint64(max(s.GetTableVersion(), 0)))
+	metrics.WriteGaugeUint64(w, "crocusline_drain_waits", uint64(len(s.GetWaitsFor())))
+}
+
+func oneIf(condition bool) uint64 {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
 func writeText(w http.ResponseWriter, code int, text string) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(code)
--- a/routers/operator/operator_test.go
+++ b/routers/operator/operator_test.go
@@ -21,7 +21,7 @@
 }
 
 func (f *fixedStatus) Status() *operatorv1.StatusResponse {
-	return &operatorv1.StatusResponse{Name: "entry-1"}
+	return &operatorv1.StatusResponse{Name: "entry-1", Ready: true, TableVersion: 7}
 }
 
 func (f *fixedStatus) Fleet(context.Context) *operatorv1.FleetResponse {
@@ -63,6 +63,10 @@
 	if code, body := get(t, server.URL+"/metrics"); code != 200 || !strings.Contains(body, `crocusline_refusals_total{reason="queueFull"} 0`) {
 		t.Errorf("/metrics: %d %q", code, body)
 	}
+	if _, body := get(t, server.URL+"/metrics"); !strings.Contains(body, "crocusline_ready 1\n") ||
+		!strings.Contains(body, "crocusline_log_reachable 0\n") || !strings.Contains(body, "crocusline_table_version 7\n") {
+		t.Errorf("no gauges in /metrics: %q", body)
+	}
 	client := operatorv1connect.NewStatusServiceClient(server.Client(), server.URL)
 	fleet, err := client.Fleet(t.Context(), connect.NewRequest(&operatorv1.FleetRequest{}))
 	if err != nil || fleet.Msg.GetTableVersion() != 7 {
