Let the ledger client use a shard's owner and read the stream only without one

Cause: each process tailed each shard it used, and appended by itself, which costs every node the whole of the shards' traffic. Change: with WithOwners the client draws, registers, posts and reads through the owner that a locator names, and opens the stream only while it does not answer. Grants and returns keep their number until they are decided, and registrations their id, so that a lost answer and the fallback count once. Tests run: models/lease, services/ledger (stream only so far).

--- /dev/null
+++ b/models/lease/lease_test.go
@@ -0,0 +1,65 @@
+package lease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/crocusline/crocusline/models/lease"
+)
+
+func names(n int) []string {
+	all := make([]string, n)
+	for i := range all {
+		all[i] = fmt.Sprintf("entry-%d", i)
+	}
+	return all
+}
+
+func TestOrderMovesOnlyOwnShards(t *testing.T) {
+	before, after := names(9), names(10)
+	for shard := range 1000 {
+		from, to := lease.Order(shard, before)[0], lease.Order(shard, after)[0]
+		if from != to && to != "entry-9" {
+			t.Fatalf("shard %d moved from %s to %s", shard, from, to)
+		}
+	}
+}
+
+func TestWatch(t *testing.T) {
+	start := time.Unix(0, 0)
+	w := lease.NewWatch(start, 3*time.Second)
+	steps := []struct {
+		after    time.Duration
+		standing lease.Standing
+		want     lease.Action
+	}{
+		{0, lease.Standing{Rank: 0, Owned: true}, lease.Probe{}},
+		{time.Second / 2, lease.Standing{Rank: 0, Owned: true}, lease.Rest{}},
+		{time.Second, lease.Standing{Rank: 0, Owned: true}, lease.Probe{}},
+		{3 * time.Second, lease.Standing{Rank: 1, Owned: true}, lease.Probe{}},
+		{3 * time.Second, lease.Standing{Rank: 0, Owned: true}, lease.Claim{}},
+		{3 * time.Second, lease.Standing{Rank: 1, Owned: false}, lease.Claim{}},
+		{3 * time.Second, lease.Standing{Rank: 2, Owned: false}, lease.Rest{}},
+		{6 * time.Second, lease.Standing{Rank: 1, Owned: true}, lease.Claim{}},
+		{6 * time.Second, lease.Standing{Rank: lease.Candidates, Owned: false}, lease.Rest{}},
+	}
+	for _, s := range steps {
+		if got := w.Next(start.Add(s.after), s.standing); got != s.want {
+			t.Fatalf("after %s as %+v: %T, want %T", s.after, s.standing, got, s.want)
+		}
+	}
+}
+
+func TestWatchHearsOwner(t *testing.T) {
+	start := time.Unix(0, 0)
+	w := lease.NewWatch(start, 3*time.Second)
+	w.Heard(start.Add(2 * time.Second))
+	if got := w.Next(start.Add(4*time.Second), lease.Standing{Owned: true}); got != (lease.Probe{}) {
+		t.Fatalf("%T with an owner that answered", got)
+	}
+	w.Resigned()
+	if got := w.Next(start.Add(4*time.Second), lease.Standing{Owned: true}); got != (lease.Claim{}) {
+		t.Fatalf("%T after the owner resigned", got)
+	}
+}
--- a/modules/wire/peer/v1/peerv1connect/peer.connect.go
+++ b/modules/wire/peer/v1/peerv1connect/peer.connect.go
@@ -57,6 +57,10 @@
 	LedgerServicePostProcedure = "/peer.v1.LedgerService/Post"
 	// LedgerServiceBudgetsProcedure is the fully-qualified name of the LedgerService's Budgets RPC.
 	LedgerServiceBudgetsProcedure = "/peer.v1.LedgerService/Budgets"
+	// LedgerServiceClaimProcedure is the fully-qualified name of the LedgerService's Claim RPC.
+	LedgerServiceClaimProcedure = "/peer.v1.LedgerService/Claim"
+	// LedgerServiceRecallProcedure is the fully-qualified name of the LedgerService's Recall RPC.
+	LedgerServiceRecallProcedure = "/peer.v1.LedgerService/Recall"
 	// TableServiceCurrentProcedure is the fully-qualified name of the TableService's Current RPC.
 	TableServiceCurrentProcedure = "/peer.v1.TableService/Current"
 )
@@ -253,7 +257,8 @@
 
 // LedgerServiceClient is a client for the peer.v1.LedgerService service.
 type LedgerServiceClient interface {
-	// Draw asks for budget tokens.
+	// Draw moves budget tokens to or from a holder's allowance. Without tokens to
+	// move it only reads the holder's account.
 	Draw(context.Context, *connect.Request[v1.DrawRequest]) (*connect.Response[v1.DrawResponse], error)
 	// Register registers a non-idempotent request before it is dispatched.
 	Register(context.Context, *connect.Request[v1.RegisterRequest]) (*connect.Response[v1.RegisterResponse], error)
@@ -261,6 +266,12 @@
 	Post(context.Context, *connect.Request[v1.PostRequest]) (*connect.Response[v1.PostResponse], error)
 	// Budgets returns the state of the budgets of a shard.
 	Budgets(context.Context, *connect.Request[v1.BudgetsRequest]) (*connect.Response[v1.BudgetsResponse], error)
+	// Claim asks the owner whether it still serves the shard. An owner that sees
+	// the claimant before itself in the shard's order hands the shard over.
+	Claim(context.Context, *connect.Request[v1.ClaimRequest]) (*connect.Response[v1.ClaimResponse], error)
+	// Recall asks a holder to give back the tokens of a budget that no request
+	// has taken.
+	Recall(context.Context, *connect.Request[v1.RecallRequest]) (*connect.Response[v1.RecallResponse], error)
 }
 
 // NewLedgerServiceClient constructs a client for the peer.v1.LedgerService service. By default, it
@@ -298,6 +309,18 @@
 			connect.WithSchema(ledgerServiceMethods.ByName("Budgets")),
 			connect.WithClientOptions(opts...),
 		),
+		claim: connect.NewClient[v1.ClaimRequest, v1.ClaimResponse](
+			httpClient,
+			baseURL+LedgerServiceClaimProcedure,
+			connect.WithSchema(ledgerServiceMethods.ByName("Claim")),
+			connect.WithClientOptions(opts...),
+		),
+		recall: connect.NewClient[v1.RecallRequest, v1.RecallResponse](
+			httpClient,
+			baseURL+LedgerServiceRecallProcedure,
+			connect.WithSchema(ledgerServiceMethods.ByName("Recall")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -307,6 +330,8 @@
 	register *connect.Client[v1.RegisterRequest, v1.RegisterResponse]
 	post     *connect.Client[v1.PostRequest, v1.PostResponse]
 	budgets  *connect.Client[v1.BudgetsRequest, v1.BudgetsResponse]
+	claim    *connect.Client[v1.ClaimRequest, v1.ClaimResponse]
+	recall   *connect.Client[v1.RecallRequest, v1.RecallResponse]
 }
 
 // Draw calls peer.v1.LedgerService.Draw.
@@ -329,9 +354,20 @@
 	return c.budgets.CallUnary(ctx, req)
 }
 
+// Claim calls peer.v1.LedgerService.Claim.
+func (c *ledgerServiceClient) Claim(ctx context.Context, req *connect.Request[v1.ClaimRequest]) (*connect.Response[v1.ClaimResponse], error) {
+	return c.claim.CallUnary(ctx, req)
+}
+
+// Recall calls peer.v1.LedgerService.Recall.
+func (c *ledgerServiceClient) Recall(ctx context.Context, req *connect.Request[v1.RecallRequest]) (*connect.Response[v1.RecallResponse], error) {
+	return c.recall.CallUnary(ctx, req)
+}
+
 // LedgerServiceHandler is an implementation of the peer.v1.LedgerService service.
 type LedgerServiceHandler interface {
-	// Draw asks for budget tokens.
+	// Draw moves budget tokens to or from a holder's allowance. Without tokens to
+	// move it only reads the holder's account.
 	Draw(context.Context, *connect.Request[v1.DrawRequest]) (*connect.Response[v1.DrawResponse], error)
 	// Register registers a non-idempotent request before it is dispatched.
 	Register(context.Context, *connect.Request[v1.RegisterRequest]) (*connect.Response[v1.RegisterResponse], error)
@@ -339,6 +375,12 @@
 	Post(context.Context, *connect.Request[v1.PostRequest]) (*connect.Response[v1.PostResponse], error)
 	// Budgets returns the state of the budgets of a shard.
 	Budgets(context.Context, *connect.Request[v1.BudgetsRequest]) (*connect.Response[v1.BudgetsResponse], error)
+	// Claim asks the owner whether it still serves the shard. An owner that sees
+	// the claimant before itself in the shard's order hands the shard over.
+	Claim(context.Context, *connect.Request[v1.ClaimRequest]) (*connect.Response[v1.ClaimResponse], error)
+	// Recall asks a holder to give back the tokens of a budget that no request
+	// has taken.
+	Recall(context.Context, *connect.Request[v1.RecallRequest]) (*connect.Response[v1.RecallResponse], error)
 }
 
 // NewLedgerServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -372,6 +414,18 @@
 		connect.WithSchema(ledgerServiceMethods.ByName("Budgets")),
 		connect.WithHandlerOptions(opts...),
 	)
+	ledgerServiceClaimHandler := connect.NewUnaryHandler(
+		LedgerServiceClaimProcedure,
+		svc.Claim,
+		connect.WithSchema(ledgerServiceMethods.ByName("Claim")),
+		connect.WithHandlerOptions(opts...),
+	)
+	ledgerServiceRecallHandler := connect.NewUnaryHandler(
+		LedgerServiceRecallProcedure,
+		svc.Recall,
+		connect.WithSchema(ledgerServiceMethods.ByName("Recall")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peer.v1.LedgerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case LedgerServiceDrawProcedure:
@@ -382,6 +436,10 @@
 			ledgerServicePostHandler.ServeHTTP(w, r)
 		case LedgerServiceBudgetsProcedure:
 			ledgerServiceBudgetsHandler.ServeHTTP(w, r)
+		case LedgerServiceClaimProcedure:
+			ledgerServiceClaimHandler.ServeHTTP(w, r)
+		case LedgerServiceRecallProcedure:
+			ledgerServiceRecallHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -407,6 +465,14 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.LedgerService.Budgets is not implemented"))
 }
 
+func (UnimplementedLedgerServiceHandler) Claim(context.Context, *connect.Request[v1.ClaimRequest]) (*connect.Response[v1.ClaimResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.LedgerService.Claim is not implemented"))
+}
+
+func (UnimplementedLedgerServiceHandler) Recall(context.Context, *connect.Request[v1.RecallRequest]) (*connect.Response[v1.RecallResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.LedgerService.Recall is not implemented"))
+}
+
 // TableServiceClient is a client for the peer.v1.TableService service.
 type TableServiceClient interface {
 	Current(context.Context, *connect.Request[v1.CurrentRequest]) (*connect.Response[v1.CurrentResponse], error)
--- a/services/ledger/balance.go
+++ b/services/ledger/balance.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/crocusline/crocusline/models/ledger"
+	peerv1 "github.com/crocusline/crocusline/modules/wire/peer/v1"
 )
 
 const (
@@ -15,6 +16,9 @@
 	// shortWindow is how long, by the log's clock, a refused grant keeps others
 	// from holding unused tokens of that budget.
 	shortWindow = 2 * time.Second
+	// settlePoll is how often the owner is asked which holds are billed while
+	// nothing is drawn.
+	settlePoll = 5 * time.Second
 	// closeTimeout bounds how long Close waits for the log.
 	closeTimeout = time.Second
 )
@@ -32,6 +36,7 @@
 			for _, workspace := range c.drawnOn() {
 				c.balance(ctx, workspace, false)
 			}
+			c.closeIdleTails()
 		case <-ctx.Done():
 			return
 		}
@@ -78,36 +83,111 @@
 	sh := c.shard(c.ShardOf(workspace))
 	entry := c.balancing(sh, a, all)
 	if entry == nil {
+		c.refreshSettled(ctx, sh, a)
 		return
 	}
-	if err := c.Post(ctx, sh.number, entry); err != nil {
+	if c.drawFrom(ctx, sh, a, c.moveRequest(entry)) {
+		return
+	}
+	if c.hasOwner(sh.number) && !all {
+		// Nobody waits for it, so that it waits for the owner.
+		return
+	}
+	if err := c.append(ctx, sh, entry); err != nil {
 		c.logger.Warn("allowance not balanced", "workspace", workspace, "error", err)
 		return
 	}
 	c.reconcile(sh, a)
 }
 
+// moveRequest returns the request to the owner that does what entry does.
+func (c *Client) moveRequest(entry ledger.Entry) *peerv1.DrawRequest {
+	req := &peerv1.DrawRequest{}
+	switch e := entry.(type) {
+	case ledger.Grant:
+		req.Sequence, req.Need, req.Want = e.Sequence, e.Tokens, e.Tokens
+	case ledger.Return:
+		req.Sequence, req.Give = e.Sequence, e.Tokens
+	default:
+	}
+	return req
+}
+
+// refreshSettled asks the owner which holds are billed, if some may be.
+func (c *Client) refreshSettled(ctx context.Context, sh *shard, a *account) {
+	sh.mu.Lock()
+	due := sh.tail == nil && time.Since(sh.refreshed) >= settlePoll
+	sh.mu.Unlock()
+	if due && sh.holds.count() > 0 {
+		c.drawFrom(ctx, sh, a, &peerv1.DrawRequest{})
+	}
+}
+
+// closeIdleTails ends the reading of the streams that the owners make needless.
+func (c *Client) closeIdleTails() {
+	c.mu.Lock()
+	shards := make([]*shard, 0, len(c.shards))
+	for _, sh := range c.shards {
+		shards = append(shards, sh)
+	}
+	c.mu.Unlock()
+	for _, sh := range shards {
+		if !c.hasOwner(sh.number) {
+			continue
+		}
+		if err := sh.closeIdle(time.Now()); err != nil {
+			c.logger.Warn("shard stream not closed", "shard", sh.number, "error", err)
+		}
+	}
+}
+
+// Recall has the tokens of a workspace's budget that no hold has taken given
+// back, because somebody else lacks them.
+func (c *Client) Recall(workspace string) {
+	c.mu.Lock()
+	a := c.accounts[workspace]
+	c.mu.Unlock()
+	if a == nil {
+		return
+	}
+	a.mu.Lock()
+	a.asked = time.Now()
+	a.mu.Unlock()
+	c.wakeFor(workspace)
+}
+
 // balancing returns the grant or return that balances an allowance, or nil.
 func (c *Client) balancing(sh *shard, a *account, all bool) ledger.Entry {
-	v := sh.view(a.workspace, c.incarnation)
-	short := !v.budget.Short.IsZero() && v.now.Sub(v.budget.Short) <= shortWindow
+	v := c.view(sh, a)
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	short := v.short() || now.Sub(a.asked) <= shortWindow
 	a.allowance.Reconcile(v.sums)
+	if a.returning.Sequence > v.sums.Sequence {
+		return a.returning
+	}
 	if tokens := a.allowance.Surplus(now, short || all); tokens > 0 {
-		entry := ledger.Return{Workspace: a.workspace, Holder: c.incarnation, Tokens: tokens}
-		entry.Sequence = a.allowance.Next()
+		a.returning = ledger.Return{Workspace: a.workspace, Holder: c.incarnation, Tokens: tokens}
+		a.returning.Sequence = a.number(v.sums.Sequence)
 		a.allowance.Return(tokens)
-		return entry
+		return a.returning
 	}
-	if short || all || !sh.stream.Status().Reachable {
+	if short || all || !sh.reachable() {
 		return nil
 	}
 	if tokens := a.allowance.Refill(now, v.budget.Free()); tokens > 0 {
 		entry := ledger.Grant{Workspace: a.workspace, Holder: c.incarnation, Tokens: tokens}
-		entry.Sequence = a.allowance.Next()
+		entry.Sequence = a.number(v.sums.Sequence)
 		return entry
 	}
 	return nil
 }
+
+// reachable says whether the shard's stream answered the last read, if it is
+// read at all.
+func (sh *shard) reachable() bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.tail == nil || sh.tail.stream.Status().Reachable
+}
--- a/services/ledger/client.go
+++ b/services/ledger/client.go
@@ -44,6 +44,7 @@
 	interval    time.Duration
 	limiter     *rate.Limiter
 	schedule    fence.Schedule
+	owners      *owners
 	// wake takes the workspaces whose allowance is to be balanced.
 	wake chan string
 
@@ -130,7 +131,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, sh := range c.shards {
-		if err := sh.stream.Close(); err != nil {
+		if err := sh.close(); err != nil {
 			return err
 		}
 	}
@@ -140,83 +141,78 @@
 // ShardOf returns the shard of a workspace.
 func (c *Client) ShardOf(workspace string) int { return ledger.ShardOf(workspace, c.count) }
 
-// Post appends entries to a shard's stream. It returns once the stream holds
+// Post adds entries to a shard's stream. It returns once the stream holds
 // them, whatever their effect.
 func (c *Client) Post(ctx context.Context, number int, entries ...ledger.Entry) error {
-	body, err := ledger.Encode(entries...)
-	if err != nil {
+	sh := c.shard(number)
+	done, err := c.postTo(ctx, sh, entries)
+	if done || err != nil {
 		return err
 	}
-	_, err = c.shard(number).stream.Append(ctx, body)
-	return err
+	return c.append(ctx, sh, entries...)
 }
 
-// Budget returns the budget of a workspace as far as this process has read the
-// shard's stream.
+// Budget returns the budget of a workspace as its shard's owner knows it, or
+// else as far as this process has read the shard's stream.
 func (c *Client) Budget(ctx context.Context, workspace string) (ledger.Budget, error) {
 	sh := c.shard(c.ShardOf(workspace))
-	if err := c.ready(ctx, sh); err != nil {
+	if budgets, done := c.budgetsFrom(ctx, sh, workspace); done && len(budgets) == 1 {
+		return budgets[0], nil
+	}
+	t := c.acquire(sh)
+	defer sh.release()
+	if err := t.ready(ctx); err != nil {
 		return ledger.Budget{}, err
 	}
-	return sh.view(workspace, c.incarnation).budget, nil
+	return t.view(workspace, c.incarnation).budget, nil
 }
 
 // Budgets returns the budgets of all shards, sorted by workspace.
 func (c *Client) Budgets(ctx context.Context) ([]ledger.Budget, error) {
 	var all []ledger.Budget
 	for number := range c.count {
-		sh := c.shard(number)
-		if err := c.ready(ctx, sh); err != nil {
+		budgets, err := c.shardBudgets(ctx, c.shard(number))
+		if err != nil {
 			return nil, err
 		}
-		sh.stream.View(func(stream.Status) {
-			for _, workspace := range sh.state.Workspaces() {
-				all = append(all, sh.state.Budget(workspace))
-			}
-		})
+		all = append(all, budgets...)
 	}
 	slices.SortFunc(all, compareBudgets)
 	return all, nil
 }
 
-// Settled says whether a hold was billed, as far as this process has read the
-// shard's stream.
-func (c *Client) Settled(hold ledger.Hold) (settled bool) {
-	sh := c.shard(hold.Shard)
-	sh.stream.View(func(stream.Status) { settled = sh.state.Settled(hold) })
-	return settled
+func (c *Client) shardBudgets(ctx context.Context, sh *shard) ([]ledger.Budget, error) {
+	if budgets, done := c.budgetsFrom(ctx, sh, ""); done {
+		return budgets, nil
+	}
+	t := c.acquire(sh)
+	defer sh.release()
+	if err := t.ready(ctx); err != nil {
+		return nil, err
+	}
+	var all []ledger.Budget
+	t.stream.View(func(stream.Status) {
+		for _, workspace := range t.state.Workspaces() {
+			all = append(all, t.state.Budget(workspace))
+		}
+	})
+	return all, nil
+}
+
+// Settled says whether a hold was billed, as far as this process knows: an own
+// hold's bill is known some seconds after the shard's stream holds it.
+func (c *Client) Settled(hold ledger.Hold) bool {
+	return c.shard(hold.Shard).isSettled(hold, c.incarnation)
 }
 
-// shard returns a shard, and begins to read its stream on first use.
+// shard returns a shard.
 func (c *Client) shard(number int) *shard {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	sh := c.shards[number]
 	if sh == nil {
-		sh = c.open(number)
+		sh = &shard{number: number, holds: newHolds(c.incarnation, number)}
 		c.shards[number] = sh
 	}
 	return sh
 }
-
-func (c *Client) open(number int) *shard {
-	sh := &shard{
-		number: number,
-		state:  ledger.New(),
-		holds:  newHolds(c.incarnation, number),
-		short:  c.wake,
-	}
-	sh.stream = stream.New(ledger.StreamOf(number), c.incarnation, c.log, sh,
-		stream.WithInterval(c.interval),
-		stream.WithLimiter(c.limiter),
-		stream.WithLogger(c.logger),
-		stream.WithCheckpoints(c.schedule, func() bool { return true }),
-	)
-	sh.stream.Run(c.ctx)
-	return sh
-}
-
-// ready waits until the shard's stream was read once.
-func (c *Client) ready(ctx context.Context, sh *shard) error {
-	return sh.stream.Wait(ctx, func(st stream.Status) bool { return st.Ready })
-}
--- /dev/null
+++ b/services/ledger/owner.go
@@ -0,0 +1,234 @@
+package ledger
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"github.com/crocusline/crocusline/coordination/escrow"
+	"github.com/crocusline/crocusline/models/allowance"
+	"github.com/crocusline/crocusline/models/ledger"
+	"github.com/crocusline/crocusline/modules/peer"
+	peerv1 "github.com/crocusline/crocusline/modules/wire/peer/v1"
+	"github.com/crocusline/crocusline/modules/wire/peer/v1/peerv1connect"
+)
+
+const (
+	// ownerTimeout is how long a shard's owner may take to answer.
+	ownerTimeout = 750 * time.Millisecond
+	// ownerQuiet is how long an owner that did not answer is not asked again.
+	ownerQuiet = time.Second
+)
+
+// Locator returns where the owner of a shard is reached, if it is known.
+type Locator func(shard int) (netip.AddrPort, bool)
+
+// WithOwners makes the client use the shards through their owners, and read and
+// append to the streams itself only while an owner does not answer. client
+// reaches peers.
+func WithOwners(locate Locator, client *http.Client) Option {
+	return func(c *Client) { c.owners = &owners{locate: locate, http: client} }
+}
+
+// owners holds the clients of the shards' owners.
+type owners struct {
+	locate Locator
+	http   *http.Client
+
+	mu      sync.Mutex
+	clients map[netip.AddrPort]peerv1connect.LedgerServiceClient
+}
+
+func (o *owners) client(address netip.AddrPort) peerv1connect.LedgerServiceClient {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.clients == nil {
+		o.clients = map[netip.AddrPort]peerv1connect.LedgerServiceClient{}
+	}
+	if o.clients[address] == nil {
+		o.clients[address] = peerv1connect.NewLedgerServiceClient(o.http, peer.URL(address))
+	}
+	return o.clients[address]
+}
+
+// ownerCall is one call of a shard's owner.
+type ownerCall func(ctx context.Context, owner peerv1connect.LedgerServiceClient) error
+
+// hasOwner says whether a shard's owner is known.
+func (c *Client) hasOwner(number int) bool {
+	if c.owners == nil {
+		return false
+	}
+	_, known := c.owners.locate(number)
+	return known
+}
+
+// ask calls a shard's owner and says whether it did what it was asked. If not,
+// it may have done so nevertheless.
+func (c *Client) ask(ctx context.Context, sh *shard, call ownerCall) bool {
+	if c.owners == nil || sh.isQuiet(time.Now()) {
+		return false
+	}
+	address, known := c.owners.locate(sh.number)
+	if !known {
+		ownerCalls.unknown.Inc()
+		return false
+	}
+	err := c.askAt(ctx, address, call)
+	if next, moved := movedTo(err); moved && next != address {
+		ownerCalls.moved.Inc()
+		err = c.askAt(ctx, next, call)
+	}
+	if err == nil {
+		ownerCalls.answered.Inc()
+		return true
+	}
+	ownerCalls.failed.Inc()
+	c.logger.Debug("shard owner did not answer", "shard", sh.number, "address", address, "error", err)
+	if ctx.Err() == nil {
+		sh.setQuiet(time.Now().Add(ownerQuiet))
+	}
+	return false
+}
+
+func (c *Client) askAt(ctx context.Context, address netip.AddrPort, call ownerCall) error {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	return call(ctx, c.owners.client(address))
+}
+
+func (sh *shard) isQuiet(now time.Time) bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return now.Before(sh.quiet)
+}
+
+func (sh *shard) setQuiet(until time.Time) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.quiet = until
+}
+
+// movedTo returns the owner that a process which does not own the shard names.
+func movedTo(err error) (netip.AddrPort, bool) {
+	var failed *connect.Error
+	if !errors.As(err, &failed) || failed.Code() != connect.CodeFailedPrecondition {
+		return netip.AddrPort{}, false
+	}
+	for _, d := range failed.Details() {
+		value, err := d.Value()
+		if err != nil {
+			continue
+		}
+		if detail, ok := value.(*peerv1.OwnerDetail); ok {
+			address, err := netip.ParseAddrPort(detail.GetAddress())
+			return address, err == nil
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// drawFrom moves tokens through the shard's owner and takes over the account
+// that it answers with.
+func (c *Client) drawFrom(ctx context.Context, sh *shard, a *account, req *peerv1.DrawRequest) bool {
+	req.Shard = int32(sh.number)
+	req.Workspace = a.workspace
+	req.Holder = c.incarnation
+	var resp *connect.Response[peerv1.DrawResponse]
+	done := c.ask(ctx, sh, func(ctx context.Context, owner peerv1connect.LedgerServiceClient) (err error) {
+		resp, err = owner.Draw(ctx, connect.NewRequest(req))
+		return err
+	})
+	if !done {
+		return false
+	}
+	sh.takeSettled(resp.Msg.GetSettled())
+	a.mu.Lock()
+	a.seen = a.seen.newer(viewOf(resp.Msg))
+	a.mu.Unlock()
+	c.reconcile(sh, a)
+	return true
+}
+
+func (sh *shard) takeSettled(ranges []*peerv1.SequenceRange) {
+	settled := make(escrow.Ranges, 0, len(ranges))
+	for _, r := range ranges {
+		settled = append(settled, escrow.Range{First: r.GetFirst(), Last: r.GetLast()})
+	}
+	sh.holds.settleAll(settled)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.settled = settled
+	sh.refreshed = time.Now()
+}
+
+func viewOf(m *peerv1.DrawResponse) view {
+	return view{
+		budget: budgetOf(m.GetBudget()),
+		sums:   allowance.Sums{Granted: m.GetGranted(), Returned: m.GetReturned(), Sequence: m.GetSequence()},
+		closed: m.GetClosed(),
+		now:    m.GetNow().AsTime(),
+		read:   time.Now(),
+	}
+}
+
+func budgetOf(m *peerv1.Budget) ledger.Budget {
+	b := ledger.Budget{
+		Workspace:   m.GetWorkspace(),
+		ToppedUp:    m.GetToppedUp(),
+		Settled:     m.GetSettled(),
+		Outstanding: m.GetOutstanding(),
+		Bills:       m.GetBills(),
+		Duplicates:  m.GetDuplicates(),
+		WriteOff:    ledger.WriteOff{Bills: m.GetWrittenOffBills(), Tokens: m.GetWrittenOffTokens()},
+	}
+	if m.GetShort() != nil {
+		b.Short = m.GetShort().AsTime()
+	}
+	return b
+}
+
+// postTo hands entries to the shard's owner.
+func (c *Client) postTo(ctx context.Context, sh *shard, entries []ledger.Entry) (bool, error) {
+	if c.owners == nil {
+		return false, nil
+	}
+	body, err := ledger.Encode(entries...)
+	if err != nil {
+		return false, err
+	}
+	req := &peerv1.PostRequest{Shard: int32(sh.number), Entries: [][]byte{body}}
+	done := c.ask(ctx, sh, func(ctx context.Context, owner peerv1connect.LedgerServiceClient) error {
+		_, err := owner.Post(ctx, connect.NewRequest(req))
+		return err
+	})
+	return done, nil
+}
+
+// budgetsFrom reads budgets from the shard's owner, all if workspace is empty.
+func (c *Client) budgetsFrom(ctx context.Context, sh *shard, workspace string) ([]ledger.Budget, bool) {
+	var budgets []ledger.Budget
+	req := &peerv1.BudgetsRequest{Shard: int32(sh.number), Workspace: workspace}
+	done := c.ask(ctx, sh, func(ctx context.Context, owner peerv1connect.LedgerServiceClient) error {
+		resp, err := owner.Budgets(ctx, connect.NewRequest(req))
+		if err != nil {
+			return err
+		}
+		for _, m := range resp.Msg.GetBudgets() {
+			budgets = append(budgets, budgetOf(m))
+		}
+		return nil
+	})
+	return budgets, done
+}
+
+// drawRequest returns a request that moves no tokens.
+func (c *Client) drawRequest() *peerv1.DrawRequest {
+	return &peerv1.DrawRequest{Wait: durationpb.New(c.recallWait)}
+}
--- a/services/ledger/register.go
+++ b/services/ledger/register.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 
+	"connectrpc.com/connect"
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/coordination/once"
 	"github.com/crocusline/crocusline/models/ledger"
 	"github.com/crocusline/crocusline/models/refusal"
+	peerv1 "github.com/crocusline/crocusline/modules/wire/peer/v1"
+	"github.com/crocusline/crocusline/modules/wire/peer/v1/peerv1connect"
 	"github.com/crocusline/crocusline/services/stream"
 )
 
@@ -45,15 +49,26 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	sh := c.shard(c.ShardOf(r.Workspace))
-	if err := c.ready(ctx, sh); err != nil {
+	id := uuid.NewString()
+	if last, _, done := c.registerAt(ctx, sh, r, id); done {
+		return registered(last, r, id), nil
+	}
+	return c.registerDirectly(ctx, sh, r, id)
+}
+
+// registerDirectly registers an attempt without the shard's owner. The owner may
+// have registered the same call just before.
+func (c *Client) registerDirectly(ctx context.Context, sh *shard, r Registration, id string) (Registered, error) {
+	t := c.acquire(sh)
+	defer sh.release()
+	if err := t.ready(ctx); err != nil {
 		return Registered{}, registryUnreachable()
 	}
-	last, found := sh.attempt(r.Workspace, r.Key)
+	last, found := t.attempt(r.Workspace, r.Key)
 	if found && last.Status != once.Voided {
-		return registered(last, r, ""), nil
+		return registered(last, r, id), nil
 	}
-	id := uuid.NewString()
-	err := c.Post(ctx, sh.number, ledger.Register{
+	err := c.append(ctx, sh, ledger.Register{
 		ID:        id,
 		Workspace: r.Workspace,
 		Key:       r.Key,
@@ -66,29 +81,79 @@
 	if err != nil {
 		return Registered{}, registryUnreachable()
 	}
-	last, _ = sh.attempt(r.Workspace, r.Key)
+	last, _ = t.attempt(r.Workspace, r.Key)
 	return registered(last, r, id), nil
 }
 
+// registerAt registers an attempt at the shard's owner, or only looks if id is
+// empty. It returns the attempt that stands then.
+func (c *Client) registerAt(ctx context.Context, sh *shard, r Registration, id string) (a once.Attempt, found, done bool) {
+	req := &peerv1.RegisterRequest{
+		Shard:          int32(sh.number),
+		Workspace:      r.Workspace,
+		IdempotencyKey: r.Key,
+		Digest:         r.Digest,
+		Entry:          c.incarnation,
+		Sidecar:        r.Sidecar,
+		Server:         r.Server,
+		Id:             id,
+	}
+	done = c.ask(ctx, sh, func(ctx context.Context, owner peerv1connect.LedgerServiceClient) error {
+		resp, err := owner.Register(ctx, connect.NewRequest(req))
+		if err != nil {
+			return err
+		}
+		a, err = attemptOf(resp.Msg)
+		found = resp.Msg.GetFound()
+		return err
+	})
+	return a, found, done
+}
+
+func attemptOf(m *peerv1.RegisterResponse) (once.Attempt, error) {
+	a := once.Attempt{
+		ID:        m.GetId(),
+		Number:    m.GetAttempt(),
+		Digest:    m.GetDigest(),
+		Requester: m.GetEntry(),
+		Runner:    m.GetSidecar(),
+		Place:     m.GetServer(),
+		Result:    m.GetBody(),
+		Kept:      m.GetBodyKept(),
+	}
+	for status := once.Registered; status <= once.Voided; status++ {
+		if status.String() == m.GetState() {
+			a.Status = status
+			return a, nil
+		}
+	}
+	return a, errors.Errorf("unknown state %q of an attempt", m.GetState())
+}
+
 // Void records the proof that an attempt did not and will not run.
 func (c *Client) Void(ctx context.Context, workspace, key string, attempt int64) error {
 	entry := ledger.Void{Workspace: workspace, Key: key, Attempt: attempt}
 	return c.Post(ctx, c.ShardOf(workspace), entry)
 }
 
-// Attempt returns what the shard knows of a key, as far as this process has
-// read its stream.
+// Attempt returns what the shard's owner knows of a key, or else what this
+// process has read in the shard's stream.
 func (c *Client) Attempt(ctx context.Context, workspace, key string) (once.Attempt, bool, error) {
 	sh := c.shard(c.ShardOf(workspace))
-	if err := c.ready(ctx, sh); err != nil {
+	if a, found, done := c.registerAt(ctx, sh, Registration{Workspace: workspace, Key: key}, ""); done {
+		return a, found, nil
+	}
+	t := c.acquire(sh)
+	defer sh.release()
+	if err := t.ready(ctx); err != nil {
 		return once.Attempt{}, false, registryUnreachable()
 	}
-	a, found := sh.attempt(workspace, key)
+	a, found := t.attempt(workspace, key)
 	return a, found, nil
 }
 
-func (s *shard) attempt(workspace, key string) (a once.Attempt, found bool) {
-	s.stream.View(func(stream.Status) { a, found = s.state.Attempt(workspace, key) })
+func (t *tail) attempt(workspace, key string) (a once.Attempt, found bool) {
+	t.stream.View(func(stream.Status) { a, found = t.state.Attempt(workspace, key) })
 	return a, found
 }
 
--- a/services/ledger/reserve.go
+++ b/services/ledger/reserve.go
@@ -10,6 +10,7 @@
 	"github.com/crocusline/crocusline/models/allowance"
 	"github.com/crocusline/crocusline/models/ledger"
 	"github.com/crocusline/crocusline/models/refusal"
+	peerv1 "github.com/crocusline/crocusline/modules/wire/peer/v1"
 	"github.com/crocusline/crocusline/services/stream"
 )
 
@@ -35,6 +36,24 @@
 	allowance *allowance.Allowance
 	// recalled is when a grant of this process was last refused.
 	recalled time.Time
+	// asked is when somebody else asked for unused tokens of the budget.
+	asked time.Time
+	// seen is what the shard's owner answered last.
+	seen view
+	// sequence is the last number used for a grant or return.
+	sequence uint64
+	// returning is the last return, which is sent again until it is decided.
+	returning ledger.Return
+}
+
+// number returns the number of the next grant or return. It is the last one
+// again if the shard did not decide that one yet, so that of the two only one
+// takes effect. The caller holds mu.
+func (a *account) number(decided uint64) uint64 {
+	if a.sequence <= decided {
+		a.sequence = a.allowance.Next()
+	}
+	return a.sequence
 }
 
 func (c *Client) account(workspace string) *account {
@@ -116,19 +135,75 @@
 	if a.cut(tokens) {
 		return nil
 	}
-	if err := c.ready(ctx, sh); err != nil || !sh.stream.Status().Reachable {
+	if done, err := c.drawFromOwner(ctx, sh, a, tokens); done {
+		return err
+	}
+	t := c.acquire(sh)
+	defer sh.release()
+	if err := t.ready(ctx); err != nil || !t.stream.Status().Reachable {
 		return unreachable()
 	}
+	c.reconcile(sh, a)
+	if a.cut(tokens) {
+		return nil
+	}
 	if c.coveredSoon(sh, a, tokens) {
-		return c.drawOnce(ctx, sh, a, tokens)
+		return c.drawOnce(ctx, t, sh, a, tokens)
+	}
+	return exhausted(c.view(sh, a).budget)
+}
+
+// drawFromOwner draws at the shard's owner, which asks others for what they do
+// not use if the budget does not cover the draw. It says whether the owner
+// decided.
+func (c *Client) drawFromOwner(ctx context.Context, sh *shard, a *account, tokens int64) (bool, error) {
+	for range 2 {
+		if !c.drawFrom(ctx, sh, a, c.grantRequest(sh, a, tokens)) {
+			return false, nil
+		}
+		if a.cut(tokens) {
+			return true, nil
+		}
+		if free := c.view(sh, a).budget.Free(); free < a.lack(tokens) {
+			break
+		}
+	}
+	return true, exhausted(c.view(sh, a).budget)
+}
+
+func (c *Client) grantRequest(sh *shard, a *account, tokens int64) *peerv1.DrawRequest {
+	entry := c.newGrant(sh, a, tokens)
+	req := c.drawRequest()
+	req.Sequence = entry.Sequence
+	req.Need = a.lack(tokens)
+	req.Want = entry.Tokens
+	return req
+}
+
+// newGrant returns the grant that a hold of tokens needs.
+func (c *Client) newGrant(sh *shard, a *account, tokens int64) ledger.Grant {
+	v := c.view(sh, a)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return ledger.Grant{
+		Workspace: a.workspace,
+		Holder:    c.incarnation,
+		Sequence:  a.number(v.sums.Sequence),
+		Tokens:    a.allowance.Want(time.Now(), tokens, v.budget.Free()),
 	}
-	return exhausted(sh.view(a.workspace, c.incarnation).budget)
+}
+
+// lack returns how many tokens a hold needs beyond what is here.
+func (a *account) lack(tokens int64) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return tokens - a.allowance.Free()
 }
 
 // coveredSoon says whether a grant is worth asking for: the budget covers it, or
 // others may give back what they do not use and have not just been asked to.
 func (c *Client) coveredSoon(sh *shard, a *account, tokens int64) bool {
-	v := sh.view(a.workspace, c.incarnation)
+	v := c.view(sh, a)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	lack := tokens - a.allowance.Free()
@@ -140,57 +215,40 @@
 
 // drawOnce appends a grant. If the budget does not cover it, the refused grant
 // asks others to give back tokens, and a second one follows when they did.
-func (c *Client) drawOnce(ctx context.Context, sh *shard, a *account, tokens int64) error {
+func (c *Client) drawOnce(ctx context.Context, t *tail, sh *shard, a *account, tokens int64) error {
 	for range 2 {
-		if err := c.grant(ctx, sh, a, tokens); err != nil {
-			return err
+		if err := c.append(ctx, sh, c.newGrant(sh, a, tokens)); err != nil {
+			return unreachable()
 		}
+		c.reconcile(sh, a)
 		if a.cut(tokens) {
 			return nil
 		}
-		if !c.awaitReturns(ctx, sh, a, tokens) {
+		if !c.awaitReturns(ctx, t, a, tokens) {
 			break
 		}
 	}
-	return exhausted(sh.view(a.workspace, c.incarnation).budget)
-}
-
-// grant appends one grant and takes over what the shard's state says then.
-func (c *Client) grant(ctx context.Context, sh *shard, a *account, tokens int64) error {
-	free := sh.view(a.workspace, c.incarnation).budget.Free()
-	a.mu.Lock()
-	entry := ledger.Grant{
-		Workspace: a.workspace,
-		Holder:    c.incarnation,
-		Sequence:  a.allowance.Next(),
-		Tokens:    a.allowance.Want(time.Now(), tokens, free),
-	}
-	a.mu.Unlock()
-	if err := c.Post(ctx, sh.number, entry); err != nil {
-		return unreachable()
-	}
-	c.reconcile(sh, a)
-	return nil
+	return exhausted(c.view(sh, a).budget)
 }
 
 // reconcile takes over the sums of the shard's state. The caller has the turn.
 func (c *Client) reconcile(sh *shard, a *account) {
-	v := sh.view(a.workspace, c.incarnation)
+	v := c.view(sh, a)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.allowance.Reconcile(v.sums)
 }
 
 // awaitReturns says whether the budget came to cover the hold soon.
-func (c *Client) awaitReturns(ctx context.Context, sh *shard, a *account, tokens int64) bool {
+func (c *Client) awaitReturns(ctx context.Context, t *tail, a *account, tokens int64) bool {
 	a.mu.Lock()
 	a.recalled = time.Now()
 	lack := tokens - a.allowance.Free()
 	a.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, c.recallWait)
 	defer cancel()
-	err := sh.stream.Wait(ctx, func(stream.Status) bool {
-		return sh.state.Budget(a.workspace).Free() >= lack
+	err := t.stream.Wait(ctx, func(stream.Status) bool {
+		return t.state.Budget(a.workspace).Free() >= lack
 	})
 	return err == nil
 }
--- a/services/ledger/shard.go
+++ b/services/ledger/shard.go
@@ -1,142 +1,128 @@
 package ledger
 
 import (
+	"context"
 	"sync"
 	"time"
 
-	"github.com/crocusline/crocusline/models/allowance"
+	"github.com/crocusline/crocusline/coordination/escrow"
 	"github.com/crocusline/crocusline/models/ledger"
 	"github.com/crocusline/crocusline/services/stream"
 )
 
-// shard is one ledger shard as this process folds it.
+// tailIdle is how long a shard's stream is read on after its last use while the
+// shard has an owner.
+const tailIdle = 30 * time.Second
+
+// shard is one ledger shard as this process uses it.
 type shard struct {
 	number int
-	stream *stream.Stream
-	// state belongs to the stream: it is read in Stream.View and Stream.Wait.
-	state *ledger.State
-	holds *holds
-	// short takes the workspaces whose budget did not cover a grant.
-	short chan<- string
+	holds  *holds
+
+	mu       sync.Mutex
+	tail     *tail
+	openings int
+	users    int
+	used     time.Time
+	// settled are the numbers of own holds that the owner said are billed.
+	settled escrow.Ranges
+	// quiet is until when the owner is not asked, because it did not answer.
+	quiet time.Time
+	// refreshed is when the owner was last asked for the settled holds.
+	refreshed time.Time
 }
 
-// Apply implements stream.Fold. A malformed body has no effect anywhere.
-func (s *shard) Apply(at stream.Position, bodies [][]byte) {
-	for _, body := range bodies {
-		entries, err := ledger.Decode(body)
-		if err != nil {
-			continue
-		}
-		for _, e := range entries {
-			s.observe(e, s.state.Apply(at.Time, e))
-		}
+// acquire returns the shard's tail, and opens it on first use. The caller
+// releases the shard.
+func (c *Client) acquire(sh *shard) *tail {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.tail == nil {
+		sh.tail = c.openTail(sh)
 	}
+	sh.users++
+	sh.used = time.Now()
+	return sh.tail
 }
 
-func (s *shard) observe(entry ledger.Entry, effect ledger.Effect) {
-	countEffect(entry, effect)
-	switch e := entry.(type) {
-	case ledger.Bill:
-		s.holds.settle(e.Hold)
-	case ledger.Grant:
-		if effect == ledger.Uncovered {
-			select {
-			case s.short <- e.Workspace:
-			default:
-			}
-		}
-	default:
-	}
+func (sh *shard) release() {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.users--
 }
 
-// Snapshot implements stream.Fold.
-func (s *shard) Snapshot() ([]byte, error) { return s.state.Snapshot() }
-
-// Restore implements stream.Fold.
-func (s *shard) Restore(data []byte) error {
-	if data == nil {
-		*s.state = *ledger.New()
-		return nil
+// opened returns the shard's tail if there is one that caught up with the log.
+// The caller releases the shard if so.
+func (sh *shard) opened() (*tail, bool) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.tail == nil || !sh.tail.stream.Status().Ready {
+		return nil, false
 	}
-	return s.state.Restore(data)
+	sh.users++
+	return sh.tail, true
 }
 
-// view returns a workspace's budget and this process's account.
-func (s *shard) view(workspace, holder string) (v view) {
-	s.stream.View(func(st stream.Status) { v = s.viewIn(st, workspace, holder) })
-	return v
-}
-
-// viewIn is view for callers inside Stream.View or Stream.Wait.
-func (s *shard) viewIn(st stream.Status, workspace, holder string) view {
-	a := s.state.Account(workspace, holder)
-	return view{
-		budget: s.state.Budget(workspace),
-		sums:   allowance.Sums{Granted: a.Granted, Returned: a.Returned, Sequence: a.Sequence},
-		closed: s.state.Closed(holder),
-		now:    st.Now,
+// closeIdle ends the reading of a shard's stream that nobody needs.
+func (sh *shard) closeIdle(now time.Time) error {
+	sh.mu.Lock()
+	t := sh.tail
+	if t == nil || sh.users > 0 || now.Sub(sh.used) < tailIdle {
+		sh.mu.Unlock()
+		return nil
 	}
+	sh.tail = nil
+	sh.mu.Unlock()
+	return t.stream.Close()
 }
 
-// view is one workspace's budget as seen by one holder.
-type view struct {
-	budget ledger.Budget
-	sums   allowance.Sums
-	// closed says that the shard's owner took the holder for dead.
-	closed bool
-	// now is the log time of the last record.
-	now time.Time
-}
-
-// holds numbers this process's holds in one shard.
-type holds struct {
-	holder string
-	shard  int
-
-	mu   sync.Mutex
-	last uint64
-	// unused are numbers of holds that were released.
-	unused []uint64
-	live   map[uint64]ledger.Hold
+func (sh *shard) close() error {
+	sh.mu.Lock()
+	t := sh.tail
+	sh.mu.Unlock()
+	if t == nil {
+		return nil
+	}
+	return t.stream.Close()
 }
 
-func newHolds(holder string, shard int) *holds {
-	return &holds{holder: holder, shard: shard, live: map[uint64]ledger.Hold{}}
+// isSettled says whether a hold is known to be billed.
+func (sh *shard) isSettled(hold ledger.Hold, holder string) (settled bool) {
+	if t, ok := sh.opened(); ok {
+		defer sh.release()
+		t.stream.View(func(stream.Status) { settled = t.state.Settled(hold) })
+	}
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return settled || hold.Holder == holder && sh.settled.Has(hold.Sequence)
 }
 
-func (h *holds) cut(tokens int64) ledger.Hold {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	hold := ledger.Hold{Holder: h.holder, Shard: h.shard, Tokens: tokens}
-	if n := len(h.unused); n > 0 {
-		hold.Sequence = h.unused[n-1]
-		h.unused = h.unused[:n-1]
-	} else {
-		h.last++
-		hold.Sequence = h.last
+// append appends entries to the shard's own stream.
+func (c *Client) append(ctx context.Context, sh *shard, entries ...ledger.Entry) error {
+	body, err := ledger.Encode(entries...)
+	if err != nil {
+		return err
 	}
-	h.live[hold.Sequence] = hold
-	return hold
+	t := c.acquire(sh)
+	defer sh.release()
+	_, err = t.stream.Append(ctx, body)
+	return err
 }
 
-// release says whether the hold was live. Its number is used again, so that the
-// set of settled numbers stays dense.
-func (h *holds) release(hold ledger.Hold) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.live[hold.Sequence] != hold {
-		return false
-	}
-	delete(h.live, hold.Sequence)
-	h.unused = append(h.unused, hold.Sequence)
-	return true
+// ready waits until the shard's stream was read once.
+func (t *tail) ready(ctx context.Context) error {
+	return t.stream.Wait(ctx, func(st stream.Status) bool { return st.Ready })
 }
 
-func (h *holds) settle(hold ledger.Hold) {
-	if hold.Holder != h.holder {
-		return
+// view returns the newest that is known of a workspace's budget and of this
+// process's account.
+func (c *Client) view(sh *shard, a *account) view {
+	a.mu.Lock()
+	v := a.seen
+	a.mu.Unlock()
+	if t, ok := sh.opened(); ok {
+		defer sh.release()
+		return v.newer(t.view(a.workspace, c.incarnation))
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.live, hold.Sequence)
+	return v
 }
--- /dev/null
+++ b/services/ledger/tail.go
@@ -0,0 +1,114 @@
+package ledger
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/crocusline/crocusline/models/allowance"
+	"github.com/crocusline/crocusline/models/ledger"
+	"github.com/crocusline/crocusline/services/stream"
+)
+
+// tail is one ledger shard as this process folds it.
+type tail struct {
+	stream *stream.Stream
+	// state belongs to the stream: it is read in Stream.View and Stream.Wait.
+	state *ledger.State
+	holds *holds
+	// short takes the workspaces whose budget did not cover a grant.
+	short chan<- string
+}
+
+// openTail begins to read a shard's stream. Each opening writes under a name of
+// its own, because the records of one writer are numbered through.
+func (c *Client) openTail(sh *shard) *tail {
+	sh.openings++
+	writer := fmt.Sprintf("%s+client%d", c.incarnation, sh.openings)
+	t := &tail{state: ledger.New(), holds: sh.holds, short: c.wake}
+	t.stream = stream.New(ledger.StreamOf(sh.number), writer, c.log, t,
+		stream.WithInterval(c.interval),
+		stream.WithLimiter(c.limiter),
+		stream.WithLogger(c.logger),
+		stream.WithCheckpoints(c.schedule, func() bool { return !c.hasOwner(sh.number) }),
+	)
+	t.stream.Run(c.ctx)
+	return t
+}
+
+// Apply implements stream.Fold.
+func (t *tail) Apply(at stream.Position, bodies [][]byte) {
+	for _, body := range bodies {
+		t.state.ApplyBody(at.Time, body, t.observe)
+	}
+}
+
+func (t *tail) observe(entry ledger.Entry, effect ledger.Effect) {
+	countEffect(entry, effect)
+	switch e := entry.(type) {
+	case ledger.Bill:
+		t.holds.settle(e.Hold)
+	case ledger.Grant:
+		if effect == ledger.Uncovered {
+			select {
+			case t.short <- e.Workspace:
+			default:
+			}
+		}
+	default:
+	}
+}
+
+// Snapshot implements stream.Fold.
+func (t *tail) Snapshot() ([]byte, error) { return t.state.Snapshot() }
+
+// Restore implements stream.Fold.
+func (t *tail) Restore(data []byte) error {
+	if data == nil {
+		*t.state = *ledger.New()
+		return nil
+	}
+	return t.state.Restore(data)
+}
+
+// view returns a workspace's budget and this process's account.
+func (t *tail) view(workspace, holder string) (v view) {
+	t.stream.View(func(st stream.Status) {
+		a := t.state.Account(workspace, holder)
+		v = view{
+			budget: t.state.Budget(workspace),
+			sums:   allowance.Sums{Granted: a.Granted, Returned: a.Returned, Sequence: a.Sequence},
+			closed: t.state.Closed(holder),
+			now:    st.Now,
+			read:   time.Now(),
+		}
+	})
+	return v
+}
+
+// view is one workspace's budget as seen by one holder.
+type view struct {
+	budget ledger.Budget
+	sums   allowance.Sums
+	// closed says that the shard's owner took the holder for dead.
+	closed bool
+	// now is the log time of the last record that the view holds.
+	now time.Time
+	// read is the local time at which the view was current.
+	read time.Time
+}
+
+// short says whether a grant on the budget was not covered lately.
+func (v view) short() bool {
+	if v.budget.Short.IsZero() {
+		return false
+	}
+	return v.now.Sub(v.budget.Short)+time.Since(v.read) <= shortWindow
+}
+
+// newer returns the view that holds more of the shard's stream.
+func (v view) newer(other view) view {
+	if other.now.After(v.now) || other.now.Equal(v.now) && other.sums.Sequence >= v.sums.Sequence {
+		return other
+	}
+	return v
+}
