--- a/modules/wire/peer/v1/peerv1connect/peer.connect.go
+++ b/modules/wire/peer/v1/peerv1connect/peer.connect.go
@@ -267,7 +267,7 @@
 	// Budgets returns the state of the budgets of a shard.
 	Budgets(context.Context, *connect.Request[v1.BudgetsRequest]) (*connect.Response[v1.BudgetsResponse], error)
 	// Claim asks the owner whether it still serves the shard. An owner that sees
-	// the claimant before itself in the shard's order hands the shard over.
+	// the claimant first in the shard's order hands the shard over.
 	Claim(context.Context, *connect.Request[v1.ClaimRequest]) (*connect.Response[v1.ClaimResponse], error)
 	// Recall asks a holder to give back the tokens of a budget that no request
 	// has taken.
@@ -376,7 +376,7 @@
 	// Budgets returns the state of the budgets of a shard.
 	Budgets(context.Context, *connect.Request[v1.BudgetsRequest]) (*connect.Response[v1.BudgetsResponse], error)
 	// Claim asks the owner whether it still serves the shard. An owner that sees
-	// the claimant before itself in the shard's order hands the shard over.
+	// the claimant first in the shard's order hands the shard over.
 	Claim(context.Context, *connect.Request[v1.ClaimRequest]) (*connect.Response[v1.ClaimResponse], error)
 	// Recall asks a holder to give back the tokens of a budget that no request
 	// has taken.
--- /dev/null
+++ b/services/shard/owner_test.go
@@ -0,0 +1,306 @@
+package shard_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/crocusline/crocusline/kernel"
+	"github.com/crocusline/crocusline/models/fleet"
+	"github.com/crocusline/crocusline/models/lease"
+	model "github.com/crocusline/crocusline/models/ledger"
+	peerv1 "github.com/crocusline/crocusline/modules/wire/peer/v1"
+	"github.com/crocusline/crocusline/services/ledger"
+	"github.com/crocusline/crocusline/services/shard"
+)
+
+var _ kernel.Service = (*shard.Host)(nil)
+
+func topUp(t *testing.T, e *entry, workspace string, tokens int64) {
+	t.Helper()
+	entry := model.TopUp{ID: workspace + "-1", Workspace: workspace, Tokens: tokens}
+	if err := e.client.Post(t.Context(), e.client.ShardOf(workspace), entry); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func reserve(t *testing.T, e *entry, workspace string, tokens int64) model.Hold {
+	t.Helper()
+	hold, err := e.client.Reserve(t.Context(), workspace, tokens)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return hold
+}
+
+func bill(t *testing.T, e *entry, workspace, id string, hold model.Hold, tokens int64) {
+	t.Helper()
+	entry := model.Bill{RequestID: id, Workspace: workspace, Hold: hold, Tokens: tokens}
+	if err := e.client.Post(t.Context(), hold.Shard, entry); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func budget(t *testing.T, e *entry, workspace string) model.Budget {
+	t.Helper()
+	b, err := e.client.Budget(t.Context(), workspace)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func TestEachShardHasOneOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		entries := []*entry{w.join("a"), w.join("b"), w.join("c")}
+		time.Sleep(10 * time.Second)
+		w.checkOwners(entries...)
+		for number, owner := range owners(entries...) {
+			if want := lease.Order(number, []string{"a", "b", "c"})[0]; owner[0] != want {
+				t.Errorf("shard %d is owned by %s, want %s", number, owner[0], want)
+			}
+		}
+	})
+}
+
+func TestNewcomerIsHandedItsShards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a := w.join("a")
+		time.Sleep(10 * time.Second)
+		w.checkOwners(a)
+		b, c := w.join("b"), w.join("c")
+		time.Sleep(2 * time.Second)
+		w.checkOwners(a, b, c)
+		for number, owner := range owners(a, b, c) {
+			if want := lease.Order(number, []string{"a", "b", "c"})[0]; owner[0] != want {
+				t.Errorf("shard %d is owned by %s, want %s", number, owner[0], want)
+			}
+		}
+		c.close()
+		w.board.publish(t, fleet.Retire{Incarnation: c.member.Incarnation})
+		time.Sleep(2 * time.Second)
+		w.checkOwners(a, b)
+	})
+}
+
+func TestClientNeedsNoStreamWhileAnOwnerAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a, b := w.join("a"), w.join("b")
+		time.Sleep(10 * time.Second)
+		topUp(t, a, "clinic", 10_000)
+		for i := range 20 {
+			e := []*entry{a, b}[i%2]
+			bill(t, e, "clinic", fmt.Sprint(i), reserve(t, e, "clinic", 100), 60)
+			time.Sleep(300 * time.Millisecond)
+		}
+		hold := reserve(t, a, "clinic", 100)
+		a.client.Release("clinic", hold)
+		time.Sleep(20 * time.Second)
+		got := budget(t, b, "clinic")
+		if got.Settled != 1200 || got.Outstanding != 0 || got.Bills != 20 {
+			t.Errorf("budget %+v", got)
+		}
+		if !a.client.Settled(model.Hold{Holder: "a/1", Shard: hold.Shard, Sequence: 1, Tokens: 100}) {
+			t.Error("a does not know that its first hold is billed")
+		}
+		for _, e := range []*entry{a, b} {
+			if reads, writes := e.clientGate.counts(); reads+writes != 0 {
+				t.Errorf("client of %s read %d times and wrote %d times", e.member.Name, reads, writes)
+			}
+		}
+	})
+}
+
+func TestOwnerRecallsUnusedTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a, b := w.join("a"), w.join("b")
+		time.Sleep(10 * time.Second)
+		topUp(t, a, "clinic", 1000)
+		for range 10 {
+			a.client.Release("clinic", reserve(t, a, "clinic", 90))
+		}
+		a.client.Release("clinic", reserve(t, a, "clinic", 300))
+		if got := budget(t, a, "clinic"); got.Outstanding == 0 {
+			t.Fatalf("nothing to recall: %+v", got)
+		}
+		if hold := reserve(t, b, "clinic", 1000); hold.Tokens != 1000 {
+			t.Fatalf("hold %+v", hold)
+		}
+	})
+}
+
+func TestOneOfTwoClaimsAtOnceWins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		// Each knows a fleet of its own, in which it alone is a member.
+		var entries []*entry
+		for _, name := range []string{"a", "b"} {
+			b := newBoard()
+			e := w.start(name, b)
+			b.publish(t, fleet.Register{Member: e.member})
+			entries = append(entries, e)
+		}
+		for range 40 {
+			time.Sleep(250 * time.Millisecond)
+			synctest.Wait()
+			for number, names := range owners(entries...) {
+				if len(names) > 1 {
+					t.Fatalf("shard %d is owned by %v", number, names)
+				}
+			}
+		}
+		topUp(t, entries[0], "clinic", 1000)
+		synctest.Wait()
+		if got := budget(t, entries[1], "clinic"); got.ToppedUp != 1000 {
+			t.Errorf("budget %+v", got)
+		}
+	})
+}
+
+// post hands entries to the entry's own host.
+func (e *entry) post(number int, entries ...model.Entry) error {
+	body, err := model.Encode(entries...)
+	if err != nil {
+		return err
+	}
+	req := &peerv1.PostRequest{Shard: int32(number), Entries: [][]byte{body}}
+	_, err = e.host.Post(context.Background(), connect.NewRequest(req))
+	return err
+}
+
+// TestPausedOwnerCommitsNothing pauses an owner with a top-up and a grant on
+// their way to the log, until another has claimed the shard.
+func TestPausedOwnerCommitsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		entries := []*entry{w.join("a"), w.join("b")}
+		time.Sleep(10 * time.Second)
+		topUp(t, entries[0], "clinic", 1000)
+		number := entries[0].client.ShardOf("clinic")
+		owner, other := entries[0], entries[1]
+		if owners(entries...)[number][0] != owner.member.Name {
+			owner, other = other, owner
+		}
+		before := w.board.State().Owners[number]
+		owner.hostGate.pause()
+		w.net.SetCut(owner.member.Address, true)
+		posted := make(chan error, 1)
+		go func() {
+			posted <- owner.post(number, model.TopUp{ID: "late", Workspace: "clinic", Tokens: 7})
+		}()
+		held := make(chan model.Hold)
+		go func() { held <- reserve(t, owner, "clinic", 400) }()
+		// The other draws at the paused owner first, then by itself.
+		hold := reserve(t, other, "clinic", 500)
+		<-held
+		time.Sleep(10 * time.Second)
+		after := w.board.State().Owners[number]
+		if after.Incarnation != other.member.Incarnation || after.Epoch <= before.Epoch {
+			t.Fatalf("the shard's owner is %+v, was %+v", after, before)
+		}
+		records := w.log.Next(model.StreamOf(number))
+		owner.hostGate.resume()
+		w.net.SetCut(owner.member.Address, false)
+		bill(t, other, "clinic", "r1", hold, 500)
+		time.Sleep(10 * time.Second)
+		if err := <-posted; connect.CodeOf(err) != connect.CodeFailedPrecondition {
+			t.Errorf("the late top-up was answered with %v", err)
+		}
+		got := budget(t, other, "clinic")
+		if got.ToppedUp != 1000 || got.Settled != 500 || got.Settled+got.Outstanding > 1000 || got.Bills != 1 {
+			t.Errorf("budget %+v", got)
+		}
+		if w.log.Next(model.StreamOf(number)) == records {
+			t.Error("nothing came to the log after the pause")
+		}
+		w.checkOwners(entries...)
+	})
+}
+
+func TestOwnerKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		entries := []*entry{w.join("a"), w.join("b"), w.join("c")}
+		time.Sleep(10 * time.Second)
+		topUp(t, entries[0], "clinic", 1000)
+		number := entries[0].client.ShardOf("clinic")
+		w.checkOwners(entries...)
+		owner := owners(entries...)[number][0]
+		var rest []*entry
+		for _, e := range entries {
+			if owner == e.member.Name {
+				e.kill()
+			} else {
+				rest = append(rest, e)
+			}
+		}
+		began := time.Now()
+		reserve(t, rest[0], "clinic", 100)
+		if wait := time.Since(began); wait > 2*time.Second {
+			t.Errorf("served after %s without an owner", wait)
+		}
+		for owners(rest...)[number] == nil && time.Since(began) < time.Minute {
+			time.Sleep(100 * time.Millisecond)
+		}
+		t.Logf("next owner after %s of virtual time, lease timeout %s", time.Since(began), shard.DefaultLeaseTimeout)
+		time.Sleep(time.Minute)
+		reads, _ := rest[0].clientGate.counts()
+		time.Sleep(time.Minute)
+		bill(t, rest[0], "clinic", "r1", reserve(t, rest[0], "clinic", 100), 100)
+		if again, _ := rest[0].clientGate.counts(); again != reads {
+			t.Errorf("the client still reads the stream")
+		}
+		w.checkOwners(rest...)
+	})
+}
+
+// TestLostAnswersOfTheOwnerCountOnce loses the owner's answers, so that the
+// client does by itself what the owner has done.
+func TestLostAnswersOfTheOwnerCountOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a, b := w.join("a"), w.join("b")
+		time.Sleep(10 * time.Second)
+		topUp(t, a, "clinic", 10_000)
+		number := a.client.ShardOf("clinic")
+		owner := w.board.State().Owners[number].Address
+		e := a
+		if e.member.Address == owner {
+			e = b
+		}
+		lose := func() {
+			time.Sleep(5 * time.Second)
+			w.net.LoseAnswers(owner, 1)
+		}
+		for i := range 5 {
+			lose()
+			hold := reserve(t, e, "clinic", 50)
+			lose()
+			bill(t, e, "clinic", fmt.Sprint(i), hold, 50)
+		}
+		lose()
+		r := ledger.Registration{Workspace: "clinic", Key: "k", Digest: []byte("d"), Sidecar: "s1/1"}
+		got, err := e.client.Register(t.Context(), r)
+		if err != nil || !got.Granted || got.Attempt != 1 {
+			t.Fatalf("registered %+v, %v", got, err)
+		}
+		if again, err := e.client.Register(t.Context(), r); err != nil || again.Granted {
+			t.Fatalf("registered again %+v, %v", again, err)
+		}
+		if a, found, err := b.client.Attempt(t.Context(), "clinic", "k"); err != nil || !found || a.Number != 1 {
+			t.Fatalf("attempt %+v, %v", a, err)
+		}
+		time.Sleep(20 * time.Second)
+		if got := budget(t, e, "clinic"); got.Settled != 250 || got.Bills != 5 || got.Outstanding != 0 {
+			t.Errorf("budget %+v", got)
+		}
+	})
+}
