--- a/models/lease/lease_test.go
+++ b/models/lease/lease_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -26,6 +27,18 @@
 	}
 }
 
+func TestFirstIsFirstOfOrder(t *testing.T) {
+	all := names(5)
+	for shard := range 100 {
+		if got, want := lease.First(strconv.Itoa(shard), all), lease.Order(shard, all)[0]; got != want {
+			t.Fatalf("shard %d falls to %s, want %s", shard, got, want)
+		}
+	}
+	if got := lease.First("x", nil); got != "" {
+		t.Errorf("%q of no names", got)
+	}
+}
+
 func TestWatch(t *testing.T) {
 	start := time.Unix(0, 0)
 	w := lease.NewWatch(start, 3*time.Second)
--- a/models/lease/order.go
+++ b/models/lease/order.go
@@ -14,16 +14,24 @@
 // Order returns the names in the order in which they should own the shard, by
 // rendezvous hashing: a name that comes or goes moves only its own shards.
 func Order(shard int, names []string) []string {
+	key := strconv.Itoa(shard)
 	ordered := slices.Clone(names)
-	slices.SortFunc(ordered, func(a, b string) int {
-		if c := cmp.Compare(weight(shard, b), weight(shard, a)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a, b)
-	})
+	slices.SortFunc(ordered, func(a, b string) int { return compare(key, a, b) })
 	return ordered
 }
 
-func weight(shard int, name string) uint64 {
-	return xxhash.Sum64String(strconv.Itoa(shard) + "/" + name)
+// First returns the name that a key falls to, or "" if there are no names.
+func First(key string, names []string) string {
+	if len(names) == 0 {
+		return ""
+	}
+	return slices.MinFunc(names, func(a, b string) int { return compare(key, a, b) })
+}
+
+func compare(key, a, b string) int {
+	return cmp.Or(cmp.Compare(weight(key, b), weight(key, a)), cmp.Compare(a, b))
+}
+
+func weight(key, name string) uint64 {
+	return xxhash.Sum64String(key + "/" + name)
 }
--- a/routers/peer/sidecar.go
+++ b/routers/peer/sidecar.go
@@ -46,6 +46,9 @@
 	if err != nil {
 		return refusalwire.Encode(err)
 	}
+	if s.isGone(r.Hold.Holder) {
+		return refusalwire.Encode(refusal.New(refusal.Fenced, 0, "The entry's incarnation has ended."))
+	}
 	relay, err := s.runner.Submit(ctx, r)
 	if err != nil {
 		return refusalwire.Encode(err)
@@ -55,6 +58,13 @@
 	return refusalwire.Encode(err)
 }
 
+// isGone says whether the fleet's state, if it is known, says that an entry's
+// incarnation has ended. A sidecar that came later is not asked to fence it.
+func (s *Sidecar) isGone(entry string) bool {
+	holder, ok := s.tables.(StateHolder)
+	return ok && holder.State().IsGone(entry)
+}
+
 // relay sends an answer and says whether the last frame was sent.
 func (s *Sidecar) relay(ctx context.Context, id string, relay *runner.Relay, stream *connect.ServerStream[peerv1.RunResponse]) (bool, error) {
 	started := &peerv1.Started{RequestId: id, Incarnation: s.runner.Incarnation(), Load: s.load()}
--- a/services/ledger/owner.go
+++ b/services/ledger/owner.go
@@ -33,7 +33,13 @@
 // append to the streams itself only while an owner does not answer. client
 // reaches peers.
 func WithOwners(locate Locator, client *http.Client) Option {
-	return func(c *Client) { c.owners = &owners{locate: locate, http: client} }
+	return func(c *Client) {
+		c.owners = &owners{
+			locate:  locate,
+			http:    client,
+			clients: map[netip.AddrPort]peerv1connect.LedgerServiceClient{},
+		}
+	}
 }
 
 // owners holds the clients of the shards' owners.
@@ -48,15 +54,20 @@
 func (o *owners) client(address netip.AddrPort) peerv1connect.LedgerServiceClient {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.clients == nil {
-		o.clients = map[netip.AddrPort]peerv1connect.LedgerServiceClient{}
-	}
 	if o.clients[address] == nil {
 		o.clients[address] = peerv1connect.NewLedgerServiceClient(o.http, peer.URL(address))
 	}
 	return o.clients[address]
 }
 
+// UseLocal makes calls of the owner at this process's own address without the
+// network. It comes before Start, and after WithOwners.
+func (c *Client) UseLocal(address netip.AddrPort, owner peerv1connect.LedgerServiceClient) {
+	c.owners.mu.Lock()
+	defer c.owners.mu.Unlock()
+	c.owners.clients[address] = owner
+}
+
 // ownerCall is one call of a shard's owner.
 type ownerCall func(ctx context.Context, owner peerv1connect.LedgerServiceClient) error
 
--- a/services/shard/fleet_test.go
+++ b/services/shard/fleet_test.go
@@ -55,29 +55,45 @@
 // gate is one process's way to the log. A closed gate holds calls up, however
 // long their callers wait, as if the process were paused.
 type gate struct {
-	mu     sync.Mutex
-	log    platform.Log
-	open   chan struct{}
-	reads  int
-	writes int
+	mu  sync.Mutex
+	log platform.Log
+	// A call waits until its channel is closed.
+	readable, writable chan struct{}
+	reads              int
+	writes             int
 }
 
 func newGate(log platform.Log) *gate {
-	g := &gate{log: log, open: make(chan struct{})}
-	close(g.open)
+	g := &gate{log: log, readable: make(chan struct{}), writable: make(chan struct{})}
+	close(g.readable)
+	close(g.writable)
 	return g
 }
 
+// pause holds up all calls.
 func (g *gate) pause() {
+	g.pauseAppends()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.open = make(chan struct{})
+	g.readable = make(chan struct{})
+}
+
+func (g *gate) pauseAppends() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.writable = make(chan struct{})
 }
 
 func (g *gate) resume() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	close(g.open)
+	for _, open := range []chan struct{}{g.readable, g.writable} {
+		select {
+		case <-open:
+		default:
+			close(open)
+		}
+	}
 }
 
 func (g *gate) replace(log platform.Log) {
@@ -86,24 +102,24 @@
 	g.log = log
 }
 
-// pass counts a call, waits for the gate to open and returns the log.
-func (g *gate) pass(counter *int) platform.Log {
+// pass counts a call, waits until it may go on and returns the log.
+func (g *gate) pass(counter *int, open *chan struct{}) platform.Log {
 	g.mu.Lock()
 	*counter++
-	open := g.open
+	wait := *open
 	g.mu.Unlock()
-	<-open
+	<-wait
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.log
 }
 
 func (g *gate) Append(_ context.Context, stream string, data []byte) (int64, error) {
-	return g.pass(&g.writes).Append(context.Background(), stream, data)
+	return g.pass(&g.writes, &g.writable).Append(context.Background(), stream, data)
 }
 
 func (g *gate) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (platform.Batch, error) {
-	return g.pass(&g.reads).Read(ctx, stream, from, limit, wait)
+	return g.pass(&g.reads, &g.readable).Read(ctx, stream, from, limit, wait)
 }
 
 func (g *gate) counts() (reads, writes int) {
--- a/services/shard/handler.go
+++ b/services/shard/handler.go
@@ -137,7 +137,7 @@
 // isFirst says whether the claimant, and not this process, is first in the
 // shard's order.
 func (p *part) isFirst(claimant string) bool {
-	rank, alive := p.rank(p.host.fleet.State(), claimant)
+	rank, alive := p.rank(p.host.fleet.State(), claimant, "")
 	return alive && rank == 0 && claimant != p.host.member.Incarnation
 }
 
--- a/services/shard/owner_test.go
+++ b/services/shard/owner_test.go
@@ -259,6 +259,9 @@
 			t.Errorf("the client still reads the stream")
 		}
 		w.checkOwners(rest...)
+		// Once more without an owner, with the stream opened anew.
+		w.net.SetCut(w.board.State().Owners[number].Address, true)
+		bill(t, rest[0], "clinic", "r2", reserve(t, rest[0], "clinic", 500), 100)
 	})
 }
 
@@ -304,3 +307,30 @@
 		}
 	})
 }
+
+// TestSlowOwnerAndFallbackGrantOnce has the owner's grant come to the log after
+// the client gave the owner up, and just before the client's own.
+func TestSlowOwnerAndFallbackGrantOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a, b := w.join("a"), w.join("b")
+		time.Sleep(10 * time.Second)
+		topUp(t, a, "clinic", 10_000)
+		owner, e := a, b
+		if owners(a, b)[a.client.ShardOf("clinic")][0] == "b" {
+			owner, e = b, a
+		}
+		owner.hostGate.pauseAppends()
+		e.clientGate.pauseAppends()
+		held := make(chan model.Hold)
+		go func() { held <- reserve(t, e, "clinic", 100) }()
+		time.Sleep(1200 * time.Millisecond)
+		owner.hostGate.resume()
+		time.Sleep(50 * time.Millisecond)
+		e.clientGate.resume()
+		<-held
+		if got := budget(t, a, "clinic"); got.Outstanding == 0 || got.Outstanding >= 200 {
+			t.Errorf("budget %+v after one draw for 100 tokens", got)
+		}
+	})
+}
--- a/services/shard/part.go
+++ b/services/shard/part.go
@@ -100,17 +100,21 @@
 		return
 	}
 	state := p.host.fleet.State()
-	rank, member := p.rank(state, p.host.member.Incarnation)
-	if !member {
-		return
-	}
-	owner, known := state.Owners[p.number]
-	_, alive := state.Members[owner.Incarnation]
+	owner := state.Owners[p.number]
 	if owner.Epoch != p.watched {
 		p.watched = owner.Epoch
 		p.watch.Heard(time.Now())
 	}
-	owned := known && alive && owner.Incarnation != p.host.member.Incarnation
+	_, owned := state.Members[owner.Incarnation]
+	owned = owned && owner.Incarnation != p.host.member.Incarnation
+	except := ""
+	if owned {
+		except = owner.Incarnation
+	}
+	rank, member := p.rank(state, p.host.member.Incarnation, except)
+	if !member {
+		return
+	}
 	switch p.watch.Next(time.Now(), lease.Standing{Rank: rank, Owned: owned}).(type) {
 	case lease.Probe:
 		p.probe(ctx, owner)
@@ -120,15 +124,16 @@
 	}
 }
 
-// rank returns an entry's place in the shard's order, if it is a member.
-func (p *part) rank(state *fleet.State, incarnation string) (int, bool) {
+// rank returns an entry's place in the shard's order of the members but except,
+// if it is a member.
+func (p *part) rank(state *fleet.State, incarnation, except string) (int, bool) {
 	self, member := state.Members[incarnation]
 	if !member {
 		return 0, false
 	}
 	var names []string
 	for _, m := range state.Members {
-		if m.Role == fleet.Entry {
+		if m.Role == fleet.Entry && m.Incarnation != except {
 			names = append(names, m.Name)
 		}
 	}
