--- a/services/order/order_test.go
+++ b/services/order/order_test.go
@@ -312,12 +312,14 @@
 			t.Fatal(err)
 		}
 		time.Sleep(time.Minute)
+		synctest.Wait()
 		if e.given != 2 || e.setup.Role != "prefill" {
 			t.Errorf("gave %d orders, role %s, want 2 and prefill", e.given, e.setup.Role)
 		}
 		join(log, "sidecar/2")
 		_, _ = log.append(wantRole("p2", 1, "decode", "base"))
 		time.Sleep(time.Minute)
+		synctest.Wait()
 		if e.given != 2 {
 			t.Errorf("gave %d orders, the last after it was superseded", e.given)
 		}
