--- /dev/null
+++ b/services/billing/example_test.go
@@ -0,0 +1,45 @@
+package billing_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/crocusline/crocusline/kernel"
+	"github.com/crocusline/crocusline/models/ledger"
+	"github.com/crocusline/crocusline/services/billing"
+)
+
+// flakyPoster loses its first answer after the entries took effect.
+type flakyPoster struct{ posts int }
+
+func (p *flakyPoster) Post(_ context.Context, shard int, entries ...ledger.Entry) error {
+	p.posts++
+	fmt.Printf("post %d to shard %d: %d entries\n", p.posts, shard, len(entries))
+	if p.posts == 1 {
+		return errors.New("answer lost")
+	}
+	return nil
+}
+
+func ExampleKeeper_Keep() {
+	keeper := billing.New(billing.WithPoster(&flakyPoster{}))
+	if err := keeper.Start(context.Background(), kernel.New(hclog.NewNullLogger())); err != nil {
+		fmt.Println(err)
+		return
+	}
+	bill := ledger.Bill{RequestID: "r1", Workspace: "clinic", Tokens: 30}
+	settled := make(chan struct{})
+	keeper.Keep(3, []ledger.Entry{bill}, func() { close(settled) })
+	<-settled
+	fmt.Println("owed:", keeper.Owed())
+	if err := keeper.Close(); err != nil {
+		fmt.Println(err)
+	}
+	// Output:
+	// post 1 to shard 3: 1 entries
+	// post 2 to shard 3: 1 entries
+	// owed: 0
+}
--- /dev/null
+++ b/services/drain/example_test.go
@@ -0,0 +1,43 @@
+package drain_test
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/crocusline/crocusline/kernel"
+	"github.com/crocusline/crocusline/services/drain"
+	"github.com/crocusline/crocusline/services/runner"
+)
+
+// work is a backend server's work in place of a runner.
+type work struct{ left runner.Waiting }
+
+func (w *work) Drain(_ context.Context, draining bool) error {
+	fmt.Println("refuse new work:", draining)
+	return nil
+}
+
+func (w *work) WaitsFor() runner.Waiting { return w.left }
+
+func ExampleDrainer_Plan() {
+	ctx := context.Background()
+	w := &work{left: runner.Waiting{Bills: 1}}
+	d := drain.New(drain.WithWork(w))
+	if err := d.Start(ctx, kernel.New(hclog.NewNullLogger())); err != nil {
+		fmt.Println(err)
+		return
+	}
+	if err := d.Plan(ctx, true); err != nil {
+		fmt.Println(err)
+		return
+	}
+	fmt.Println("safe:", d.Safe(), "bills owed:", d.WaitsFor().Bills)
+	w.left.Bills = 0
+	fmt.Println("safe:", d.Safe())
+	// Output:
+	// refuse new work: true
+	// safe: false bills owed: 1
+	// safe: true
+}
