--- a/tests/simulation/sidecar_test.go
+++ b/tests/simulation/sidecar_test.go
@@ -249,7 +249,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.book.Inquire(time.Now(), name, true)
+	// A fenced attempt has no actions: only fences of idempotent requests have.
+	state, _, err := s.book.Inquire(time.Now(), name, true)
+	return state, err
 }
 
 // fence refuses an entry from now on. It says whether its holds are settled.
