--- a/services/receipt/receipt.go
+++ b/services/receipt/receipt.go
@@ -20,8 +20,12 @@
 // Name is the service's name.
 const Name = "receipt"
 
-// stateFenced is a sidecar's word for a request that it will never run or bill.
-const stateFenced = "fenced"
+// A sidecar's words for a request that it will never bill: one that it refuses
+// from now on, and one that it ran without learning whether it took effect.
+const (
+	stateFenced     = "fenced"
+	stateUnresolved = "unknown"
+)
 
 const (
 	// capacity bounds the receipts kept, and the ring that brings them.
@@ -29,7 +33,7 @@
 	// settleInterval is the pause between rounds over the receipts.
 	settleInterval = time.Second
 	// longestPause is the longest time between two looks at a receipt.
-	longestPause = 2 * time.Second
+	longestPause = 16 * time.Second
 	// callTimeout bounds one call to a sidecar or the ledger.
 	callTimeout = 2 * time.Second
 	// lastRoundTimeout bounds the round before the process ends.
@@ -281,15 +285,15 @@
 	switch {
 	case !ok:
 		return waiting
-	case sidecar.Incarnation != p.Sidecar || s.fenced(ctx, sidecar, p):
+	case sidecar.Incarnation != p.Sidecar || s.unbilled(ctx, sidecar, p):
 		return writable
 	default:
 		return waiting
 	}
 }
 
-// fenced says whether the sidecar will neither run nor bill the request.
-func (s *Service) fenced(ctx context.Context, sidecar dispatch.Sidecar, p pending) bool {
+// unbilled says whether the sidecar will never bill the request.
+func (s *Service) unbilled(ctx context.Context, sidecar dispatch.Sidecar, p pending) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	resp, err := sidecar.Client.Inquire(ctx, connect.NewRequest(&peerv1.InquireRequest{
@@ -297,5 +301,9 @@
 		RequestId: p.Bill.RequestID,
 		Fence:     true,
 	}))
-	return err == nil && resp.Msg.GetIncarnation() == p.Sidecar && resp.Msg.GetState() == stateFenced
+	if err != nil || resp.Msg.GetIncarnation() != p.Sidecar {
+		return false
+	}
+	state := resp.Msg.GetState()
+	return state == stateFenced || state == stateUnresolved
 }
--- a/tests/simulation/sidecar_test.go
+++ b/tests/simulation/sidecar_test.go
@@ -247,12 +247,10 @@
 	if s.gate() != nil || from.gate() != nil {
 		return run.NotSeen, errBroken
 	}
-	var state run.State
-	var err error
-	s.change(func(b *run.Book) (actions []run.Action) {
-		state, actions, err = b.Inquire(time.Now(), name, true)
-		return actions
-	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A fenced attempt has no actions: only fences of idempotent requests have.
+	state, _, err := s.book.Inquire(time.Now(), name, true)
 	return state, err
 }
 
