Show in the simulation which losses cost a bill

An entry that stalls between its decision and the call to a sidecar, for longer than it takes to close it, meets a sidecar that started after the entry was closed and so was never asked to fence it. Entries stall now as a kind of fault of its own, and half of the callers wait long enough to see the answer.

--- a/tests/simulation/fault_test.go
+++ b/tests/simulation/fault_test.go
@@ -15,6 +15,8 @@
 	pauseEntry
 	pauseSidecar
 	pauseOwner
+	// stallEntry pauses an entry between a decision to dispatch and the call.
+	stallEntry
 	cutEntry
 	cutSidecar
 	cutOwner
@@ -69,6 +71,9 @@
 		p.pause()
 		sleep(w.ctx, f.length)
 		p.unpause()
+	case stallEntry:
+		p := w.target(f)
+		p.set(func() { p.stall = f.length })
 	case cutEntry, cutSidecar, cutOwner:
 		p := w.target(f)
 		p.set(func() { p.cut = true })
@@ -102,7 +107,7 @@
 
 func (w *world) target(f event) *process {
 	switch f.kind {
-	case pauseEntry, cutEntry:
+	case pauseEntry, stallEntry, cutEntry:
 		return w.entry(f.target).process
 	case pauseSidecar, cutSidecar:
 		return w.allSidecars()[f.target].process
@@ -191,7 +196,7 @@
 
 func (f event) String() string {
 	names := [...]string{
-		"killEntry", "killSidecar", "killOwner", "pauseEntry", "pauseSidecar", "pauseOwner",
+		"killEntry", "killSidecar", "killOwner", "pauseEntry", "pauseSidecar", "pauseOwner", "stallEntry",
 		"cutEntry", "cutSidecar", "cutOwner", "outage", "slowLog", "lostAnswers", "doubledAppends",
 	}
 	return fmt.Sprintf("%s %d at %s for %s", names[f.kind], f.target, f.at, f.length)
--- a/tests/simulation/process_test.go
+++ b/tests/simulation/process_test.go
@@ -30,6 +30,8 @@
 	cut    bool
 	lose   int
 	double int
+	// stall is how long the process pauses before its next call to a sidecar.
+	stall time.Duration
 }
 
 func (p *process) dead() bool { return p.ctx.Err() != nil }
@@ -52,6 +54,22 @@
 	}
 }
 
+// dispatching pauses the process if it is to stall.
+func (p *process) dispatching() error {
+	p.mu.Lock()
+	stall := p.stall
+	p.stall = 0
+	p.mu.Unlock()
+	if stall > 0 {
+		p.pause()
+		p.world.tasks.Go(func() {
+			sleep(p.world.ctx, stall)
+			p.unpause()
+		})
+	}
+	return p.gate()
+}
+
 // suspected says whether others would take the process for dead by now.
 func (p *process) suspected(after time.Duration) bool {
 	p.mu.Lock()
--- a/tests/simulation/sidecar_test.go
+++ b/tests/simulation/sidecar_test.go
@@ -115,7 +115,7 @@
 	select {
 	case <-ended:
 	case <-cut:
-		return run.Handover{}, refusal.New(refusal.Fenced, 0, "fenced")
+		return run.Handover{}, &refusal.Error{Reason: refusal.Fenced, Outcome: refusal.Unknown}
 	case <-s.ctx.Done():
 		return run.Handover{}, errBroken
 	case <-from.ctx.Done():
@@ -130,6 +130,9 @@
 	if s.dead() || time.Now().Before(s.serves) {
 		return errRefused
 	}
+	if from.dispatching() != nil {
+		return errRefused
+	}
 	time.Sleep(from.between(req.ID, time.Millisecond, 2*time.Millisecond))
 	if s.gate() != nil {
 		return errBroken
--- a/tests/simulation/simulation_test.go
+++ b/tests/simulation/simulation_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/crocusline/crocusline/models/ledger"
 )
@@ -36,10 +37,45 @@
 	}
 }
 
-func simulate(t *testing.T, seed uint64, sum *tally) {
+// TestPausedEntryMeetsNewSidecars resumes an entry that was closed, while all the
+// sidecars that fenced it were replaced.
+func TestPausedEntryMeetsNewSidecars(t *testing.T) {
+	var sum tally
+	for seed := range uint64(5) {
+		simulate(t, seed, &sum,
+			event{kind: stallEntry, at: 3 * time.Second, length: 16 * time.Second},
+			event{kind: killSidecar, at: 14 * time.Second, target: 0},
+			event{kind: killSidecar, at: 14 * time.Second, target: 1},
+			event{kind: killSidecar, at: 14 * time.Second, target: 2},
+		)
+	}
+}
+
+// TestDoubleLossLosesBills shows the harm that is left: an answer given while the
+// log is away is not billed if its entry and its sidecar both die before the log
+// answers again. Nothing else goes wrong.
+func TestDoubleLossLosesBills(t *testing.T) {
+	var sum tally
+	faults := []event{{kind: outage, at: 4 * time.Second, length: 8 * time.Second}}
+	for i := range 3 {
+		faults = append(faults,
+			event{kind: killEntry, at: 9 * time.Second, target: i},
+			event{kind: killSidecar, at: 9 * time.Second, target: i})
+	}
+	simulate(t, 1, &sum, faults...)
+	if sum.lost == 0 {
+		t.Error("no bill was lost")
+	}
+	t.Logf("%+v", sum)
+}
+
+// simulate runs one seed, with the faults given or else those that it draws.
+func simulate(t *testing.T, seed uint64, sum *tally, faults ...event) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, seed)
-		faults := w.faults()
+		if len(faults) == 0 {
+			faults = w.faults()
+		}
 		w.tasks.Go(w.topUp)
 		w.tasks.Go(w.drive)
 		w.tasks.Go(w.supervise)
--- a/tests/simulation/workload_test.go
+++ b/tests/simulation/workload_test.go
@@ -17,6 +17,8 @@
 	idempotent bool
 	maxTokens  int
 	deadline   time.Time
+	// patience is how long the caller waits for one call.
+	patience time.Duration
 
 	mu      sync.Mutex
 	name    string
@@ -48,7 +50,8 @@
 			workspace:  workspaces[caller.draw("what", len(workspaces))],
 			idempotent: caller.draw("what", 10) < 6,
 			maxTokens:  20 + caller.draw("what", 200),
-			deadline:   time.Now().Add(10 * time.Second),
+			deadline:   time.Now().Add(time.Duration(10+20*caller.draw("what", 2)) * time.Second),
+			patience:   time.Duration(5+20*caller.draw("what", 2)) * time.Second,
 			name:       fmt.Sprint("r", i),
 		}
 		if !r.idempotent || caller.draw("what", 2) == 0 {
@@ -74,7 +77,7 @@
 		got := make(chan reply, 1)
 		e := w.entry((first + i) % entries)
 		w.tasks.Go(func() { got <- e.serve(r) })
-		timeout := time.NewTimer(5 * time.Second)
+		timeout := time.NewTimer(r.patience)
 		select {
 		case a := <-got:
 			r.end(a)
