--- a/tests/simulation/sidecar_test.go
+++ b/tests/simulation/sidecar_test.go
@@ -245,14 +245,16 @@
 }
 
 // inquire asks what became of an attempt, and fences it if it was not seen.
-func (s *sidecar) inquire(from *process, name run.Name) (run.State, error) {
+func (s *sidecar) inquire(from *process, name run.Name) (state run.State, err error) {
 	time.Sleep(from.between(name.Key, time.Millisecond, 2*time.Millisecond))
 	if s.gate() != nil || from.gate() != nil {
 		return run.NotSeen, errBroken
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.book.Inquire(time.Now(), name, true)
+	s.change(func(b *run.Book) (actions []run.Action) {
+		state, actions, err = b.Inquire(time.Now(), name, true)
+		return actions
+	})
+	return state, err
 }
 
 // fence refuses an entry from now on. It says whether its holds are settled.
--- a/tests/simulation/world_test.go
+++ b/tests/simulation/world_test.go
@@ -51,6 +51,21 @@
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
+	w := emptyWorld(t, seed)
+	for i := range entries {
+		w.entries = append(w.entries, w.startEntry(fmt.Sprint("entry", i)))
+	}
+	for i := range sidecars {
+		w.addSidecar(i, w.startSidecar(fmt.Sprint("sidecar", i), 0))
+	}
+	for i := range 2 {
+		w.owners = append(w.owners, w.startOwner(fmt.Sprint("owner", i)))
+	}
+	return w
+}
+
+// emptyWorld has a log and no processes.
+func emptyWorld(t *testing.T, seed uint64) *world {
 	w := &world{
 		t:        t,
 		seed:     seed,
@@ -63,15 +78,6 @@
 		runs:     map[string]map[int64]int{},
 	}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
-	for i := range entries {
-		w.entries = append(w.entries, w.startEntry(fmt.Sprint("entry", i)))
-	}
-	for i := range sidecars {
-		w.addSidecar(i, w.startSidecar(fmt.Sprint("sidecar", i), 0))
-	}
-	for i := range 2 {
-		w.owners = append(w.owners, w.startOwner(fmt.Sprint("owner", i)))
-	}
 	return w
 }
 
@@ -90,11 +96,13 @@
 	return p
 }
 
-func (w *world) client(p *process) *ledger.Client {
+func (w *world) client(p *process, opts ...ledger.Option) *ledger.Client {
 	// Processes do not start, nor later tick, at one instant.
 	time.Sleep(p.between("start", time.Microsecond, 10*time.Millisecond))
-	c := ledger.New(p.incarnation, p, ledger.WithShards(shards),
-		ledger.WithSchedule(fence.Schedule{Records: 200, Interval: 20 * time.Second}))
+	c := ledger.New(p.incarnation, p, append([]ledger.Option{
+		ledger.WithShards(shards),
+		ledger.WithSchedule(fence.Schedule{Records: 200, Interval: 20 * time.Second}),
+	}, opts...)...)
 	if err := c.Start(p.ctx, nil); err != nil {
 		w.t.Error(err)
 	}
