Own ledger shards on entries, and take lost members off

Cause: each process read and appended to each shard it used, which the log's rate does not allow for 400 entries.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -13,13 +13,16 @@
 	"github.com/crocusline/crocusline/modules/peer"
 	"github.com/crocusline/crocusline/modules/setting"
 	"github.com/crocusline/crocusline/modules/web"
+	"github.com/crocusline/crocusline/modules/wire/peer/v1/peerv1connect"
 	"github.com/crocusline/crocusline/routers/caller"
 	"github.com/crocusline/crocusline/routers/operator"
 	peerrouter "github.com/crocusline/crocusline/routers/peer"
 	"github.com/crocusline/crocusline/services/admission"
 	"github.com/crocusline/crocusline/services/dispatch"
+	"github.com/crocusline/crocusline/services/membership"
 	"github.com/crocusline/crocusline/services/pool"
 	"github.com/crocusline/crocusline/services/receipt"
+	"github.com/crocusline/crocusline/services/shard"
 	"github.com/crocusline/crocusline/services/status"
 )
 
@@ -59,6 +62,8 @@
 	*process
 	pool       *pool.Service
 	receipt    *receipt.Service
+	shards     *shard.Host
+	membership *membership.Service
 	admission  *admission.Service
 	dispatcher *dispatch.Dispatcher
 	counters   *entryCounters
@@ -86,15 +91,32 @@
 			retry.WithBurst(float64(p.settings.Policy.RetryBurst)))),
 		dispatch.WithReceipts(e.receipt),
 		dispatch.WithCounters(e.counters))
-	e.status = status.New(p.control, p.statusOptions()...)
+	e.shards = shard.New(p.member, p.platform, p.control, p.peers.HTTP(), e.shardOptions()...)
+	p.ledger.UseLocal(p.member.Address, e.shards)
+	e.status = status.New(p.control, append(p.statusOptions(), status.WithShards(e.shards.Owns))...)
+	e.membership = membership.New(p.log, p.control, p.platform, e.status,
+		membership.WithInterval(p.settings.Platform.ListInterval))
 	return e, nil
 }
 
+func (e *entry) shardOptions() []shard.Option {
+	s := e.settings.Ledger
+	return []shard.Option{
+		shard.WithLogger(e.log.Named(shard.Name)),
+		shard.WithShards(s.Shards),
+		shard.WithInterval(s.BatchInterval),
+		shard.WithLeaseTimeout(s.LeaseTimeout),
+		shard.WithRecaller(e.ledger),
+	}
+}
+
 // services are in the order in which they start.
 func (e *entry) services() []kernel.Service {
 	return []kernel.Service{
 		e.control,
 		e.ledger,
+		e.shards,
+		e.membership,
 		e.pool,
 		e.receipt,
 		e.status,
@@ -107,6 +129,7 @@
 func (e *entry) listenPeers() (closer, error) {
 	mux := http.NewServeMux()
 	mux.Handle(peerrouter.NewTables(e.control))
+	mux.Handle(peerv1connect.NewLedgerServiceHandler(e.shards))
 	mux.Handle(operator.NewStatus(e.status))
 	return peer.NewServer(e.settings.Peer.Listen, e.identity, mux, peer.WithServerIdle(e.settings.Peer.IdleTimeout))
 }
--- a/cmd/process.go
+++ b/cmd/process.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/google/uuid"
@@ -17,6 +18,7 @@
 	"github.com/crocusline/crocusline/modules/setting"
 	"github.com/crocusline/crocusline/services/control"
 	"github.com/crocusline/crocusline/services/ledger"
+	"github.com/crocusline/crocusline/services/shard"
 	"github.com/crocusline/crocusline/services/status"
 )
 
@@ -87,13 +89,20 @@
 		ledger.WithLogger(p.log.Named(ledger.Name)),
 		ledger.WithShards(p.settings.Ledger.Shards),
 		ledger.WithInterval(p.settings.Ledger.BatchInterval),
+		ledger.WithOwners(p.locateOwner, p.peers.HTTP()),
 	}
 }
 
+// locateOwner returns where the owner of a ledger shard is reached.
+func (p *process) locateOwner(number int) (netip.AddrPort, bool) {
+	return shard.Locate(p.control.State(), number)
+}
+
 func (p *process) statusOptions() []status.Option {
 	return []status.Option{
 		status.WithLedger(p.ledger),
 		status.WithPeers(status.NewPeers(p.peers.HTTP())),
+		status.WithCheck(ledger.Name, p.ledger.Err),
 	}
 }
 
