--- a/models/run/property_test.go
+++ b/models/run/property_test.go
@@ -73,6 +73,9 @@
 
 func (m *bookModel) charge(t *rapid.T, c Charge) {
 	bill := c.Entries[0].(ledger.Bill)
+	if m.book.StateOf(c.Run) == Unresolved {
+		t.Fatalf("run %d charged though its outcome is unknown", c.Run)
+	}
 	if m.charged[c.Run] {
 		t.Fatalf("run %d charged twice", c.Run)
 	}
--- a/services/receipt/receipt.go
+++ b/services/receipt/receipt.go
@@ -20,8 +20,12 @@
 // Name is the service's name.
 const Name = "receipt"
 
-// stateFenced is a sidecar's word for a request that it will never run or bill.
-const stateFenced = "fenced"
+// The states in which a sidecar never bills a request: it was told to refuse it,
+// or the backend server took it and gave no answer.
+const (
+	stateFenced  = "fenced"
+	stateUnknown = "unknown"
+)
 
 const (
 	// capacity bounds the receipts kept, and the ring that brings them.
@@ -288,7 +292,7 @@
 	}
 }
 
-// fenced says whether the sidecar will neither run nor bill the request.
+// fenced says whether the sidecar will not bill the request.
 func (s *Service) fenced(ctx context.Context, sidecar dispatch.Sidecar, p pending) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -297,5 +301,9 @@
 		RequestId: p.Bill.RequestID,
 		Fence:     true,
 	}))
-	return err == nil && resp.Msg.GetIncarnation() == p.Sidecar && resp.Msg.GetState() == stateFenced
+	if err != nil || resp.Msg.GetIncarnation() != p.Sidecar {
+		return false
+	}
+	state := resp.Msg.GetState()
+	return state == stateFenced || state == stateUnknown
 }
--- a/services/receipt/receipt_test.go
+++ b/services/receipt/receipt_test.go
@@ -127,6 +127,7 @@
 		kept   int
 	}{
 		{"fenced at its sidecar", func(w *world) { w.state = stateFenced }, 1, 0},
+		{"answer lost at the server", func(w *world) { w.state = stateUnknown }, 1, 0},
 		{"sidecar replaced", func(w *world) {
 			s := w.sidecars["model-1"]
 			s.Incarnation = "model-1/2"
--- a/tests/sidecar/world_test.go
+++ b/tests/sidecar/world_test.go
@@ -303,7 +303,7 @@
 
 func (noCounters) Retried(refusal.Reason) {}
 func (noCounters) ReceiptDropped()        {}
-func (noCounters) ReceiptWritten()        {}
+func (noCounters) ReceiptsWritten(int)    {}
 
 // entry is one entry process.
 type entry struct {
