--- a/services/receipt/receipt.go
+++ b/services/receipt/receipt.go
@@ -33,7 +33,7 @@
 	// settleInterval is the pause between rounds over the receipts.
 	settleInterval = time.Second
 	// longestPause is the longest time between two looks at a receipt.
-	longestPause = 16 * time.Second
+	longestPause = 2 * time.Second
 	// callTimeout bounds one call to a sidecar or the ledger.
 	callTimeout = 2 * time.Second
 	// lastRoundTimeout bounds the round before the process ends.
--- a/tests/simulation/sidecar_test.go
+++ b/tests/simulation/sidecar_test.go
@@ -247,10 +247,12 @@
 	if s.gate() != nil || from.gate() != nil {
 		return run.NotSeen, errBroken
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	// A fenced attempt has no actions: only fences of idempotent requests have.
-	state, _, err := s.book.Inquire(time.Now(), name, true)
+	var state run.State
+	var err error
+	s.change(func(b *run.Book) (actions []run.Action) {
+		state, actions, err = b.Inquire(time.Now(), name, true)
+		return actions
+	})
 	return state, err
 }
 
