--- a/standin/capacity/ledger.go
+++ b/standin/capacity/ledger.go
@@ -42,7 +42,7 @@
 			return float64(len(data)), err
 		}},
 		{billBytes, "size of a record", "B", "bill", []int{1, 4, 16, 64}, func(_ context.Context, n int) (float64, error) {
-			return encoded(n, func(i int) ledger.Entry { return bill(i) })
+			return encoded(n, bill)
 		}},
 		{grantBytes, "size of a record", "B", "grant", []int{1, 4, 16, 64}, func(_ context.Context, n int) (float64, error) {
 			return encoded(n, func(i int) ledger.Entry { return grant(0, i) })
--- a/standin/capacity/streams.go
+++ b/standin/capacity/streams.go
@@ -102,15 +102,13 @@
 	return func(ctx context.Context, size int) (float64, error) {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
-		done := make(chan error, 1)
-		go func() {
-			_, err := p.submit(ctx, size, 1000)
-			done <- err
-		}()
+		var streams sync.WaitGroup
+		// The streams end in an error, because they are cancelled.
+		streams.Go(func() { _, _ = p.submit(ctx, size, 1000) })
 		time.Sleep(openTime)
 		u, err := p.usageOf(ctx, port)
 		cancel()
-		<-done
+		streams.Wait()
 		return u.resident, err
 	}
 }
