--- a/services/receipt/receipt.go
+++ b/services/receipt/receipt.go
@@ -20,11 +20,11 @@
 // Name is the service's name.
 const Name = "receipt"
 
-// The states in which a sidecar never bills a request: it was told to refuse it,
-// or the backend server took it and gave no answer.
+// A sidecar's words for a request that it will never bill: one that it refuses
+// from now on, and one that it ran without learning whether it took effect.
 const (
-	stateFenced  = "fenced"
-	stateUnknown = "unknown"
+	stateFenced     = "fenced"
+	stateUnresolved = "unknown"
 )
 
 const (
@@ -33,7 +33,7 @@
 	// settleInterval is the pause between rounds over the receipts.
 	settleInterval = time.Second
 	// longestPause is the longest time between two looks at a receipt.
-	longestPause = 2 * time.Second
+	longestPause = 16 * time.Second
 	// callTimeout bounds one call to a sidecar or the ledger.
 	callTimeout = 2 * time.Second
 	// lastRoundTimeout bounds the round before the process ends.
@@ -285,15 +285,15 @@
 	switch {
 	case !ok:
 		return waiting
-	case sidecar.Incarnation != p.Sidecar || s.fenced(ctx, sidecar, p):
+	case sidecar.Incarnation != p.Sidecar || s.unbilled(ctx, sidecar, p):
 		return writable
 	default:
 		return waiting
 	}
 }
 
-// fenced says whether the sidecar will not bill the request.
-func (s *Service) fenced(ctx context.Context, sidecar dispatch.Sidecar, p pending) bool {
+// unbilled says whether the sidecar will never bill the request.
+func (s *Service) unbilled(ctx context.Context, sidecar dispatch.Sidecar, p pending) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	resp, err := sidecar.Client.Inquire(ctx, connect.NewRequest(&peerv1.InquireRequest{
@@ -305,5 +305,5 @@
 		return false
 	}
 	state := resp.Msg.GetState()
-	return state == stateFenced || state == stateUnknown
+	return state == stateFenced || state == stateUnresolved
 }
