--- a/tests/simulation/sidecar_test.go
+++ b/tests/simulation/sidecar_test.go
@@ -115,7 +115,7 @@
 	select {
 	case <-ended:
 	case <-cut:
-		return run.Handover{}, refusal.New(refusal.Fenced, 0, "fenced")
+		return run.Handover{}, &refusal.Error{Reason: refusal.Fenced, Outcome: refusal.Unknown}
 	case <-s.ctx.Done():
 		return run.Handover{}, errBroken
 	case <-from.ctx.Done():
@@ -130,6 +130,9 @@
 	if s.dead() || time.Now().Before(s.serves) {
 		return errRefused
 	}
+	if from.dispatching() != nil {
+		return errRefused
+	}
 	time.Sleep(from.between(req.ID, time.Millisecond, 2*time.Millisecond))
 	if s.gate() != nil {
 		return errBroken
@@ -242,15 +245,15 @@
 }
 
 // inquire asks what became of an attempt, and fences it if it was not seen.
-func (s *sidecar) inquire(from *process, name run.Name) (run.State, error) {
+func (s *sidecar) inquire(from *process, name run.Name) (state run.State, err error) {
 	time.Sleep(from.between(name.Key, time.Millisecond, 2*time.Millisecond))
 	if s.gate() != nil || from.gate() != nil {
 		return run.NotSeen, errBroken
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	// A fenced attempt has no actions: only fences of idempotent requests have.
-	state, _, err := s.book.Inquire(time.Now(), name, true)
+	s.change(func(b *run.Book) (actions []run.Action) {
+		state, actions, err = b.Inquire(time.Now(), name, true)
+		return actions
+	})
 	return state, err
 }
 
