Keep room, slots and admission for small workspaces beside large ones

Cause: refusals looked at kinds, not at workspaces. While two callers flooded a kind, its share of each queue stayed full and the entries' gates refused the kind, so small callers of the same kind were turned away before the fair order could serve them. What got in still waited for the end of a large one's run.

Ways weighed: shares by number of active workspaces, and evicting a large one's queued requests; a threshold relative to the free room needs neither a count nor an eviction.

Change: a workspace may hold at most twice what is free of its kind's share and of the rank's queue; gates tell floods apart by workspace and kind; below urgent, a workspace that was served less displaces the newest run of the one with most slots if that evens them out; a quiet workspace saves up two requests' worth.

Mutations that made a test fail: headroom off, exchange without the counters, nothing saved up, gate without the workspace. Tests: make lint, go test ./... pass, with 6 known red.

--- a/models/admission/admission.go
+++ b/models/admission/admission.go
@@ -40,7 +40,8 @@
 // on floods off.
 func WithSlack(slack float64) Option { return func(g *Gate) { g.slack = slack } }
 
-// Request is what the gate goes by.
+// Request is what the gate goes by. Floods are told apart by workspace and
+// kind, so that one workspace's flood does not keep out the others.
 type Request struct {
 	Workspace string
 	Kind      string
@@ -54,11 +55,12 @@
 	slack    float64
 
 	open  map[string]int
-	kinds map[string]*kind
+	flows map[Request]*flow
+	swept time.Time
 }
 
-// kind is the recent experience with one kind of work.
-type kind struct {
+// flow is the recent experience with one workspace's requests of one kind.
+type flow struct {
 	at       time.Time
 	asked    float64
 	accepted float64
@@ -76,7 +78,7 @@
 		halfLife: DefaultHalfLife,
 		slack:    DefaultSlack,
 		open:     map[string]int{},
-		kinds:    map[string]*kind{},
+		flows:    map[Request]*flow{},
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -94,7 +96,7 @@
 	if g.open[r.Workspace] >= limit {
 		return refusal.New(refusal.TooManyStreams, DefaultStreamEnd, "end some of the workspace's open streams first")
 	}
-	if err := g.flood(now, r.Kind); err != nil {
+	if err := g.flood(now, r); err != nil {
 		return err
 	}
 	g.open[r.Workspace]++
@@ -111,44 +113,62 @@
 // Open returns the number of a workspace's open streams.
 func (g *Gate) Open(workspace string) int { return g.open[workspace] }
 
-// Accepted says that a sidecar took in a request of the kind.
-func (g *Gate) Accepted(now time.Time, kindName string) { g.kind(now, kindName).accepted++ }
+// Accepted says that a sidecar took in a request.
+func (g *Gate) Accepted(now time.Time, r Request) { g.flow(now, r).accepted++ }
 
-// Refused says that the sidecars refused a request of the kind for their load,
-// and when to come back.
-func (g *Gate) Refused(now time.Time, kindName string, retryAfter time.Duration) {
-	k := g.kind(now, kindName)
-	if back := now.Add(retryAfter); back.After(k.back) {
-		k.back = back
+// Refused says that the sidecars refused a request for their load, and when to
+// come back.
+func (g *Gate) Refused(now time.Time, r Request, retryAfter time.Duration) {
+	f := g.flow(now, r)
+	if back := now.Add(retryAfter); back.After(f.back) {
+		f.back = back
 	}
 }
 
-// flood refuses the share of a kind's requests that goes beyond the slack over
+// flood refuses the share of a flow's requests that goes beyond the slack over
 // what the sidecars accept.
-func (g *Gate) flood(now time.Time, name string) error {
-	k := g.kind(now, name)
-	k.asked++
-	if g.slack <= 0 || k.asked < DefaultLeast || !k.back.After(now) {
+func (g *Gate) flood(now time.Time, r Request) error {
+	f := g.flow(now, r)
+	f.asked++
+	if g.slack <= 0 || f.asked < DefaultLeast || !f.back.After(now) {
 		return nil
 	}
-	k.owed += max(0, 1-g.slack*k.accepted/k.asked)
-	if k.owed < 1 {
+	f.owed += max(0, 1-g.slack*f.accepted/f.asked)
+	if f.owed < 1 {
 		return nil
 	}
-	k.owed--
-	return refusal.New(refusal.ShareExceeded, k.back.Sub(now), "too much work of this kind: come back after the given time")
+	f.owed--
+	return refusal.New(refusal.ShareExceeded, f.back.Sub(now), "too much work of this kind: come back after the given time")
 }
 
-// kind returns the experience with a kind of work, aged to now.
-func (g *Gate) kind(now time.Time, name string) *kind {
-	k := g.kinds[name]
-	if k == nil {
-		k = &kind{at: now}
-		g.kinds[name] = k
+// flow returns the experience with a workspace's kind of work, aged to now.
+func (g *Gate) flow(now time.Time, r Request) *flow {
+	g.sweep(now)
+	f := g.flows[r]
+	if f == nil {
+		f = &flow{at: now}
+		g.flows[r] = f
+	}
+	fade := math.Exp2(-float64(now.Sub(f.at)) / float64(g.halfLife))
+	f.asked *= fade
+	f.accepted *= fade
+	f.at = now
+	return f
+}
+
+// forgetAfter is how many half-lives a flow without requests is kept.
+const forgetAfter = 10
+
+// sweep drops the flows that have not been used for long.
+func (g *Gate) sweep(now time.Time) {
+	idle := forgetAfter * g.halfLife
+	if now.Sub(g.swept) < idle {
+		return
+	}
+	g.swept = now
+	for r, f := range g.flows {
+		if now.Sub(f.at) >= idle && !f.back.After(now) {
+			delete(g.flows, r)
+		}
 	}
-	fade := math.Exp2(-float64(now.Sub(k.at)) / float64(g.halfLife))
-	k.asked *= fade
-	k.accepted *= fade
-	k.at = now
-	return k
 }
--- a/models/admission/admission_test.go
+++ b/models/admission/admission_test.go
@@ -53,9 +53,9 @@
 			g.Done("w")
 			if taken < capacity {
 				taken++
-				g.Accepted(at, kind)
+				g.Accepted(at, admission.Request{Workspace: "w", Kind: kind})
 			} else {
-				g.Refused(at, kind, 2*time.Second)
+				g.Refused(at, admission.Request{Workspace: "w", Kind: kind}, 2*time.Second)
 			}
 		}
 		now = now.Add(time.Second)
@@ -78,6 +78,17 @@
 	}
 }
 
+// The flood of one workspace keeps nobody else out.
+func TestFloodOfOneWorkspace(t *testing.T) {
+	g := admission.New()
+	_, now := run(g, epoch, "flood", 200, 20, 20)
+	for range 100 {
+		if err := g.Admit(now, admission.Request{Workspace: "other", Kind: "flood"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 func TestRefusalSaysWhenToComeBack(t *testing.T) {
 	g := admission.New()
 	_, now := run(g, epoch, "k", 100, 0, 5)
--- a/models/queue/admit.go
+++ b/models/queue/admit.go
@@ -14,7 +14,7 @@
 func (q *Queue) admit(now time.Time, it *item) (time.Duration, error) {
 	l := q.lanes[it.Rank]
 	wait := q.wait(now, it.Rank, it.Workspace)
-	if l.waiting >= q.limit {
+	if !hasShare(l.waitingOf(it.Workspace), l.waiting, q.limit) {
 		return 0, q.refuse(now, it, refusal.QueueFull, wait)
 	}
 	if !it.Deadline.IsZero() && !it.Deadline.After(now) {
@@ -67,8 +67,19 @@
 	return by
 }
 
+// headroom is how much of a queue a workspace may hold, relative to the part
+// that is free. So one workspace alone takes two thirds, and one that holds
+// little always finds room beside others that ask for much.
+const headroom = 2
+
+// hasShare says whether a workspace that holds own of the total may add to it.
+func hasShare(own, total, limit int) bool {
+	return total < limit && own <= headroom*(limit-total)
+}
+
 // overShare is by how much a request's kind would exceed its share of the
-// queue, as the time until it no longer does. 0 is within its share.
+// queue, or its workspace its part of that share, as the time until it no longer
+// does. 0 is within the share.
 func (q *Queue) overShare(now time.Time, it *item, permitted time.Duration) time.Duration {
 	share, ok := q.kindShares[it.Kind]
 	if !ok {
@@ -77,23 +88,38 @@
 	if share >= 1 {
 		return 0
 	}
-	count, work := 0, 0.0
+	var own, all backlog
 	for _, f := range q.lanes[it.Rank].flows {
 		for _, other := range f.waiting {
-			if other.Kind == it.Kind {
-				count++
-				work += float64(q.remainingWaiting(other))
+			if other.Kind != it.Kind {
+				continue
+			}
+			all.add(q.remainingWaiting(other))
+			if f.workspace == it.Workspace {
+				own.add(q.remainingWaiting(other))
 			}
 		}
 	}
-	wait := time.Duration(work / float64(q.slots) / q.available(now, it.Rank))
-	if float64(count) >= share*float64(q.limit) {
-		return max(wait/time.Duration(count+1), minReturn)
+	rate := float64(q.slots) * q.available(now, it.Rank)
+	wait, ownWait := time.Duration(all.work/rate), time.Duration(own.work/rate)
+	if !hasShare(own.count, all.count, int(math.Ceil(share*float64(q.limit)))) {
+		return max(wait/time.Duration(all.count+1), minReturn)
 	}
 	if permitted == unlimited {
 		return 0
 	}
-	return max(wait-time.Duration(share*float64(permitted)), 0)
+	return max(wait+ownWait/headroom-time.Duration(share*float64(permitted)), 0)
+}
+
+// backlog counts waiting requests and their expected run time.
+type backlog struct {
+	count int
+	work  float64
+}
+
+func (b *backlog) add(d time.Duration) {
+	b.count++
+	b.work += float64(d)
 }
 
 // refuse makes the refusal of a request that could run once the backlog has
--- a/models/queue/lane.go
+++ b/models/queue/lane.go
@@ -15,7 +15,7 @@
 	flows   []*flow
 	waiting int
 	// virtual is the lowest counter of the workspaces that wait or run. One that
-	// comes back from idle starts there, so it has saved up no claim.
+	// comes back from idle starts little below, so it has saved up no more.
 	virtual float64
 	// credit is what the rank is owed of its floor, in tokens.
 	credit float64
@@ -30,8 +30,10 @@
 	workspace string
 	counter   float64
 	weight    float64
-	waiting   []*item
-	running   []*item
+	// saved is how far the counter may lie below the virtual time.
+	saved   float64
+	waiting []*item
+	running []*item
 }
 
 // settled is the counter less what running items are charged but did not yet
@@ -44,13 +46,22 @@
 	return f.counter - pending/f.weight
 }
 
-// join puts an item at the back of its workspace's flow, or at the front when
-// it was displaced.
-func (l *lane) join(it *item) {
+// holding is how many slots the workspace holds for its weight, or would hold
+// with some more.
+func (f *flow) holding(more int) float64 { return float64(len(f.running)+more) / f.weight }
+
+// savedRequests is how many requests' worth of service a workspace that asked
+// for little may save up.
+const savedRequests = 2
+
+// join puts an item that will cost some tokens at the back of its workspace's
+// flow, or at the front when it was displaced.
+func (l *lane) join(it *item, cost float64) {
 	l.advance()
 	f := l.flow(it)
 	if len(f.waiting) == 0 && !it.resumed {
-		f.counter = math.Max(f.counter, l.virtual)
+		f.saved = savedRequests * cost / f.weight
+		f.counter = math.Max(f.counter, l.virtual-f.saved)
 	}
 	if it.resumed {
 		f.waiting = slices.Insert(f.waiting, 0, it)
@@ -71,10 +82,18 @@
 	return l.flows[i], i
 }
 
+// waitingOf counts the waiting requests of a workspace.
+func (l *lane) waitingOf(workspace string) int {
+	if f, _ := l.find(workspace); f != nil {
+		return len(f.waiting)
+	}
+	return 0
+}
+
 func (l *lane) flow(it *item) *flow {
 	f, i := l.find(it.Workspace)
 	if f == nil {
-		f = &flow{workspace: it.Workspace, counter: l.virtual}
+		f = &flow{workspace: it.Workspace, counter: math.Inf(-1)}
 		l.flows = slices.Insert(l.flows, i, f)
 	}
 	f.weight = it.weight()
@@ -118,7 +137,7 @@
 func (l *lane) sweep() {
 	l.advance()
 	l.flows = slices.DeleteFunc(l.flows, func(f *flow) bool {
-		return len(f.waiting) == 0 && len(f.running) == 0 && f.counter <= l.virtual
+		return len(f.waiting) == 0 && len(f.running) == 0 && f.counter <= l.virtual-f.saved
 	})
 }
 
--- a/models/queue/next.go
+++ b/models/queue/next.go
@@ -19,6 +19,9 @@
 		}
 		if len(q.running) >= q.slots {
 			victim := q.victim(it.Rank)
+			if victim == nil {
+				it, victim = q.unfair(it.Rank)
+			}
 			if victim == nil {
 				return actions
 			}
@@ -117,6 +120,36 @@
 	return best
 }
 
+// unfair returns a waiting item of the workspace that was served least, and a
+// running one of the workspace that holds most slots, if the exchange brings
+// their slots closer to their weights. So a small workspace need not wait for
+// the end of another's requests. Urgent streams are never displaced, nor are
+// those that gave no token yet.
+func (q *Queue) unfair(r rank.Rank) (it, victim *item) {
+	if q.order != Fair || r == rank.Urgent || !q.slotShares {
+		return nil, nil
+	}
+	var poor, rich *flow
+	for _, f := range q.lanes[r].flows {
+		if len(f.waiting) > 0 && (poor == nil || f.counter < poor.counter) {
+			poor = f
+		}
+		if rich == nil || f.holding(0) > rich.holding(0) {
+			rich = f
+		}
+	}
+	if poor == nil || poor.holding(1) > rich.holding(-1) || poor.counter > rich.settled() {
+		return nil, nil
+	}
+	for _, running := range rich.running {
+		if !running.Pinned && !running.protected && running.served > 0 &&
+			(victim == nil || !running.started.Before(victim.started)) {
+			victim = running
+		}
+	}
+	return poor.waiting[0], victim
+}
+
 func (q *Queue) displace(now time.Time, it *item) {
 	q.release(now, it)
 	it.resumed = true
--- a/models/queue/option.go
+++ b/models/queue/option.go
@@ -59,6 +59,10 @@
 // WithoutPreemption lets running requests run to their end.
 func WithoutPreemption() Option { return func(q *Queue) { q.preemptFrom = -1 } }
 
+// WithoutSlotShares lets a workspace keep slots beyond its part while others of
+// its rank wait.
+func WithoutSlotShares() Option { return func(q *Queue) { q.slotShares = false } }
+
 // WithOrder selects the order of service.
 func WithOrder(o Order) Option { return func(q *Queue) { q.order = o } }
 
--- a/models/queue/queue.go
+++ b/models/queue/queue.go
@@ -31,6 +31,7 @@
 	preemptFrom rank.Rank
 	order       Order
 	predict     bool
+	slotShares  bool
 
 	lanes      [rank.Count]*lane
 	items      map[string]*item
@@ -53,6 +54,7 @@
 		tokenTime:   DefaultTokenTime,
 		preemptFrom: rank.Urgent,
 		predict:     true,
+		slotShares:  true,
 		items:       map[string]*item{},
 		estimators:  map[string]*estimator{},
 		present:     map[string]int{},
@@ -91,7 +93,7 @@
 }
 
 func (q *Queue) join(it *item) {
-	q.lanes[it.Rank].join(it)
+	q.lanes[it.Rank].join(it, q.cost(it))
 	if !it.startBy.IsZero() && (q.expiry.IsZero() || it.startBy.Before(q.expiry)) {
 		q.expiry = it.startBy
 	}
--- a/models/queue/queue_test.go
+++ b/models/queue/queue_test.go
@@ -251,6 +251,38 @@
 	}
 }
 
+// Beside a workspace that asks for all there is, a small one finds room in the
+// queue and gets slots at once, two requests in a row included.
+func TestSmallWorkspaceBesideLarge(t *testing.T) {
+	s := newServer(t, queue.WithSlots(8), queue.WithLimit(40))
+	request := func(w string) queue.Request {
+		return queue.Request{Workspace: w, Kind: "k", Rank: rank.Normal, MaxTokens: 100, Deadline: s.now.Add(time.Minute)}
+	}
+	accepted := 0
+	for range 60 {
+		if s.offer(request("large")) == nil {
+			accepted++
+		}
+	}
+	if accepted != 8+14 {
+		t.Errorf("%d of the large one's requests accepted, want 8 running and 14 of the 20 that its kind may queue", accepted)
+	}
+	for range 20 {
+		s.step()
+	}
+	for _, id := range []string{"small1", "small2"} {
+		r := request("small")
+		r.ID = id
+		if err := s.offer(r); err != nil {
+			t.Fatal(err)
+		}
+		s.step()
+		if !s.running[id] {
+			t.Errorf("%s waits", id)
+		}
+	}
+}
+
 // A workspace whose answers end early pays for what it used, not for what was
 // expected.
 func TestShortAnswersAreChargedByUse(t *testing.T) {
--- a/routers/caller/handler.go
+++ b/routers/caller/handler.go
@@ -23,7 +23,7 @@
 	// Admit returns the request's plan and a function that ends its admission.
 	Admit(token string, req dispatch.Request) (dispatch.Plan, func(), error)
 	// Served tells how a request of the kind ended.
-	Served(kind string, err error)
+	Served(workspace, kind string, err error)
 }
 
 // Dispatcher runs admitted requests.
@@ -104,7 +104,7 @@
 	}
 	defer release()
 	answer, err := h.dispatcher.Dispatch(ctx, req, plan, sink)
-	h.admission.Served(req.Kind, err)
+	h.admission.Served(req.Workspace, req.Kind, err)
 	if err != nil {
 		return dispatch.Answer{}, h.refuse(req.Workspace, err)
 	}
--- a/routers/peer/sidecar.go
+++ b/routers/peer/sidecar.go
@@ -171,6 +171,7 @@
 	msg := &commonv1.Load{Running: int32(l.Running), Slots: int32(l.Slots), Draining: l.Draining}
 	for r := range rank.Count {
 		msg.Queued = append(msg.Queued, int32(l.Queued[r]))
+		msg.Ahead = append(msg.Ahead, int32(l.Ahead[r]))
 		msg.Wait = append(msg.Wait, durationpb.New(l.Wait[r]))
 	}
 	return msg
--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -52,16 +52,17 @@
 	return plan, func() { s.done(req.Workspace) }, nil
 }
 
-// Served tells the gate how a request of the kind ended.
-func (s *Service) Served(kind string, err error) {
+// Served tells the gate how a workspace's request of the kind ended.
+func (s *Service) Served(workspace, kind string, err error) {
+	flow := admission.Request{Workspace: workspace, Kind: kind}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, refused := refusal.As(err)
 	switch {
 	case !refused:
-		s.gate.Accepted(time.Now(), kind)
+		s.gate.Accepted(time.Now(), flow)
 	case e.Reason == refusal.QueueFull, e.Reason == refusal.DeadlineUnreachable, e.Reason == refusal.ShareExceeded:
-		s.gate.Refused(time.Now(), kind, e.RetryAfter)
+		s.gate.Refused(time.Now(), flow, e.RetryAfter)
 	}
 }
 
--- a/services/pool/pool.go
+++ b/services/pool/pool.go
@@ -245,6 +245,9 @@
 		if i < len(m.GetQueued()) {
 			load.Queued[i] = int(m.GetQueued()[i])
 		}
+		if i < len(m.GetAhead()) {
+			load.Ahead[i] = int(m.GetAhead()[i])
+		}
 		if i < len(m.GetWait()) {
 			load.Wait[i] = m.GetWait()[i].AsDuration()
 		}
--- a/standin/load/entry.go
+++ b/standin/load/entry.go
@@ -48,7 +48,7 @@
 
 // submit takes a caller's request.
 func (e *entry) submit(r *request) {
-	err := e.gate.Admit(e.run.now, admission.Request{Workspace: r.workspace, Kind: r.stream.Kind})
+	err := e.gate.Admit(e.run.now, r.flow())
 	if refused, ok := refusal.As(err); ok {
 		r.end(refused)
 		return
@@ -93,7 +93,7 @@
 		e.refused(a, refused)
 		return
 	}
-	e.run.after(e.run.workload.Hop, func() { e.gate.Accepted(e.run.now, a.request.stream.Kind) })
+	e.run.after(e.run.workload.Hop, func() { e.gate.Accepted(e.run.now, a.request.flow()) })
 }
 
 // observe brings the server's present load to the entry, late.
@@ -107,7 +107,7 @@
 // refused brings the sidecar's refusal back.
 func (e *entry) refused(a *attempt, err *refusal.Error) {
 	e.run.after(e.run.workload.Hop, func() {
-		e.gate.Refused(e.run.now, a.request.stream.Kind, err.RetryAfter)
+		e.gate.Refused(e.run.now, a.request.flow(), err.RetryAfter)
 		e.failed(a, err)
 	})
 }
--- a/standin/load/request.go
+++ b/standin/load/request.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/crocusline/crocusline/models/admission"
 	"github.com/crocusline/crocusline/models/refusal"
 )
 
@@ -33,6 +34,11 @@
 
 func (r *request) promptTokens() int { return r.stream.PrefixTokens + r.stream.TailTokens }
 
+// flow is what the entries' gates go by.
+func (r *request) flow() admission.Request {
+	return admission.Request{Workspace: r.workspace, Kind: r.stream.Kind}
+}
+
 // submit asks at one entry, and at another each time the caller comes back.
 func (r *request) submit() {
 	r.asked = r.run.now
