Leave lost servers without spending the retry budget

Cause: with a failure domain lost, the streams of a third of the servers broke at once, more than the burst of the retry budget. The rest were told "unknown" though other servers could go on with their answers.

Ruled out: placement (it left the lost servers at once), a larger burst (it would have to cover a domain's running streams, and amplify failing calls too).

Change: an attempt whose server went away, and is left alone from then on, moves on without spending the budget; each request meets that once a server, so it cannot multiply. Calls that fail at a living server still spend it. Dispatch says which is which.

--- a/models/retry/retry.go
+++ b/models/retry/retry.go
@@ -1,6 +1,7 @@
 // Package retry decides whether a failed attempt is tried again, and when.
 // Retries are paid from a budget that successful requests fill, so that they
-// stay a small share of the traffic while a whole fleet fails.
+// stay a small share of the traffic while a whole fleet fails. Leaving a server
+// that is draining or lost is free: each request meets that once a server.
 package retry
 
 import (
@@ -78,6 +79,9 @@
 	Idempotent bool
 	// Dispatched says that a server may have received the request.
 	Dispatched bool
+	// Lost says that the server went away and is left alone from now on, so that
+	// the retry cannot add to its load.
+	Lost bool
 	// Err is what is known of the attempt.
 	Err *refusal.Error
 	// Tries counts the attempts so far, this one included.
@@ -108,7 +112,7 @@
 	if after >= a.Left {
 		return Verdict{Err: a.Err}
 	}
-	if free(a.Err.Reason) || b.unlimited {
+	if free(a.Err.Reason) || a.Lost || b.unlimited {
 		return Verdict{Retry: true, After: after}
 	}
 	if b.saved < 1 {
--- a/models/retry/retry_test.go
+++ b/models/retry/retry_test.go
@@ -60,6 +60,11 @@
 	if v.Err == nil || v.Err.Reason != refusal.RetryBudget || v.Err.Outcome != refusal.Unknown || v.Err.RetryAfter == 0 {
 		t.Errorf("budget empty: %+v", v.Err)
 	}
+	lost := failed(true, true, refusal.ServerFailed, refusal.Unknown)
+	lost.Lost = true
+	if v := b.Decide(lost); !v.Retry {
+		t.Errorf("leaving a lost server needs no budget: %+v", v)
+	}
 	if v := b.Decide(failed(true, true, refusal.Draining, refusal.NotRun)); !v.Retry || v.After != 0 {
 		t.Errorf("leaving a draining server needs no budget: %+v", v)
 	}
--- a/services/dispatch/idempotent.go
+++ b/services/dispatch/idempotent.go
@@ -110,6 +110,7 @@
 	verdict := j.retries.Decide(retry.Attempt{
 		Idempotent: j.plan.Route.Idempotent,
 		Dispatched: true,
+		Lost:       failed.lost,
 		Err:        failed.refused,
 		Tries:      tries,
 		Left:       timeLeft(ctx),
--- a/services/dispatch/leg.go
+++ b/services/dispatch/leg.go
@@ -26,7 +26,9 @@
 type legError struct {
 	// refused says what is known of the request at that sidecar.
 	refused *refusal.Error
-	cause   error
+	// lost says that the sidecar did not answer and is left alone for a time.
+	lost  bool
+	cause error
 }
 
 func (e *legError) Error() string {
@@ -107,7 +109,7 @@
 	}
 	j.log.Info("leg failed", "requestId", j.requestID, "server", l.sidecar.Server,
 		"reason", refused.Reason, "outcome", refused.Outcome, "error", err)
-	return &legError{refused: refused, cause: err}
+	return &legError{refused: refused, lost: !ok, cause: err}
 }
 
 func (j *job) runRequest(ctx context.Context, l leg) *peerv1.RunRequest {
--- a/standin/load/entry.go
+++ b/standin/load/entry.go
@@ -83,7 +83,7 @@
 	if s.lost {
 		e.run.after(e.run.workload.Detect, func() {
 			e.place(s).Failed(e.run.now, s.name)
-			e.decide(a, false, refusal.New(refusal.ServerFailed, retry.DefaultMost, "the server is out of reach"))
+			e.decide(a, lostBefore, refusal.New(refusal.ServerFailed, retry.DefaultMost, "the server is out of reach"))
 		})
 		return
 	}
@@ -108,28 +108,40 @@
 func (e *entry) refused(a *attempt, err *refusal.Error) {
 	e.run.after(e.run.workload.Hop, func() {
 		e.gate.Refused(e.run.now, a.request.flow(), err.RetryAfter)
-		e.failed(a, err)
+		e.failed(a, broken, err)
 	})
 }
 
 // failed takes in that an attempt broke while it ran.
-func (e *entry) failed(a *attempt, err *refusal.Error) {
+func (e *entry) failed(a *attempt, how failure, err *refusal.Error) {
 	if a.request.stream.Idempotent {
 		// What was relayed counts: the next attempt goes on from there.
 		a.request.served = a.base + a.served
 	}
-	e.decide(a, true, err)
+	e.decide(a, how, err)
 }
 
+// failure says how an attempt ended without a whole answer.
+type failure int
+
+const (
+	// broken attempts reached a server that is still there.
+	broken failure = iota
+	// lostBefore and lostAfter attempts met the loss of the server before or
+	// after it took them in.
+	lostBefore
+	lostAfter
+)
+
 // decide tries the request again or ends it.
-func (e *entry) decide(a *attempt, dispatched bool, err *refusal.Error) {
+func (e *entry) decide(a *attempt, how failure, err *refusal.Error) {
 	r := a.request
 	left := time.Hour
 	if !r.deadline.IsZero() {
 		left = r.deadline.Sub(e.run.now)
 	}
 	v := e.budget.Decide(retry.Attempt{
-		Idempotent: r.stream.Idempotent, Dispatched: dispatched, Err: err, Tries: r.tries, Left: left,
+		Idempotent: r.stream.Idempotent, Dispatched: how != lostBefore, Lost: how != broken, Err: err, Tries: r.tries, Left: left,
 	})
 	if !v.Retry {
 		e.close(r, v.Err)
--- a/standin/load/server.go
+++ b/standin/load/server.go
@@ -167,7 +167,7 @@
 	s.queue.Cancel(s.run.now, a.id)
 	delete(s.attempts, a.id)
 	s.run.after(s.run.workload.Hop, func() {
-		a.entry.failed(a, &refusal.Error{Reason: reason, Outcome: refusal.Unknown})
+		a.entry.failed(a, broken, &refusal.Error{Reason: reason, Outcome: refusal.Unknown})
 	})
 }
 
@@ -182,7 +182,7 @@
 	s.run.after(s.run.workload.Detect, func() {
 		for _, a := range held {
 			a.entry.place(a.server).Failed(s.run.now, s.name)
-			a.entry.failed(a, &refusal.Error{Reason: refusal.ServerFailed, Outcome: refusal.Unknown})
+			a.entry.failed(a, lostAfter, &refusal.Error{Reason: refusal.ServerFailed, Outcome: refusal.Unknown})
 		}
 	})
 }
--- a/tests/policy/routing_test.go
+++ b/tests/policy/routing_test.go
@@ -60,22 +60,34 @@
 func TestRecovery(t *testing.T) {
 	each(t, func(t *testing.T, d deployment) {
 		without := load.Run(d.steady(t))
-		const fault = 40 * time.Second
-		for name, f := range map[string]load.Fault{
-			"server": {Server: d.pool + "-04", From: fault, Until: 80 * time.Second},
-			"domain": {Domain: d.domain, From: fault, Until: 80 * time.Second},
-		} {
-			r := load.Run(d.steady(t, f))
-			took, _ := r.Recovery(without, d.pool, fault, 0.95)
-			figure(t, name+": goodput back after, s", took.Seconds())
-			failed := 0
-			for of := rank.Urgent; of <= rank.Bulk; of++ {
-				failed += d.group(r, of).Failed
-			}
-			atMost(t, name+"Failed", float64(failed), 0)
-			urgent := d.group(r, rank.Urgent)
-			atLeast(t, name+"UrgentInTime", float64(urgent.InTime)/float64(urgent.Arrived), 0.99)
-			atMost(t, name+"UrgentFirstTokenP95", load.Quantile(urgent.FirstToken, 95).Seconds(), firstToken)
-		}
+		server := load.Fault{Server: d.pool + "-04", From: faultFrom, Until: faultUntil}
+		domain := load.Fault{Domain: d.domain, From: faultFrom, Until: faultUntil}
+		d.recovery(t, "server", without, d.steady(t, server))
+		d.recovery(t, "domain", without, d.steady(t, domain))
+		// At 0.7 of the servers two of three domains are not enough; at 0.5 they are.
+		half, halfLost := d.steady(t), d.steady(t, domain)
+		half.Scale(0.5 / 0.7)
+		halfLost.Scale(0.5 / 0.7)
+		d.recovery(t, "domainAtHalfLoad", load.Run(half), halfLost)
 	})
 }
+
+// Times between which servers are lost.
+const (
+	faultFrom  = 40 * time.Second
+	faultUntil = 80 * time.Second
+)
+
+func (d deployment) recovery(t *testing.T, name string, without *load.Result, w *load.Workload) {
+	r := load.Run(w)
+	took, _ := r.Recovery(without, d.pool, faultFrom, 0.95)
+	figure(t, name+": goodput back after, s", took.Seconds())
+	failed := 0
+	for of := rank.Urgent; of <= rank.Bulk; of++ {
+		failed += d.group(r, of).Failed
+	}
+	atMost(t, name+"Failed", float64(failed), 0)
+	urgent := d.group(r, rank.Urgent)
+	atLeast(t, name+"UrgentInTime", float64(urgent.InTime)/float64(urgent.Arrived), 0.99)
+	atMost(t, name+"UrgentFirstTokenP95", load.Quantile(urgent.FirstToken, 95).Seconds(), firstToken)
+}
