Don't blame a server for a caller that goes away

Cause: when callers went away, the cancelled calls counted as failures of the sidecar, which then got no work: 4,700 refusals (noServer) after 800 streams were cancelled in the capacity run. Ruled out: the sidecar, which served on. Change: a leg that ends because its own context did is the caller's end, and says nothing against the server. Test: TestCallerThatGoesAwaySaysNothingAgainstTheServer, which fails without the change; TestLostServerIsNoted holds the other side. The memory of streams is taken in fresh processes, smallest first.

--- a/services/dispatch/dispatch_test.go
+++ b/services/dispatch/dispatch_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/crocusline/crocusline/coordination/once"
 	"github.com/crocusline/crocusline/models/refusal"
 	registry "github.com/crocusline/crocusline/services/ledger"
@@ -170,3 +173,35 @@
 		t.Errorf("answer %+v, runs %d, holds left %v", got, only.runs, f.open)
 	}
 }
+
+// hangUp is a caller that goes away at the first token.
+type hangUp struct {
+	recordingSink
+	cancel context.CancelFunc
+}
+
+func (h *hangUp) Tokens(int64, []string) error {
+	h.cancel()
+	return nil
+}
+
+func TestCallerThatGoesAwaySaysNothingAgainstTheServer(t *testing.T) {
+	f := newFleet(t, &fakeSidecar{hangAfter: 1}, &fakeSidecar{})
+	ctx, cancel := context.WithCancel(t.Context())
+	f.ctx = ctx
+	_, err := f.dispatch(true, &hangUp{cancel: cancel})
+	var sinkErr *SinkError
+	if !errors.As(err, &sinkErr) || len(f.failed) != 0 || len(f.abandoned) != 1 {
+		t.Errorf("error %v, failed servers %v, abandoned holds %v", err, f.failed, f.abandoned)
+	}
+}
+
+func TestLostServerIsNoted(t *testing.T) {
+	f := newFleet(t, &fakeSidecar{breakAfter: 1}, &fakeSidecar{})
+	if _, err := f.dispatch(true, &recordingSink{}); err != nil {
+		t.Fatal(err)
+	}
+	if len(f.failed) != 1 || f.failed[0] != "server-1" {
+		t.Errorf("failed servers %v", f.failed)
+	}
+}
--- a/services/dispatch/fake_test.go
+++ b/services/dispatch/fake_test.go
@@ -34,6 +34,8 @@
 	refuse error
 	// breakAfter breaks the stream after that many tokens, if it is not 0.
 	breakAfter int
+	// hangAfter sends nothing more after that many tokens, if it is not 0.
+	hangAfter int
 	// lose breaks the connection before anything is known.
 	lose bool
 
@@ -43,7 +45,7 @@
 	fenced int
 }
 
-func (f *fakeSidecar) Run(_ context.Context, req *connect.Request[peerv1.RunRequest], stream *connect.ServerStream[peerv1.RunResponse]) error {
+func (f *fakeSidecar) Run(ctx context.Context, req *connect.Request[peerv1.RunRequest], stream *connect.ServerStream[peerv1.RunResponse]) error {
 	if f.refuse != nil {
 		return refusalwire.Encode(f.refuse)
 	}
@@ -61,6 +63,10 @@
 		if f.breakAfter > 0 && i == f.breakAfter {
 			panic(http.ErrAbortHandler)
 		}
+		if f.hangAfter > 0 && i == f.hangAfter {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		chunk := &peerv1.Chunk{First: int64(i), Tokens: answer[i : i+1]}
 		if err := stream.Send(&peerv1.RunResponse{Event: &peerv1.RunResponse_Chunk{Chunk: chunk}}); err != nil {
 			return err
@@ -88,7 +94,9 @@
 
 // fleet is a set of fake sidecars and the books of the parts around dispatch.
 type fleet struct {
-	t        *testing.T
+	t *testing.T
+	// ctx is the caller's, if it is not the test's.
+	ctx      context.Context
 	order    []string
 	sidecars map[string]Sidecar
 
@@ -98,6 +106,7 @@
 	attempts  int64
 	voided    []int64
 	abandoned []ledger.Hold
+	failed    []string
 	// registered is the registry's answer, if it is not to grant.
 	registered *registry.Registered
 }
@@ -130,7 +139,11 @@
 		Timeout: 10 * time.Second,
 		Cost:    10,
 	}
-	return d.Dispatch(f.t.Context(), Request{Workspace: "w", Kind: "k", IdempotencyKey: "key"}, plan, sink)
+	ctx := f.ctx
+	if ctx == nil {
+		ctx = f.t.Context()
+	}
+	return d.Dispatch(ctx, Request{Workspace: "w", Kind: "k", IdempotencyKey: "key"}, plan, sink)
 }
 
 func (f *fleet) Reserve(context.Context, string, int64) (ledger.Hold, error) {
@@ -195,11 +208,16 @@
 }
 
 func (f *fleet) Observe(string, string, *commonv1.Load) {}
-func (f *fleet) Failed(string, string)                  {}
 func (f *fleet) Succeeded(string, string)               {}
 func (f *fleet) Retried(refusal.Reason)                 {}
 func (f *fleet) Keep(Receipt)                           {}
 
+func (f *fleet) Failed(_, server string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.failed = append(f.failed, server)
+}
+
 func (f *fleet) Abandon(r Receipt) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/services/dispatch/leg.go
+++ b/services/dispatch/leg.go
@@ -51,7 +51,7 @@
 	defer cancel()
 	stream, err := l.sidecar.Client.Run(ctx, connect.NewRequest(j.runRequest(ctx, l)))
 	if err != nil {
-		return nil, j.legFailed(l, err)
+		return nil, j.legFailed(ctx, l, err)
 	}
 	defer stream.Close()
 	for stream.Receive() {
@@ -61,7 +61,7 @@
 			return nil, sinkErr
 		}
 		if err != nil {
-			return nil, j.legFailed(l, err)
+			return nil, j.legFailed(ctx, l, err)
 		}
 		if finished != nil {
 			j.chooser.Succeeded(j.plan.Route.Pool, l.sidecar.Server)
@@ -72,7 +72,7 @@
 	if err == nil {
 		err = errors.New("stream ended before the answer did")
 	}
-	return nil, j.legFailed(l, err)
+	return nil, j.legFailed(ctx, l, err)
 }
 
 // receive takes one message of a leg. It returns the message that ends the
@@ -95,11 +95,17 @@
 	}
 }
 
-// legFailed sorts out whether the sidecar refused or was lost.
-func (j *job) legFailed(l leg, err error) error {
+// legFailed sorts out whether the sidecar refused or was lost, or the caller is
+// gone. An end that comes from this side says nothing against the server.
+func (j *job) legFailed(ctx context.Context, l leg, err error) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return &SinkError{Cause: ctx.Err()}
+	}
 	refused, ok := refusalwire.Decode(err)
-	if !ok {
+	if !ok && ctx.Err() == nil {
 		j.chooser.Failed(j.plan.Route.Pool, l.sidecar.Server)
+	}
+	if !ok {
 		refused = &refusal.Error{
 			Reason:     refusal.ServerFailed,
 			Outcome:    refusal.Unknown,
--- a/standin/capacity/processes.go
+++ b/standin/capacity/processes.go
@@ -40,6 +40,8 @@
 	bin     string
 	dir     string
 	cluster *cluster.Cluster
+	// resident is resident memory by open streams and operator port.
+	resident map[int]map[int]float64
 }
 
 // startProcesses starts them and publishes tables and a budget.
@@ -48,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &processes{bin: bin, dir: dir, cluster: c}
+	p := &processes{bin: bin, dir: dir, cluster: c, resident: map[int]map[int]float64{}}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	if err := p.start(ctx); err != nil {
--- a/standin/capacity/streams.go
+++ b/standin/capacity/streams.go
@@ -48,17 +48,17 @@
 func (p *processes) measures() []Measure {
 	tokens := []int{2500, 5000, 10000, 20000}
 	requests := []int{100, 200, 400, 800}
-	streams := []int{100, 200, 400, 800}
+	streams := []int{0, 100, 200, 400, 800}
 	changes := []int{5, 10, 20, 40}
 	return []Measure{
 		{entryChange, "processor time of an entry in 5 s", "us", "change of configuration", changes, p.cpuOf(entryOperatorPort, p.change)},
 		{entryTraffic, "traffic of an entry with the platform in 5 s", "B", "change of configuration", changes, p.trafficOf(entryOperatorPort, p.change)},
+		{entryStream, "resident memory of an entry", "B", "open stream", streams, p.memoryOf(entryOperatorPort)},
+		{sidecarStream, "resident memory of a sidecar", "B", "open stream", streams, p.memoryOf(sidecarOperatorPort)},
 		{entryToken, "processor time of an entry", "us", "token relayed", tokens, p.cpuOf(entryOperatorPort, p.relay)},
 		{sidecarToken, "processor time of a sidecar", "us", "token relayed", tokens, p.cpuOf(sidecarOperatorPort, p.relay)},
 		{entryRequest, "processor time of an entry", "us", "request of 4 tokens", requests, p.cpuOf(entryOperatorPort, p.burst)},
 		{sidecarRequest, "processor time of a sidecar", "us", "request of 4 tokens", requests, p.cpuOf(sidecarOperatorPort, p.burst)},
-		{entryStream, "resident memory of an entry", "B", "open stream", streams, p.memoryOf(entryOperatorPort)},
-		{sidecarStream, "resident memory of a sidecar", "B", "open stream", streams, p.memoryOf(sidecarOperatorPort)},
 	}
 }
 
@@ -97,20 +97,41 @@
 	return before, after, float64(size) / done, err
 }
 
-// memoryOf returns a sample of a process's memory while streams are open.
+// memoryOf returns a sample of a process's memory while streams are open. Both
+// processes are read under the same load, the smallest first, because resident
+// memory shrinks only slowly afterwards.
 func (p *processes) memoryOf(port int) func(context.Context, int) (float64, error) {
 	return func(ctx context.Context, size int) (float64, error) {
-		ctx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		var streams sync.WaitGroup
+		if _, known := p.resident[size]; !known {
+			if err := p.openStreams(ctx, size); err != nil {
+				return 0, err
+			}
+		}
+		return p.resident[size][port], nil
+	}
+}
+
+// openStreams opens streams and reads the memory of both processes.
+func (p *processes) openStreams(ctx context.Context, size int) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var streams sync.WaitGroup
+	if size > 0 {
 		// The streams end in an error, because they are cancelled.
 		streams.Go(func() { _, _ = p.submit(ctx, size, 1000) })
 		time.Sleep(openTime)
+	}
+	p.resident[size] = map[int]float64{}
+	for _, port := range []int{entryOperatorPort, sidecarOperatorPort} {
 		u, err := p.usageOf(ctx, port)
-		cancel()
-		streams.Wait()
-		return u.resident, err
+		if err != nil {
+			return err
+		}
+		p.resident[size][port] = u.resident
 	}
+	cancel()
+	streams.Wait()
+	return nil
 }
 
 // relay streams about that many tokens.
--- a/standin/capacity/sums.go
+++ b/standin/capacity/sums.go
@@ -29,6 +29,8 @@
 	onceShare = 0.1
 	// grantsPerRequest is how often a request makes its entry draw an allowance.
 	grantsPerRequest = 0.1
+	// changeSeconds is how long the change measures take.
+	changeSeconds = 5.0
 	// logAppends is what the log takes, in appends a second.
 	logAppends = 300.0
 )
@@ -67,6 +69,11 @@
 	return math.Max(0, s[name].Slope) * n
 }
 
+// base returns the cost at size 0.
+func (s slopes) base(name string) float64 {
+	return math.Max(0, s[name].Base)
+}
+
 const (
 	megabyte = 1 << 20
 	kilobyte = 1 << 10
@@ -88,12 +95,12 @@
 	foldCPU := s.of(billTime, shardRequests)
 	streamsOpen := tokens * tokenGap
 	return []Sum{
-		{"entry, control", "memory", "tables 3,900 workspaces + 1,000 members + placement of 600 servers", (state + s.of(placementServer, servers)) / megabyte, "MB", memoryLimit, "one immutable state behind a pointer; candidates, not load tables"},
-		{"entry, control", "processor", "3,100 changes a day", changeCPU / microsecondsPerPercent, "% of a core", cpuLimit, "deltas on one small stream"},
-		{"entry, control", "traffic", "changes and registrations, read once", control / kilobyte, "KB/s", trafficLimit, "long poll of one stream; deltas, checkpoints as wholes"},
+		{"entry, control", "memory", "idle process + tables of 3,900 workspaces + 1,000 members + placement of 600 servers", (s.base(entryStream) + state + s.of(placementServer, servers)) / megabyte, "MB", memoryLimit, "one immutable state behind a pointer; candidates, not load tables"},
+		{"entry, control", "processor", "idle process + 3,100 changes a day", (s.base(entryChange)/changeSeconds + changeCPU) / microsecondsPerPercent, "% of a core", cpuLimit, "deltas on one small stream"},
+		{"entry, control", "traffic", "idle process with 4 shards + changes and registrations", (s.base(entryTraffic)/changeSeconds + control) / kilobyte, "KB/s", trafficLimit, "long poll of one stream; deltas, checkpoints as wholes"},
 		{"entry, requests", "processor", "5.75 requests/s and 1,475 tokens/s", (s.of(entryRequest, requests/nodes) + s.of(entryToken, tokens/nodes)) / microsecondsPerPercent, "% of a core", 0, "chunks of what is ready, no copy of full answers between roles"},
 		{"entry, requests", "memory", "72 open streams", s.of(entryStream, streamsOpen/nodes) / megabyte, "MB", 0, "connections on demand, closed when idle"},
-		{"sidecar, control", "memory", "tables 3,900 workspaces + 1,000 members", state / megabyte, "MB", memoryLimit, "one immutable state behind a pointer"},
+		{"sidecar, control", "memory", "idle process + tables of 3,900 workspaces + 1,000 members", (s.base(sidecarStream) + state) / megabyte, "MB", memoryLimit, "one immutable state behind a pointer"},
 		{"sidecar, control", "traffic", "changes and registrations, and 3.8 bills/s to the owners", (control + s.of(billBytes, requests/servers)) / kilobyte, "KB/s", trafficLimit, "bills in batches"},
 		{"sidecar, requests", "processor", "3.8 requests/s and 983 tokens/s", (s.of(sidecarRequest, requests/servers) + s.of(sidecarToken, tokens/servers)) / microsecondsPerPercent, "% of a core", 0, "one goroutine decides, relays read by position"},
 		{"sidecar, requests", "memory", "48 open streams", s.of(sidecarStream, streamsOpen/servers) / megabyte, "MB", 0, "bounded record of answers"},
