--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build install test lint fmt generate demo bench
+.PHONY: build install test lint fmt generate demo bench capacity
 
 build:
 	$(GO) build -o bin/ . ./crocusbench
@@ -24,6 +24,10 @@
 bench:
 	$(GO) test -count=1 -v ./tests/policy
 
+# Measures what each role costs and rewrites docs/CAPACITY.md.
+capacity: build
+	bin/crocusbench capacity
+
 lint:
 	$(LINT) run ./...
 
--- a/standin/capacity/sums.go
+++ b/standin/capacity/sums.go
@@ -69,9 +69,13 @@
 	return math.Max(0, s[name].Slope) * n
 }
 
-// base returns the cost at size 0.
+// base returns the cost at size 0, as sampled or else as the line says.
 func (s slopes) base(name string) float64 {
-	return math.Max(0, s[name].Base)
+	r := s[name]
+	if len(r.Sizes) > 0 && r.Sizes[0] == 0 {
+		return r.Values[0]
+	}
+	return math.Max(0, r.Base)
 }
 
 const (
