Keep a standing reserve of the budgets drawn on in a failure domain

Cause: an entry held only what lasts five seconds of its own use, and gave it back when idle. With its failure domain cut from the log for ten minutes nearly everything was refused, and with one budget drawn on from everywhere more than by a static split.

Change: the client counts the bills of each budget in the fold, in its failure domain and in all, and keeps at each entry the failure domain's share of three quarters of what is unspent, at most an hour's use, divided by the entries of the failure domain. A request that the budget does not cover calls reserves back, a refill of a reserve does not (Grant.Ahead). Close gives everything back in one record a shard, also what a grant under way brings.

Mutation: WithNeighbours without effect, TestReserveServesColdBudgetWithoutLog fails.

--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,8 @@
 .PHONY: soak
 soak:
 	$(GO) test ./tests/simulation -run TestSeeds -count=1 -timeout 6h -v -args -seeds=$(SEEDS) -from=$(FROM)
+
+# Overspend and false refusals of three budget policies on one workload.
+.PHONY: budgets
+budgets:
+	$(GO) test ./tests/simulation -run TestBudgetPolicies -count=1 -v
--- a/cmd/process.go
+++ b/cmd/process.go
@@ -87,9 +87,18 @@
 		ledger.WithLogger(p.log.Named(ledger.Name)),
 		ledger.WithShards(p.settings.Ledger.Shards),
 		ledger.WithInterval(p.settings.Ledger.BatchInterval),
+		ledger.WithNeighbours(p.isNeighbour),
 	}
 }
 
+// isNeighbour says whether an incarnation is an entry in this one's failure
+// domain.
+func (p *process) isNeighbour(incarnation string) bool {
+	m, known := p.control.State().Members[incarnation]
+	return known && p.member.Role == fleet.Entry && m.Role == fleet.Entry &&
+		m.Region == p.member.Region && m.FailureDomain == p.member.FailureDomain
+}
+
 func (p *process) statusOptions() []status.Option {
 	return []status.Option{
 		status.WithLedger(p.ledger),
--- a/models/allowance/allowance.go
+++ b/models/allowance/allowance.go
@@ -18,6 +18,15 @@
 	Share int64
 	// IdleAfter is how long an unused allowance is kept.
 	IdleAfter time.Duration
+	// Reserve is the time that the standing reserve is to last when the log
+	// cannot be reached. 0 keeps none.
+	Reserve time.Duration
+	// ReserveMemory is the time over which the use that sizes the standing
+	// reserve is averaged.
+	ReserveMemory time.Duration
+	// ReserveShare is the part of an unspent budget that the standing reserves
+	// of all failure domains take at most.
+	ReserveShare float64
 }
 
 // DefaultPolicy is adaptive. A zero Policy draws each hold by itself.
@@ -26,6 +35,10 @@
 	Memory:    10 * time.Second,
 	Share:     16,
 	IdleAfter: 5 * time.Second,
+
+	Reserve:       time.Hour,
+	ReserveMemory: 5 * time.Minute,
+	ReserveShare:  0.75,
 }
 
 // Allowance is what one entry instance holds of one budget.
@@ -41,6 +54,8 @@
 	used    float64
 	decayed time.Time
 	lastUse time.Time
+	// reserve is what is kept although nothing asks for it now.
+	reserve int64
 }
 
 // New returns an empty allowance.
@@ -106,6 +121,9 @@
 // Refill returns how many tokens to ask for ahead of need, so that requests
 // seldom wait for a draw and are served for a while when the log is away.
 func (a *Allowance) Refill(now time.Time, free int64) int64 {
+	if target := a.reserve; a.Free() < target-target/reserveStep {
+		return min(target-a.Free(), free)
+	}
 	if now.Sub(a.lastUse) >= a.policy.IdleAfter {
 		return 0
 	}
@@ -116,6 +134,13 @@
 	return min(target-a.Free(), free)
 }
 
+// reserveStep divides the standing reserve into the steps in which it is
+// filled and given back.
+const reserveStep = 4
+
+// Keep sets the standing reserve.
+func (a *Allowance) Keep(tokens int64) { a.reserve = tokens }
+
 // target returns what to hold beyond the need when free tokens are free in the
 // budget.
 func (a *Allowance) target(now time.Time, free int64) int64 {
@@ -134,13 +159,16 @@
 	if free <= 0 {
 		return 0
 	}
-	if short || now.Sub(a.lastUse) >= a.policy.IdleAfter {
+	if short {
 		return free
 	}
-	a.decay(now)
-	target := int64(2 * a.rate() * a.policy.Horizon.Seconds())
-	if free > 2*target {
-		return free - target
+	target := int64(0)
+	if now.Sub(a.lastUse) < a.policy.IdleAfter {
+		a.decay(now)
+		target = int64(2 * a.rate() * a.policy.Horizon.Seconds())
+	}
+	if free > max(2*target, a.reserve+a.reserve/reserveStep) {
+		return free - max(target, a.reserve)
 	}
 	return 0
 }
--- a/models/allowance/allowance_test.go
+++ b/models/allowance/allowance_test.go
@@ -103,3 +103,41 @@
 		t.Fatalf("asks for %d at the end, want the need only", last)
 	}
 }
+
+func TestReserveIsTheDomainsShare(t *testing.T) {
+	policy := allowance.Policy{Reserve: time.Hour, ReserveMemory: time.Minute, ReserveShare: 0.5}
+	var d allowance.Demand
+	d.Add(start, policy, 300, true)
+	d.Add(start, policy, 100, false)
+	if got := d.Reserve(start, policy, 1000, 1); got != 375 {
+		t.Errorf("reserve %d, want 375 of 1000", got)
+	}
+	if got := d.Reserve(start, policy, 1000, 3); got != 125 {
+		t.Errorf("reserve %d at each of 3 instances, want 125", got)
+	}
+	if got := d.Reserve(start, policy, 1_000_000, 1); got != 300*60 {
+		t.Errorf("reserve %d, want an hour at 300 tokens a minute", got)
+	}
+	if later := start.Add(10 * time.Minute); !d.Idle(later, policy) || d.Reserve(later, policy, 1000, 1) != 0 {
+		t.Error("reserve is kept for a budget that is not used")
+	}
+}
+
+func TestReserveIsFilledAndKept(t *testing.T) {
+	a := allowance.New(allowance.DefaultPolicy)
+	a.Keep(400)
+	if got := a.Refill(start, 10_000); got != 400 {
+		t.Fatalf("refills %d, want 400", got)
+	}
+	a.Reconcile(allowance.Sums{Granted: 400, Sequence: a.Next()})
+	if got := a.Surplus(start.Add(time.Hour), false); got != 0 {
+		t.Errorf("gives back %d of the reserve", got)
+	}
+	if got := a.Surplus(start, true); got != 400 {
+		t.Errorf("gives back %d when the budget is short, want all", got)
+	}
+	a.Keep(100)
+	if got := a.Surplus(start.Add(time.Hour), false); got != 300 {
+		t.Errorf("gives back %d, want 300", got)
+	}
+}
--- a/models/ledger/entry.go
+++ b/models/ledger/entry.go
@@ -38,6 +38,9 @@
 	// 1. One that is not above the last has no effect.
 	Sequence uint64 `json:"sequence"`
 	Tokens   int64  `json:"tokens"`
+	// Ahead says that no request waits for the tokens. If the budget does not
+	// cover them, nobody is asked to give back tokens.
+	Ahead bool `json:"ahead,omitempty"`
 }
 
 // Return moves unspent tokens from an allowance back to the budget.
--- a/models/ledger/state.go
+++ b/models/ledger/state.go
@@ -122,7 +122,7 @@
 	}
 	b := s.budget(e.Workspace)
 	effect := effectOf(b.Escrow.Grant(e.Holder, e.Sequence, e.Tokens))
-	if effect == Uncovered {
+	if effect == Uncovered && !e.Ahead {
 		b.Short = s.now
 	}
 	return effect
--- a/models/ledger/view.go
+++ b/models/ledger/view.go
@@ -67,6 +67,19 @@
 	return held
 }
 
+// HoldersOf returns the holders of one workspace's budget that are not closed.
+func (s *State) HoldersOf(workspace string) []string {
+	b := s.budgets[workspace]
+	if b == nil {
+		return nil
+	}
+	var names []string
+	for name := range b.Escrow.Accounts {
+		names = append(names, name)
+	}
+	return names
+}
+
 // Closed says whether a holder was closed within ClosedWindow.
 func (s *State) Closed(holder string) bool {
 	h := s.holders[holder]
--- a/services/ledger/balance.go
+++ b/services/ledger/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -13,6 +14,8 @@
 	wakeQueue = 256
 	// balancePoll is how often allowances are looked at.
 	balancePoll = time.Second
+	// reservePoll is how often the standing reserves are looked at.
+	reservePoll = 5 * time.Second
 	// shortWindow is how long, by the log's clock, a refused grant keeps others
 	// from holding unused tokens of that budget.
 	shortWindow = 2 * time.Second
@@ -25,13 +28,19 @@
 func (c *Client) keepBalance(ctx context.Context) {
 	ticker := time.NewTicker(balancePoll)
 	defer ticker.Stop()
+	reserves := time.NewTicker(reservePoll)
+	defer reserves.Stop()
 	for {
 		select {
 		case workspace := <-c.wake:
-			c.balance(ctx, workspace, false)
+			c.balance(ctx, workspace)
 		case <-ticker.C:
 			for _, workspace := range c.drawnOn() {
-				c.balance(ctx, workspace, false)
+				c.balance(ctx, workspace)
+			}
+		case <-reserves.C:
+			for _, workspace := range c.demanded() {
+				c.balance(ctx, workspace)
 			}
 		case <-ctx.Done():
 			return
@@ -39,35 +48,51 @@
 	}
 }
 
+// returnAll gives back whatever no hold has taken. A grant that was under way
+// may be decided only with the first returns, so that there is a second pass.
 func (c *Client) returnAll() {
 	ctx, cancel := context.WithTimeout(c.ctx, closeTimeout)
 	defer cancel()
-	for _, workspace := range c.drawnOn() {
-		c.balance(ctx, workspace, true)
+	for range 2 {
+		returns := map[int][]ledger.Entry{}
+		for _, workspace := range c.drawnOn() {
+			sh := c.shard(c.ShardOf(workspace))
+			if entry := c.balancing(sh, c.account(workspace), true); entry != nil {
+				returns[sh.number] = append(returns[sh.number], entry)
+			}
+		}
+		for number, entries := range returns {
+			if err := c.Post(ctx, number, entries...); err != nil {
+				c.logger.Warn("allowances not returned", "shard", number, "error", err)
+			}
+		}
 	}
 }
 
-// drawnOn returns the workspaces in whose budget this process has a part.
-func (c *Client) drawnOn() []string {
+// demanded returns the workspaces of whose budget this process keeps a standing
+// reserve, or did until now.
+func (c *Client) demanded() []string {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	shards := slices.Collect(maps.Values(c.shards))
+	c.mu.Unlock()
 	var names []string
-	for name := range c.accounts {
-		names = append(names, name)
+	for _, sh := range shards {
+		names = append(names, sh.demanded()...)
 	}
 	slices.Sort(names)
 	return names
 }
 
-// balance returns what the allowance does not need, or draws ahead of need. With
-// all set it returns whatever no hold has taken.
-func (c *Client) balance(ctx context.Context, workspace string, all bool) {
+// drawnOn returns the workspaces in whose budget this process has a part.
+func (c *Client) drawnOn() []string {
 	c.mu.Lock()
-	a := c.accounts[workspace]
-	c.mu.Unlock()
-	if a == nil {
-		return
-	}
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.accounts))
+}
+
+// balance returns what the allowance does not need, or draws ahead of need.
+func (c *Client) balance(ctx context.Context, workspace string) {
+	a := c.account(workspace)
 	select {
 	case a.turn <- struct{}{}:
 		defer func() { <-a.turn }()
@@ -78,7 +103,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	sh := c.shard(c.ShardOf(workspace))
-	entry := c.balancing(sh, a, all)
+	entry := c.balancing(sh, a, false)
 	if entry == nil {
 		return
 	}
@@ -89,7 +114,8 @@
 	c.reconcile(sh, a)
 }
 
-// balancing returns the grant or return that balances an allowance, or nil.
+// balancing returns the grant or return that balances an allowance, or nil. With
+// all set it returns whatever no hold has taken.
 func (c *Client) balancing(sh *shard, a *account, all bool) ledger.Entry {
 	v := sh.view(a.workspace, c.incarnation)
 	short := !v.budget.Short.IsZero() && v.now.Sub(v.budget.Short) <= shortWindow
@@ -97,6 +123,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.allowance.Reconcile(v.sums)
+	a.allowance.Keep(v.reserve)
 	if again := a.undecided(v.sums.Sequence); again != nil {
 		return *again
 	}
@@ -111,7 +138,7 @@
 		return nil
 	}
 	if tokens := a.allowance.Refill(now, v.budget.Free()); tokens > 0 {
-		entry := ledger.Grant{Workspace: a.workspace, Holder: c.incarnation, Tokens: tokens}
+		entry := ledger.Grant{Workspace: a.workspace, Holder: c.incarnation, Tokens: tokens, Ahead: true}
 		entry.Sequence = a.allowance.Next()
 		return entry
 	}
--- a/services/ledger/client.go
+++ b/services/ledger/client.go
@@ -40,6 +40,7 @@
 	logger      hclog.Logger
 	count       int
 	policy      allowance.Policy
+	neighbour   func(incarnation string) bool
 	timeout     time.Duration
 	recallWait  time.Duration
 	interval    time.Duration
@@ -50,7 +51,9 @@
 
 	ctx    context.Context
 	cancel context.CancelFunc
-	done   sync.WaitGroup
+	// stopBalance ends the goroutine that balances allowances.
+	stopBalance context.CancelFunc
+	done        sync.WaitGroup
 
 	mu       sync.Mutex
 	shards   map[int]*shard
@@ -67,6 +70,13 @@
 // WithPolicy sets how allowances are sized.
 func WithPolicy(p allowance.Policy) Option { return func(c *Client) { c.policy = p } }
 
+// WithNeighbours makes the client keep a standing reserve of the budgets that the
+// incarnations in its own failure domain, of which neighbour returns true, draw
+// on. Neighbour is called while a stream is read, and must not block.
+func WithNeighbours(neighbour func(incarnation string) bool) Option {
+	return func(c *Client) { c.neighbour = neighbour }
+}
+
 // WithTimeout sets how long a call waits for the log.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
@@ -115,7 +125,9 @@
 // Start implements kernel.Service. It does not wait for the log.
 func (c *Client) Start(ctx context.Context, _ *kernel.Kernel) error {
 	c.ctx, c.cancel = context.WithCancel(ctx)
-	c.done.Go(func() { c.keepBalance(c.ctx) })
+	balancing, stop := context.WithCancel(c.ctx)
+	c.stopBalance = stop
+	c.done.Go(func() { c.keepBalance(balancing) })
 	return nil
 }
 
@@ -125,9 +137,10 @@
 	if c.cancel == nil {
 		return nil
 	}
+	c.stopBalance()
+	c.done.Wait()
 	c.returnAll()
 	c.cancel()
-	c.done.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, sh := range c.shards {
@@ -242,6 +255,10 @@
 		state:  ledger.New(),
 		holds:  newHolds(c.incarnation, number),
 		short:  c.wake,
+
+		policy:    c.policy,
+		neighbour: c.neighbour,
+		demand:    map[string]*allowance.Demand{},
 	}
 	sh.stream = stream.New(ledger.StreamOf(number), c.incarnation, c.log, sh,
 		stream.WithInterval(c.interval),
--- a/services/ledger/client_test.go
+++ b/services/ledger/client_test.go
@@ -288,3 +288,31 @@
 		}
 	})
 }
+
+// TestReserveServesColdBudgetWithoutLog spends at one entry, and then asks the
+// other of the failure domain, which never drew on the budget, with the log away.
+func TestReserveServesColdBudgetWithoutLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := platformtest.New()
+		near := ledger.WithNeighbours(func(incarnation string) bool {
+			return incarnation == "busy/1" || incarnation == "cold/1"
+		})
+		busy, cold, far := start(t, "busy", log, near), start(t, "cold", log, near), start(t, "far", log)
+		topUp(t, busy, "clinic", 10_000)
+		for _, c := range []*ledger.Client{cold, far} {
+			budget(t, c, "clinic")
+		}
+		for i := range 30 {
+			bill(t, busy, "clinic", fmt.Sprint(i), reserve(t, busy, "clinic", 100), 80)
+			time.Sleep(time.Second)
+		}
+		log.SetDown(true)
+		reserve(t, cold, "clinic", 100)
+		if _, err := far.Reserve(t.Context(), "clinic", 100); err == nil {
+			t.Error("an entry of another failure domain has a reserve")
+		}
+		log.SetDown(false)
+		time.Sleep(10 * time.Second)
+		reserve(t, far, "clinic", 9000-30*80)
+	})
+}
--- a/services/ledger/shard.go
+++ b/services/ledger/shard.go
@@ -21,6 +21,11 @@
 	short chan<- string
 	// closed says that the shard's owner took this process for dead.
 	closed atomic.Bool
+	// policy and neighbour size the standing reserves by demand, which belongs
+	// to the stream as state does.
+	policy    allowance.Policy
+	neighbour func(incarnation string) bool
+	demand    map[string]*allowance.Demand
 }
 
 // Apply implements stream.Fold. A malformed body has no effect anywhere.
@@ -31,22 +36,25 @@
 			continue
 		}
 		for _, e := range entries {
-			s.observe(e, s.state.Apply(at.Time, e))
+			s.observe(at.Time, e, s.state.Apply(at.Time, e))
 		}
 	}
 }
 
-func (s *shard) observe(entry ledger.Entry, effect ledger.Effect) {
+func (s *shard) observe(now time.Time, entry ledger.Entry, effect ledger.Effect) {
 	countEffect(entry, effect)
 	switch e := entry.(type) {
 	case ledger.Bill:
 		s.holds.settle(e.Hold)
+		if effect == ledger.Applied && s.neighbour != nil {
+			s.count(now, e)
+		}
 	case ledger.CloseHolder:
 		if e.Holder == s.holds.holder {
 			s.closed.Store(true)
 		}
 	case ledger.Grant:
-		if effect == ledger.Uncovered {
+		if effect == ledger.Uncovered && !e.Ahead {
 			select {
 			case s.short <- e.Workspace:
 			default:
@@ -56,6 +64,47 @@
 	}
 }
 
+// count counts a bill in the demand on its budget.
+func (s *shard) count(now time.Time, bill ledger.Bill) {
+	d := s.demand[bill.Workspace]
+	if d == nil {
+		d = &allowance.Demand{}
+		s.demand[bill.Workspace] = d
+	}
+	d.Add(now, s.policy, bill.Tokens, s.neighbour(bill.Hold.Holder))
+}
+
+// reserve returns the standing reserve of this process in a budget. The caller
+// is inside Stream.View.
+func (s *shard) reserve(now time.Time, workspace string, b ledger.Budget) int64 {
+	d := s.demand[workspace]
+	if d == nil {
+		return 0
+	}
+	instances := 1
+	for _, holder := range s.state.HoldersOf(workspace) {
+		if holder != s.holds.holder && s.neighbour(holder) {
+			instances++
+		}
+	}
+	return d.Reserve(now, s.policy, b.Free()+b.Outstanding, instances)
+}
+
+// demanded returns the workspaces whose budget is drawn on in this process's
+// failure domain, and forgets the others.
+func (s *shard) demanded() []string {
+	var names []string
+	s.stream.View(func(st stream.Status) {
+		for name, d := range s.demand {
+			names = append(names, name)
+			if d.Idle(st.Now, s.policy) {
+				delete(s.demand, name)
+			}
+		}
+	})
+	return names
+}
+
 // Snapshot implements stream.Fold.
 func (s *shard) Snapshot() ([]byte, error) { return s.state.Snapshot() }
 
@@ -83,11 +132,13 @@
 // viewIn is view for callers inside Stream.View or Stream.Wait.
 func (s *shard) viewIn(st stream.Status, workspace, holder string) view {
 	a := s.state.Account(workspace, holder)
+	b := s.state.Budget(workspace)
 	return view{
-		budget: s.state.Budget(workspace),
-		sums:   allowance.Sums{Granted: a.Granted, Returned: a.Returned, Sequence: a.Sequence},
-		closed: s.state.Closed(holder),
-		now:    st.Now,
+		budget:  b,
+		reserve: s.reserve(st.Now, workspace, b),
+		sums:    allowance.Sums{Granted: a.Granted, Returned: a.Returned, Sequence: a.Sequence},
+		closed:  s.state.Closed(holder),
+		now:     st.Now,
 	}
 }
 
@@ -95,6 +146,8 @@
 type view struct {
 	budget ledger.Budget
 	sums   allowance.Sums
+	// reserve is the holder's standing reserve.
+	reserve int64
 	// closed says that the shard's owner took the holder for dead.
 	closed bool
 	// now is the log time of the last record.
--- a/tests/simulation/entry_test.go
+++ b/tests/simulation/entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,9 +31,13 @@
 
 func (w *world) startEntry(name string) *entry {
 	p := w.start(name)
-	return &entry{process: p, client: w.client(p)}
+	return &entry{process: p, client: w.client(p, ledger.WithNeighbours(isEntry))}
 }
 
+// isEntry says whether an incarnation is an entry, all of which are in one
+// failure domain here.
+func isEntry(incarnation string) bool { return strings.HasPrefix(incarnation, "entry") }
+
 // reply is the end of one call.
 type reply struct {
 	kind replyKind
--- a/tests/simulation/simulation_test.go
+++ b/tests/simulation/simulation_test.go
@@ -93,11 +93,19 @@
 
 // check checks everything at the end of a run.
 func (w *world) check(sum *tally) {
+	for i := range shards {
+		state, err := newChecker().check(w.log, ledger.StreamOf(i))
+		if err != nil {
+			w.t.Errorf("%s: %v", ledger.StreamOf(i), err)
+			return
+		}
+		w.checkReplicas(state)
+	}
+	w.closeEntries()
 	bills := map[string]int{}
 	for i := range shards {
 		c := newChecker()
-		state, err := c.check(w.log, ledger.StreamOf(i))
-		if err != nil {
+		if _, err := c.check(w.log, ledger.StreamOf(i)); err != nil {
 			w.t.Errorf("%s: %v", ledger.StreamOf(i), err)
 			return
 		}
@@ -109,7 +117,6 @@
 		if c.malformed > 0 {
 			w.t.Errorf("%d malformed grants", c.malformed)
 		}
-		w.checkReplicas(state)
 		w.checkReturned(c)
 	}
 	for _, r := range w.requests {
@@ -117,6 +124,16 @@
 	}
 }
 
+// closeEntries has the living entries give back their allowances.
+func (w *world) closeEntries() {
+	for i := range entries {
+		if err := w.entry(i).client.Close(); err != nil {
+			w.t.Error(err)
+		}
+	}
+	sleep(w.ctx, time.Second)
+}
+
 // checkReplicas compares the folds of the living processes.
 func (w *world) checkReplicas(state *ledger.State) {
 	for i := range entries {
