--- a/models/allowance/demand.go
+++ b/models/allowance/demand.go
@@ -18,24 +18,35 @@
 // Add counts tokens billed at now. Local says that they were spent in the
 // instance's failure domain.
 func (d *Demand) Add(now time.Time, policy Policy, tokens int64, local bool) {
-	d.decay(now, policy)
-	d.total += float64(tokens)
+	d.AddTotal(now, policy, tokens)
 	if local {
-		d.local += float64(tokens)
+		d.AddLocal(now, policy, tokens)
 	}
 }
 
+// AddTotal counts tokens spent anywhere.
+func (d *Demand) AddTotal(now time.Time, policy Policy, tokens int64) {
+	d.decay(now, policy)
+	d.total += float64(tokens)
+}
+
+// AddLocal counts tokens spent in the failure domain, apart from the total.
+func (d *Demand) AddLocal(now time.Time, policy Policy, tokens int64) {
+	d.decay(now, policy)
+	d.local += float64(tokens)
+}
+
 // Reserve returns the tokens to keep at each of instances in the failure
 // domain, when left tokens of the budget are not spent yet. It is what lasts for
 // Policy.Reserve at the recent rate, and at most the failure domain's share of
 // what is left.
 func (d *Demand) Reserve(now time.Time, policy Policy, left int64, instances int) int64 {
 	d.decay(now, policy)
-	if policy.Reserve <= 0 || policy.ReserveMemory <= 0 || d.local < 1 || instances < 1 {
+	if policy.Reserve <= 0 || policy.ReserveMemory <= 0 || d.local < 1 || d.total < 1 || instances < 1 {
 		return 0
 	}
 	lasting := d.local / policy.ReserveMemory.Seconds() * policy.Reserve.Seconds()
-	share := d.local / d.total * policy.ReserveShare * float64(left)
+	share := min(1, d.local/d.total) * policy.ReserveShare * float64(left)
 	return int64(min(lasting, share) / float64(instances))
 }
 
--- a/models/ledger/view.go
+++ b/models/ledger/view.go
@@ -67,8 +67,8 @@
 	return held
 }
 
-// HoldersOf returns the holders of one workspace's budget that are not closed.
-func (s *State) HoldersOf(workspace string) []string {
+// Sharers returns the holders of one workspace's budget that are not closed.
+func (s *State) Sharers(workspace string) []string {
 	b := s.budgets[workspace]
 	if b == nil {
 		return nil
