Register no key that may have been forgotten

Cause: the registry forgets keys 24 h of log time after their last change. A retry after that was registered as new, and would have run again.

Change: a key that is a UUIDv7 says when it was made. One that the registry does not know is registered only within the window after that, and up to five minutes before, for which keys are remembered longer. The caller is told that the outcome is unknown, since an earlier attempt may have run.

Ways weighed: remembering keys for ever grows without bound; refusing keys without a time would shut out callers with keys of their own. A key without a time is therefore still taken, and its caller must not retry with it after 24 h.

Mutations: age not checked, time ahead not checked, each fails TestForgottenKeyIsNotRegistered (the first TestOldKeyIsUnknown too); keys not remembered longer fails TestKeyOfFastClockIsRememberedLonger.

--- a/coordination/once/once_string.go
+++ b/coordination/once/once_string.go
@@ -31,11 +31,12 @@
 	_ = x[Applied-0]
 	_ = x[Ignored-1]
 	_ = x[Conflict-2]
+	_ = x[Expired-3]
 }
 
-const _Effect_name = "appliedignoredconflict"
+const _Effect_name = "appliedignoredconflictexpired"
 
-var _Effect_index = [...]uint8{0, 7, 14, 22}
+var _Effect_index = [...]uint8{0, 7, 14, 22, 29}
 
 func (i Effect) String() string {
 	idx := int(i) - 0
--- a/coordination/once/registry.go
+++ b/coordination/once/registry.go
@@ -35,12 +35,19 @@
 	Ignored // ignored
 	// Conflict means that the key belongs to other work.
 	Conflict // conflict
+	// Expired means that the key is older than what is remembered, so that an
+	// earlier attempt of it may have run.
+	Expired // expired
 )
 
 // DefaultWindow is how long, by the log's clock, a key is remembered after its
 // last change.
 const DefaultWindow = 24 * time.Hour
 
+// MaxSkew is how far the clocks that keys are made by may be ahead of the log's.
+// Keys are remembered for that much longer than the window.
+const MaxSkew = 5 * time.Minute
+
 // Attempt is the latest attempt of a key.
 type Attempt struct {
 	// ID tells the calls that tried to register apart.
@@ -49,6 +56,11 @@
 	Number int64 `json:"number"`
 	// Digest identifies the work.
 	Digest []byte `json:"digest"`
+	// Made is when the key was made, if that is known. A key that is not known
+	// to the registry can be registered only within the window after it was
+	// made, since it may have been forgotten later. Without it a key is
+	// accepted, and the requester has to keep from using it after the window.
+	Made time.Time `json:"-"`
 	// Requester is the only one that may start the attempt.
 	Requester string `json:"requester"`
 	// Runner is the only one that may run it.
@@ -110,6 +122,8 @@
 	switch {
 	case last == nil && a.Number != 1:
 		return Ignored
+	case last == nil && r.expired(now, a.Made):
+		return Expired
 	case last == nil:
 	case !bytes.Equal(last.Digest, a.Digest):
 		return Conflict
@@ -147,6 +161,16 @@
 	return Applied
 }
 
+// expired says whether a key of that time may have been forgotten, or may come to
+// be forgotten too early.
+func (r *Registry) expired(now, made time.Time) bool {
+	if made.IsZero() {
+		return false
+	}
+	age := now.Sub(made)
+	return age > r.window || age < -MaxSkew
+}
+
 func (r *Registry) set(now time.Time, key string, a *Attempt) {
 	a.At = now.UTC()
 	r.attempts[key] = a
@@ -155,7 +179,7 @@
 
 func (r *Registry) forget(now time.Time) {
 	n := 0
-	for n < len(r.expires) && now.Sub(r.expires[n].at) > r.window {
+	for n < len(r.expires) && now.Sub(r.expires[n].at) > r.window+MaxSkew {
 		e := r.expires[n]
 		if a := r.attempts[e.key]; a != nil && a.At.Equal(e.at) {
 			delete(r.attempts, e.key)
--- a/coordination/once/registry_test.go
+++ b/coordination/once/registry_test.go
@@ -157,3 +157,38 @@
 		}
 	})
 }
+
+// TestForgottenKeyIsNotRegistered retries a key after any time. One that was made
+// at a known time is registered once at most.
+func TestForgottenKeyIsNotRegistered(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := once.New(once.WithWindow(time.Hour))
+		now, applied := start, 0
+		made := start.Add(time.Duration(rapid.IntRange(-90, 90).Draw(t, "made")) * time.Minute)
+		for i := range rapid.IntRange(1, 12).Draw(t, "tries") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "minutes")) * time.Minute)
+			r.Register(now, fmt.Sprint("other", i), once.Attempt{Number: 1})
+			switch r.Register(now, "k", once.Attempt{Number: 1, Made: made}) {
+			case once.Applied:
+				applied++
+			case once.Expired:
+				if age := now.Sub(made); age >= -once.MaxSkew && age <= time.Hour {
+					t.Fatalf("expired at the age of %s", age)
+				}
+			default:
+			}
+		}
+		if applied > 1 {
+			t.Fatalf("registered %d times", applied)
+		}
+	})
+}
+
+func TestKeyOfFastClockIsRememberedLonger(t *testing.T) {
+	r := once.New(once.WithWindow(time.Hour))
+	made := start.Add(once.MaxSkew)
+	r.Register(start, "k", once.Attempt{Number: 1, Made: made})
+	if got := r.Register(made.Add(time.Hour), "k", once.Attempt{Number: 1, Made: made}); got != once.Ignored {
+		t.Fatalf("retry is %s, want ignored", got)
+	}
+}
--- a/models/ledger/effect_string.go
+++ b/models/ledger/effect_string.go
@@ -15,11 +15,12 @@
 	_ = x[Ignored-4]
 	_ = x[Conflict-5]
 	_ = x[Malformed-6]
+	_ = x[Expired-7]
 }
 
-const _Effect_name = "appliedduplicateuncoveredwrittenOffignoredconflictmalformed"
+const _Effect_name = "appliedduplicateuncoveredwrittenOffignoredconflictmalformedexpired"
 
-var _Effect_index = [...]uint8{0, 7, 16, 25, 35, 42, 50, 59}
+var _Effect_index = [...]uint8{0, 7, 16, 25, 35, 42, 50, 59, 66}
 
 func (i Effect) String() string {
 	idx := int(i) - 0
--- a/models/ledger/state.go
+++ b/models/ledger/state.go
@@ -28,6 +28,7 @@
 	Ignored                  // ignored
 	Conflict                 // conflict
 	Malformed                // malformed
+	Expired                  // expired
 )
 
 // WriteOff sums the bills that came after their holder was closed.
@@ -190,6 +191,7 @@
 		ID:        e.ID,
 		Number:    e.Attempt,
 		Digest:    e.Digest,
+		Made:      KeyTime(e.Key),
 		Requester: e.Entry,
 		Runner:    e.Sidecar,
 		Place:     e.Server,
@@ -252,6 +254,8 @@
 		return Applied
 	case once.Conflict:
 		return Conflict
+	case once.Expired:
+		return Expired
 	default:
 		return Ignored
 	}
--- a/services/ledger/client_test.go
+++ b/services/ledger/client_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/coordination/once"
@@ -316,3 +317,30 @@
 		reserve(t, far, "clinic", 9000-30*80)
 	})
 }
+
+func TestOldKeyIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := start(t, "entry1", platformtest.New())
+		key, err := uuid.NewV7()
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := ledger.Registration{Workspace: "clinic", Key: key.String(), Digest: []byte("d"), Sidecar: "s/1"}
+		if made := model.KeyTime(r.Key); time.Since(made).Abs() > time.Second {
+			t.Fatalf("key made at %s", made)
+		}
+		if got, err := c.Register(t.Context(), r); err != nil || !got.Granted {
+			t.Fatalf("%+v, error %v", got, err)
+		}
+		time.Sleep(25 * time.Hour)
+		other := r
+		other.Key = "booking"
+		if got, err := c.Register(t.Context(), other); err != nil || !got.Granted {
+			t.Fatalf("%+v, error %v", got, err)
+		}
+		_, err = c.Register(t.Context(), r)
+		if why, ok := refusal.As(err); !ok || why.Outcome != refusal.Unknown || why.Reason != refusal.OutcomeUnknown {
+			t.Errorf("error %v", err)
+		}
+	})
+}
--- a/services/ledger/register.go
+++ b/services/ledger/register.go
@@ -50,7 +50,10 @@
 	defer cancel()
 	sh := c.shard(c.ShardOf(r.Workspace))
 	id := uuid.NewString()
-	if last, _, done := c.registerAt(ctx, sh, r, id); done {
+	if last, found, done := c.registerAt(ctx, sh, r, id); done {
+		if !found {
+			return Registered{}, keyExpired()
+		}
 		return registered(last, r, id), nil
 	}
 	return c.registerDirectly(ctx, sh, r, id)
@@ -81,7 +84,9 @@
 	if err != nil {
 		return Registered{}, registryUnreachable()
 	}
-	last, _ = t.attempt(r.Workspace, r.Key)
+	if last, found = t.attempt(r.Workspace, r.Key); !found {
+		return Registered{}, keyExpired()
+	}
 	return registered(last, r, id), nil
 }
 
@@ -171,6 +176,15 @@
 	}
 }
 
+// keyExpired refuses a key whose earlier attempts may be forgotten.
+func keyExpired() *refusal.Error {
+	return &refusal.Error{
+		Reason:  refusal.OutcomeUnknown,
+		Outcome: refusal.Unknown,
+		Advice:  "the key is older than the ledger remembers, or its time is ahead: an earlier request may have run; look at the outcome itself",
+	}
+}
+
 func registryUnreachable() *refusal.Error {
 	return refusal.New(refusal.RegistryUnreachable, retryLog,
 		"the request could not be registered, so it was not run; retry with the same key")
