--- a/cmd/process.go
+++ b/cmd/process.go
@@ -90,9 +90,18 @@
 		ledger.WithShards(p.settings.Ledger.Shards),
 		ledger.WithInterval(p.settings.Ledger.BatchInterval),
 		ledger.WithOwners(p.locateOwner, p.peers.HTTP()),
+		ledger.WithNeighbours(p.isNeighbour),
 	}
 }
 
+// isNeighbour says whether an incarnation is an entry in this one's failure
+// domain.
+func (p *process) isNeighbour(incarnation string) bool {
+	m, known := p.control.State().Members[incarnation]
+	return known && p.member.Role == fleet.Entry && m.Role == fleet.Entry &&
+		m.Region == p.member.Region && m.FailureDomain == p.member.FailureDomain
+}
+
 // locateOwner returns where the owner of a ledger shard is reached.
 func (p *process) locateOwner(number int) (netip.AddrPort, bool) {
 	return shard.Locate(p.control.State(), number)
