--- a/models/ledger/shard.go
+++ b/models/ledger/shard.go
@@ -1,25 +1,25 @@
 package ledger
 
 import (
+	"encoding/binary"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Buckets is the number of virtual buckets that workspaces hash to. Buckets are
-// assigned to shards as wholes, so that a new shard moves only the buckets that
-// it takes over.
-const Buckets = 1024
-
-// BucketOf returns the virtual bucket of a workspace.
-func BucketOf(workspace string) int {
-	return int(xxhash.Sum64String(workspace) % Buckets)
-}
-
-// ShardOf returns the shard of a workspace among count shards, which own equal
-// runs of buckets.
+// ShardOf returns the shard of a workspace among count shards, by rendezvous
+// hashing: a shard that is added takes over workspaces, and all others stay.
 func ShardOf(workspace string, count int) int {
-	return BucketOf(workspace) * count / Buckets
+	var key [16]byte
+	binary.LittleEndian.PutUint64(key[:], xxhash.Sum64String(workspace))
+	best, most := 0, uint64(0)
+	for shard := range count {
+		binary.LittleEndian.PutUint64(key[8:], uint64(shard))
+		if weight := xxhash.Sum64(key[:]); weight >= most {
+			best, most = shard, weight
+		}
+	}
+	return best
 }
 
 // StreamOf returns the name of a shard's log stream.
--- a/services/shard/fleet_test.go
+++ b/services/shard/fleet_test.go
@@ -72,16 +72,25 @@
 
 // pause holds up all calls.
 func (g *gate) pause() {
-	g.pauseAppends()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.readable = make(chan struct{})
+	shut(&g.readable)
+	shut(&g.writable)
 }
 
 func (g *gate) pauseAppends() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.writable = make(chan struct{})
+	shut(&g.writable)
+}
+
+// shut replaces a closed channel by an open one.
+func shut(open *chan struct{}) {
+	select {
+	case <-*open:
+		*open = make(chan struct{})
+	default:
+	}
 }
 
 func (g *gate) resume() {
