Judge a shard's standing and the gone holders only when the fleet changed

Cause: each step sorted all entries by weight for each shard, and each second all budgets were searched for holders that are gone. Change: the rank is counted in one pass and kept for the same state; holders are looked at when the state changed, a proof is missing, or every 30 s. Tests run: services/shard and models/lease three times.

--- a/models/lease/lease_test.go
+++ b/models/lease/lease_test.go
@@ -34,6 +34,11 @@
 			t.Fatalf("shard %d falls to %s, want %s", shard, got, want)
 		}
 	}
+	for rank, name := range lease.Order(7, all) {
+		if got := lease.Rank(7, name, all); got != rank {
+			t.Errorf("%s has rank %d, want %d", name, got, rank)
+		}
+	}
 	if got := lease.First("x", nil); got != "" {
 		t.Errorf("%q of no names", got)
 	}
--- a/models/lease/order.go
+++ b/models/lease/order.go
@@ -20,6 +20,18 @@
 	return ordered
 }
 
+// Rank returns how many of the names come before a name in the shard's order.
+func Rank(shard int, name string, names []string) int {
+	key := strconv.Itoa(shard)
+	rank := 0
+	for _, other := range names {
+		if compare(key, other, name) < 0 {
+			rank++
+		}
+	}
+	return rank
+}
+
 // First returns the name that a key falls to, or "" if there are no names.
 func First(key string, names []string) string {
 	if len(names) == 0 {
--- a/services/shard/holders.go
+++ b/services/shard/holders.go
@@ -18,8 +18,12 @@
 )
 
 const (
-	// holderPoll is how often the owner looks for holders that are gone.
+	// holderPoll is how often the owner looks whether the fleet has changed or a
+	// proof is missing.
 	holderPoll = time.Second
+	// holderCheck is how often it looks for holders that are gone in any case: an
+	// entry that is gone may not know it yet and draw.
+	holderCheck = 30 * time.Second
 	// fenceCalls bounds the sidecars that are asked at the same time.
 	fenceCalls = 16
 )
@@ -29,20 +33,37 @@
 func (h *Host) closeHolders(ctx context.Context) {
 	ticker := time.NewTicker(holderPoll)
 	defer ticker.Stop()
+	var (
+		last    *fleet.State
+		checked time.Time
+		pending bool
+	)
 	for {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
 			return
 		}
-		gone := map[string]bool{}
-		for _, p := range h.parts {
-			if o, ok := p.owned(); ok {
-				p.closeGone(ctx, o, gone)
-			}
+		state := h.fleet.State()
+		if state == last && !pending && time.Since(checked) < holderCheck {
+			continue
+		}
+		last, checked = state, time.Now()
+		pending = h.closeGone(ctx)
+	}
+}
+
+// closeGone closes the holders that are gone in all owned shards. It says whether
+// some of them still held tokens.
+func (h *Host) closeGone(ctx context.Context) bool {
+	gone := map[string]bool{}
+	for _, p := range h.parts {
+		if o, ok := p.owned(); ok {
+			p.closeGone(ctx, o, gone)
 		}
-		h.proofs.keep(gone)
 	}
+	h.proofs.keep(gone)
+	return len(gone) > 0
 }
 
 // closeGone closes the shard's holders that are gone, as far as that is proven,
--- a/services/shard/part.go
+++ b/services/shard/part.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -23,10 +22,11 @@
 type part struct {
 	host   *Host
 	number int
-	// watch, watched, openings and hinted belong to the goroutine in serve.
+	// watch to hinted belong to the goroutine in serve.
 	watch *lease.Watch
 	// watched is the epoch of the owner that the watch is about.
 	watched  int64
+	judged   judged
 	openings int
 	// hinted is the last epoch of which the hint was published.
 	hinted uint64
@@ -40,6 +40,13 @@
 	recalled map[string]time.Time
 }
 
+// judged is the standing by the newest state looked at.
+type judged struct {
+	state    *fleet.State
+	standing lease.Standing
+	member   bool
+}
+
 // opening is one reading of the shard's stream, begun in order to own it.
 type opening struct {
 	writer string
@@ -105,17 +112,11 @@
 		p.watched = owner.Epoch
 		p.watch.Heard(time.Now())
 	}
-	_, owned := state.Members[owner.Incarnation]
-	owned = owned && owner.Incarnation != p.host.member.Incarnation
-	except := ""
-	if owned {
-		except = owner.Incarnation
-	}
-	rank, member := p.rank(state, p.host.member.Incarnation, except)
+	standing, member := p.standing(state)
 	if !member {
 		return
 	}
-	switch p.watch.Next(time.Now(), lease.Standing{Rank: rank, Owned: owned}).(type) {
+	switch p.watch.Next(time.Now(), standing).(type) {
 	case lease.Probe:
 		p.probe(ctx, owner)
 	case lease.Claim:
@@ -124,6 +125,23 @@
 	}
 }
 
+// standing returns what the state says of the shard's owner and of this process's
+// turn, if this process is a member.
+func (p *part) standing(state *fleet.State) (lease.Standing, bool) {
+	if p.judged.state == state {
+		return p.judged.standing, p.judged.member
+	}
+	owner := state.Owners[p.number].Incarnation
+	_, owned := state.Members[owner]
+	owned = owned && owner != p.host.member.Incarnation
+	if !owned {
+		owner = ""
+	}
+	rank, member := p.rank(state, p.host.member.Incarnation, owner)
+	p.judged = judged{state: state, standing: lease.Standing{Rank: rank, Owned: owned}, member: member}
+	return p.judged.standing, member
+}
+
 // rank returns an entry's place in the shard's order of the members but except,
 // if it is a member.
 func (p *part) rank(state *fleet.State, incarnation, except string) (int, bool) {
@@ -137,7 +155,7 @@
 			names = append(names, m.Name)
 		}
 	}
-	return slices.Index(lease.Order(p.number, names), self.Name), true
+	return lease.Rank(p.number, self.Name, names), true
 }
 
 // keep publishes the hint of an owned shard, and lets a lost or handed over one
