--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,9 @@
 GO ?= go
+PREFIX ?= /usr/local
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build test lint fmt generate demo bench
+.PHONY: build install test lint fmt generate demo bench
 
 build:
 	$(GO) build -o bin/ . ./crocusbench
@@ -11,6 +12,11 @@
 demo: build
 	bin/crocusbench demo
 
+# Installs the one binary that is shipped.
+install:
+	$(GO) build -trimpath -o bin/crocusline .
+	install -D -m 0755 bin/crocusline $(DESTDIR)$(PREFIX)/bin/crocusline
+
 test:
 	$(GO) test ./...
 
@@ -30,3 +36,10 @@
 	$(GO) build -modfile=tools/go.mod -o bin/ connectrpc.com/connect/cmd/protoc-gen-connect-go google.golang.org/protobuf/cmd/protoc-gen-go golang.org/x/tools/cmd/stringer github.com/bufbuild/buf/cmd/buf
 	PATH=$(CURDIR)/bin:$$PATH buf generate
 	PATH=$(CURDIR)/bin:$$PATH $(GO) generate ./...
+
+# Seeded faults in virtual time. SEEDS is the number of seeds, FROM the first.
+SEEDS ?= 10000
+FROM ?= 0
+.PHONY: soak
+soak:
+	$(GO) test ./tests/simulation -run TestSeeds -count=1 -timeout 6h -v -args -seeds=$(SEEDS) -from=$(FROM)
--- a/services/ledger/balance.go
+++ b/services/ledger/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/crocusline/crocusline/models/ledger"
@@ -59,6 +60,7 @@
 	for name := range c.accounts {
 		names = append(names, name)
 	}
+	slices.Sort(names)
 	return names
 }
 
--- a/services/ledger/client.go
+++ b/services/ledger/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -205,6 +206,44 @@
 	return c.shard(hold.Shard).isSettled(hold, c.incarnation)
 }
 
+// Closed says whether the holder of a hold was closed, so that the hold pays
+// for nothing. It waits until the shard's stream was read once.
+func (c *Client) Closed(ctx context.Context, hold ledger.Hold) (closed bool, err error) {
+	sh := c.shard(hold.Shard)
+	t := c.acquire(sh)
+	defer sh.release()
+	if err := t.ready(ctx); err != nil {
+		return false, err
+	}
+	t.stream.View(func(stream.Status) { closed = t.state.Closed(hold.Holder) })
+	return closed, nil
+}
+
+// ClosedError says that a shard's owner took this process for dead. Its holds
+// pay for nothing any more, so that the process has to be restarted.
+type ClosedError struct {
+	Incarnation string
+	Shard       int
+}
+
+// Error implements error.
+func (e *ClosedError) Error() string {
+	return fmt.Sprintf("%s was closed in ledger shard %d: restart the process", e.Incarnation, e.Shard)
+}
+
+// Err returns a *ClosedError once this process was taken for dead. A process
+// with an error is not ready, and has to be restarted.
+func (c *Client) Err() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, sh := range c.shards {
+		if sh.closed.Load() {
+			return &ClosedError{Incarnation: c.incarnation, Shard: sh.number}
+		}
+	}
+	return nil
+}
+
 // shard returns a shard.
 func (c *Client) shard(number int) *shard {
 	c.mu.Lock()
--- a/services/ledger/owner.go
+++ b/services/ledger/owner.go
@@ -163,6 +163,9 @@
 	a.mu.Lock()
 	a.seen = a.seen.newer(viewOf(resp.Msg))
 	a.mu.Unlock()
+	if resp.Msg.GetClosed() {
+		sh.closed.Store(true)
+	}
 	c.reconcile(sh, a)
 	return true
 }
--- a/services/ledger/reserve.go
+++ b/services/ledger/reserve.go
@@ -83,13 +83,16 @@
 	if tokens <= 0 {
 		return ledger.Hold{}, refusal.New(refusal.InvalidRequest, 0, "ask for at least one token")
 	}
+	sh := c.shard(c.ShardOf(workspace))
+	if sh.closed.Load() {
+		return ledger.Hold{}, refusal.New(refusal.Fenced, retryLog, "this instance was taken for dead; retry at another one")
+	}
 	a := c.account(workspace)
 	a.mu.Lock()
 	a.allowance.Use(time.Now(), tokens)
 	covered := a.allowance.Cut(tokens)
 	low := a.allowance.Refill(time.Now(), math.MaxInt64) > 0
 	a.mu.Unlock()
-	sh := c.shard(c.ShardOf(workspace))
 	if !covered {
 		if err := c.draw(ctx, sh, a, tokens); err != nil {
 			return ledger.Hold{}, err
@@ -158,6 +161,10 @@
 // decided.
 func (c *Client) drawFromOwner(ctx context.Context, sh *shard, a *account, tokens int64) (bool, error) {
 	for range 2 {
+		if a.cut(tokens) {
+			// A release has made the allowance cover the hold meanwhile.
+			return true, nil
+		}
 		if !c.drawFrom(ctx, sh, a, c.grantRequest(sh, a, tokens)) {
 			return false, nil
 		}
@@ -217,6 +224,10 @@
 // asks others to give back tokens, and a second one follows when they did.
 func (c *Client) drawOnce(ctx context.Context, t *tail, sh *shard, a *account, tokens int64) error {
 	for range 2 {
+		if a.cut(tokens) {
+			// A release has made the allowance cover the hold meanwhile.
+			return nil
+		}
 		if err := c.append(ctx, sh, c.newGrant(sh, a, tokens)); err != nil {
 			return unreachable()
 		}
--- a/services/ledger/shard.go
+++ b/services/ledger/shard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/crocusline/crocusline/coordination/escrow"
@@ -28,6 +29,8 @@
 	settled escrow.Ranges
 	// quiet is until when the owner is not asked, because it did not answer.
 	quiet time.Time
+	// closed says that the shard's owner took this process for dead.
+	closed atomic.Bool
 	// refreshed is when the owner was last asked for the settled holds.
 	refreshed time.Time
 }
--- a/services/ledger/tail.go
+++ b/services/ledger/tail.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/crocusline/crocusline/models/allowance"
@@ -17,6 +18,8 @@
 	holds *holds
 	// short takes the workspaces whose budget did not cover a grant.
 	short chan<- string
+	// closed is set when the shard's owner took this process for dead.
+	closed *atomic.Bool
 }
 
 // openTail begins to read a shard's stream. Each opening writes under a name of
@@ -24,7 +27,7 @@
 func (c *Client) openTail(sh *shard) *tail {
 	sh.openings++
 	writer := fmt.Sprintf("%s+client%d", c.incarnation, sh.openings)
-	t := &tail{state: ledger.New(), holds: sh.holds, short: c.wake}
+	t := &tail{state: ledger.New(), holds: sh.holds, short: c.wake, closed: &sh.closed}
 	t.stream = stream.New(ledger.StreamOf(sh.number), writer, c.log, t,
 		stream.WithInterval(c.interval),
 		stream.WithLimiter(c.limiter),
@@ -47,6 +50,10 @@
 	switch e := entry.(type) {
 	case ledger.Bill:
 		t.holds.settle(e.Hold)
+	case ledger.CloseHolder:
+		if e.Holder == t.holds.holder {
+			t.closed.Store(true)
+		}
 	case ledger.Grant:
 		if effect == ledger.Uncovered {
 			select {
@@ -67,7 +74,13 @@
 		*t.state = *ledger.New()
 		return nil
 	}
-	return t.state.Restore(data)
+	if err := t.state.Restore(data); err != nil {
+		return err
+	}
+	if t.state.Closed(t.holds.holder) {
+		t.closed.Store(true)
+	}
+	return nil
 }
 
 // view returns a workspace's budget and this process's account.
--- a/services/membership/membership.go
+++ b/services/membership/membership.go
@@ -1,223 +1,162 @@
-// Package membership fences the entry incarnations that died and were not
-// replaced, so that their budget tokens can come back.
+// Package membership takes members off the fleet's list whose processes ended
+// without saying so and whose names nobody has taken over.
 package membership
 
 import (
 	"context"
-	"math"
-	"net/http"
+	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/crocusline/crocusline/kernel"
 	"github.com/crocusline/crocusline/models/fleet"
-	"github.com/crocusline/crocusline/models/lease"
-	"github.com/crocusline/crocusline/models/membership"
-	"github.com/crocusline/crocusline/modules/peer"
 	"github.com/crocusline/crocusline/modules/platform"
-	peerv1 "github.com/crocusline/crocusline/modules/wire/peer/v1"
-	"github.com/crocusline/crocusline/modules/wire/peer/v1/peerv1connect"
 )
 
 // Name is the service's name in the kernel.
 const Name = "membership"
 
 const (
-	// DefaultListInterval is the time between two reads of the platform's list.
-	DefaultListInterval = 30 * time.Second
-	// probeInterval is the time between two probes of a suspect.
-	probeInterval = 5 * time.Second
-	// callTimeout bounds each call.
-	callTimeout = 2 * time.Second
+	defaultInterval = 30 * time.Second
+	// absentIntervals is how many intervals the list has to leave a member out.
+	absentIntervals = 5
+	// probeTimeout is how long a member may take to show that it lives.
+	probeTimeout = 3 * time.Second
+	// publishTimeout bounds one change of the list of members.
+	publishTimeout = 10 * time.Second
+	// perRound bounds the members that one round takes off.
+	perRound = 32
 )
 
 var (
-	listsFailed = metrics.NewCounter("crocusline_membership_lists_failed_total")
-	probes      = metrics.NewCounter("crocusline_membership_probes_total")
-	unanswered  = metrics.NewCounter("crocusline_membership_probes_unanswered_total")
-	fences      = metrics.NewCounter("crocusline_membership_fences_total")
+	membersFenced = metrics.NewCounter("crocusline_membership_fenced_total")
+	listErrors    = metrics.NewCounter("crocusline_membership_list_errors_total")
 )
 
+// Control is what the service needs of the control stream.
+type Control interface {
+	State() *fleet.State
+	Member() fleet.Member
+	// OnDuty says whether it is this process's turn to look after what the fleet
+	// shares.
+	OnDuty() bool
+	Publish(ctx context.Context, event fleet.Event) (fleet.Result, error)
+}
+
 // Lister reads the platform's list of instances.
 type Lister interface {
 	Instances(ctx context.Context) ([]platform.Instance, error)
 }
 
-// Fleet is the process's copy of the fleet's state.
-type Fleet interface {
-	State() *fleet.State
-	Publish(ctx context.Context, event fleet.Event) (fleet.Result, error)
+// Prober finds out whether a member lives.
+type Prober interface {
+	// Alive says whether the incarnation itself answers.
+	Alive(ctx context.Context, m fleet.Member) bool
 }
 
-// Watcher fences the members that are gone. Each suspect falls to one of the
-// entries that are none. It is a kernel.Service.
-type Watcher struct {
-	self     fleet.Member
+// Service compares the members with the platform's list. It is a
+// kernel.Service.
+type Service struct {
+	log      hclog.Logger
+	control  Control
 	lister   Lister
-	fleet    Fleet
-	http     *http.Client
-	logger   hclog.Logger
+	prober   Prober
 	interval time.Duration
-	suspects *membership.Suspects
+	absence  *fleet.Absence
 	cancel   context.CancelFunc
-	done     chan struct{}
+	done     sync.WaitGroup
 }
 
-// Option configures a Watcher.
-type Option func(*Watcher)
-
-// WithListInterval sets the time between two reads of the platform's list.
-func WithListInterval(d time.Duration) Option { return func(w *Watcher) { w.interval = d } }
+// Option changes a new Service.
+type Option func(*Service)
 
-// WithPatience sets how long a member that is not listed may leave probes
-// unanswered.
-func WithPatience(d time.Duration) Option {
-	return func(w *Watcher) { w.suspects = membership.NewSuspects(d) }
-}
+// WithInterval sets the time between two reads of the list.
+func WithInterval(d time.Duration) Option { return func(s *Service) { s.interval = d } }
 
-// WithLogger sets the logger.
-func WithLogger(l hclog.Logger) Option { return func(w *Watcher) { w.logger = l.Named(Name) } }
-
-// New returns the watcher of the process that self describes. client reaches
-// peers.
-func New(self fleet.Member, lister Lister, state Fleet, client *http.Client, opts ...Option) *Watcher {
-	w := &Watcher{
-		self:     self,
-		lister:   lister,
-		fleet:    state,
-		http:     client,
-		logger:   hclog.NewNullLogger(),
-		interval: DefaultListInterval,
-		suspects: membership.NewSuspects(membership.DefaultPatience),
-		done:     make(chan struct{}),
-	}
+// New returns the service.
+func New(log hclog.Logger, control Control, lister Lister, prober Prober, opts ...Option) *Service {
+	s := &Service{log: log.Named(Name), control: control, lister: lister, prober: prober, interval: defaultInterval}
 	for _, opt := range opts {
-		opt(w)
+		opt(s)
 	}
-	return w
+	s.absence = fleet.NewAbsence(absentIntervals * s.interval)
+	return s
 }
 
 // Name implements kernel.Service.
-func (w *Watcher) Name() string { return Name }
+func (s *Service) Name() string { return Name }
 
 // Start implements kernel.Service.
-func (w *Watcher) Start(ctx context.Context, _ *kernel.Kernel) error {
-	ctx, w.cancel = context.WithCancel(ctx)
-	go w.serve(ctx)
+func (s *Service) Start(ctx context.Context, _ *kernel.Kernel) error {
+	ctx, s.cancel = context.WithCancel(ctx)
+	s.done.Go(func() { s.watch(ctx) })
 	return nil
 }
 
 // Close implements kernel.Service.
-func (w *Watcher) Close() error {
-	if w.cancel == nil {
-		return nil
+func (s *Service) Close() error {
+	if s.cancel != nil {
+		s.cancel()
 	}
-	w.cancel()
-	<-w.done
+	s.done.Wait()
 	return nil
 }
 
-func (w *Watcher) serve(ctx context.Context) {
-	defer close(w.done)
-	lists, checks := time.NewTicker(w.interval), time.NewTicker(probeInterval)
-	defer lists.Stop()
-	defer checks.Stop()
+func (s *Service) watch(ctx context.Context) {
+	ticker := time.NewTicker(s.interval)
+	defer ticker.Stop()
 	for {
 		select {
-		case <-lists.C:
-			w.list(ctx)
-		case <-checks.C:
-			w.check(ctx)
+		case <-ticker.C:
+			s.round(ctx)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// list reads the platform's list. By one that does not name this process itself
-// it is a suspect, and judges nobody.
-func (w *Watcher) list(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// round looks at the list once. An empty list says nothing about anybody.
+func (s *Service) round(ctx context.Context) {
+	listCtx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	instances, err := w.lister.Instances(ctx)
+	list, err := s.lister.Instances(listCtx)
 	if err != nil {
-		listsFailed.Inc()
+		listErrors.Inc()
+		s.log.Debug("list of instances not read", "error", err)
 		return
 	}
-	named := map[string]bool{}
-	for _, i := range instances {
-		named[i.Name] = true
-	}
-	var unnamed []string
-	for incarnation, m := range w.fleet.State().Members {
-		if m.Role == fleet.Entry && !named[m.Name] {
-			unnamed = append(unnamed, incarnation)
-		}
+	if len(list) == 0 {
+		return
 	}
-	w.suspects.Listed(unnamed)
-}
-
-// check probes the suspects that fall to this process.
-func (w *Watcher) check(ctx context.Context) {
-	state := w.fleet.State()
-	suspects := w.suspects.Probes()
-	judges := judges(state, suspects)
-	for _, incarnation := range suspects {
-		member, known := state.Members[incarnation]
-		if !known || lease.First(incarnation, judges) != w.self.Incarnation {
-			continue
-		}
-		if w.answers(ctx, member) {
-			w.suspects.Answered(incarnation)
-			continue
-		}
-		unanswered.Inc()
-		if ctx.Err() == nil && w.suspects.Unanswered(time.Now(), incarnation) {
-			w.fence(ctx, incarnation)
-		}
+	listed := map[string]bool{s.control.Member().Name: true}
+	for _, instance := range list {
+		listed[instance.Name] = true
 	}
-}
-
-// judges returns the entries that are not suspects.
-func judges(state *fleet.State, suspects []string) []string {
-	suspected := map[string]bool{}
-	for _, s := range suspects {
-		suspected[s] = true
+	overdue := s.absence.Observe(time.Now(), listed, s.control.State().Members)
+	if !s.control.OnDuty() {
+		return
 	}
-	var names []string
-	for incarnation, m := range state.Members {
-		if m.Role == fleet.Entry && !suspected[incarnation] {
-			names = append(names, incarnation)
-		}
+	for _, m := range overdue[:min(len(overdue), perRound)] {
+		s.takeOff(ctx, m)
 	}
-	return names
 }
 
-// answers says whether a process answers at the member's address.
-func (w *Watcher) answers(ctx context.Context, m fleet.Member) bool {
-	probes.Inc()
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	tables := peerv1connect.NewTableServiceClient(w.http, peer.URL(m.Address))
-	// A peer that holds no more than this answers without the state.
-	req := &peerv1.CurrentRequest{Next: math.MaxInt64}
-	_, err := tables.Current(ctx, connect.NewRequest(req))
-	return err == nil || connect.IsWireError(err)
-}
-
-func (w *Watcher) fence(ctx context.Context, incarnation string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	result, err := w.fleet.Publish(ctx, fleet.Fence{Incarnation: incarnation, By: w.self.Incarnation})
-	if err != nil {
-		w.logger.Warn("fence not published", "incarnation", incarnation, "error", err)
+// takeOff fences a member unless it answers.
+func (s *Service) takeOff(ctx context.Context, m fleet.Member) {
+	probeCtx, cancelProbe := context.WithTimeout(ctx, probeTimeout)
+	defer cancelProbe()
+	if s.prober.Alive(probeCtx, m) {
 		return
 	}
-	if _, applied := result.(fleet.Applied); applied {
-		fences.Inc()
-		w.logger.Warn("entry fenced", "incarnation", incarnation)
+	publishCtx, cancel := context.WithTimeout(ctx, publishTimeout)
+	defer cancel()
+	event := fleet.Fence{Incarnation: m.Incarnation, By: s.control.Member().Incarnation}
+	if _, err := s.control.Publish(publishCtx, event); err != nil {
+		s.log.Warn("absent member not taken off", "incarnation", m.Incarnation, "error", err)
+		return
 	}
+	membersFenced.Inc()
+	s.log.Info("absent member taken off", "incarnation", m.Incarnation, "address", m.Address)
 }
--- a/services/membership/membership_test.go
+++ b/services/membership/membership_test.go
@@ -2,51 +2,60 @@
 
 import (
 	"context"
-	"net/http"
-	"net/netip"
-	"slices"
+	"errors"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"connectrpc.com/connect"
-	"github.com/pkg/errors"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/crocusline/crocusline/kernel"
 	"github.com/crocusline/crocusline/models/fleet"
-	"github.com/crocusline/crocusline/modules/peer/peertest"
 	"github.com/crocusline/crocusline/modules/platform"
-	peerv1 "github.com/crocusline/crocusline/modules/wire/peer/v1"
-	"github.com/crocusline/crocusline/modules/wire/peer/v1/peerv1connect"
 	"github.com/crocusline/crocusline/services/membership"
 )
 
-var _ kernel.Service = (*membership.Watcher)(nil)
+var _ kernel.Service = (*membership.Service)(nil)
 
-// world is the fleet's state and the platform's list, seen by all alike.
+// world is a fleet with the platform's list of it.
 type world struct {
-	net *peertest.Network
-
 	mu     sync.Mutex
 	state  *fleet.State
+	duty   bool
 	listed []string
-	fences int
-	down   bool
+	err    error
+	alive  map[string]bool
+}
+
+func newWorld(t *testing.T, names ...string) *world {
+	t.Helper()
+	w := &world{state: fleet.New(), duty: true, listed: names, alive: map[string]bool{}}
+	for _, name := range names {
+		if _, err := w.Publish(t.Context(), fleet.Register{Member: fleet.Member{Incarnation: name + "/1", Name: name}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return w
 }
 
+func (w *world) Member() fleet.Member { return fleet.Member{Incarnation: "a/1", Name: "a"} }
+
 func (w *world) State() *fleet.State {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.state
 }
 
+func (w *world) OnDuty() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.duty
+}
+
 func (w *world) Publish(_ context.Context, event fleet.Event) (fleet.Result, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if _, fenced := event.(fleet.Fence); fenced {
-		w.fences++
-	}
 	next, result := w.state.Apply(w.state.Next, time.Now(), event)
 	w.state = next
 	return result, nil
@@ -55,133 +64,83 @@
 func (w *world) Instances(context.Context) ([]platform.Instance, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.down {
-		return nil, errors.New("platform away")
-	}
 	var list []platform.Instance
 	for _, name := range w.listed {
 		list = append(list, platform.Instance{Name: name})
 	}
-	return list, nil
-}
-
-// list sets whom the platform's list names.
-func (w *world) list(names ...string) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.listed = names
+	return list, w.err
 }
 
-func (w *world) setDown(down bool) {
+func (w *world) Alive(_ context.Context, m fleet.Member) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.down = down
+	return w.alive[m.Name]
 }
 
-func (w *world) fenced() int {
+func (w *world) set(f func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.fences
-}
-
-// unready answers as an entry without tables does.
-type unready struct {
-	peerv1connect.UnimplementedTableServiceHandler
+	f()
 }
 
-func (unready) Current(context.Context, *connect.Request[peerv1.CurrentRequest]) (*connect.Response[peerv1.CurrentResponse], error) {
-	return nil, connect.NewError(connect.CodeUnavailable, errors.New("no tables here yet"))
-}
-
-// start starts the entries a, b, c and d.
-func start(t *testing.T) (*world, map[string]fleet.Member) {
+func (w *world) start(t *testing.T) {
 	t.Helper()
-	w := &world{net: peertest.New(), state: fleet.New()}
-	names := []string{"a", "b", "c", "d"}
-	w.list(names...)
-	members := map[string]fleet.Member{}
-	for i, name := range names {
-		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(i+1))
-		m := fleet.Member{Incarnation: name + "/1", Name: name, Role: fleet.Entry, Address: address}
-		members[name] = m
-		mux := http.NewServeMux()
-		mux.Handle(peerv1connect.NewTableServiceHandler(unready{}))
-		w.net.Serve(address, mux)
-		if _, err := w.Publish(t.Context(), fleet.Register{Member: m}); err != nil {
-			t.Fatal(err)
-		}
-		watcher := membership.New(m, w, w, w.net.Client(address))
-		if err := watcher.Start(context.Background(), nil); err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() {
-			if err := watcher.Close(); err != nil {
-				t.Error(err)
-			}
-		})
+	s := membership.New(hclog.NewNullLogger(), w, w, w)
+	if err := s.Start(context.Background(), nil); err != nil {
+		t.Fatal(err)
 	}
-	return w, members
+	t.Cleanup(func() { _ = s.Close() })
 }
 
-func without(names []string, name string) []string {
-	return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
+func (w *world) wantGone(t *testing.T, incarnation string, gone bool) {
+	t.Helper()
+	if w.State().IsGone(incarnation) != gone {
+		t.Errorf("%s gone: %t, want %t", incarnation, !gone, gone)
+	}
 }
 
-func TestKilledEntryIsFenced(t *testing.T) {
+func TestTakesOffWhoIsGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w, members := start(t)
-		time.Sleep(5 * time.Minute)
-		began := time.Now()
-		w.net.SetCut(members["d"].Address, true)
-		w.list("a", "b", "c")
-		for !w.State().IsGone("d/1") && time.Since(began) < 10*time.Minute {
-			time.Sleep(time.Second)
-		}
-		t.Logf("fenced %s of virtual time after the kill", time.Since(began))
-		if took := time.Since(began); took > 2*time.Minute {
-			t.Errorf("fenced after %s", took)
-		}
-		time.Sleep(5 * time.Minute)
-		if got := w.fenced(); got != 1 || len(w.State().Members) != 3 {
-			t.Errorf("%d fences, members %v", got, w.State().Members)
-		}
+		w := newWorld(t, "a", "b", "c", "d")
+		w.start(t)
+		time.Sleep(10 * time.Minute)
+		w.wantGone(t, "b/1", false)
+
+		w.set(func() { w.listed, w.alive["c"] = []string{"d"}, true })
+		time.Sleep(2 * time.Minute)
+		w.wantGone(t, "b/1", false)
+		time.Sleep(2 * time.Minute)
+		w.wantGone(t, "a/1", false)
+		w.wantGone(t, "b/1", true)
+		w.wantGone(t, "c/1", false)
+		w.wantGone(t, "d/1", false)
 	})
 }
 
-func TestNobodyIsFencedWithoutBothSigns(t *testing.T) {
-	cases := []struct {
-		name  string
-		fault func(w *world, m fleet.Member)
-	}{
-		{"listed but silent", func(w *world, m fleet.Member) { w.net.SetCut(m.Address, true) }},
-		{"unlisted but answering", func(w *world, m fleet.Member) { w.list(without([]string{"a", "b", "c", "d"}, m.Name)...) }},
-		{"list away", func(w *world, m fleet.Member) { w.setDown(true); w.net.SetCut(m.Address, true) }},
-		{"list empty", func(w *world, m fleet.Member) { w.list(); w.net.SetCut(m.Address, true) }},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
+func TestLeavesMembersOn(t *testing.T) {
+	for name, change := range map[string]func(*world){
+		"with an empty list":            func(w *world) { w.listed = nil },
+		"without a list":                func(w *world) { w.listed, w.err = []string{"a"}, errors.New("away") },
+		"while another has the duty":    func(w *world) { w.listed, w.duty = []string{"a"}, false },
+		"that are back before the time": func(w *world) { w.listed = []string{"a"} },
+	} {
+		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w, members := start(t)
-				c.fault(w, members["d"])
+				w := newWorld(t, "a", "b")
+				w.start(t)
+				w.set(func() { change(w) })
+				time.Sleep(2 * time.Minute)
+				w.set(func() {
+					if w.listed != nil && w.err == nil && w.duty {
+						w.listed = []string{"a", "b"}
+					}
+				})
 				time.Sleep(10 * time.Minute)
-				if got := w.fenced(); got != 0 {
-					t.Errorf("%d fences", got)
-				}
+				w.wantGone(t, "b/1", false)
+				w.set(func() { change(w) })
+				time.Sleep(2 * time.Minute)
+				w.wantGone(t, "b/1", false)
 			})
 		})
 	}
 }
-
-func TestEntryThatComesBackIsNotFenced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w, members := start(t)
-		w.list("a", "b", "c")
-		w.net.SetCut(members["d"].Address, true)
-		time.Sleep(70 * time.Second)
-		w.net.SetCut(members["d"].Address, false)
-		time.Sleep(10 * time.Minute)
-		if got := w.fenced(); got != 0 {
-			t.Errorf("%d fences", got)
-		}
-	})
-}
