--- a/modules/peer/peertest/network.go
+++ b/modules/peer/peertest/network.go
@@ -20,6 +20,7 @@
 	cut      map[netip.AddrPort]bool
 	lost     map[netip.AddrPort]int
 	calls    map[string]int
+	sent     map[netip.AddrPort]int64
 }
 
 // New returns a network without peers.
@@ -29,6 +30,7 @@
 		cut:      map[netip.AddrPort]bool{},
 		lost:     map[netip.AddrPort]int{},
 		calls:    map[string]int{},
+		sent:     map[netip.AddrPort]int64{},
 	}
 }
 
@@ -63,6 +65,20 @@
 	return n.calls[procedure]
 }
 
+// Bytes returns the bytes of the bodies, of questions and answers together, of
+// the calls that the peer at the address made.
+func (n *Network) Bytes(from netip.AddrPort) int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sent[from]
+}
+
+func (n *Network) count(from netip.AddrPort, size int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sent[from] += int64(size)
+}
+
 // Client returns the HTTP client of the peer at the address.
 func (n *Network) Client(from netip.AddrPort) *http.Client {
 	return &http.Client{Transport: &transport{network: n, from: from}}
@@ -94,6 +110,7 @@
 		inner := req.Clone(req.Context())
 		inner.Body = io.NopCloser(bytes.NewReader(body))
 		handler.ServeHTTP(recorder, inner)
+		t.network.count(t.from, len(body)+recorder.Body.Len())
 		answer <- recorder.Result()
 	}()
 	select {
--- a/services/shard/appends_test.go
+++ b/services/shard/appends_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -24,49 +25,79 @@
 type rates struct {
 	// appends per second, of all processes together.
 	appends float64
-	bills   int64
+	// client and host are what the least and the most loaded node moved of
+	// records and of calls of peers, in KB per second.
+	client, host float64
+	bills        int64
+}
+
+// node is what a process moved, in bytes.
+type node struct {
+	client *ledger.Client
+	bytes  func() int64
+}
+
+// nodes starts n processes, with hosts or without.
+func (w *world) nodes(n int, owned bool) []node {
+	var all []node
+	for i := range n {
+		name := fmt.Sprintf("e%d", i)
+		if owned {
+			e := w.join(name)
+			all = append(all, node{client: e.client, bytes: func() int64 {
+				return e.clientGate.size() + e.hostGate.size() + w.net.Bytes(e.member.Address)
+			}})
+			continue
+		}
+		g := newGate(w.log)
+		c := ledger.New(name+"/1", g, ledger.WithShards(shards))
+		if err := c.Start(context.Background(), nil); err != nil {
+			w.t.Fatal(err)
+		}
+		w.t.Cleanup(func() {
+			if err := c.Close(); err != nil {
+				w.t.Error(err)
+			}
+		})
+		all = append(all, node{client: c, bytes: g.size})
+	}
+	return all
 }
 
 // load has n entries serve requests for a while, each a hold and a bill.
 func load(t *testing.T, n int, owned bool) (r rates) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
-		var clients []*ledger.Client
-		for i := range n {
-			name := fmt.Sprintf("e%d", i)
-			if owned {
-				clients = append(clients, w.join(name).client)
-				continue
-			}
-			c := ledger.New(name+"/1", w.log, ledger.WithShards(shards))
-			if err := c.Start(context.Background(), nil); err != nil {
-				t.Fatal(err)
-			}
-			t.Cleanup(func() {
-				if err := c.Close(); err != nil {
-					t.Error(err)
-				}
-			})
-			clients = append(clients, c)
-		}
+		nodes := w.nodes(n, owned)
 		time.Sleep(10 * time.Second)
+		first := nodes[0].client
 		for i := range workspaces {
 			name := fmt.Sprintf("w%d", i)
 			entry := model.TopUp{ID: name, Workspace: name, Tokens: 10_000_000}
-			if err := clients[0].Post(t.Context(), clients[0].ShardOf(name), entry); err != nil {
+			if err := first.Post(t.Context(), first.ShardOf(name), entry); err != nil {
 				t.Fatal(err)
 			}
 		}
-		before, began := w.log.Appends(), time.Now()
+		var before []int64
+		for _, n := range nodes {
+			before = append(before, n.bytes())
+		}
+		appends, began := w.log.Appends(), time.Now()
 		var done sync.WaitGroup
-		for i, c := range clients {
-			done.Go(func() { serve(t, c, i) })
+		for i, n := range nodes {
+			done.Go(func() { serve(t, n.client, i) })
 		}
 		done.Wait()
-		r.appends = float64(w.log.Appends()-before) / time.Since(began).Seconds()
+		seconds := time.Since(began).Seconds()
+		r.appends = float64(w.log.Appends()-appends) / seconds
+		r.client = math.MaxFloat64
+		for i, n := range nodes {
+			kilobytes := float64(n.bytes()-before[i]) / 1000 / seconds
+			r.client, r.host = min(r.client, kilobytes), max(r.host, kilobytes)
+		}
 		time.Sleep(time.Second)
 		for i := range workspaces {
-			b, err := clients[0].Budget(t.Context(), fmt.Sprintf("w%d", i))
+			b, err := first.Budget(t.Context(), fmt.Sprintf("w%d", i))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -105,10 +136,11 @@
 func TestAppendRate(t *testing.T) {
 	perShard := float64(time.Second / stream.DefaultInterval)
 	t.Logf("%d requests a second an entry, %d shards, %d workspaces", requestsPerEntry, shards, workspaces)
-	t.Logf("entries  requests/s  appends/s without owner  with owner")
+	t.Logf("entries requests/s | without owner: appends/s, KB/s a node | with owner: appends/s, KB/s least and most of a node")
 	for _, n := range []int{4, 8, 16, 32} {
 		without, with := load(t, n, false), load(t, n, true)
-		t.Logf("%7d  %10d  %23.1f  %10.1f", n, n*requestsPerEntry, without.appends, with.appends)
+		t.Logf("%7d %10d | %10.1f %10.1f | %10.1f %10.1f %10.1f", n, n*requestsPerEntry,
+			without.appends, without.host, with.appends, with.client, with.host)
 		// The first append of each shard waits for none.
 		if bound := shards * (perShard + 1); with.appends > bound {
 			t.Errorf("%d entries with owners: %.1f appends a second, more than %.0f", n, with.appends, bound)
--- a/services/shard/fleet_test.go
+++ b/services/shard/fleet_test.go
@@ -61,6 +61,8 @@
 	readable, writable chan struct{}
 	reads              int
 	writes             int
+	// bytes counts the data of the records read and written.
+	bytes int64
 }
 
 func newGate(log platform.Log) *gate {
@@ -124,11 +126,29 @@
 }
 
 func (g *gate) Append(_ context.Context, stream string, data []byte) (int64, error) {
-	return g.pass(&g.writes, &g.writable).Append(context.Background(), stream, data)
+	log := g.pass(&g.writes, &g.writable)
+	g.count(len(data))
+	return log.Append(context.Background(), stream, data)
 }
 
 func (g *gate) Read(ctx context.Context, stream string, from int64, limit int, wait time.Duration) (platform.Batch, error) {
-	return g.pass(&g.reads, &g.readable).Read(ctx, stream, from, limit, wait)
+	batch, err := g.pass(&g.reads, &g.readable).Read(ctx, stream, from, limit, wait)
+	for _, r := range batch.Records {
+		g.count(len(r.Data))
+	}
+	return batch, err
+}
+
+func (g *gate) count(size int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.bytes += int64(size)
+}
+
+func (g *gate) size() int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.bytes
 }
 
 func (g *gate) counts() (reads, writes int) {
--- a/services/shard/holders_test.go
+++ b/services/shard/holders_test.go
@@ -111,6 +111,29 @@
 	})
 }
 
+// TestTokensOfDeadOwnerComeBack kills an entry that also owned the shard.
+func TestTokensOfDeadOwnerComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.sidecar("s1", "1")
+		entries := []*entry{w.join("a"), w.join("b")}
+		time.Sleep(10 * time.Second)
+		topUp(t, entries[0], "clinic", 1000)
+		dead, live := entries[0], entries[1]
+		if owners(entries...)[dead.client.ShardOf("clinic")][0] != dead.member.Name {
+			dead, live = live, dead
+		}
+		reserve(t, dead, "clinic", 400)
+		dead.kill()
+		w.board.publish(t, fleet.Fence{Incarnation: dead.member.Incarnation, By: "test"})
+		took, back := until(t, live, time.Minute)
+		if !back {
+			t.Fatalf("tokens not back after %s", took)
+		}
+		t.Logf("tokens back %s of virtual time after the entry was known to be gone", took)
+	})
+}
+
 func TestUnsettledHoldDelaysReturn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
