--- a/tests/sidecar/booking_test.go
+++ b/tests/sidecar/booking_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -148,6 +149,58 @@
 	}
 }
 
+// TestBookingRunsAtMostOnceUnderRestarts restarts the sidecar, whose earlier
+// incarnation runs on unseen, and kills an entry with its calls under way, beside
+// the other faults. The callers go on at the other entry.
+func TestBookingRunsAtMostOnceUnderRestarts(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(seed, 4))
+				w := newWorld(t, "clinic")
+				booking, driver := w.service()
+				booking.SetFaults(service.Faults{Slowness: control.Duration(rng.IntN(1000)) * control.Duration(time.Millisecond)})
+				s := w.sidecar("booking-1", "sidecar-1/1", driver)
+				doomed, other := w.entry("entry-1/1", "booking-1"), w.entry("entry-2/1", "booking-1")
+				told := newBookings()
+				keys := []string{"k1", "k2", "k3"}
+				life, kill := context.WithCancel(t.Context())
+				killAt, restartAt := time.Duration(rng.IntN(1500))*time.Millisecond, time.Duration(rng.IntN(1500))*time.Millisecond
+				var wg sync.WaitGroup
+				wg.Go(func() {
+					time.Sleep(killAt)
+					doomed.kill()
+					kill()
+				})
+				wg.Go(func() {
+					time.Sleep(restartAt)
+					s.kill()
+					w.sidecar("booking-1", "sidecar-1/2", driver)
+				})
+				for _, key := range keys {
+					delay := time.Duration(rng.IntN(1000)) * time.Millisecond
+					wg.Go(func() {
+						time.Sleep(delay)
+						answer, err := doomed.book(life, "clinic", key, "bay for "+key, false)
+						// A dead entry tells its caller nothing.
+						if life.Err() != nil || told.note(key, answer.Body, err) {
+							told.call(t, other, booking, key, 3, true)
+						}
+					})
+				}
+				disturb(w, rng, booking, s)
+				wg.Wait()
+				time.Sleep(settleTime)
+				runs, whole := told.check(t, keys, booking.Ran())
+				if b := w.budget("clinic"); b.Bills > runs || b.Settled != b.Bills*price || b.Settled+b.Outstanding > b.ToppedUp {
+					t.Errorf("%d bills, %d settled, %d outstanding for %d runs", b.Bills, b.Settled, b.Outstanding, runs)
+				}
+				t.Logf("runs %d, whole %d, notRun %v, other %v", runs, whole, told.notRun, told.other)
+			})
+		})
+	}
+}
+
 // TestNotRunDidNotRun books once a key, with no retry: at the moment of a "not
 // run" answer and ever after, the service did not run the key.
 func TestNotRunDidNotRun(t *testing.T) {
--- a/tests/sidecar/world_test.go
+++ b/tests/sidecar/world_test.go
@@ -57,13 +57,14 @@
 	net *network
 	log *platformtest.Log
 
-	mu       sync.Mutex
-	sidecars map[string]*sidecar
-	last     byte
+	mu        sync.Mutex
+	sidecars  map[string]*sidecar
+	addresses map[string]string
+	last      byte
 }
 
 func newWorld(t *testing.T, workspaces ...string) *world {
-	w := &world{t: t, net: newNetwork(), log: platformtest.New(), sidecars: map[string]*sidecar{}}
+	w := &world{t: t, net: newNetwork(), log: platformtest.New(), sidecars: map[string]*sidecar{}, addresses: map[string]string{}}
 	admin := w.ledger("admin/1")
 	for _, ws := range workspaces {
 		entry := model.TopUp{ID: "top-up", Workspace: ws, Tokens: topUp}
@@ -82,6 +83,21 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, w.last}), 80)
 }
 
+// addressOf returns the address of a server's sidecar, which a later incarnation
+// keeps.
+func (w *world) addressOf(name string) string {
+	w.mu.Lock()
+	address, known := w.addresses[name]
+	w.mu.Unlock()
+	if !known {
+		address = w.address().String()
+		w.mu.Lock()
+		w.addresses[name] = address
+		w.mu.Unlock()
+	}
+	return address
+}
+
 // ledger starts a process's part in the ledger.
 func (w *world) ledger(incarnation string) *ledger.Client {
 	w.t.Helper()
@@ -219,7 +235,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewSidecarServiceHandler(peer.NewSidecar(s.runner, nil)))
-	address := w.address().String()
+	address := w.addressOf(name)
 	s.late = &lateRuns{next: mux}
 	s.host = w.net.serve(w.t, address, s.late)
 	s.client = peerv1connect.NewSidecarServiceClient(w.net.client(w.t, true), "http://"+address)
