Give each setting an effect, or remove it

Cause: platform.timeout, platform.readWait, policy.allowance and server.checksOrders were read and never used, and so were the callers' certificate, the checkpoint interval and, as a bound, the log's retention. Change: the first four are gone (an unknown key is an error, so nobody goes on believing in them); the certificate is served and read again when it changes; the interval reaches control, ledger and shards; an interval above a quarter of the retention is refused. The changed line of TestLoad compares another default, since its setting is gone. Tests run: make lint test.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -10,6 +10,7 @@
 	limits "github.com/crocusline/crocusline/models/admission"
 	"github.com/crocusline/crocusline/models/placement"
 	"github.com/crocusline/crocusline/models/retry"
+	"github.com/crocusline/crocusline/modules/certificate"
 	"github.com/crocusline/crocusline/modules/peer"
 	"github.com/crocusline/crocusline/modules/setting"
 	"github.com/crocusline/crocusline/modules/web"
@@ -105,6 +106,7 @@
 		shard.WithLogger(e.log.Named(shard.Name)),
 		shard.WithShards(s.Shards),
 		shard.WithInterval(s.BatchInterval),
+		shard.WithSchedule(e.schedule()),
 		shard.WithLeaseTimeout(s.LeaseTimeout),
 		shard.WithRecaller(e.ledger),
 	}
@@ -143,5 +145,12 @@
 		web.WithDrain(s.DrainTimeout),
 		web.WithWriteTimeout(s.WriteTimeout),
 	}
+	if s.CertFile != "" {
+		reloader, err := certificate.NewReloader(s.CertFile, s.KeyFile)
+		if err != nil {
+			return nil, err
+		}
+		opts = append(opts, web.WithTLS(reloader.ServerConfig()))
+	}
 	return web.NewServer(s.Listen, mux, opts...)
 }
--- a/cmd/process.go
+++ b/cmd/process.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/crocusline/crocusline/coordination/fence"
 	"github.com/crocusline/crocusline/kernel"
 	"github.com/crocusline/crocusline/models/fleet"
 	"github.com/crocusline/crocusline/modules/log"
@@ -20,6 +21,7 @@
 	"github.com/crocusline/crocusline/services/ledger"
 	"github.com/crocusline/crocusline/services/shard"
 	"github.com/crocusline/crocusline/services/status"
+	"github.com/crocusline/crocusline/services/stream"
 )
 
 // process is what an entry and a sidecar have in common.
@@ -76,6 +78,7 @@
 		Address:       s.Instance.PeerAddress,
 		Region:        s.Instance.Region,
 		FailureDomain: s.Instance.FailureDomain,
+		Shards:        s.Ledger.Shards,
 	}
 	if s.Server != nil {
 		m.Role = fleet.Sidecar
@@ -89,10 +92,16 @@
 		ledger.WithLogger(p.log.Named(ledger.Name)),
 		ledger.WithShards(p.settings.Ledger.Shards),
 		ledger.WithInterval(p.settings.Ledger.BatchInterval),
+		ledger.WithSchedule(p.schedule()),
 		ledger.WithOwners(p.locateOwner, p.peers.HTTP()),
 	}
 }
 
+// schedule returns when checkpoints of a stream are due.
+func (p *process) schedule() fence.Schedule {
+	return fence.Schedule{Records: stream.DefaultSchedule.Records, Interval: p.settings.Ledger.CheckpointInterval}
+}
+
 // locateOwner returns where the owner of a ledger shard is reached.
 func (p *process) locateOwner(number int) (netip.AddrPort, bool) {
 	return shard.Locate(p.control.State(), number)
@@ -109,6 +118,8 @@
 func (p *process) controlOptions() []control.Option {
 	return []control.Option{
 		control.WithPeers(control.NewPeerSource(p.peers.HTTP()), p.settings.Peer.Seeds...),
+		control.WithInterval(p.settings.Ledger.BatchInterval),
+		control.WithSchedule(p.schedule()),
 	}
 }
 
--- a/modules/setting/policy.go
+++ b/modules/setting/policy.go
@@ -4,8 +4,6 @@
 type Policy struct {
 	// Placement is the way a backend server is chosen.
 	Placement string `yaml:"placement" validate:"oneof=random roundRobin twoChoices pureAffinity affinity"`
-	// Allowance is the way budget tokens are handed to entries.
-	Allowance string `yaml:"allowance" validate:"oneof=single static adaptive"`
 	// Floors are the shares of a server that ranks keep during a flood of more
 	// urgent work.
 	Floors Floors `yaml:"floors"`
@@ -24,7 +22,6 @@
 func defaultPolicy() Policy {
 	return Policy{
 		Placement:   "affinity",
-		Allowance:   "adaptive",
 		Floors:      Floors{Normal: 0.2, Bulk: 0.05},
 		RetryBudget: 0.1,
 		RetryBurst:  10,
--- a/modules/setting/server.go
+++ b/modules/setting/server.go
@@ -15,7 +15,4 @@
 	// Grace is how long a finished answer is kept for a retry, and how long an
 	// interrupted request goes on.
 	Grace time.Duration `yaml:"grace" validate:"gte=0"`
-	// ChecksOrders says whether the server refuses orders with an old fencing
-	// number.
-	ChecksOrders bool `yaml:"checksOrders"`
 }
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -51,6 +51,9 @@
 	if err := s.checkRole(doc, role); err != nil {
 		return nil, err
 	}
+	if err := s.checkRetention(doc); err != nil {
+		return nil, err
+	}
 	s.resolve(filepath.Dir(file))
 	return s, nil
 }
@@ -68,6 +71,19 @@
 	}
 }
 
+// checkpointsPerRetention is how many checkpoints there have to be at least in
+// the time for which the log keeps records.
+const checkpointsPerRetention = 4
+
+// checkRetention refuses checkpoints that come too late for a newcomer.
+func (s *Settings) checkRetention(doc *Document) error {
+	if limit := s.Platform.Retention / checkpointsPerRetention; s.Ledger.CheckpointInterval > limit {
+		return doc.Problem("ledger.checkpointInterval", "%s is above a quarter of platform.retention, which is %s",
+			s.Ledger.CheckpointInterval, limit)
+	}
+	return nil
+}
+
 // checkRole checks what only one of the roles needs.
 func (s *Settings) checkRole(doc *Document, role Role) error {
 	switch role {
--- a/modules/setting/setting_test.go
+++ b/modules/setting/setting_test.go
@@ -50,7 +50,7 @@
 	if s.Server.Slots != 8 || s.Server.Grace.String() != "30s" || s.Peer.Listen.Port() != 7001 {
 		t.Fatalf("settings %+v", s)
 	}
-	if s.Platform.Timeout != setting.Default().Platform.Timeout {
+	if s.Platform.ListInterval != setting.Default().Platform.ListInterval {
 		t.Fatal("a default is gone")
 	}
 }
@@ -74,6 +74,7 @@
 		{"missing server", "server:", "policy:", 16, "policy.name", "unknown key"},
 		{"twice", "slots: 8", "kind: plain", 19, "", "already defined"},
 		{"callers at a sidecar", "server:", "caller:\n  listen: 127.0.0.1:1\nserver:", 16, "caller.listen", "entries"},
+		{"late checkpoints", "server:", "ledger:\n  checkpointInterval: 7h\nserver:", 16, "ledger.checkpointInterval", "quarter of platform.retention"},
 		{"syntax", "server:", "server: [", 0, "", ""},
 	}
 	for _, c := range cases {
