Run scripted scenarios against a fleet of separate processes

Cause: the proofs so far run in one process, with the decision code; what the processes do together was seen only in the demonstration. Change: tests/scenario with testscript: kills, pauses, outages, lost answers, a planned stop, racing publishers, bad requests; settings and tables of a fleet are written by standin/cluster, which the capacity tool uses too. Mutations: drain off at the sidecar makes planned_stop fail (it waits for ever), the kept body ignored makes sidecar_restarted fail. Two survive, since the stand-in engine answers the same again: tokens not handed to the next server (server_killed), running requests not looked up (entry_killed); checked next.

--- a/standin/capacity/page.go
+++ b/standin/capacity/page.go
@@ -50,7 +50,7 @@
 		return nil, err
 	}
 	results, err := runAll(ctx, append(measures, p.measures()...))
-	if closeErr := p.cluster.Close(); err == nil {
+	if closeErr := p.Close(); err == nil {
 		err = closeErr
 	}
 	return results, err
--- a/standin/capacity/streams.go
+++ b/standin/capacity/streams.go
@@ -4,16 +4,15 @@
 	"context"
 	"fmt"
 	"net/http"
-	"path/filepath"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
-	"github.com/crocusline/crocusline/models/table"
 	callerv1 "github.com/crocusline/crocusline/modules/wire/caller/v1"
 	"github.com/crocusline/crocusline/modules/wire/caller/v1/callerv1connect"
+	"github.com/crocusline/crocusline/standin/cluster"
 )
 
 // Names of the measures of running processes.
@@ -40,10 +39,6 @@
 	changeTimeSpan = 5 * time.Second
 )
 
-func tokenHash() string {
-	return table.HashToken(token)
-}
-
 // processMeasures cost an entry and a sidecar that run.
 func (p *processes) measures() []Measure {
 	tokens := []int{2500, 5000, 10000, 20000}
@@ -51,14 +46,14 @@
 	streams := []int{0, 100, 200, 400, 800}
 	changes := []int{5, 10, 20, 40}
 	return []Measure{
-		{entryChange, "processor time of an entry in 5 s", "us", "change of configuration", changes, p.cpuOf(entryOperatorPort, p.change)},
-		{entryTraffic, "traffic of an entry with the platform in 5 s", "B", "change of configuration", changes, p.trafficOf(entryOperatorPort, p.change)},
-		{entryStream, "resident memory of an entry", "B", "open stream", streams, p.memoryOf(entryOperatorPort)},
-		{sidecarStream, "resident memory of a sidecar", "B", "open stream", streams, p.memoryOf(sidecarOperatorPort)},
-		{entryToken, "processor time of an entry", "us", "token relayed", tokens, p.cpuOf(entryOperatorPort, p.relay)},
-		{sidecarToken, "processor time of a sidecar", "us", "token relayed", tokens, p.cpuOf(sidecarOperatorPort, p.relay)},
-		{entryRequest, "processor time of an entry", "us", "request of 4 tokens", requests, p.cpuOf(entryOperatorPort, p.burst)},
-		{sidecarRequest, "processor time of a sidecar", "us", "request of 4 tokens", requests, p.cpuOf(sidecarOperatorPort, p.burst)},
+		{entryChange, "processor time of an entry in 5 s", "us", "change of configuration", changes, p.cpuOf(entryName, p.change)},
+		{entryTraffic, "traffic of an entry with the platform in 5 s", "B", "change of configuration", changes, p.trafficOf(entryName, p.change)},
+		{entryStream, "resident memory of an entry", "B", "open stream", streams, p.memoryOf(entryName)},
+		{sidecarStream, "resident memory of a sidecar", "B", "open stream", streams, p.memoryOf(sidecarName)},
+		{entryToken, "processor time of an entry", "us", "token relayed", tokens, p.cpuOf(entryName, p.relay)},
+		{sidecarToken, "processor time of a sidecar", "us", "token relayed", tokens, p.cpuOf(sidecarName, p.relay)},
+		{entryRequest, "processor time of an entry", "us", "request of 4 tokens", requests, p.cpuOf(entryName, p.burst)},
+		{sidecarRequest, "processor time of a sidecar", "us", "request of 4 tokens", requests, p.cpuOf(sidecarName, p.burst)},
 	}
 }
 
@@ -68,46 +63,46 @@
 
 // cpuOf returns a sample of the processor time, in microseconds, that a load
 // costs a process.
-func (p *processes) cpuOf(port int, l load) func(context.Context, int) (float64, error) {
+func (p *processes) cpuOf(name string, l load) func(context.Context, int) (float64, error) {
 	return func(ctx context.Context, size int) (float64, error) {
-		before, after, scale, err := p.around(ctx, port, size, l)
+		before, after, scale, err := p.around(ctx, name, size, l)
 		return (after.cpu - before.cpu) * scale * float64(time.Second/time.Microsecond), err
 	}
 }
 
 // trafficOf returns a sample of the bytes that a load makes a process exchange.
-func (p *processes) trafficOf(port int, l load) func(context.Context, int) (float64, error) {
+func (p *processes) trafficOf(name string, l load) func(context.Context, int) (float64, error) {
 	return func(ctx context.Context, size int) (float64, error) {
-		before, after, scale, err := p.around(ctx, port, size, l)
+		before, after, scale, err := p.around(ctx, name, size, l)
 		return (after.traffic - before.traffic) * scale, err
 	}
 }
 
 // around reads a process's usage before and after a load. The scale brings the
 // difference to the size asked for.
-func (p *processes) around(ctx context.Context, port, size int, l load) (before, after usage, scale float64, err error) {
-	if before, err = p.usageOf(ctx, port); err != nil {
+func (p *processes) around(ctx context.Context, name string, size int, l load) (before, after usage, scale float64, err error) {
+	if before, err = p.usageOf(ctx, name); err != nil {
 		return before, after, 0, err
 	}
 	done, err := l(ctx, size)
 	if err != nil {
 		return before, after, 0, err
 	}
-	after, err = p.usageOf(ctx, port)
+	after, err = p.usageOf(ctx, name)
 	return before, after, float64(size) / done, err
 }
 
 // memoryOf returns a sample of a process's memory while streams are open. Both
 // processes are read under the same load, the smallest first, because resident
 // memory shrinks only slowly afterwards.
-func (p *processes) memoryOf(port int) func(context.Context, int) (float64, error) {
+func (p *processes) memoryOf(name string) func(context.Context, int) (float64, error) {
 	return func(ctx context.Context, size int) (float64, error) {
 		if _, known := p.resident[size]; !known {
 			if err := p.openStreams(ctx, size); err != nil {
 				return 0, err
 			}
 		}
-		return p.resident[size][port], nil
+		return p.resident[size][name], nil
 	}
 }
 
@@ -121,13 +116,13 @@
 		streams.Go(func() { _, _ = p.submit(ctx, size, 1000) })
 		time.Sleep(openTime)
 	}
-	p.resident[size] = map[int]float64{}
-	for _, port := range []int{entryOperatorPort, sidecarOperatorPort} {
-		u, err := p.usageOf(ctx, port)
+	p.resident[size] = map[string]float64{}
+	for _, name := range []string{entryName, sidecarName} {
+		u, err := p.usageOf(ctx, name)
 		if err != nil {
 			return err
 		}
-		p.resident[size][port] = u.resident
+		p.resident[size][name] = u.resident
 	}
 	cancel()
 	streams.Wait()
@@ -148,7 +143,7 @@
 // submit sends requests at the same time and returns the tokens of their
 // answers: between half of and all of those asked for.
 func (p *processes) submit(ctx context.Context, requests, tokens int) (float64, error) {
-	client := callerv1connect.NewRouterServiceClient(&http.Client{Transport: &http.Transport{}}, "http://"+address(entryCallerPort))
+	client := callerv1connect.NewRouterServiceClient(&http.Client{Transport: &http.Transport{}}, p.URL(entryName))
 	counts := make([]int64, requests)
 	failures := make([]error, requests)
 	var wg sync.WaitGroup
@@ -169,12 +164,12 @@
 // stream reads one answer and returns its tokens.
 func stream(ctx context.Context, client callerv1connect.RouterServiceClient, i, tokens int) (int64, error) {
 	req := connect.NewRequest(&callerv1.SubmitRequest{
-		Workspace: workspaceName,
+		Workspace: cluster.Workspace,
 		Kind:      "draft",
 		Prompt:    fmt.Sprintf("request %d of %s", i, time.Now()),
 		MaxTokens: int32(tokens),
 	})
-	req.Header().Set("Authorization", "Bearer "+token)
+	req.Header().Set("Authorization", "Bearer "+cluster.Token)
 	answer, err := client.Submit(ctx, req)
 	if err != nil {
 		return 0, errors.WithStack(err)
@@ -193,18 +188,13 @@
 	defer ticker.Stop()
 	for i := range size {
 		<-ticker.C
-		if err := p.writeWorkspaces(i); err != nil {
+		// Each differs from the one before.
+		if err := p.WriteTables(1 + (i+1)%2); err != nil {
 			return 0, err
 		}
-		if err := p.crocusline(ctx, "publish", "--platform", "http://"+address(platformPort), "--wait", "0", filepath.Join(p.dir, "tables")); err != nil {
+		if _, err := p.Crocusline(ctx, "publish", "--platform", p.URL("platform"), "--wait", "0", p.Tables()); err != nil {
 			return 0, err
 		}
 	}
 	return float64(size), nil
 }
-
-// writeWorkspaces makes a workspace table that differs from the one before.
-func (p *processes) writeWorkspaces(i int) error {
-	text := fmt.Sprintf("workspaces:\n  %s:\n    tokens: [%s]\n    weight: %d\n", workspaceName, tokenHash(), 1+(i+1)%2)
-	return writeFile(filepath.Join(p.dir, "tables", "workspaces.yaml"), text)
-}
--- /dev/null
+++ b/standin/cluster/fleet.go
@@ -0,0 +1,373 @@
+package cluster
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"text/template"
+
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/models/table"
+)
+
+// Fleet is a platform, backend servers with their sidecars, and entries, each a
+// process, with settings written for free ports.
+type Fleet struct {
+	*Cluster
+	spec  Spec
+	bin   string
+	dir   string
+	ports map[string]int
+}
+
+// Spec says what a fleet consists of.
+type Spec struct {
+	Entries int
+	Models  int
+	// Services is the number of plain services.
+	Services int
+	// EngineFlags are passed to each model engine.
+	EngineFlags []string
+	// Slots is how many requests a backend server runs at once.
+	Slots int
+	// LogLevel is that of crocusline's processes.
+	LogLevel string
+}
+
+// The names of the workspace that a fleet's tables hold, and of its token.
+const (
+	Workspace = "clinics"
+	Token     = "fleet-token"
+)
+
+// Shards is the number of ledger shards of a fleet.
+const Shards = 4
+
+// NewFleet writes the settings of a fleet whose binaries are in bin, and whose
+// files go under dir. Nothing is started.
+func NewFleet(bin, dir string, spec Spec) (*Fleet, error) {
+	c, err := New(filepath.Join(dir, "logs"))
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Cluster: c, spec: spec, bin: bin, dir: dir, ports: map[string]int{}}
+	if err := f.takePorts(); err != nil {
+		return nil, err
+	}
+	return f, f.writeFiles()
+}
+
+// EntryNames returns the names of the entries.
+func (f *Fleet) EntryNames() []string { return numbered("entry", f.spec.Entries) }
+
+// ModelNames returns the names of the model servers.
+func (f *Fleet) ModelNames() []string { return numbered("model", f.spec.Models) }
+
+// ServiceNames returns the names of the plain services.
+func (f *Fleet) ServiceNames() []string { return numbered("booking", f.spec.Services) }
+
+// SidecarOf returns the name of the sidecar's process beside a backend server.
+func SidecarOf(server string) string { return server + "-sidecar" }
+
+func (f *Fleet) servers() []string {
+	return append(f.ModelNames(), f.ServiceNames()...)
+}
+
+func numbered(name string, n int) []string {
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("%s-%d", name, i+1))
+	}
+	return names
+}
+
+// URL returns the base URL of a stand-in, or of an entry for callers.
+func (f *Fleet) URL(name string) string {
+	return fmt.Sprintf("http://127.0.0.1:%d", f.ports[name])
+}
+
+// OperatorURL returns the base URL of a process's operator listener.
+func (f *Fleet) OperatorURL(name string) string {
+	return fmt.Sprintf("http://127.0.0.1:%d", f.ports[name+" operator"])
+}
+
+// takePorts finds a free port for each listener.
+func (f *Fleet) takePorts() error {
+	names := append([]string{"platform"}, f.servers()...)
+	for _, entry := range f.EntryNames() {
+		names = append(names, entry, entry+" peer", entry+" operator")
+	}
+	for _, server := range f.servers() {
+		names = append(names, SidecarOf(server)+" peer", SidecarOf(server)+" operator")
+	}
+	var listeners []net.Listener
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
+	for _, name := range names {
+		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		listeners = append(listeners, l)
+		f.ports[name] = l.Addr().(*net.TCPAddr).Port
+	}
+	return nil
+}
+
+// processTemplate is the settings of an entry or a sidecar.
+const processTemplate = `instance:
+  name: {{.Name}}
+  region: local
+  failureDomain: domain-1
+  peerAddress: 127.0.0.1:{{.Peer}}
+platform:
+  url: http://127.0.0.1:{{.Platform}}
+{{- if .Caller}}
+caller:
+  listen: 127.0.0.1:{{.Caller}}
+  streamsPerWorkspace: 100000
+{{- end}}
+peer:
+  listen: 127.0.0.1:{{.Peer}}
+  certFile: certs/peer.pem
+  keyFile: certs/peer.key
+  caFile: certs/ca.pem
+operator:
+  listen: 127.0.0.1:{{.Operator}}
+{{- if .Server}}
+server:
+  name: {{.Server}}
+  kind: {{.Kind}}
+  url: http://127.0.0.1:{{.Backend}}
+  slots: {{.Slots}}
+  queueLength: 1000
+{{- end}}
+ledger:
+  shards: {{.Shards}}
+log:
+  level: {{.LogLevel}}
+`
+
+// processValues fill the template.
+type processValues struct {
+	Name, Server, Kind, LogLevel              string
+	Platform, Caller, Peer, Operator, Backend int
+	Slots, Shards                             int
+}
+
+func (f *Fleet) writeFiles() error {
+	t, err := template.New("settings").Parse(processTemplate)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	for _, entry := range f.EntryNames() {
+		v := f.values(entry)
+		v.Caller = f.ports[entry]
+		if err := f.writeSettings(t, v); err != nil {
+			return err
+		}
+	}
+	for _, server := range f.servers() {
+		v := f.values(SidecarOf(server))
+		v.Server, v.Kind, v.Backend = server, "model", f.ports[server]
+		if f.isService(server) {
+			v.Kind = "plain"
+		}
+		if err := f.writeSettings(t, v); err != nil {
+			return err
+		}
+	}
+	return f.WriteTables(1)
+}
+
+func (f *Fleet) isService(server string) bool {
+	for _, name := range f.ServiceNames() {
+		if name == server {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fleet) values(name string) processValues {
+	return processValues{
+		Name:     name,
+		LogLevel: f.spec.LogLevel,
+		Platform: f.ports["platform"],
+		Peer:     f.ports[name+" peer"],
+		Operator: f.ports[name+" operator"],
+		Slots:    f.spec.Slots,
+		Shards:   Shards,
+	}
+}
+
+func (f *Fleet) writeSettings(t *template.Template, v processValues) error {
+	var text bytes.Buffer
+	if err := t.Execute(&text, v); err != nil {
+		return errors.WithStack(err)
+	}
+	return writeFile(f.settings(v.Name), text.String())
+}
+
+func (f *Fleet) settings(name string) string {
+	return filepath.Join(f.dir, name+".yaml")
+}
+
+// Tables returns the directory of the tables.
+func (f *Fleet) Tables() string {
+	return filepath.Join(f.dir, "tables")
+}
+
+// WriteTables writes tables in which the workspace has the weight.
+func (f *Fleet) WriteTables(weight int) error {
+	pools := "pools:\n" + poolText("models", "model", f.ModelNames()) + poolText("services", "plain", f.ServiceNames())
+	routes := "routes:\n"
+	if f.spec.Models > 0 {
+		for _, r := range [][2]string{{"ask", "urgent"}, {"draft", "normal"}, {"summarise", "bulk"}} {
+			routes += fmt.Sprintf("  %s:\n    pool: models\n    rank: %s\n    idempotent: true\n    maxTokens: 4000\n    timeout: 2m\n    share: 1\n", r[0], r[1])
+		}
+	}
+	if f.spec.Services > 0 {
+		routes += "  book:\n    pool: services\n    rank: urgent\n    price: 20\n    timeout: 10s\n"
+	}
+	workspaces := fmt.Sprintf("workspaces:\n  %s:\n    tokens: [%s]\n    weight: %d\n", Workspace, table.HashToken(Token), weight)
+	for name, text := range map[string]string{"pools.yaml": pools, "routes.yaml": routes, "workspaces.yaml": workspaces} {
+		if err := writeFile(filepath.Join(f.Tables(), name), text); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func poolText(name, kind string, servers []string) string {
+	if len(servers) == 0 {
+		return ""
+	}
+	text := fmt.Sprintf("  %s:\n    kind: %s\n    servers:\n", name, kind)
+	for _, s := range servers {
+		text += "      - " + s + "\n"
+	}
+	return text
+}
+
+func writeFile(name, text string) error {
+	if err := os.MkdirAll(filepath.Dir(name), 0o755); err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(os.WriteFile(name, []byte(text), 0o600))
+}
+
+// StartAll starts the fleet, publishes its tables and tops the workspace's
+// budget up. It returns once all processes are ready.
+func (f *Fleet) StartAll(ctx context.Context, tokens int) error {
+	if _, err := f.Crocusline(ctx, "certs", "--address", "127.0.0.1", filepath.Join(f.dir, "certs")); err != nil {
+		return err
+	}
+	if err := f.startStandIns(ctx); err != nil {
+		return err
+	}
+	for _, server := range f.servers() {
+		if err := f.StartSidecar(SidecarOf(server)); err != nil {
+			return err
+		}
+	}
+	for _, entry := range f.EntryNames() {
+		if err := f.StartEntry(entry); err != nil {
+			return err
+		}
+	}
+	if _, err := f.Crocusline(ctx, "publish", "--platform", f.URL("platform"), f.Tables()); err != nil {
+		return err
+	}
+	if err := f.TopUp(ctx, "start", tokens); err != nil {
+		return err
+	}
+	return f.awaitReady(ctx)
+}
+
+func (f *Fleet) startStandIns(ctx context.Context) error {
+	if err := f.startStandIn("platform", "platform"); err != nil {
+		return err
+	}
+	for _, model := range f.ModelNames() {
+		if err := f.startStandIn(model, "engine", f.spec.EngineFlags...); err != nil {
+			return err
+		}
+	}
+	for _, s := range f.ServiceNames() {
+		if err := f.startStandIn(s, "service"); err != nil {
+			return err
+		}
+	}
+	return f.AwaitOK(ctx, "platform", f.URL("platform")+"/healthz")
+}
+
+func (f *Fleet) startStandIn(name, kind string, flags ...string) error {
+	args := append([]string{kind, "--listen", fmt.Sprintf("127.0.0.1:%d", f.ports[name])}, flags...)
+	return f.Start(name, filepath.Join(f.bin, "crocusbench"), args...)
+}
+
+// StartSidecar starts a sidecar by its process's name.
+func (f *Fleet) StartSidecar(name string) error {
+	return f.Start(name, filepath.Join(f.bin, "crocusline"), "sidecar", "--settings", f.settings(name))
+}
+
+// StartEntry starts an entry.
+func (f *Fleet) StartEntry(name string) error {
+	return f.Start(name, filepath.Join(f.bin, "crocusline"), "entry", "--settings", f.settings(name))
+}
+
+// AwaitReady waits until a process serves.
+func (f *Fleet) AwaitReady(ctx context.Context, name string) error {
+	return f.AwaitOK(ctx, name, f.OperatorURL(name)+"/readyz")
+}
+
+func (f *Fleet) awaitReady(ctx context.Context) error {
+	for _, server := range f.servers() {
+		if err := f.AwaitReady(ctx, SidecarOf(server)); err != nil {
+			return err
+		}
+	}
+	for _, entry := range f.EntryNames() {
+		if err := f.AwaitReady(ctx, entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// TopUp adds tokens to the workspace's budget, once for each id.
+func (f *Fleet) TopUp(ctx context.Context, id string, tokens int) error {
+	_, err := f.Crocusline(ctx, "topup", "--platform", f.URL("platform"), "--shards", fmt.Sprint(Shards),
+		"--id", id, Workspace, fmt.Sprint(tokens))
+	return err
+}
+
+// SetFaults sets a stand-in's faults, as a JSON object.
+func (f *Fleet) SetFaults(ctx context.Context, name, faults string) error {
+	status, body, err := f.Post(ctx, f.URL(name)+"/faults", bytes.NewBufferString(faults))
+	if err == nil && status != http.StatusOK && status != http.StatusNoContent {
+		err = errors.Errorf("faults of %s: status %d: %s", name, status, body)
+	}
+	return err
+}
+
+// Crocusline runs a command to its end and returns its standard output.
+func (f *Fleet) Crocusline(ctx context.Context, args ...string) (string, error) {
+	cmd := exec.CommandContext(ctx, filepath.Join(f.bin, "crocusline"), args...)
+	var stdout, stderr bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &stdout, &stderr
+	if err := cmd.Run(); err != nil {
+		return "", errors.Wrapf(err, "crocusline %s: %s", args[0], bytes.TrimSpace(stderr.Bytes()))
+	}
+	return stdout.String(), nil
+}
