--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -107,9 +108,25 @@
 		"Compare your tables with it and publish again", base, now)
 }
 
+// summary says how many entries of each table change.
 func summary(d table.Delta) string {
-	return fmt.Sprintf("%d routes, %d pools, %d workspaces set; %d, %d, %d removed",
-		len(d.Routes), len(d.Pools), len(d.Workspaces), len(d.DropRoutes), len(d.DropPools), len(d.DropWorkspaces))
+	var parts []string
+	for _, part := range []struct {
+		count int
+		what  string
+	}{
+		{len(d.Routes), "routes set"},
+		{len(d.DropRoutes), "routes removed"},
+		{len(d.Pools), "pools set"},
+		{len(d.DropPools), "pools removed"},
+		{len(d.Workspaces), "workspaces set"},
+		{len(d.DropWorkspaces), "workspaces removed"},
+	} {
+		if part.count > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", part.count, part.what))
+		}
+	}
+	return strings.Join(parts, ", ")
 }
 
 // follow shows how many instances have the version, until all have it.
--- a/services/control/control_test.go
+++ b/services/control/control_test.go
@@ -250,6 +250,23 @@
 	})
 }
 
+// Records also go by their age while nothing happens.
+func TestRetentionPassedInAQuietTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platform.New(platform.WithFaults(platform.Faults{RetainFor: simulated.Duration(time.Hour)}))
+		schedule := fence.Schedule{Records: 1000, Interval: 10 * time.Minute}
+		a := start(t, store, "a", control.WithSchedule(schedule))
+		start(t, store, "b", control.WithSchedule(schedule))
+		publish(t, a, publication("p", "a", 0, "clinics"))
+		time.Sleep(24 * time.Hour)
+		newcomer := start(t, store, "c", control.WithSchedule(schedule))
+		time.Sleep(inForceBound)
+		if newcomer.Version() != 1 || !newcomer.Ready() {
+			t.Fatalf("the newcomer has version %d", newcomer.Version())
+		}
+	})
+}
+
 // A newcomer reads the stream in several parts. It must not act on the first.
 func TestNewcomerSkipsThePast(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
