--- a/cmd/process.go
+++ b/cmd/process.go
@@ -94,9 +94,18 @@
 		ledger.WithInterval(p.settings.Ledger.BatchInterval),
 		ledger.WithSchedule(p.schedule()),
 		ledger.WithOwners(p.locateOwner, p.peers.HTTP()),
+		ledger.WithNeighbours(p.isNeighbour),
 	}
 }
 
+// isNeighbour says whether an incarnation is an entry in this one's failure
+// domain.
+func (p *process) isNeighbour(incarnation string) bool {
+	m, known := p.control.State().Members[incarnation]
+	return known && p.member.Role == fleet.Entry && m.Role == fleet.Entry &&
+		m.Region == p.member.Region && m.FailureDomain == p.member.FailureDomain
+}
+
 // schedule returns when checkpoints of a stream are due.
 func (p *process) schedule() fence.Schedule {
 	return fence.Schedule{Records: stream.DefaultSchedule.Records, Interval: p.settings.Ledger.CheckpointInterval}
--- a/services/ledger/client.go
+++ b/services/ledger/client.go
@@ -40,6 +40,7 @@
 	logger      hclog.Logger
 	count       int
 	policy      allowance.Policy
+	neighbour   func(incarnation string) bool
 	timeout     time.Duration
 	recallWait  time.Duration
 	interval    time.Duration
@@ -51,7 +52,9 @@
 
 	ctx    context.Context
 	cancel context.CancelFunc
-	done   sync.WaitGroup
+	// stopBalance ends the goroutine that balances allowances.
+	stopBalance context.CancelFunc
+	done        sync.WaitGroup
 
 	mu       sync.Mutex
 	shards   map[int]*shard
@@ -68,6 +71,14 @@
 // WithPolicy sets how allowances are sized.
 func WithPolicy(p allowance.Policy) Option { return func(c *Client) { c.policy = p } }
 
+// WithNeighbours makes the client keep a standing reserve of the budgets that the
+// incarnations in its own failure domain, of which neighbour returns true, draw
+// on. While it uses a shard through its owner, it counts only what it draws on
+// itself. Neighbour is called while a stream is read, and must not block.
+func WithNeighbours(neighbour func(incarnation string) bool) Option {
+	return func(c *Client) { c.neighbour = neighbour }
+}
+
 // WithTimeout sets how long a call waits for the log.
 func WithTimeout(d time.Duration) Option { return func(c *Client) { c.timeout = d } }
 
@@ -116,7 +127,9 @@
 // Start implements kernel.Service. It does not wait for the log.
 func (c *Client) Start(ctx context.Context, _ *kernel.Kernel) error {
 	c.ctx, c.cancel = context.WithCancel(ctx)
-	c.done.Go(func() { c.keepBalance(c.ctx) })
+	balancing, stop := context.WithCancel(c.ctx)
+	c.stopBalance = stop
+	c.done.Go(func() { c.keepBalance(balancing) })
 	return nil
 }
 
@@ -126,9 +139,10 @@
 	if c.cancel == nil {
 		return nil
 	}
+	c.stopBalance()
+	c.done.Wait()
 	c.returnAll()
 	c.cancel()
-	c.done.Wait()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, sh := range c.shards {
--- a/services/ledger/reserve.go
+++ b/services/ledger/reserve.go
@@ -34,6 +34,7 @@
 
 	mu        sync.Mutex
 	allowance *allowance.Allowance
+	demand    ownDemand
 	// recalled is when a grant of this process was last refused.
 	recalled time.Time
 	// asked is when somebody else asked for unused tokens of the budget.
@@ -90,6 +91,7 @@
 	a := c.account(workspace)
 	a.mu.Lock()
 	a.allowance.Use(time.Now(), tokens)
+	a.demand.AddLocal(time.Now(), c.policy, tokens)
 	covered := a.allowance.Cut(tokens)
 	low := a.allowance.Refill(time.Now(), math.MaxInt64) > 0
 	a.mu.Unlock()
@@ -161,11 +163,11 @@
 // decided.
 func (c *Client) drawFromOwner(ctx context.Context, sh *shard, a *account, tokens int64) (bool, error) {
 	for range 2 {
-		if a.cut(tokens) {
-			// A release has made the allowance cover the hold meanwhile.
+		entry, covered := c.cutOrGrant(sh, a, tokens)
+		if covered {
 			return true, nil
 		}
-		if !c.drawFrom(ctx, sh, a, c.grantRequest(sh, a, tokens)) {
+		if !c.drawFrom(ctx, sh, a, c.grantRequest(a, entry, tokens)) {
 			return false, nil
 		}
 		if a.cut(tokens) {
@@ -178,26 +180,29 @@
 	return true, exhausted(c.view(sh, a).budget)
 }
 
-func (c *Client) grantRequest(sh *shard, a *account, tokens int64) *peerv1.DrawRequest {
-	entry := c.newGrant(sh, a, tokens)
+func (c *Client) grantRequest(a *account, entry ledger.Grant, tokens int64) *peerv1.DrawRequest {
 	req := c.drawRequest()
 	req.Sequence = entry.Sequence
-	req.Need = a.lack(tokens)
+	req.Need = max(1, a.lack(tokens))
 	req.Want = entry.Tokens
 	return req
 }
 
-// newGrant returns the grant that a hold of tokens needs.
-func (c *Client) newGrant(sh *shard, a *account, tokens int64) ledger.Grant {
+// cutOrGrant cuts the hold if a release has made the allowance cover it. If not,
+// it returns the grant that the hold needs.
+func (c *Client) cutOrGrant(sh *shard, a *account, tokens int64) (entry ledger.Grant, covered bool) {
 	v := c.view(sh, a)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.allowance.Cut(tokens) {
+		return ledger.Grant{}, true
+	}
 	return ledger.Grant{
 		Workspace: a.workspace,
 		Holder:    c.incarnation,
 		Sequence:  a.number(v.sums.Sequence),
 		Tokens:    a.allowance.Want(time.Now(), tokens, v.budget.Free()),
-	}
+	}, false
 }
 
 // lack returns how many tokens a hold needs beyond what is here.
@@ -224,11 +229,11 @@
 // asks others to give back tokens, and a second one follows when they did.
 func (c *Client) drawOnce(ctx context.Context, t *tail, sh *shard, a *account, tokens int64) error {
 	for range 2 {
-		if a.cut(tokens) {
-			// A release has made the allowance cover the hold meanwhile.
+		entry, covered := c.cutOrGrant(sh, a, tokens)
+		if covered {
 			return nil
 		}
-		if err := c.append(ctx, sh, c.newGrant(sh, a, tokens)); err != nil {
+		if err := c.append(ctx, sh, entry); err != nil {
 			return unreachable()
 		}
 		c.reconcile(sh, a)
--- a/services/ledger/tail.go
+++ b/services/ledger/tail.go
@@ -20,6 +20,11 @@
 	short chan<- string
 	// closed is set when the shard's owner took this process for dead.
 	closed *atomic.Bool
+	// policy and neighbour size the standing reserves by demand, which belongs
+	// to the stream as state does.
+	policy    allowance.Policy
+	neighbour func(incarnation string) bool
+	demand    map[string]*allowance.Demand
 }
 
 // openTail begins to read a shard's stream. Each opening writes under a name of
@@ -27,7 +32,15 @@
 func (c *Client) openTail(sh *shard) *tail {
 	sh.openings++
 	writer := fmt.Sprintf("%s+client%d", c.incarnation, sh.openings)
-	t := &tail{state: ledger.New(), holds: sh.holds, short: c.wake, closed: &sh.closed}
+	t := &tail{
+		state:     ledger.New(),
+		holds:     sh.holds,
+		short:     c.wake,
+		closed:    &sh.closed,
+		policy:    c.policy,
+		neighbour: c.neighbour,
+		demand:    map[string]*allowance.Demand{},
+	}
 	t.stream = stream.New(ledger.StreamOf(sh.number), writer, c.log, t,
 		stream.WithInterval(c.interval),
 		stream.WithLimiter(c.limiter),
@@ -41,21 +54,26 @@
 // Apply implements stream.Fold.
 func (t *tail) Apply(at stream.Position, bodies [][]byte) {
 	for _, body := range bodies {
-		t.state.ApplyBody(at.Time, body, t.observe)
+		t.state.ApplyBody(at.Time, body, func(entry ledger.Entry, effect ledger.Effect) {
+			t.observe(at.Time, entry, effect)
+		})
 	}
 }
 
-func (t *tail) observe(entry ledger.Entry, effect ledger.Effect) {
+func (t *tail) observe(now time.Time, entry ledger.Entry, effect ledger.Effect) {
 	countEffect(entry, effect)
 	switch e := entry.(type) {
 	case ledger.Bill:
 		t.holds.settle(e.Hold)
+		if effect == ledger.Applied && t.neighbour != nil {
+			t.count(now, e)
+		}
 	case ledger.CloseHolder:
 		if e.Holder == t.holds.holder {
 			t.closed.Store(true)
 		}
 	case ledger.Grant:
-		if effect == ledger.Uncovered {
+		if effect == ledger.Uncovered && !e.Ahead {
 			select {
 			case t.short <- e.Workspace:
 			default:
@@ -87,12 +105,14 @@
 func (t *tail) view(workspace, holder string) (v view) {
 	t.stream.View(func(st stream.Status) {
 		a := t.state.Account(workspace, holder)
+		b := t.state.Budget(workspace)
 		v = view{
-			budget: t.state.Budget(workspace),
-			sums:   allowance.Sums{Granted: a.Granted, Returned: a.Returned, Sequence: a.Sequence},
-			closed: t.state.Closed(holder),
-			now:    st.Now,
-			read:   time.Now(),
+			budget:  b,
+			reserve: t.reserve(st.Now, workspace, b),
+			sums:    allowance.Sums{Granted: a.Granted, Returned: a.Returned, Sequence: a.Sequence},
+			closed:  t.state.Closed(holder),
+			now:     st.Now,
+			read:    time.Now(),
 		}
 	})
 	return v
@@ -102,6 +122,8 @@
 type view struct {
 	budget ledger.Budget
 	sums   allowance.Sums
+	// reserve is the holder's standing reserve, if the stream is read.
+	reserve int64
 	// closed says that the shard's owner took the holder for dead.
 	closed bool
 	// now is the log time of the last record that the view holds.
