--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -94,7 +94,9 @@
 		dispatch.WithCounters(e.counters))
 	e.shards = shard.New(p.member, p.platform, p.control, p.peers.HTTP(), e.shardOptions()...)
 	p.ledger.UseLocal(p.member.Address, e.shards)
-	e.status = status.New(p.control, append(p.statusOptions(), status.WithShards(e.shards.Owns))...)
+	e.status = status.New(p.control, append(p.statusOptions(),
+		status.WithCheck("callers", e.admission.Err),
+		status.WithShards(e.shards.Owns))...)
 	e.membership = membership.New(p.log, p.control, p.platform, e.status,
 		membership.WithInterval(p.settings.Platform.ListInterval))
 	return e, nil
--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/crocusline/crocusline/models/admission"
 	"github.com/crocusline/crocusline/models/fleet"
 	"github.com/crocusline/crocusline/models/refusal"
@@ -73,6 +75,16 @@
 	s.closing = true
 }
 
+// Err says why no new request is taken, or is nil.
+func (s *Service) Err() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return errors.New("shutting down")
+	}
+	return nil
+}
+
 func (s *Service) done(workspace string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
