--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -32,6 +32,7 @@
 		newTopUpCommand(),
 		newStopCommand(),
 		newStatusCommand(),
+		newTopCommand(),
 		newCheckCommand(),
 		newCertsCommand(),
 		newVersionCommand(),
