Ask peers in different orders during an outage

Cause: all processes began with the same peer, so that an outage sent a thousand questions a second to one entry after the other. Change: each begins at a place drawn from its incarnation. The test failed with a common first peer (40 of 40 questions to one). Fleet asks 64 members at once, so that 400 that don't answer cost 7 s and not 25. Tests run: make lint, go test -race ./services/control ./services/status.

--- a/services/control/peers.go
+++ b/services/control/peers.go
@@ -51,11 +51,12 @@
 	return fleet.Restore(resp.Msg.GetState())
 }
 
-// askPeers asks one peer after the other while the log can't be read.
+// askPeers asks one peer after the other while the log can't be read. Processes
+// begin at different peers, since an outage makes all of them ask at once.
 func (s *Service) askPeers(ctx context.Context) {
 	ticker := time.NewTicker(s.pace)
 	defer ticker.Stop()
-	for turn := 0; ; turn++ {
+	for turn := score(0, s.member.Incarnation); ; turn++ {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -65,7 +66,7 @@
 			continue
 		}
 		if peers := s.peers(); len(peers) > 0 {
-			s.ask(ctx, peers[turn%len(peers)])
+			s.ask(ctx, peers[turn%uint64(len(peers))])
 		}
 	}
 }
--- a/services/control/peers_test.go
+++ b/services/control/peers_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -85,6 +87,48 @@
 	})
 }
 
+// asked counts the peers that were asked.
+type asked struct {
+	mu     sync.Mutex
+	counts map[netip.AddrPort]int
+}
+
+// Current implements control.Source.
+func (a *asked) Current(_ context.Context, address netip.AddrPort, _ int64) (*fleet.State, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.counts[address]++
+	return nil, nil
+}
+
+func TestPeersAreAskedInDifferentOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platform.New(platform.WithFaults(platform.Faults{Outage: true}))
+		var seeds []netip.AddrPort
+		for port := range uint16(10) {
+			seeds = append(seeds, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port+1))
+		}
+		source := &asked{counts: map[netip.AddrPort]int{}}
+		const askers = 40
+		for i := range askers {
+			start(t, store, fmt.Sprint("asker-", i), control.WithPeers(source, seeds...))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		source.mu.Lock()
+		defer source.mu.Unlock()
+		total := 0
+		for peer, count := range source.counts {
+			total += count
+			if count > askers/3 {
+				t.Errorf("%s was asked %d times at once", peer, count)
+			}
+		}
+		if total != askers {
+			t.Errorf("%d questions, want %d", total, askers)
+		}
+	})
+}
+
 // A state from a peer must not take a process back when the log it then reads
 // lags behind the peer's.
 func TestStalePeerIsIgnored(t *testing.T) {
--- a/services/status/status.go
+++ b/services/status/status.go
@@ -21,7 +21,7 @@
 const Name = "status"
 
 const (
-	defaultParallel = 16
+	defaultParallel = 64
 	defaultTimeout  = time.Second
 )
 
