--- a/services/control/fault_test.go
+++ b/services/control/fault_test.go
@@ -29,7 +29,7 @@
 	t       *testing.T
 	random  *rand.Rand
 	store   *platform.Store
-	peers   neighbours
+	peers   *neighbours
 	running []*watched
 	starts  int
 	// applied counts by base who was told that its publication took effect.
@@ -46,7 +46,7 @@
 					t:       t,
 					random:  rand.New(rand.NewPCG(seed, 7)),
 					store:   platform.New(platform.WithSeed(seed)),
-					peers:   neighbours{},
+					peers:   newNeighbours(),
 					applied: map[int64][]string{},
 				}
 				w.play()
@@ -106,16 +106,15 @@
 func (w *world) startOne() {
 	w.starts++
 	m := member(fmt.Sprint("p", w.starts))
-	source := w.peers
 	s := &watched{Service: control.New(hclog.NewNullLogger(), w.store.As(m.Incarnation), m,
 		control.WithSchedule(fence.Schedule{Records: 8, Interval: time.Minute}),
-		control.WithPeers(source))}
+		control.WithPeers(w.peers))}
 	s.Subscribe(s.record)
 	if err := s.Start(context.Background(), nil); err != nil {
 		w.t.Fatal(err)
 	}
 	w.running = append(w.running, s)
-	w.peers[m.Address] = s
+	w.peers.add(s)
 }
 
 // replaceOne ends a process and starts another, which has a new name.
@@ -123,7 +122,7 @@
 	i := w.random.IntN(len(w.running))
 	gone := w.running[i]
 	w.running = slices.Delete(w.running, i, i+1)
-	delete(w.peers, gone.Member().Address)
+	w.peers.remove(gone)
 	w.close(gone)
 	w.startOne()
 }
--- a/services/control/peers_test.go
+++ b/services/control/peers_test.go
@@ -16,12 +16,41 @@
 )
 
 // neighbours asks services in this process for their state.
-type neighbours map[netip.AddrPort]*watched
+type neighbours struct {
+	mu       sync.Mutex
+	services map[netip.AddrPort]*watched
+}
+
+func newNeighbours(services ...*watched) *neighbours {
+	n := &neighbours{services: map[netip.AddrPort]*watched{}}
+	for _, s := range services {
+		n.add(s)
+	}
+	return n
+}
+
+func (n *neighbours) add(s *watched) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.services[s.Member().Address] = s
+}
+
+func (n *neighbours) remove(s *watched) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.services, s.Member().Address)
+}
+
+func (n *neighbours) find(address netip.AddrPort) *watched {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.services[address]
+}
 
 // Current implements control.Source.
-func (n neighbours) Current(_ context.Context, address netip.AddrPort, next int64) (*fleet.State, error) {
-	s, known := n[address]
-	if !known {
+func (n *neighbours) Current(_ context.Context, address netip.AddrPort, next int64) (*fleet.State, error) {
+	s := n.find(address)
+	if s == nil {
 		return nil, errors.New("no answer")
 	}
 	if s.State().Next <= next {
@@ -41,7 +70,7 @@
 		publish(t, a, publication("p0", "a", 0, "clinics"))
 		store.SetFaults(platform.Faults{Outage: true})
 		dead := netip.MustParseAddrPort("127.0.0.1:9")
-		peers := neighbours{member("a").Address: a}
+		peers := newNeighbours(a)
 
 		lonely := start(t, store, "lonely", control.WithPeers(peers, dead))
 		b := start(t, store, "b", control.WithPeers(peers, dead, member("a").Address))
@@ -72,7 +101,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := platform.New()
 		a := start(t, store, "a")
-		b := start(t, store, "b", control.WithPeers(neighbours{member("a").Address: a}))
+		b := start(t, store, "b", control.WithPeers(newNeighbours(a)))
 		publish(t, a, publication("p0", "a", 0, "clinics"))
 		time.Sleep(time.Second)
 		store.SetFaults(platform.Faults{Cut: []string{"b"}})
@@ -139,7 +168,7 @@
 		time.Sleep(time.Second)
 		store.SetFaults(platform.Faults{Cut: []string{"old"}})
 		a := start(t, store, "a")
-		b := start(t, store, "b", control.WithPeers(neighbours{member("old").Address: old}, member("old").Address))
+		b := start(t, store, "b", control.WithPeers(newNeighbours(old), member("old").Address))
 		publish(t, a, publication("p1", "a", 1, "clinics"))
 		time.Sleep(time.Second)
 		store.SetFaults(platform.Faults{Outage: true})
