--- a/services/control/peers_test.go
+++ b/services/control/peers_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,12 +16,41 @@
 )
 
 // neighbours asks services in this process for their state.
-type neighbours map[netip.AddrPort]*watched
+type neighbours struct {
+	mu       sync.Mutex
+	services map[netip.AddrPort]*watched
+}
+
+func newNeighbours(services ...*watched) *neighbours {
+	n := &neighbours{services: map[netip.AddrPort]*watched{}}
+	for _, s := range services {
+		n.add(s)
+	}
+	return n
+}
+
+func (n *neighbours) add(s *watched) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.services[s.Member().Address] = s
+}
+
+func (n *neighbours) remove(s *watched) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.services, s.Member().Address)
+}
+
+func (n *neighbours) find(address netip.AddrPort) *watched {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.services[address]
+}
 
 // Current implements control.Source.
-func (n neighbours) Current(_ context.Context, address netip.AddrPort, next int64) (*fleet.State, error) {
-	s, known := n[address]
-	if !known {
+func (n *neighbours) Current(_ context.Context, address netip.AddrPort, next int64) (*fleet.State, error) {
+	s := n.find(address)
+	if s == nil {
 		return nil, errors.New("no answer")
 	}
 	if s.State().Next <= next {
@@ -39,7 +70,7 @@
 		publish(t, a, publication("p0", "a", 0, "clinics"))
 		store.SetFaults(platform.Faults{Outage: true})
 		dead := netip.MustParseAddrPort("127.0.0.1:9")
-		peers := neighbours{member("a").Address: a}
+		peers := newNeighbours(a)
 
 		lonely := start(t, store, "lonely", control.WithPeers(peers, dead))
 		b := start(t, store, "b", control.WithPeers(peers, dead, member("a").Address))
@@ -70,7 +101,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := platform.New()
 		a := start(t, store, "a")
-		b := start(t, store, "b", control.WithPeers(neighbours{member("a").Address: a}))
+		b := start(t, store, "b", control.WithPeers(newNeighbours(a)))
 		publish(t, a, publication("p0", "a", 0, "clinics"))
 		time.Sleep(time.Second)
 		store.SetFaults(platform.Faults{Cut: []string{"b"}})
@@ -85,6 +116,48 @@
 	})
 }
 
+// asked counts the peers that were asked.
+type asked struct {
+	mu     sync.Mutex
+	counts map[netip.AddrPort]int
+}
+
+// Current implements control.Source.
+func (a *asked) Current(_ context.Context, address netip.AddrPort, _ int64) (*fleet.State, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.counts[address]++
+	return nil, nil
+}
+
+func TestPeersAreAskedInDifferentOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platform.New(platform.WithFaults(platform.Faults{Outage: true}))
+		var seeds []netip.AddrPort
+		for port := range uint16(10) {
+			seeds = append(seeds, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port+1))
+		}
+		source := &asked{counts: map[netip.AddrPort]int{}}
+		const askers = 40
+		for i := range askers {
+			start(t, store, fmt.Sprint("asker-", i), control.WithPeers(source, seeds...))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		source.mu.Lock()
+		defer source.mu.Unlock()
+		total := 0
+		for peer, count := range source.counts {
+			total += count
+			if count > askers/3 {
+				t.Errorf("%s was asked %d times at once", peer, count)
+			}
+		}
+		if total != askers {
+			t.Errorf("%d questions, want %d", total, askers)
+		}
+	})
+}
+
 // A state from a peer must not take a process back when the log it then reads
 // lags behind the peer's.
 func TestStalePeerIsIgnored(t *testing.T) {
@@ -95,7 +168,7 @@
 		time.Sleep(time.Second)
 		store.SetFaults(platform.Faults{Cut: []string{"old"}})
 		a := start(t, store, "a")
-		b := start(t, store, "b", control.WithPeers(neighbours{member("old").Address: old}, member("old").Address))
+		b := start(t, store, "b", control.WithPeers(newNeighbours(old), member("old").Address))
 		publish(t, a, publication("p1", "a", 1, "clinics"))
 		time.Sleep(time.Second)
 		store.SetFaults(platform.Faults{Outage: true})
