--- a/services/shard/holders_test.go
+++ b/services/shard/holders_test.go
@@ -25,13 +25,33 @@
 	// busy says that a hold of the fenced entry is not settled.
 	busy   bool
 	fenced map[string]int
+	// unsettled counts the holds of an entry that are in use.
+	unsettled map[string]int
+}
+
+// use takes a hold into use, unless its entry is fenced.
+func (s *sidecar) use(entry string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fenced[entry] > 0 {
+		return false
+	}
+	s.unsettled[entry]++
+	return true
+}
+
+func (s *sidecar) settle(entry string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unsettled[entry]--
 }
 
 func (s *sidecar) Fence(_ context.Context, req *connect.Request[peerv1.FenceRequest]) (*connect.Response[peerv1.FenceResponse], error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fenced[req.Msg.GetEntry()]++
-	return connect.NewResponse(&peerv1.FenceResponse{Settled: !s.busy, Incarnation: s.member.Incarnation}), nil
+	settled := !s.busy && s.unsettled[req.Msg.GetEntry()] == 0
+	return connect.NewResponse(&peerv1.FenceResponse{Settled: settled, Incarnation: s.member.Incarnation}), nil
 }
 
 func (s *sidecar) setBusy(busy bool) {
@@ -57,7 +77,8 @@
 			Server:      name,
 			Address:     address,
 		},
-		fenced: map[string]int{},
+		fenced:    map[string]int{},
+		unsettled: map[string]int{},
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewSidecarServiceHandler(s))
