Keep killed entries dead in the fault trial

Mutations run now, each failing TestRandomFaults: holders never closed, live holders fenced, proofs not waited for.

--- a/services/shard/faults_test.go
+++ b/services/shard/faults_test.go
@@ -186,12 +186,11 @@
 	}
 }
 
-// heal mends all faults of an entry. One that was killed stays without a log and
-// without a handler.
+// heal mends all faults of an entry but its death.
 func (r *trial) heal(e *entry) {
 	e.hostGate.resume()
 	e.clientGate.resume()
-	r.w.net.SetCut(e.member.Address, false)
+	r.w.net.SetCut(e.member.Address, e.killed)
 	r.w.net.LoseAnswers(e.member.Address, 0)
 }
 
--- a/services/shard/fleet_test.go
+++ b/services/shard/fleet_test.go
@@ -183,7 +183,7 @@
 	client *ledger.Client
 	// hostGate and clientGate are the ways to the log.
 	hostGate, clientGate *gate
-	closed               bool
+	closed, killed       bool
 }
 
 // join starts an entry and makes it a member.
@@ -235,6 +235,7 @@
 // kill takes the entry off the network and the log. What it has under way never
 // takes effect.
 func (e *entry) kill() {
+	e.killed = true
 	e.w.net.Serve(e.member.Address, nil)
 	e.w.net.SetCut(e.member.Address, true)
 	dead := platformtest.New()
