Keep bills for the next owner of a shard

Cause: when an owner is lost, every sidecar and entry appended its bills by itself at once, against an append limit that the claim needs too. Change: Post waits up to 5 s for a known owner that is silent, or the next; draws, registrations and voids still go to the stream at once.

--- a/services/ledger/client.go
+++ b/services/ledger/client.go
@@ -143,8 +143,29 @@
 func (c *Client) ShardOf(workspace string) int { return ledger.ShardOf(workspace, c.count) }
 
 // Post adds entries to a shard's stream. It returns once the stream holds
-// them, whatever their effect.
+// them, whatever their effect. While the shard's owner is known but does not
+// answer, it waits some seconds for that one or the next. After an error the
+// entries may be there nevertheless.
 func (c *Client) Post(ctx context.Context, number int, entries ...ledger.Entry) error {
+	sh := c.shard(number)
+	for {
+		done, err := c.postTo(ctx, sh, entries)
+		if done || err != nil {
+			return err
+		}
+		if !c.awaitsOwner(sh) {
+			return c.append(ctx, sh, entries...)
+		}
+		select {
+		case <-time.After(ownerRetry):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// postNow is Post for entries that somebody waits for.
+func (c *Client) postNow(ctx context.Context, number int, entries ...ledger.Entry) error {
 	sh := c.shard(number)
 	done, err := c.postTo(ctx, sh, entries)
 	if done || err != nil {
--- a/services/ledger/owner.go
+++ b/services/ledger/owner.go
@@ -24,6 +24,11 @@
 	ownerTimeout = 750 * time.Millisecond
 	// ownerQuiet is how long an owner that did not answer is not asked again.
 	ownerQuiet = time.Second
+	// ownerPatience is how long entries that nobody waits for are kept for a known
+	// owner that does not answer, or the one that follows it.
+	ownerPatience = 5 * time.Second
+	// ownerRetry is the time between two tries of such entries.
+	ownerRetry = 250 * time.Millisecond
 )
 
 // Locator returns where the owner of a shard is reached, if it is known.
@@ -98,16 +103,39 @@
 	}
 	if err == nil {
 		ownerCalls.answered.Inc()
+		sh.setSilent(time.Time{})
 		return true
 	}
 	ownerCalls.failed.Inc()
 	c.logger.Debug("shard owner did not answer", "shard", sh.number, "address", address, "error", err)
+	sh.setSilent(time.Now())
 	if ctx.Err() == nil {
 		sh.setQuiet(time.Now().Add(ownerQuiet))
 	}
 	return false
 }
 
+// setSilent notes since when the owner does not answer, or with the zero time
+// that it does.
+func (sh *shard) setSilent(now time.Time) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if now.IsZero() || sh.silent.IsZero() {
+		sh.silent = now
+	}
+}
+
+// awaitsOwner says whether entries that nobody waits for are better kept for the
+// owner: without it, each process would append by itself.
+func (c *Client) awaitsOwner(sh *shard) bool {
+	if !c.hasOwner(sh.number) {
+		return false
+	}
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return time.Since(sh.silent) < ownerPatience
+}
+
 func (c *Client) askAt(ctx context.Context, address netip.AddrPort, call ownerCall) error {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
--- a/services/ledger/register.go
+++ b/services/ledger/register.go
@@ -133,7 +133,7 @@
 // Void records the proof that an attempt did not and will not run.
 func (c *Client) Void(ctx context.Context, workspace, key string, attempt int64) error {
 	entry := ledger.Void{Workspace: workspace, Key: key, Attempt: attempt}
-	return c.Post(ctx, c.ShardOf(workspace), entry)
+	return c.postNow(ctx, c.ShardOf(workspace), entry)
 }
 
 // Attempt returns what the shard's owner knows of a key, or else what this
--- a/services/ledger/shard.go
+++ b/services/ledger/shard.go
@@ -31,6 +31,8 @@
 	quiet time.Time
 	// closed says that the shard's owner took this process for dead.
 	closed atomic.Bool
+	// silent is since when the owner does not answer, zero if it does.
+	silent time.Time
 	// refreshed is when the owner was last asked for the settled holds.
 	refreshed time.Time
 }
--- a/services/shard/owner_test.go
+++ b/services/shard/owner_test.go
@@ -334,3 +334,41 @@
 		}
 	})
 }
+
+// TestBillsWaitForTheNextOwner kills an owner while others have bills to post.
+func TestBillsWaitForTheNextOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		entries := []*entry{w.join("a"), w.join("b"), w.join("c")}
+		time.Sleep(10 * time.Second)
+		topUp(t, entries[0], "clinic", 1000)
+		number := entries[0].client.ShardOf("clinic")
+		owner := owners(entries...)[number][0]
+		var rest []*entry
+		var holds []model.Hold
+		for _, e := range entries {
+			if e.member.Name != owner {
+				rest = append(rest, e)
+				holds = append(holds, reserve(t, e, "clinic", 100))
+			}
+		}
+		for _, e := range entries {
+			if e.member.Name == owner {
+				e.kill()
+			}
+		}
+		began := time.Now()
+		for i, e := range rest {
+			bill(t, e, "clinic", fmt.Sprint(i), holds[i], 60)
+		}
+		t.Logf("bills posted after %s of virtual time", time.Since(began))
+		for _, e := range rest {
+			if reads, writes := e.clientGate.counts(); reads+writes != 0 {
+				t.Errorf("client of %s read %d times and wrote %d times", e.member.Name, reads, writes)
+			}
+		}
+		if got := budget(t, rest[0], "clinic"); got.Bills != 2 || got.Settled != 120 {
+			t.Errorf("budget %+v", got)
+		}
+	})
+}
