--- a/services/ledger/balance.go
+++ b/services/ledger/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -14,6 +15,8 @@
 	wakeQueue = 256
 	// balancePoll is how often allowances are looked at.
 	balancePoll = time.Second
+	// reservePoll is how often the standing reserves are looked at.
+	reservePoll = 5 * time.Second
 	// shortWindow is how long, by the log's clock, a refused grant keeps others
 	// from holding unused tokens of that budget.
 	shortWindow = 2 * time.Second
@@ -29,29 +32,65 @@
 func (c *Client) keepBalance(ctx context.Context) {
 	ticker := time.NewTicker(balancePoll)
 	defer ticker.Stop()
+	reserves := time.NewTicker(reservePoll)
+	defer reserves.Stop()
 	for {
 		select {
 		case workspace := <-c.wake:
-			c.balance(ctx, workspace, false)
+			c.balance(ctx, workspace)
 		case <-ticker.C:
 			for _, workspace := range c.drawnOn() {
-				c.balance(ctx, workspace, false)
+				c.balance(ctx, workspace)
 			}
 			c.closeIdleTails()
+		case <-reserves.C:
+			for _, workspace := range c.demanded() {
+				c.balance(ctx, workspace)
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+// returnAll gives back whatever no hold has taken. A grant that was under way
+// may be decided only with the first returns, so that there is a second pass.
 func (c *Client) returnAll() {
 	ctx, cancel := context.WithTimeout(c.ctx, closeTimeout)
 	defer cancel()
-	for _, workspace := range c.drawnOn() {
-		c.balance(ctx, workspace, true)
+	for range 2 {
+		returns := map[int][]ledger.Entry{}
+		for _, workspace := range c.drawnOn() {
+			sh := c.shard(c.ShardOf(workspace))
+			if entry := c.balancing(sh, c.account(workspace), true); entry != nil {
+				returns[sh.number] = append(returns[sh.number], entry)
+			}
+		}
+		for number, entries := range returns {
+			if err := c.Post(ctx, number, entries...); err != nil {
+				c.logger.Warn("allowance not balanced", "shard", number, "error", err)
+			}
+		}
 	}
 }
 
+// demanded returns the workspaces of whose budget this process keeps a standing
+// reserve, or did until now.
+func (c *Client) demanded() []string {
+	c.mu.Lock()
+	shards := slices.Collect(maps.Values(c.shards))
+	c.mu.Unlock()
+	var names []string
+	for _, sh := range shards {
+		if t, ok := sh.opened(); ok {
+			names = append(names, t.demanded()...)
+			sh.release()
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // drawnOn returns the workspaces in whose budget this process has a part.
 func (c *Client) drawnOn() []string {
 	c.mu.Lock()
@@ -66,13 +105,8 @@
 
 // balance returns what the allowance does not need, or draws ahead of need. With
 // all set it returns whatever no hold has taken.
-func (c *Client) balance(ctx context.Context, workspace string, all bool) {
-	c.mu.Lock()
-	a := c.accounts[workspace]
-	c.mu.Unlock()
-	if a == nil {
-		return
-	}
+func (c *Client) balance(ctx context.Context, workspace string) {
+	a := c.account(workspace)
 	select {
 	case a.turn <- struct{}{}:
 		defer func() { <-a.turn }()
@@ -83,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	sh := c.shard(c.ShardOf(workspace))
-	entry := c.balancing(sh, a, all)
+	entry := c.balancing(sh, a, false)
 	if entry == nil {
 		c.refreshSettled(ctx, sh, a)
 		return
@@ -91,7 +125,7 @@
 	if c.drawFrom(ctx, sh, a, c.moveRequest(entry)) {
 		return
 	}
-	if c.hasOwner(sh.number) && !all {
+	if c.hasOwner(sh.number) {
 		// Nobody waits for it, so that it waits for the owner.
 		return
 	}
@@ -166,6 +200,7 @@
 	defer a.mu.Unlock()
 	short := v.short() || now.Sub(a.asked) <= shortWindow
 	a.allowance.Reconcile(v.sums)
+	a.allowance.Keep(c.reserve(sh, a, v))
 	if a.returning.Sequence > v.sums.Sequence {
 		return a.returning
 	}
@@ -179,7 +214,7 @@
 		return nil
 	}
 	if tokens := a.allowance.Refill(now, v.budget.Free()); tokens > 0 {
-		entry := ledger.Grant{Workspace: a.workspace, Holder: c.incarnation, Tokens: tokens}
+		entry := ledger.Grant{Workspace: a.workspace, Holder: c.incarnation, Tokens: tokens, Ahead: true}
 		entry.Sequence = a.number(v.sums.Sequence)
 		return entry
 	}
@@ -193,3 +228,16 @@
 	defer sh.mu.Unlock()
 	return sh.tail == nil || sh.tail.stream.Status().Reachable
 }
+
+// reserve returns the standing reserve to keep. The caller holds the account's
+// mutex.
+func (c *Client) reserve(sh *shard, a *account, v view) int64 {
+	if c.neighbour == nil {
+		return 0
+	}
+	own := a.demand.see(time.Now(), c.policy, v.budget)
+	if sh.isRead() {
+		return v.reserve
+	}
+	return own
+}
