--- a/services/shard/owner_test.go
+++ b/services/shard/owner_test.go
@@ -372,3 +372,33 @@
 		}
 	})
 }
+
+// TestOwnerWritesCheckpoints drops all records but the newest few.
+func TestOwnerWritesCheckpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a, b := w.join("a"), w.join("b")
+		time.Sleep(10 * time.Second)
+		topUp(t, a, "clinic", 1000)
+		bill(t, b, "clinic", "r1", reserve(t, b, "clinic", 100), 60)
+		name := model.StreamOf(a.client.ShardOf("clinic"))
+		written := w.log.Next(name)
+		time.Sleep(11 * time.Minute)
+		w.log.Trim(name, written)
+		for _, e := range []*entry{a, b} {
+			if _, writes := e.clientGate.counts(); writes != 0 {
+				t.Errorf("client of %s wrote %d times", e.member.Name, writes)
+			}
+		}
+		fresh := w.join("c")
+		for _, e := range []*entry{a, b} {
+			e.kill()
+			w.board.publish(t, fleet.Fence{Incarnation: e.member.Incarnation, By: "test"})
+		}
+		time.Sleep(10 * time.Second)
+		w.checkOwners(fresh)
+		if got := budget(t, fresh, "clinic"); got.ToppedUp != 1000 || got.Settled != 60 || got.Bills != 1 {
+			t.Errorf("budget %+v", got)
+		}
+	})
+}
