--- a/services/shard/owner_test.go
+++ b/services/shard/owner_test.go
@@ -334,3 +334,71 @@
 		}
 	})
 }
+
+// TestBillsWaitForTheNextOwner kills an owner while others have bills to post.
+func TestBillsWaitForTheNextOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		entries := []*entry{w.join("a"), w.join("b"), w.join("c")}
+		time.Sleep(10 * time.Second)
+		topUp(t, entries[0], "clinic", 1000)
+		number := entries[0].client.ShardOf("clinic")
+		owner := owners(entries...)[number][0]
+		var rest []*entry
+		var holds []model.Hold
+		for _, e := range entries {
+			if e.member.Name != owner {
+				rest = append(rest, e)
+				holds = append(holds, reserve(t, e, "clinic", 100))
+			}
+		}
+		for _, e := range entries {
+			if e.member.Name == owner {
+				e.kill()
+			}
+		}
+		began := time.Now()
+		for i, e := range rest {
+			bill(t, e, "clinic", fmt.Sprint(i), holds[i], 60)
+		}
+		t.Logf("bills posted after %s of virtual time", time.Since(began))
+		for _, e := range rest {
+			if reads, writes := e.clientGate.counts(); reads+writes != 0 {
+				t.Errorf("client of %s read %d times and wrote %d times", e.member.Name, reads, writes)
+			}
+		}
+		if got := budget(t, rest[0], "clinic"); got.Bills != 2 || got.Settled != 120 {
+			t.Errorf("budget %+v", got)
+		}
+	})
+}
+
+// TestOwnerWritesCheckpoints drops all records but the newest few.
+func TestOwnerWritesCheckpoints(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		a, b := w.join("a"), w.join("b")
+		time.Sleep(10 * time.Second)
+		topUp(t, a, "clinic", 1000)
+		bill(t, b, "clinic", "r1", reserve(t, b, "clinic", 100), 60)
+		name := model.StreamOf(a.client.ShardOf("clinic"))
+		written := w.log.Next(name)
+		time.Sleep(11 * time.Minute)
+		w.log.Trim(name, written)
+		for _, e := range []*entry{a, b} {
+			if _, writes := e.clientGate.counts(); writes != 0 {
+				t.Errorf("client of %s wrote %d times", e.member.Name, writes)
+			}
+		}
+		fresh := w.join("c")
+		for _, e := range []*entry{a, b} {
+			e.kill()
+			w.board.publish(t, fleet.Fence{Incarnation: e.member.Incarnation, By: "test"})
+		}
+		time.Sleep(10 * time.Second)
+		w.checkOwners(fresh)
+		if got := budget(t, fresh, "clinic"); got.ToppedUp != 1000 || got.Settled != 60 || got.Bills != 1 {
+			t.Errorf("budget %+v", got)
+		}
+	})
+}
