Let the call that is answered first pay

Cause: the hold of the first call paid for all that joined its run. Its entry may have freed that hold meanwhile: a sidecar is replaced and runs on, the first entry takes the incarnation for gone and writes a bill of nothing, an entry that has not seen the replacement picks the answer up there.

Change: the payer of idempotent work is fixed when a last frame is sent, and is the hold of the call that the frame goes to. A failed last frame leaves the payment open. Passing the payment on when a payer is fenced is no longer needed.

Ruled out: waiting before the bill of nothing, which is no proof.

--- a/models/run/inquire_test.go
+++ b/models/run/inquire_test.go
@@ -143,3 +143,18 @@
 		t.Errorf("FenceAge = %s with a grace time of %s", limits.FenceAge, limits.Grace)
 	}
 }
+
+func TestFailedLastFrameLeavesThePaymentOpen(t *testing.T) {
+	b := newTestBook(DefaultLimits())
+	first := submit(t, b, draft("r1", "k", "entry/a", 1))
+	finish(t, b, first)
+	if _, ok := b.HandOver(first.Relay); !ok {
+		t.Fatal("HandOver refused")
+	}
+	b.CloseRelay(start, first.Relay, false)
+	wantState(t, b, "r1", true, Fenced)
+	h, acts := handOver(t, b, submit(t, b, draft("r2", "k", "entry/b", 2)))
+	if got := bills(acts); h.Hold.Holder != "entry/b" || len(got) != 1 || got[0].Hold != h.Hold {
+		t.Errorf("handover = %+v, bills = %+v, want the retry's hold to pay", h, got)
+	}
+}
--- a/models/run/progress.go
+++ b/models/run/progress.go
@@ -75,8 +75,9 @@
 	b.attempts.add(now, rec.request.attemptID(), Unresolved)
 }
 
-// HandOver fixes who pays, before the last frame is sent to a relay. It returns
-// false when the answer may no longer go there.
+// HandOver fixes who pays, before the last frame is sent to a relay: the first
+// one does, whose entry is there to see it. It returns false when the answer may
+// no longer go there.
 func (b *Book) HandOver(id RelayID) (Handover, bool) {
 	r := b.relays[id]
 	if r == nil || r.record.state != Ran {
@@ -84,6 +85,9 @@
 	}
 	rec := r.record
 	r.handing = true
+	if rec.payer == (payer{}) {
+		rec.payer = payer{hold: r.hold, requestID: r.requestID}
+	}
 	return Handover{
 		RequestID:    rec.request.ID,
 		PromptTokens: rec.result.PromptTokens,
@@ -111,7 +115,9 @@
 	if handed && r.handing {
 		return b.charge(rec)
 	}
-	b.passPayer(rec)
+	if rec.request.Idempotent && rec.charge == chargeNone && !rec.handing() {
+		rec.payer = payer{}
+	}
 	return nil
 }
 
--- a/models/run/record.go
+++ b/models/run/record.go
@@ -30,7 +30,7 @@
 	interrupted time.Time
 	finished    time.Time
 	acked       time.Time
-	// payer is empty after it was fenced, until a retry joins.
+	// payer of idempotent work is empty until a last frame is on its way.
 	payer  payer
 	charge chargeState
 }
--- a/models/run/request.go
+++ b/models/run/request.go
@@ -137,7 +137,8 @@
 	OutputTokens int64
 	// BilledTokens is the amount that the paying hold is charged.
 	BilledTokens int64
-	// Hold pays. It is the first dispatcher's when a retry joined.
+	// Hold pays: that of the first call that the last frame was sent to, or of
+	// the registered attempt.
 	Hold ledger.Hold
 	Body []byte
 	// Replayed is set when the run had finished before this relay came.
--- a/tests/sidecar/bill_test.go
+++ b/tests/sidecar/bill_test.go
@@ -1,6 +1,7 @@
 package sidecar_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -167,3 +168,33 @@
 		}
 	})
 }
+
+// TestReplacedSidecarThatRunsOnBillsItsAnswer has the first entry free its hold,
+// since the sidecar's incarnation counts as gone. An entry that has not seen that
+// picks the answer up at the old incarnation and pays with a hold of its own.
+func TestReplacedSidecarThatRunsOnBillsItsAnswer(t *testing.T) {
+	const maxTokens = 100
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, "clinic")
+		_, driver := w.engine()
+		w.sidecar("drafting-1", "sidecar-1/1", driver)
+		old, _ := w.Sidecar("drafting-1")
+		first, second := w.entry("entry-1/1", "drafting-1"), w.entry("entry-2/1", "drafting-1")
+		second.stale = &old
+		req := dispatch.Request{Workspace: "clinic", IdempotencyKey: "k", Prompt: prompt}
+		ctx, cancel := context.WithCancel(t.Context())
+		if _, err := first.draft(ctx, req, maxTokens, &sink{onToken: func(int) { cancel() }}); err == nil {
+			t.Fatal("the first call was not broken off")
+		}
+		w.mu.Lock()
+		w.sidecars["drafting-1"] = &sidecar{incarnation: "sidecar-1/2"}
+		w.mu.Unlock()
+		req.Retry = true
+		to := &sink{}
+		if _, err := second.draft(t.Context(), req, maxTokens, to, "drafting-1"); err != nil {
+			t.Fatal(err)
+		}
+		wantAnswer(t, to.tokens, prompt, maxTokens, 0)
+		w.wantBills("clinic", 1, cost(prompt, maxTokens))
+	})
+}
--- a/tests/sidecar/world_test.go
+++ b/tests/sidecar/world_test.go
@@ -327,6 +327,8 @@
 	receipts *receipt.Service
 	wire     *wire
 	world    *world
+	// stale, if set, is the only sidecar that the entry knows of.
+	stale *dispatch.Sidecar
 }
 
 // kill ends an entry as a crash would. Its calls have to be cancelled as well.
@@ -337,6 +339,9 @@
 	if e.wire.err("") != nil {
 		return dispatch.Sidecar{}, false
 	}
+	if e.stale != nil {
+		return *e.stale, true
+	}
 	return e.world.Sidecar(name)
 }
 
