--- a/services/ledger/shard.go
+++ b/services/ledger/shard.go
@@ -66,6 +66,13 @@
 	return sh.tail, true
 }
 
+// isRead says whether the shard's stream is read and caught up with the log.
+func (sh *shard) isRead() bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.tail != nil && sh.tail.stream.Status().Ready
+}
+
 // closeIdle ends the reading of a shard's stream that nobody needs.
 func (sh *shard) closeIdle(now time.Time) error {
 	sh.mu.Lock()
