Answer unknown to retries of non-idempotent work that admission refuses

Cause: admission refuses before the key's state is read, and told retries "not run" of requests that an earlier call may have run.

Change: such refusals that may pass (with a time to come back) have the outcome unknown for retries of non-idempotent work, by the rule that dispatch follows already. Without it TestRetryIsNotToldNotRun fails.

--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -37,7 +37,17 @@
 // Admit returns the request's plan and a function that ends its admission, or a
 // *refusal.Error.
 func (s *Service) Admit(token string, req dispatch.Request) (dispatch.Plan, func(), error) {
-	plan, err := plan(s.control.State().Tables, token, req)
+	tables := s.control.State().Tables
+	plan, end, err := s.admit(tables, token, req)
+	if e, refused := refusal.As(err); refused && e.RetryAfter > 0 && !tables.Routes[req.Kind].Idempotent {
+		// The same request may have been admitted before.
+		err = req.Unproven(err)
+	}
+	return plan, end, err
+}
+
+func (s *Service) admit(t *table.Tables, token string, req dispatch.Request) (dispatch.Plan, func(), error) {
+	plan, err := plan(t, token, req)
 	if err != nil {
 		return dispatch.Plan{}, nil, err
 	}
--- a/services/dispatch/once.go
+++ b/services/dispatch/once.go
@@ -37,7 +37,7 @@
 func (j *job) runOnce(ctx context.Context) (Answer, error) {
 	hold, err := j.ledger.Reserve(ctx, j.req.Workspace, j.plan.Cost)
 	if err != nil {
-		return Answer{}, j.unproven(err)
+		return Answer{}, j.req.Unproven(err)
 	}
 	var exclude []string
 	for tries := 1; ; tries++ {
@@ -56,18 +56,6 @@
 	}
 }
 
-// unproven returns the refusal of a call that learned nothing of the key. It
-// started nothing, but an earlier call may have run the request.
-func (j *job) unproven(err error) error {
-	e, ok := refusal.As(err)
-	if !ok || !j.req.Retry {
-		return err
-	}
-	unknown := *e
-	unknown.Outcome = refusal.Unknown
-	return &unknown
-}
-
 // onceStep is how one attempt ended: with an answer, with an error that is
 // final, or with the proof that it did not run.
 type onceStep struct {
@@ -90,7 +78,7 @@
 func (j *job) tryOnce(ctx context.Context, hold ledger.Hold, exclude []string) onceStep {
 	l, err := j.nextLeg(hold, exclude)
 	if err != nil {
-		return onceStep{err: j.unproven(err)}
+		return onceStep{err: j.req.Unproven(err)}
 	}
 	reg, err := j.ledger.Register(ctx, registry.Registration{
 		Workspace: j.req.Workspace,
@@ -101,7 +89,7 @@
 	})
 	switch {
 	case err != nil:
-		return onceStep{err: j.unproven(err)}
+		return onceStep{err: j.req.Unproven(err)}
 	case reg.Conflict:
 		return onceStep{err: refusal.New(refusal.KeyReused, 0, "this idempotency key was used for another request; use a new key")}
 	case reg.BodyKept:
--- a/services/dispatch/request.go
+++ b/services/dispatch/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/crocusline/crocusline/models/ledger"
+	"github.com/crocusline/crocusline/models/refusal"
 )
 
 // Request is one caller's request, as received.
@@ -25,6 +26,19 @@
 	FromToken int64
 }
 
+// Unproven returns the refusal of a call of non-idempotent work that learned
+// nothing of its key. The call started nothing, but if it is a retry, an earlier
+// one may have run the request.
+func (r Request) Unproven(err error) error {
+	e, ok := refusal.As(err)
+	if !ok || !r.Retry {
+		return err
+	}
+	unknown := *e
+	unknown.Outcome = refusal.Unknown
+	return &unknown
+}
+
 // Usage counts what a request consumed, in tokens.
 type Usage struct {
 	PromptTokens int64
