Ask peers for the tables as soon as the log is silent

Cause: a sidecar whose reads begin to hang at the moment of a planned stop took new work for 8 s of virtual time: a read waits 5 s for a record and 2 s more for its answer, and peers are asked only after that.

Change: reads of the control stream wait 1 s, and peers are asked once the log has not answered for 1.5 s, while the read goes on.

Ruled out: a shorter timeout of the read, since a slow log would then never be read.

Cost: an idle process reads the control stream once a second in place of once in five. The idle traffic in docs/CAPACITY.md was measured before that and has to be measured again.

--- a/services/control/control.go
+++ b/services/control/control.go
@@ -120,6 +120,7 @@
 		stream.WithLimiter(s.limiter),
 		stream.WithLogger(s.log),
 		stream.WithCheckpoints(s.schedule, s.OnDuty),
+		stream.WithReadWait(readWait),
 	)
 	return s
 }
--- a/services/control/peers.go
+++ b/services/control/peers.go
@@ -19,6 +19,11 @@
 const (
 	defaultAskInterval = time.Second
 	askTimeout         = time.Second
+	// readWait is how long a read of the log waits for a change.
+	readWait = time.Second
+	// silence is how long the log may leave a read without an answer before
+	// peers are asked. A read that hangs fails only much later.
+	silence = readWait + 500*time.Millisecond
 )
 
 // Source asks a peer for the fleet's state.
@@ -51,7 +56,7 @@
 	return fleet.Restore(resp.Msg.GetState())
 }
 
-// askPeers asks one peer after the other while the log can't be read.
+// askPeers asks one peer after the other while the log doesn't answer.
 func (s *Service) askPeers(ctx context.Context) {
 	ticker := time.NewTicker(s.pace)
 	defer ticker.Stop()
@@ -61,7 +66,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if s.Reachable() {
+		if st := s.stream.Status(); st.Reachable && time.Since(st.Answered) < silence {
 			continue
 		}
 		if peers := s.peers(); len(peers) > 0 {
--- a/services/stream/stream.go
+++ b/services/stream/stream.go
@@ -22,9 +22,10 @@
 	DefaultInterval = 20 * time.Millisecond
 	// DefaultQueue is the number of appends that may wait.
 	DefaultQueue = 1024
+	// DefaultReadWait is how long a read waits for a record.
+	DefaultReadWait = 5 * time.Second
 
 	readLimit = 1000
-	readWait  = 5 * time.Second
 	// readTimeout is how long a read may take beyond its wait.
 	readTimeout   = 2 * time.Second
 	appendTimeout = 2 * time.Second
@@ -62,6 +63,7 @@
 	logger      hclog.Logger
 	interval    time.Duration
 	limiter     *rate.Limiter
+	readWait    time.Duration
 	schedule    fence.Schedule
 	checkpoints func() bool
 	queue       chan *item
@@ -76,6 +78,8 @@
 	waiting   map[uint64]chan verdict
 	reachable bool
 	ready     bool
+	// answered is when the log answered last, by the local clock.
+	answered time.Time
 	// since is when the newest checkpoint was met, by the local clock.
 	since time.Time
 
@@ -93,6 +97,9 @@
 // WithLimiter sets a limit on appends that streams of one process share.
 func WithLimiter(l *rate.Limiter) Option { return func(s *Stream) { s.limiter = l } }
 
+// WithReadWait sets how long a read waits for a record.
+func WithReadWait(d time.Duration) Option { return func(s *Stream) { s.readWait = d } }
+
 // WithQueue sets how many appends may wait.
 func WithQueue(n int) Option { return func(s *Stream) { s.queue = make(chan *item, n) } }
 
@@ -115,6 +122,7 @@
 		logger:      hclog.NewNullLogger(),
 		interval:    DefaultInterval,
 		limiter:     rate.NewLimiter(rate.Inf, 1),
+		readWait:    DefaultReadWait,
 		schedule:    DefaultSchedule,
 		queue:       make(chan *item, DefaultQueue),
 		counters:    newCounters(name),
@@ -178,6 +186,8 @@
 type Status struct {
 	// Reachable says whether the log answered the last read.
 	Reachable bool
+	// Answered is when it last did, by the local clock.
+	Answered time.Time
 	// Ready says whether the fold has been caught up with the log once.
 	Ready bool
 	Next  int64
@@ -197,6 +207,7 @@
 func (s *Stream) status() Status {
 	return Status{
 		Reachable: s.reachable,
+		Answered:  s.answered,
 		Ready:     s.ready,
 		Next:      s.reader.Next(),
 		Epoch:     s.reader.Epoch(),
--- a/services/stream/tail.go
+++ b/services/stream/tail.go
@@ -146,7 +146,7 @@
 func (s *Stream) readOn(ctx context.Context) error {
 	s.mu.Lock()
 	next := s.reader.Next()
-	wait := readWait
+	wait := s.readWait
 	if !s.ready || !s.reachable {
 		wait = 0
 	}
@@ -158,6 +158,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reachable = true
+	s.answered = time.Now()
 	checkpoint := s.reader.Checkpoint()
 	for _, r := range batch.Records {
 		if err := s.apply(r); err != nil {
