Bound the sending of an order, not the engine's answer

Cause: found by reading: an order had two seconds for everything, and an engine that answers once its weights are loaded would always have been taken for failed and ordered again.

Change: the order has to be written within the claim's two seconds, the answer may take five minutes. Without the new stop of the timer TestOrderIsSentInTimeOrNotAtAll fails.

--- a/models/run/inquire.go
+++ b/models/run/inquire.go
@@ -11,8 +11,7 @@
 // With fence set, an attempt of non-idempotent work that was not seen is never
 // run afterwards, and the hold of an idempotent request is never charged here
 // afterwards, unless its bill is due already. The answer Fenced says that this
-// is so. A run that other
-// requests wait for goes on, and theirs pays.
+// is so. A run that other requests wait for goes on.
 func (b *Book) Inquire(now time.Time, name Name, fence bool) (State, []Action, error) {
 	switch {
 	case name.Attempt != 0:
--- a/services/order/order.go
+++ b/services/order/order.go
@@ -39,15 +39,18 @@
 // Engine takes orders. *server.Engine implements it.
 type Engine interface {
 	Setup(ctx context.Context) (server.Setup, error)
-	Give(ctx context.Context, order server.Order) error
+	// Give gives the order, unless it can't be sent by the given time.
+	Give(ctx context.Context, order server.Order, by time.Time) error
 }
 
 // Defaults and bounds.
 const (
 	// DefaultInterval is how often the engine's report is compared.
 	DefaultInterval = 2 * time.Second
-	// claimAge is how long after a claim began its order may be given.
+	// claimAge is how long after a claim began its order may be sent.
 	claimAge = 2 * time.Second
+	// answerTimeout is how long an engine may take to carry out an order.
+	answerTimeout = 5 * time.Minute
 	// settleIntervals is how many intervals an engine has to report an order
 	// that it carried out.
 	settleIntervals = 5
@@ -217,13 +220,13 @@
 
 // give gives one order, unless the process was held up since the claim began.
 func (w *Writer) give(ctx context.Context, began time.Time, o server.Order) error {
-	ctx, cancel := context.WithDeadline(ctx, began.Add(claimAge))
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	if age := time.Since(began); age >= claimAge {
 		claimsOutdated.Inc()
 		return errors.WithStack(&OutdatedError{Age: age})
 	}
-	err := w.engine.Give(ctx, o)
+	err := w.engine.Give(ctx, o, began.Add(claimAge))
 	var fenced *server.FencedError
 	switch {
 	case errors.As(err, &fenced):
--- a/services/server/order.go
+++ b/services/server/order.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -60,14 +62,25 @@
 	return setup, errors.Wrap(json.Unmarshal(data, &setup), "engine setup")
 }
 
-// Give gives the engine an order. The error is a *FencedError when the engine
-// refused it for its fencing number. After another error the order may have
-// been carried out.
-func (e *Engine) Give(ctx context.Context, order Order) error {
+// Give gives the engine an order, unless it can't be sent by the given time. The
+// engine may take longer to answer. The error is a *FencedError when the engine
+// refused the order for its fencing number. After another error the order may
+// have been carried out.
+func (e *Engine) Give(ctx context.Context, order Order, by time.Time) error {
 	body, err := json.Marshal(order)
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	if !time.Now().Before(by) {
+		return errors.WithStack(context.DeadlineExceeded)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	late := time.AfterFunc(time.Until(by), cancel)
+	defer late.Stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(httptrace.WroteRequestInfo) { late.Stop() },
+	})
 	_, err = e.exchange(ctx, http.MethodPost, "/v1/orders", body)
 	var status *statusError
 	if errors.As(err, &status) && status.code == http.StatusConflict {
--- a/services/server/server_test.go
+++ b/services/server/server_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/run"
@@ -147,6 +148,23 @@
 	wantRefusal(t, err, refusal.ServerFailed, refusal.NotRun)
 }
 
+func TestOrderIsSentInTimeOrNotAtAll(t *testing.T) {
+	var orders atomic.Int32
+	address := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		orders.Add(1)
+		time.Sleep(700 * time.Millisecond)
+	})
+	e := NewEngine(address)
+	order := Order{FencingNumber: 1, Order: OrderLoad, Model: "base"}
+	if err := e.Give(context.Background(), order, time.Now().Add(500*time.Millisecond)); err != nil {
+		t.Errorf("order to a slow engine: %v", err)
+	}
+	if err := e.Give(context.Background(), order, time.Now().Add(-time.Second)); err == nil || orders.Load() != 1 {
+		t.Errorf("late order: %v, engine got %d orders", err, orders.Load())
+	}
+}
+
 // TestPlainCallIsNeverRepeated has the service close the connection after it
 // took the call. net/http repeats requests that carry an Idempotency-Key on a
 // reused connection unless told not to.
