Lock the peers of the control fault test

Cause: go test -race ./services/control reported races of the test's own map of peers, which processes read while others start and end. Peers are asked more often since they are asked as soon as the log is silent.

Change: a locked directory in place of the bare map; what the test checks is unchanged. After: no race reported.

--- a/services/control/fault_test.go
+++ b/services/control/fault_test.go
@@ -29,7 +29,7 @@
 	t       *testing.T
 	random  *rand.Rand
 	store   *platform.Store
-	peers   neighbours
+	peers   *directory
 	running []*watched
 	starts  int
 	// applied counts by base who was told that its publication took effect.
@@ -46,7 +46,7 @@
 					t:       t,
 					random:  rand.New(rand.NewPCG(seed, 7)),
 					store:   platform.New(platform.WithSeed(seed)),
-					peers:   neighbours{},
+					peers:   &directory{known: neighbours{}},
 					applied: map[int64][]string{},
 				}
 				w.play()
@@ -115,7 +115,7 @@
 		w.t.Fatal(err)
 	}
 	w.running = append(w.running, s)
-	w.peers[m.Address] = s
+	w.peers.put(m.Address, s)
 }
 
 // replaceOne ends a process and starts another, which has a new name.
@@ -123,7 +123,7 @@
 	i := w.random.IntN(len(w.running))
 	gone := w.running[i]
 	w.running = slices.Delete(w.running, i, i+1)
-	delete(w.peers, gone.Member().Address)
+	w.peers.remove(gone.Member().Address)
 	w.close(gone)
 	w.startOne()
 }
--- a/services/control/peers_test.go
+++ b/services/control/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,6 +33,31 @@
 	return fleet.Restore(data)
 }
 
+// directory is neighbours that come and go while others ask.
+type directory struct {
+	mu    sync.Mutex
+	known neighbours
+}
+
+func (d *directory) put(address netip.AddrPort, s *watched) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known[address] = s
+}
+
+func (d *directory) remove(address netip.AddrPort) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.known, address)
+}
+
+// Current implements control.Source.
+func (d *directory) Current(ctx context.Context, address netip.AddrPort, next int64) (*fleet.State, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known.Current(ctx, address, next)
+}
+
 func TestStartWithThePlatformAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := platform.New()
