Pay floors from run time that was really used

Cause: a rank's credit was charged in advance, capped from below, and refunded when a run was displaced. Tokens also undercounted resumed runs, whose prompts were charged before.

Change: a run pays its real run time when it ends; until then what is expected of it is booked. Only service beyond the floor is forgiven after 3 s of the floor.

Mutations that made a test fail: the code before this change, credit without the runs that are booked, forgiving also runs that the floor called for.

--- a/models/queue/lane.go
+++ b/models/queue/lane.go
@@ -17,8 +17,10 @@
 	// virtual is the lowest counter of the workspaces that wait or run. One that
 	// comes back from idle starts little below, so it has saved up no more.
 	virtual float64
-	// credit is what the rank is owed of its floor, in tokens.
+	// credit is the run time that the rank is owed of its floor.
 	credit float64
+	// booked is the expected run time of the items that run.
+	booked time.Duration
 	// use is the recent share of the service that went to this rank.
 	use decayed
 	// returns is when the last caller refused was told to come back.
@@ -54,6 +56,9 @@
 // for little may save up.
 const savedRequests = 2
 
+// owed is the run time that the rank is owed once its running items end.
+func (l *lane) owed() float64 { return l.credit - float64(l.booked) }
+
 // join puts an item that will cost some tokens at the back of its workspace's
 // flow, or at the front when it was displaced.
 func (l *lane) join(it *item, cost float64) {
--- a/models/queue/next.go
+++ b/models/queue/next.go
@@ -80,7 +80,7 @@
 func (q *Queue) mostOwed() *lane {
 	var best *lane
 	for _, l := range q.lanes {
-		if l.waiting > 0 && l.floor > 0 && l.credit > 0 && (best == nil || l.credit > best.credit) {
+		if l.waiting > 0 && l.floor > 0 && l.owed() > 0 && (best == nil || l.owed() > best.owed()) {
 			best = l
 		}
 	}
@@ -96,6 +96,8 @@
 	it.running, it.started, it.protected = true, now, owed
 	q.running = append(q.running, it)
 	q.charge(it, q.cost(it)-it.charged)
+	it.booked = q.remainingWaiting(it)
+	l.booked += it.booked
 }
 
 // displaceable says whether a waiting request of the rank may take a running
--- a/models/queue/queue.go
+++ b/models/queue/queue.go
@@ -144,34 +144,52 @@
 	q.lanes[it.Rank].sweep()
 }
 
-// release frees the slot of a running item and takes back the charge for what
+// release frees the slot of a running item and takes back the charges for what
 // it did not use.
 func (q *Queue) release(now time.Time, it *item) {
 	q.running = slices.DeleteFunc(q.running, func(o *item) bool { return o == it })
+	ran := now.Sub(it.started)
 	it.running = false
-	it.elapsed += now.Sub(it.started)
+	it.elapsed += ran
 	l := q.lanes[it.Rank]
 	f, _ := l.find(it.Workspace)
 	f.running = slices.DeleteFunc(f.running, func(o *item) bool { return o == it })
 	q.charge(it, it.used()-it.charged)
+	l.booked -= it.booked
+	q.pay(it, ran)
 }
 
-// charge puts tokens on the counters of an item's workspace and rank, or takes
-// them back when negative. The other ranks that wait earn their floor of it.
+// charge puts tokens on the counter of an item's workspace, or takes them back
+// when negative.
 func (q *Queue) charge(it *item, tokens float64) {
 	it.charged += tokens
+	q.lanes[it.Rank].charge(it, tokens)
+}
+
+// pay takes run time from the credit of an item's rank; the other ranks that
+// wait earn their floor of it. Floors go by run time, not by tokens, since a
+// token of a resumed request costs a slot more time than one of a prompt.
+func (q *Queue) pay(it *item, ran time.Duration) {
 	own := q.lanes[it.Rank]
-	own.charge(it, tokens)
 	for _, l := range q.lanes {
 		if l.waiting > 0 {
-			l.credit += l.floor * tokens
+			l.credit += l.floor * float64(ran)
 		}
 	}
-	own.credit -= tokens
-	// A rank that ran alone for long owes no more than one request.
-	own.credit = math.Max(own.credit, -it.charged)
+	before := own.credit
+	own.credit -= float64(ran)
+	if !it.protected {
+		// A rank that used what others left owes no more than its floor of a short
+		// time.
+		limit := -own.floor * float64(q.slots) * float64(floorWindow)
+		own.credit = math.Max(own.credit, math.Min(before, limit))
+	}
 }
 
+// floorWindow is the time over which a rank that got more than its floor has to
+// make up for it.
+const floorWindow = 3 * time.Second
+
 // Drain refuses new requests from now on and hands back those that never
 // started. Displaced requests stay and run to their end.
 func (q *Queue) Drain(now time.Time) []Action {
--- a/models/queue/queue_test.go
+++ b/models/queue/queue_test.go
@@ -109,6 +109,17 @@
 	}
 }
 
+// runningOf counts the running requests of a rank.
+func (s *server) runningOf(r rank.Rank) int {
+	n := 0
+	for id := range s.running {
+		if s.known[id].Rank == r {
+			n++
+		}
+	}
+	return n
+}
+
 func TestNoRequestIsLost(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		slots := rapid.IntRange(1, 4).Draw(rt, "slots")
@@ -191,10 +202,15 @@
 		s := newServer(t, queue.WithSlots(8), queue.WithoutPrediction(),
 			queue.WithFloor(rank.Bulk, floor), queue.WithWaitLimit(rank.Urgent, 0))
 		rng := rand.New(rand.NewPCG(1, 1))
+		most := 0
 		for range 20000 {
 			s.backlog(20, queue.Request{Workspace: "a", Kind: "u", Rank: rank.Urgent, MaxTokens: 20 + rng.Int64N(60)})
 			s.backlog(20, queue.Request{Workspace: "b", Kind: "b", Rank: rank.Bulk, MaxTokens: 50 + rng.Int64N(200)})
 			s.step()
+			most = max(most, s.runningOf(rank.Bulk))
+		}
+		if allowed := int(math.Ceil(8*floor)) + 1; most > allowed {
+			t.Errorf("bulk ran %d at once, want at most %d with floor %.2f", most, allowed, floor)
 		}
 		got := float64(s.byRank[rank.Bulk]) / float64(s.byRank[rank.Bulk]+s.byRank[rank.Urgent])
 		if math.Abs(got-floor) > floor/10 {
@@ -203,6 +219,24 @@
 	}
 }
 
+// What a rank got before a flood of more urgent work does not count towards its
+// floor, also when its requests were displaced now and then.
+func TestFloorIsNotOwedForEarlierService(t *testing.T) {
+	s := newServer(t, queue.WithSlots(8), queue.WithoutPrediction(),
+		queue.WithFloor(rank.Bulk, 0.05), queue.WithWaitLimit(rank.Urgent, 0))
+	for i := range 3000 {
+		s.backlog(20, queue.Request{Workspace: "b", Kind: "b", Rank: rank.Bulk, MaxTokens: 200})
+		if i%50 == 0 {
+			s.backlog(4, queue.Request{Workspace: "a", Kind: "u", Rank: rank.Urgent, MaxTokens: 20})
+		}
+		s.step()
+	}
+	s.backlog(20, queue.Request{Workspace: "a", Kind: "u", Rank: rank.Urgent, MaxTokens: 20})
+	if bulk := s.runningOf(rank.Bulk); bulk > 1 {
+		t.Errorf("bulk keeps %d of 8 slots as the flood begins", bulk)
+	}
+}
+
 func TestFairShareByWeight(t *testing.T) {
 	s := newServer(t, queue.WithSlots(8), queue.WithoutPrediction(), queue.WithLimit(1000))
 	rng := rand.New(rand.NewPCG(2, 2))
--- a/models/queue/request.go
+++ b/models/queue/request.go
@@ -92,7 +92,9 @@
 	// served counts generated tokens; charged the tokens on the counters.
 	served  int64
 	charged float64
-	expect  *estimator
+	// booked is the run time that was expected at the last start.
+	booked time.Duration
+	expect *estimator
 }
 
 func (it *item) weight() float64 {
