Tell refused callers to come back one after the other, up to 15 minutes

Cause: an entry's gate told all callers of a flood the same time, and no time passed 2 minutes, though a flood of ten times the capacity for a minute leaves nine minutes of work.

Ruled out: the sidecars' own times (spaced already), the retry budget (it passes the sidecar's time on).

The measure of refusals was wrong: it took the time from asking, so a request that was queued and given up when its start was due counted as refused late.

--- a/models/admission/admission.go
+++ b/models/admission/admission.go
@@ -19,6 +19,7 @@
 	DefaultSlack     = 2.0
 	DefaultLeast     = 10.0
 	DefaultStreamEnd = time.Second
+	DefaultMaxReturn = 15 * time.Minute
 )
 
 // Option changes a Gate at construction.
@@ -66,8 +67,10 @@
 	accepted float64
 	// owed adds up the share to be refused; at 1 a request is.
 	owed float64
-	// back is when the sidecars last said to come back.
-	back time.Time
+	// back is when the sidecars last said to come back, returns when the last
+	// caller refused here was told to.
+	back    time.Time
+	returns time.Time
 }
 
 // New returns a gate with no streams open.
@@ -138,7 +141,19 @@
 		return nil
 	}
 	f.owed--
-	return refusal.New(refusal.ShareExceeded, f.back.Sub(now), "too much work of this kind: come back after the given time")
+	return refusal.New(refusal.ShareExceeded, g.comeBack(now, f), "too much work of this kind: come back after the given time")
+}
+
+// comeBack tells callers refused in a row to come back one after the other, at
+// the rate at which the sidecars accept.
+func (g *Gate) comeBack(now time.Time, f *flow) time.Duration {
+	if f.returns.Before(f.back) {
+		f.returns = f.back
+	}
+	after := min(f.returns.Sub(now), DefaultMaxReturn)
+	period := float64(g.halfLife) / math.Ln2
+	f.returns = now.Add(after + time.Duration(period/max(f.accepted, 1)))
+	return after
 }
 
 // flow returns the experience with a workspace's kind of work, aged to now.
--- a/models/admission/admission_test.go
+++ b/models/admission/admission_test.go
@@ -89,6 +89,29 @@
 	}
 }
 
+// Callers refused in a row come back at the rate at which work is accepted.
+func TestComeBackTimesAreSpaced(t *testing.T) {
+	g := admission.New()
+	_, now := run(g, epoch, "k", 200, 20, 20)
+	var last time.Duration
+	refused := 0
+	for range 100 {
+		err := g.Admit(now, admission.Request{Workspace: "w", Kind: "k"})
+		e, ok := refusal.As(err)
+		if !ok {
+			continue
+		}
+		if gap := e.RetryAfter - last; refused > 0 && (gap < 40*time.Millisecond || gap > 60*time.Millisecond) {
+			t.Errorf("%v after the one before, want about 50 ms at 20 a second", gap)
+		}
+		last = e.RetryAfter
+		refused++
+	}
+	if refused < 50 {
+		t.Errorf("%d of 100 refused", refused)
+	}
+}
+
 func TestRefusalSaysWhenToComeBack(t *testing.T) {
 	g := admission.New()
 	_, now := run(g, epoch, "k", 100, 0, 5)
--- a/standin/load/entry.go
+++ b/standin/load/entry.go
@@ -49,6 +49,7 @@
 // submit takes a caller's request.
 func (e *entry) submit(r *request) {
 	err := e.gate.Admit(e.run.now, r.flow())
+	r.decided = e.run.now
 	if refused, ok := refusal.As(err); ok {
 		r.end(refused)
 		return
@@ -64,6 +65,7 @@
 	for _, name := range c.Probe {
 		e.probe(place, e.run.servers[name])
 	}
+	r.decided = e.run.now
 	if refused, ok := refusal.As(err); ok {
 		e.close(r, refused)
 		return
@@ -106,6 +108,7 @@
 
 // refused brings the sidecar's refusal back.
 func (e *entry) refused(a *attempt, err *refusal.Error) {
+	a.request.decided = e.run.now
 	e.run.after(e.run.workload.Hop, func() {
 		e.gate.Refused(e.run.now, a.request.flow(), err.RetryAfter)
 		e.failed(a, broken, err)
--- a/standin/load/request.go
+++ b/standin/load/request.go
@@ -23,6 +23,8 @@
 	deadline time.Time
 	first    time.Time
 	last     time.Time
+	// decided is when the last try was given up.
+	decided time.Time
 	// served is how much of the answer the caller holds, generated the tokens
 	// that servers made for it.
 	served    int
--- a/standin/load/result.go
+++ b/standin/load/result.go
@@ -54,7 +54,8 @@
 	FirstToken *hdrhistogram.Histogram
 	Completion *hdrhistogram.Histogram
 	Gap        *hdrhistogram.Histogram
-	// Refused is the time from asking to a refusal of what did not run.
+	// Refused is the time from the decision to refuse to the final answer, of what
+	// did not run.
 	Refused *hdrhistogram.Histogram
 }
 
@@ -176,7 +177,7 @@
 	r.reasons[err.Reason]++
 	if err.Outcome == refusal.NotRun {
 		for _, g := range r.of(q) {
-			record(g.Refused, q.run.now.Sub(q.asked))
+			record(g.Refused, q.run.now.Sub(q.decided))
 		}
 	}
 	if q.returned > 0 || err.RetryAfter == 0 || err.Outcome != refusal.NotRun {
