--- a/models/ledger/state.go
+++ b/models/ledger/state.go
@@ -28,6 +28,7 @@
 	Ignored                  // ignored
 	Conflict                 // conflict
 	Malformed                // malformed
+	Expired                  // expired
 )
 
 // WriteOff sums the bills that came after their holder was closed.
@@ -122,7 +123,7 @@
 	}
 	b := s.budget(e.Workspace)
 	effect := effectOf(b.Escrow.Grant(e.Holder, e.Sequence, e.Tokens))
-	if effect == Uncovered {
+	if effect == Uncovered && !e.Ahead {
 		b.Short = s.now
 	}
 	return effect
@@ -190,6 +191,7 @@
 		ID:        e.ID,
 		Number:    e.Attempt,
 		Digest:    e.Digest,
+		Made:      KeyTime(e.Key),
 		Requester: e.Entry,
 		Runner:    e.Sidecar,
 		Place:     e.Server,
@@ -252,6 +254,8 @@
 		return Applied
 	case once.Conflict:
 		return Conflict
+	case once.Expired:
+		return Expired
 	default:
 		return Ignored
 	}
--- a/services/ledger/client_test.go
+++ b/services/ledger/client_test.go
@@ -7,6 +7,9 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
 	"github.com/crocusline/crocusline/coordination/once"
 	"github.com/crocusline/crocusline/kernel"
 	model "github.com/crocusline/crocusline/models/ledger"
@@ -245,3 +248,99 @@
 		}
 	})
 }
+
+func TestReturnOutlivesOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := platformtest.New()
+		c := start(t, "entry1", log)
+		topUp(t, c, "clinic", 1000)
+		c.Release("clinic", reserve(t, c, "clinic", 100))
+		log.SetDown(true)
+		time.Sleep(30 * time.Second)
+		log.SetDown(false)
+		time.Sleep(10 * time.Second)
+		if b := budget(t, c, "clinic"); b.Outstanding != 0 || b.Free() != 1000 {
+			t.Fatalf("budget %+v", b)
+		}
+	})
+}
+
+func TestClosedClientSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := start(t, "entry1", platformtest.New())
+		topUp(t, c, "clinic", 1000)
+		hold := reserve(t, c, "clinic", 100)
+		if err := c.Err(); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Post(t.Context(), hold.Shard, model.CloseHolder{Holder: "entry1/1"}); err != nil {
+			t.Fatal(err)
+		}
+		var closed *ledger.ClosedError
+		if err := c.Err(); !errors.As(err, &closed) || closed.Shard != hold.Shard {
+			t.Errorf("error %v", err)
+		}
+		_, err := c.Reserve(t.Context(), "clinic", 10)
+		if why, ok := refusal.As(err); !ok || why.Reason != refusal.Fenced || why.Outcome != refusal.NotRun {
+			t.Errorf("error %v", err)
+		}
+		if closed, err := c.Closed(t.Context(), hold); err != nil || !closed {
+			t.Errorf("closed %v, error %v", closed, err)
+		}
+	})
+}
+
+// TestReserveServesColdBudgetWithoutLog spends at one entry, and then asks the
+// other of the failure domain, which never drew on the budget, with the log away.
+func TestReserveServesColdBudgetWithoutLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := platformtest.New()
+		near := ledger.WithNeighbours(func(incarnation string) bool {
+			return incarnation == "busy/1" || incarnation == "cold/1"
+		})
+		busy, cold, far := start(t, "busy", log, near), start(t, "cold", log, near), start(t, "far", log)
+		topUp(t, busy, "clinic", 10_000)
+		for _, c := range []*ledger.Client{cold, far} {
+			budget(t, c, "clinic")
+		}
+		for i := range 30 {
+			bill(t, busy, "clinic", fmt.Sprint(i), reserve(t, busy, "clinic", 100), 80)
+			time.Sleep(time.Second)
+		}
+		log.SetDown(true)
+		reserve(t, cold, "clinic", 100)
+		if _, err := far.Reserve(t.Context(), "clinic", 100); err == nil {
+			t.Error("an entry of another failure domain has a reserve")
+		}
+		log.SetDown(false)
+		time.Sleep(10 * time.Second)
+		reserve(t, far, "clinic", 9000-30*80)
+	})
+}
+
+func TestOldKeyIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := start(t, "entry1", platformtest.New())
+		key, err := uuid.NewV7()
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := ledger.Registration{Workspace: "clinic", Key: key.String(), Digest: []byte("d"), Sidecar: "s/1"}
+		if made := model.KeyTime(r.Key); time.Since(made).Abs() > time.Second {
+			t.Fatalf("key made at %s", made)
+		}
+		if got, err := c.Register(t.Context(), r); err != nil || !got.Granted {
+			t.Fatalf("%+v, error %v", got, err)
+		}
+		time.Sleep(25 * time.Hour)
+		other := r
+		other.Key = "booking"
+		if got, err := c.Register(t.Context(), other); err != nil || !got.Granted {
+			t.Fatalf("%+v, error %v", got, err)
+		}
+		_, err = c.Register(t.Context(), r)
+		if why, ok := refusal.As(err); !ok || why.Outcome != refusal.Unknown || why.Reason != refusal.OutcomeUnknown {
+			t.Errorf("error %v", err)
+		}
+	})
+}
