--- a/modules/setting/policy.go
+++ b/modules/setting/policy.go
@@ -7,9 +7,9 @@
 	// Floors are the shares of a server that ranks keep during a flood of more
 	// urgent work.
 	Floors Floors `yaml:"floors"`
-	// RetryBudget is the number of retries allowed for each first try.
+	// RetryBudget is the number of retries that each answered request earns.
 	RetryBudget float64 `yaml:"retryBudget" validate:"gte=0,lte=1"`
-	// RetryBurst is the number of retries allowed after a quiet time.
+	// RetryBurst is the most retries that can be saved up.
 	RetryBurst int `yaml:"retryBurst" validate:"gte=0"`
 }
 
@@ -23,7 +23,7 @@
 	return Policy{
 		Placement:   "affinity",
 		Floors:      Floors{Normal: 0.2, Bulk: 0.05},
-		RetryBudget: 0.1,
+		RetryBudget: 0.08,
 		RetryBurst:  10,
 	}
 }
