Tell the gates when sidecars accept and refuse, as the load tool does

Cause: an entry told its gate that a request was accepted when its answer ended, so long answers made the gate refuse too much at the start of a flood; and a request that ended for want of retries was not counted as refused, so in a flood the gate heard of few refusals. Change: acceptance is reported with the sidecar's first frame; refusals for load include those that ran out of retries and did not run. Tests: make lint; go test of services/admission, routers/..., standin/load pass.

--- a/routers/caller/handler.go
+++ b/routers/caller/handler.go
@@ -22,8 +22,10 @@
 type Admission interface {
 	// Admit returns the request's plan and a function that ends its admission.
 	Admit(token string, req dispatch.Request) (dispatch.Plan, func(), error)
-	// Served tells how a request of the kind ended.
-	Served(workspace, kind string, err error)
+	// Accepted tells that a sidecar took a workspace's request of the kind in.
+	Accepted(workspace, kind string)
+	// Ended tells why such a request got no answer.
+	Ended(workspace, kind string, err error)
 }
 
 // Dispatcher runs admitted requests.
@@ -103,9 +105,10 @@
 		return dispatch.Answer{}, h.refuse(req.Workspace, err)
 	}
 	defer release()
-	answer, err := h.dispatcher.Dispatch(ctx, req, plan, sink)
-	h.admission.Served(req.Workspace, req.Kind, err)
+	reporter := &reportingSink{Sink: sink, report: func() { h.admission.Accepted(req.Workspace, req.Kind) }}
+	answer, err := h.dispatcher.Dispatch(ctx, req, plan, reporter)
 	if err != nil {
+		h.admission.Ended(req.Workspace, req.Kind, err)
 		return dispatch.Answer{}, h.refuse(req.Workspace, err)
 	}
 	h.counters.Answered()
--- a/routers/caller/sink.go
+++ b/routers/caller/sink.go
@@ -6,6 +6,7 @@
 	"connectrpc.com/connect"
 
 	callerv1 "github.com/crocusline/crocusline/modules/wire/caller/v1"
+	"github.com/crocusline/crocusline/services/dispatch"
 )
 
 // streamSink sends an answer as it arrives.
@@ -40,3 +41,19 @@
 func (s *textSink) text() string {
 	return strings.Join(s.tokens, "")
 }
+
+// reportingSink reports when a server has the request for the first time, long
+// before its answer ends.
+type reportingSink struct {
+	dispatch.Sink
+	report   func()
+	reported bool
+}
+
+func (s *reportingSink) Accepted(requestID, server string, firstToken int64) error {
+	if !s.reported {
+		s.reported = true
+		s.report()
+	}
+	return s.Sink.Accepted(requestID, server, firstToken)
+}
--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -52,17 +52,35 @@
 	return plan, func() { s.done(req.Workspace) }, nil
 }
 
-// Served tells the gate how a workspace's request of the kind ended.
-func (s *Service) Served(workspace, kind string, err error) {
-	flow := admission.Request{Workspace: workspace, Kind: kind}
+// Accepted tells the gate that a sidecar took in a workspace's request of the
+// kind.
+func (s *Service) Accepted(workspace, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.gate.Accepted(time.Now(), admission.Request{Workspace: workspace, Kind: kind})
+}
+
+// Ended tells the gate why a workspace's request of the kind got no answer.
+func (s *Service) Ended(workspace, kind string, err error) {
 	e, refused := refusal.As(err)
-	switch {
-	case !refused:
-		s.gate.Accepted(time.Now(), flow)
-	case e.Reason == refusal.QueueFull, e.Reason == refusal.DeadlineUnreachable, e.Reason == refusal.ShareExceeded:
-		s.gate.Refused(time.Now(), flow, e.RetryAfter)
+	if !refused || !isOverload(e) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.Refused(time.Now(), admission.Request{Workspace: workspace, Kind: kind}, e.RetryAfter)
+}
+
+// isOverload says whether the sidecars refused a request for their load. What
+// did not run and ended for want of retries was refused, too.
+func isOverload(e *refusal.Error) bool {
+	switch e.Reason {
+	case refusal.QueueFull, refusal.DeadlineUnreachable, refusal.ShareExceeded:
+		return true
+	case refusal.RetryBudget:
+		return e.Outcome == refusal.NotRun
+	default:
+		return false
 	}
 }
 
--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -74,3 +75,15 @@
 		t.Errorf("holds %d tokens: a %d, b %d, c %d", c.held, c.lookUp("a"), c.lookUp("b"), c.lookUp("c"))
 	}
 }
+
+func TestWorkloadsCanBeRead(t *testing.T) {
+	files, err := filepath.Glob("../../workloads/*.yaml")
+	if err != nil || len(files) == 0 {
+		t.Fatal(files, err)
+	}
+	for _, file := range files {
+		if _, err := ReadFile(file); err != nil {
+			t.Error(err)
+		}
+	}
+}
