Give a route's share to the queue; half is the default

Cause: the tables' `share` of a kind of work reached no queue, so the setting had no effect; left out, it was said to mean the whole queue, while the queue took half.

Change: the sidecar looks the share up in the tables in force.

--- a/models/queue/queue_test.go
+++ b/models/queue/queue_test.go
@@ -410,6 +410,30 @@
 	}
 }
 
+func TestKindShareOfTheRequestGoesFirst(t *testing.T) {
+	s := newServer(t, queue.WithSlots(1), queue.WithLimit(10), queue.WithKindShare("flood", 0.9))
+	accepted := 0
+	for range 20 {
+		if s.offer(queue.Request{Workspace: "a", Kind: "flood", Rank: rank.Bulk, MaxTokens: 10, Share: 0.2}) == nil {
+			accepted++
+		}
+	}
+	if accepted != 1+2 {
+		t.Errorf("%d accepted, want 1 running and 2 of 10 queued", accepted)
+	}
+}
+
+// Without a queue, requests run while slots are free.
+func TestNoQueue(t *testing.T) {
+	s := newServer(t, queue.WithSlots(2), queue.WithLimit(0))
+	for i, want := range []bool{true, true, false} {
+		err := s.offer(queue.Request{Workspace: "a", Kind: "k", Rank: rank.Normal, MaxTokens: 10})
+		if (err == nil) != want {
+			t.Errorf("request %d: %v", i, err)
+		}
+	}
+}
+
 func TestWaitingRequestExpiresAtOnce(t *testing.T) {
 	s := newServer(t, queue.WithSlots(1), queue.WithoutPrediction())
 	for _, id := range []string{"first", "second"} {
--- a/models/queue/request.go
+++ b/models/queue/request.go
@@ -22,6 +22,9 @@
 	// Weight is the workspace's share within a rank, relative to the others.
 	// 0 counts as 1.
 	Weight int
+	// Share is the part of the rank's queue and permitted wait that the kind may
+	// take. 0 is what the queue's options say.
+	Share float64
 	// PromptTokens is the length of the prompt, or the price of a plain call.
 	PromptTokens int64
 	// MaxTokens is the most the request may generate.
--- a/models/run/request.go
+++ b/models/run/request.go
@@ -29,7 +29,9 @@
 	// of prompt and answer.
 	Price int64
 	// Weight is the workspace's weight in the fair share.
-	Weight   int
+	Weight int
+	// Share is the part of the queue that the kind may fill. 0 is the default.
+	Share    float64
 	Deadline time.Time
 	// FromToken is the first token wanted.
 	FromToken int
--- a/models/table/table.go
+++ b/models/table/table.go
@@ -50,7 +50,7 @@
 	Price int64 `json:"price,omitempty" yaml:"price" validate:"gte=0"`
 	// Timeout is how long a request may take unless its caller gives it less.
 	Timeout time.Duration `json:"timeout" yaml:"timeout" validate:"gt=0"`
-	// Share is the part of a server's queue that this kind may fill. 0 means 1.
+	// Share is the part of a server's queue that this kind may fill. 0 means 0.5.
 	Share float64 `json:"share,omitempty" yaml:"share" validate:"gte=0,lte=1"`
 }
 
@@ -108,10 +108,13 @@
 	return max(w.Weight, 1)
 }
 
+// DefaultShare is the part of a server's queue that a kind of work may fill.
+const DefaultShare = 0.5
+
 // QueueShare returns the part of a server's queue that the kind may fill.
 func (r Route) QueueShare() float64 {
 	if r.Share == 0 {
-		return 1
+		return DefaultShare
 	}
 	return r.Share
 }
--- a/routers/peer/sidecar.go
+++ b/routers/peer/sidecar.go
@@ -49,6 +49,7 @@
 	if s.isGone(r.Hold.Holder) {
 		return refusalwire.Encode(refusal.New(refusal.Fenced, 0, "The entry's incarnation has ended."))
 	}
+	r.Share = s.shareOf(r.Kind)
 	relay, err := s.runner.Submit(ctx, r)
 	if err != nil {
 		return refusalwire.Encode(err)
@@ -65,6 +66,15 @@
 	return ok && holder.State().IsGone(entry)
 }
 
+// shareOf is the part of the queue that the tables in force give to a kind of
+// work, or 0 without tables.
+func (s *Sidecar) shareOf(kind string) float64 {
+	if holder, ok := s.tables.(StateHolder); ok {
+		return holder.State().Tables.Routes[kind].QueueShare()
+	}
+	return 0
+}
+
 // relay sends an answer and says whether the last frame was sent.
 func (s *Sidecar) relay(ctx context.Context, id string, relay *runner.Relay, stream *connect.ServerStream[peerv1.RunResponse]) (bool, error) {
 	started := &peerv1.Started{RequestId: id, Incarnation: s.runner.Incarnation(), Load: s.load()}
--- a/services/runner/loop.go
+++ b/services/runner/loop.go
@@ -148,6 +148,7 @@
 		Kind:         req.Kind,
 		Rank:         req.Rank,
 		Weight:       req.Weight,
+		Share:        req.Share,
 		PromptTokens: prompt,
 		MaxTokens:    int64(req.MaxTokens),
 		Deadline:     req.Deadline,
