--- a/cmd/process.go
+++ b/cmd/process.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/crocusline/crocusline/kernel"
+	"github.com/crocusline/crocusline/models/allowance"
 	"github.com/crocusline/crocusline/models/fleet"
 	"github.com/crocusline/crocusline/modules/log"
 	"github.com/crocusline/crocusline/modules/peer"
@@ -84,8 +85,16 @@
 	return m
 }
 
+// singleAllowance is the setting that draws each request by itself.
+const singleAllowance = "single"
+
 func (p *process) ledgerOptions() []ledger.Option {
+	policy := allowance.DefaultPolicy
+	if p.settings.Policy.Allowance == singleAllowance {
+		policy = allowance.Policy{}
+	}
 	return []ledger.Option{
+		ledger.WithPolicy(policy),
 		ledger.WithLogger(p.log.Named(ledger.Name)),
 		ledger.WithShards(p.settings.Ledger.Shards),
 		ledger.WithInterval(p.settings.Ledger.BatchInterval),
--- a/modules/setting/policy.go
+++ b/modules/setting/policy.go
@@ -5,7 +5,7 @@
 	// Placement is the way a backend server is chosen.
 	Placement string `yaml:"placement" validate:"oneof=random roundRobin twoChoices pureAffinity affinity"`
 	// Allowance is the way budget tokens are handed to entries.
-	Allowance string `yaml:"allowance" validate:"oneof=single static adaptive"`
+	Allowance string `yaml:"allowance" validate:"oneof=single adaptive"`
 	// Floors are the shares of a server that ranks keep during a flood of more
 	// urgent work.
 	Floors Floors `yaml:"floors"`
--- a/tests/simulation/simulation_test.go
+++ b/tests/simulation/simulation_test.go
@@ -43,8 +43,8 @@
 	for _, seed := range []uint64{
 		1, 9, 14, // a grant of no tokens
 		19, 175, // a return lost in an outage
-		31, // a grant under way while the client closed
-		47, // reserves recalled and refilled without end
+		31,  // a grant under way while the client closed
+		47,  // reserves recalled and refilled without end
 		224, // a relay cut while the request ran on
 	} {
 		if simulate(t, seed, &sum); t.Failed() {
