Size reserves behind an owner by requests among the bills of all

Cause: the client counted its holds against what all had settled. Holds are larger than bills, so that each entry took itself for the whole demand. Change: own requests count as bills of the mean size.

Mutation: all that is settled taken as own, TestReserveBehindOwner fails with 5200 of 5200 tokens held.

--- a/services/ledger/demand.go
+++ b/services/ledger/demand.go
@@ -49,20 +49,31 @@
 	return names
 }
 
-// ownDemand is the demand on a budget as seen without the shard's stream.
+// ownDemand is the demand on a budget as seen without the shard's stream: the
+// requests of this process, among the bills of all.
 type ownDemand struct {
 	allowance.Demand
-	// settled is what was settled of the budget when it was last looked at.
+	// requests counts the holds that were cut and not released, less those
+	// counted as billed.
+	requests int64
+	// settled and bills are those of the budget when it was last looked at.
 	settled int64
+	bills   int64
 	known   bool
 }
 
-// see counts what all have settled since the last look, and returns the standing
-// reserve.
+// see counts what was billed since the last look, and returns the standing
+// reserve. Own requests count as bills of the mean size.
 func (d *ownDemand) see(now time.Time, policy allowance.Policy, b ledger.Budget) int64 {
-	if d.known && b.Settled > d.settled {
-		d.AddTotal(now, policy, b.Settled-d.settled)
+	settled, bills := b.Settled-d.settled, b.Bills-d.bills
+	if d.known && settled > 0 && bills > 0 {
+		own := max(0, min(d.requests, bills))
+		d.requests -= own
+		d.AddTotal(now, policy, settled)
+		d.AddLocal(now, policy, settled*own/bills)
+	}
+	if !d.known || bills > 0 {
+		d.settled, d.bills, d.known = b.Settled, b.Bills, true
 	}
-	d.settled, d.known = max(d.settled, b.Settled), true
 	return d.Reserve(now, policy, b.Free()+b.Outstanding, 1)
 }
--- a/services/ledger/reserve.go
+++ b/services/ledger/reserve.go
@@ -91,7 +91,6 @@
 	a := c.account(workspace)
 	a.mu.Lock()
 	a.allowance.Use(time.Now(), tokens)
-	a.demand.AddLocal(time.Now(), c.policy, tokens)
 	covered := a.allowance.Cut(tokens)
 	low := a.allowance.Refill(time.Now(), math.MaxInt64) > 0
 	a.mu.Unlock()
@@ -103,6 +102,9 @@
 	if low {
 		c.wakeFor(workspace)
 	}
+	a.mu.Lock()
+	a.demand.requests++
+	a.mu.Unlock()
 	return sh.holds.cut(tokens), nil
 }
 
@@ -124,6 +126,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.allowance.Release(hold.Tokens)
+	a.demand.requests--
 }
 
 // draw enlarges the allowance until it covers a hold, and cuts the hold.
