Compare the path's cost with the engine itself

Cause: docs/CAPACITY.md gives the cost of a token at the entry and the sidecar, but not against the engine called directly.

Change: crocusbench cost and make cost send the same load to the stand-in engine directly and through entry and sidecar, one after the other in one run, and print processor time per token and per request, allocations per token, and the time to the first token and between messages. The engine's stand-in serves /metrics for it. The run fails if the two ways return different numbers of tokens. The prefix cache is off, so that the second way finds no warm cache.

Not covered: memory per open stream. Processor time comes in steps of 10 ms.

Tests: go test ./standin/cost; make lint. Each of these mutations failed one: the ratio against the engine under the path, a broken answer taken as whole, the first time counted among the later ones, metrics without allocations.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 LINT = $(GO) run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build install test lint fmt generate demo bench capacity
+.PHONY: build install test lint fmt generate demo bench capacity cost
 
 build:
 	$(GO) build -o bin/ . ./crocusbench
@@ -28,6 +28,10 @@
 capacity: build
 	bin/crocusbench capacity
 
+# Compares the path's cost with calls to the engine itself, in one run.
+cost: build
+	bin/crocusbench cost
+
 lint:
 	$(LINT) run ./...
 
--- a/crocusbench/main.go
+++ b/crocusbench/main.go
@@ -47,7 +47,7 @@
 	parser := flaggy.NewParser("crocusbench")
 	parser.Description = "Stand-ins for what surrounds crocusline, and the load tool."
 	parser.DisableShowVersionWithVersion()
-	commands := []command{newPlatformCommand(), newEngineCommand(), newServiceCommand(), newDemoCommand(), newLoadCommand(), newCapacityCommand()}
+	commands := []command{newPlatformCommand(), newEngineCommand(), newServiceCommand(), newDemoCommand(), newLoadCommand(), newCapacityCommand(), newCostCommand()}
 	used := make([]*flaggy.Subcommand, len(commands))
 	for i, c := range commands {
 		used[i] = c.flags()
@@ -61,5 +61,5 @@
 			return commands[i], nil
 		}
 	}
-	return nil, errors.New("no command: use platform, engine, service, demo, load or capacity, or --help")
+	return nil, errors.New("no command: use platform, engine, service, demo, load, capacity or cost, or --help")
 }
--- /dev/null
+++ b/standin/cost/cost_test.go
@@ -0,0 +1,70 @@
+package cost
+
+import (
+	"bufio"
+	"context"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestReadEvents(t *testing.T) {
+	const answer = "data: {\"choices\":[{\"text\":\"a\"}]}\n\ndata: {\"choices\":[{\"text\":\"b\"}]}\n\ndata: {\"choices\":[{\"text\":\"\"}]}\n\n"
+	tokens := 0
+	seen := func(n int) { tokens += n }
+	if err := readEvents(bufio.NewScanner(strings.NewReader(answer+"data: [DONE]\n\n")), seen); err != nil || tokens != 2 {
+		t.Errorf("whole answer: %d tokens, %v; want 2", tokens, err)
+	}
+	if err := readEvents(bufio.NewScanner(strings.NewReader(answer)), seen); err == nil {
+		t.Error("an answer without its end passes as whole")
+	}
+}
+
+func TestParseUsage(t *testing.T) {
+	got, ok := parseUsage([]byte("process_cpu_seconds_total 1.5\ngo_memstats_mallocs_total 42\n"))
+	if want := (usage{cpu: 1500 * time.Millisecond, allocations: 42}); !ok || got != want {
+		t.Errorf("got %v, %t, want %v", got, ok, want)
+	}
+	if _, ok := parseUsage([]byte("process_cpu_seconds_total 1.5\n")); ok {
+		t.Error("metrics without allocations are taken for usage")
+	}
+}
+
+func TestRatioIsOursAgainstTheEngineDirect(t *testing.T) {
+	cpu := func(d time.Duration) usage { return usage{cpu: d} }
+	direct := sample{used: map[string]usage{engineName: cpu(10 * time.Millisecond)}}
+	path := sample{used: map[string]usage{
+		engineName:  cpu(20 * time.Millisecond),
+		entryName:   cpu(15 * time.Millisecond),
+		sidecarName: cpu(25 * time.Millisecond),
+	}}
+	var out strings.Builder
+	cpuRow(&out, "x", [2]sample{direct, path}, 100)
+	if got, want := out.String(), "x\t100.0 us\t200.0 us\t150.0 us\t250.0 us\t4.00\n"; got != want {
+		t.Errorf("row is %q, want %q", got, want)
+	}
+}
+
+func TestTimingSplitsFirstFromLater(t *testing.T) {
+	var w way
+	w.client = scripted{}
+	s, err := w.submit(t.Context(), shape{requests: 3, tokens: 4})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.first.TotalCount() != 3 || s.between.TotalCount() != 3 || s.tokens != 12 {
+		t.Errorf("%d first, %d between, %d tokens; want 3, 3, 12", s.first.TotalCount(), s.between.TotalCount(), s.tokens)
+	}
+	if got := s.perMessage(); got != 2 {
+		t.Errorf("%g tokens a message, want 2", got)
+	}
+}
+
+// scripted answers in two messages.
+type scripted struct{}
+
+func (scripted) stream(_ context.Context, _ string, tokens int, seen func(int)) error {
+	seen(1)
+	seen(tokens - 1)
+	return nil
+}
--- /dev/null
+++ b/standin/cost/report.go
@@ -0,0 +1,63 @@
+package cost
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+)
+
+// quantiles are those reported of times, in percent.
+var quantiles = []float64{50, 95}
+
+// write writes the report of both loads. Each pair is direct, then the path.
+func write(out io.Writer, long, short [2]sample) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "measure\tengine, direct\tengine, path\tentry\tsidecar\tentry+sidecar / engine, direct")
+	cpuRow(t, "processor time per token", long, long[0].tokens)
+	cpuRow(t, fmt.Sprintf("processor time per request of %.1f tokens", float64(short[0].tokens)/float64(short[0].requests)), short, short[0].requests)
+	allocationRow(t, "allocations per token", long, long[0].tokens)
+	fmt.Fprintln(t, "\t\t\t\t\t")
+	fmt.Fprintln(t, "measure\tdirect\tpath\tpath - direct\t\t")
+	for _, q := range quantiles {
+		timeRow(t, fmt.Sprintf("time to first token, p%g", q), long[0].first, long[1].first, q)
+		timeRow(t, fmt.Sprintf("time between messages, p%g", q), long[0].between, long[1].between, q)
+	}
+	fmt.Fprintf(t, "tokens per message\t%.2f\t%.2f\t\t\t\n", long[0].perMessage(), long[1].perMessage())
+	return errors.WithStack(t.Flush())
+}
+
+// perMessage is the mean number of tokens of a message.
+func (s sample) perMessage() float64 {
+	return float64(s.tokens) / float64(s.first.TotalCount()+s.between.TotalCount())
+}
+
+func cpuRow(out io.Writer, name string, pair [2]sample, n int) {
+	per := func(s sample, process string) float64 {
+		return float64(s.used[process].cpu) / float64(time.Microsecond) / float64(n)
+	}
+	row(out, name, "us", pair, per)
+}
+
+func allocationRow(out io.Writer, name string, pair [2]sample, n int) {
+	per := func(s sample, process string) float64 {
+		return s.used[process].allocations / float64(n)
+	}
+	row(out, name, "", pair, per)
+}
+
+// row writes one figure of all processes and the ratio.
+func row(out io.Writer, name, unit string, pair [2]sample, per func(s sample, process string) float64) {
+	direct := per(pair[0], engineName)
+	entry, sidecar := per(pair[1], entryName), per(pair[1], sidecarName)
+	fmt.Fprintf(out, "%s\t%.1f %s\t%.1f %s\t%.1f %s\t%.1f %s\t%.2f\n", name,
+		direct, unit, per(pair[1], engineName), unit, entry, unit, sidecar, unit, (entry+sidecar)/direct)
+}
+
+func timeRow(out io.Writer, name string, direct, path *hdrhistogram.Histogram, q float64) {
+	d, p := direct.ValueAtQuantile(q), path.ValueAtQuantile(q)
+	fmt.Fprintf(out, "%s\t%d us\t%d us\t%d us\t\t\n", name, d, p, p-d)
+}
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/standin/control"
@@ -35,6 +36,9 @@
 	mux.HandleFunc("GET /ran", func(w http.ResponseWriter, _ *http.Request) {
 		control.WriteJSON(w, http.StatusOK, e.Ran())
 	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		metrics.WriteProcessMetrics(w)
+	})
 	control.Mount(mux, e)
 	return mux
 }
