Don't compress small messages between caller, entry and sidecar

Cause: Connect handlers gzip each message of a stream for a client that accepts it, whatever its size.

Ruled out: the write deadline and flush of modules/web (11% of the entry, almost all of it the write to the socket); larger chunks within 10 ms (an engine that sends a token each 20 ms gives 1.00 tokens a message, so there is nothing to join; not tried).

Change: the handlers of the router and the sidecar compress messages from 1024 bytes on. Sidecar.Handler sets it, so tests serve what is shipped.

Tests: make lint; go test of services, routers, modules, cmd, standin, crocusbench, docs, tests/sidecar and tests/scenario. With a threshold of 0, and with one of 1 MiB, TestOnlyLargeMessagesAreCompressed failed at both handlers.

--- a/cmd/sidecar.go
+++ b/cmd/sidecar.go
@@ -19,7 +19,6 @@
 	"github.com/crocusline/crocusline/modules/peer"
 	"github.com/crocusline/crocusline/modules/setting"
 	commonv1 "github.com/crocusline/crocusline/modules/wire/common/v1"
-	"github.com/crocusline/crocusline/modules/wire/peer/v1/peerv1connect"
 	"github.com/crocusline/crocusline/routers/operator"
 	peerrouter "github.com/crocusline/crocusline/routers/peer"
 	"github.com/crocusline/crocusline/services/billing"
@@ -128,7 +127,7 @@
 	s.followPlan(s.control.State())
 	s.control.Subscribe(s.followPlan)
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewSidecarServiceHandler(peerrouter.NewSidecar(s.runner, s.control)))
+	mux.Handle(peerrouter.NewSidecar(s.runner, s.control).Handler())
 	mux.Handle(peerrouter.NewTables(s.control))
 	mux.Handle(operator.NewStatus(s.status))
 	return peer.NewServer(s.settings.Peer.Listen, s.identity, mux, peer.WithServerIdle(s.settings.Peer.IdleTimeout))
--- a/routers/caller/handler.go
+++ b/routers/caller/handler.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/modules/wire"
 	callerv1 "github.com/crocusline/crocusline/modules/wire/caller/v1"
 	"github.com/crocusline/crocusline/modules/wire/caller/v1/callerv1connect"
 	commonv1 "github.com/crocusline/crocusline/modules/wire/common/v1"
@@ -57,7 +58,7 @@
 // refused before it is read.
 func New(log hclog.Logger, a Admission, d Dispatcher, r Receipts, c Counters, maxBytes int) (string, http.Handler) {
 	h := &Handler{log: log, admission: a, dispatcher: d, receipts: r, counters: c}
-	return callerv1connect.NewRouterServiceHandler(h, connect.WithReadMaxBytes(maxBytes))
+	return callerv1connect.NewRouterServiceHandler(h, connect.WithReadMaxBytes(maxBytes), wire.Compression())
 }
 
 // Submit implements caller.v1.RouterService.
--- /dev/null
+++ b/routers/peer/compression_test.go
@@ -0,0 +1,28 @@
+package peer
+
+import (
+	"bytes"
+	"testing"
+
+	peerv1 "github.com/crocusline/crocusline/modules/wire/peer/v1"
+	"github.com/crocusline/crocusline/modules/wire/wiretest"
+)
+
+func TestOnlyLargeMessagesAreCompressed(t *testing.T) {
+	var inflations wiretest.Inflations
+	c, _ := startSidecar(t, inflations.Option())
+	req := &peerv1.RunRequest{RequestId: "small", Workspace: "clinic", Idempotent: true, Prompt: "a b c", Hold: hold("entry/1")}
+	if _, _, err := answer(t, c, req); err != nil {
+		t.Fatal(err)
+	}
+	if n := inflations.Count(); n != 0 {
+		t.Errorf("%d small messages came compressed", n)
+	}
+	req.RequestId, req.Body = "large", bytes.Repeat([]byte("x"), 4096)
+	if _, _, err := answer(t, c, req); err != nil {
+		t.Fatal(err)
+	}
+	if n := inflations.Count(); n != 1 {
+		t.Errorf("%d messages came compressed, want the one with the body", n)
+	}
+}
--- a/routers/peer/gone_test.go
+++ b/routers/peer/gone_test.go
@@ -31,7 +31,7 @@
 		t.Fatal(err)
 	}
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewSidecarServiceHandler(NewSidecar(r, fixedState{state})))
+	mux.Handle(NewSidecar(r, fixedState{state}).Handler())
 	s := httptest.NewServer(mux)
 	defer func() {
 		s.Close()
--- a/routers/peer/sidecar.go
+++ b/routers/peer/sidecar.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"time"
 
 	"connectrpc.com/connect"
@@ -15,6 +16,7 @@
 	"github.com/crocusline/crocusline/models/rank"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/run"
+	"github.com/crocusline/crocusline/modules/wire"
 	commonv1 "github.com/crocusline/crocusline/modules/wire/common/v1"
 	peerv1 "github.com/crocusline/crocusline/modules/wire/peer/v1"
 	"github.com/crocusline/crocusline/modules/wire/peer/v1/peerv1connect"
@@ -40,6 +42,11 @@
 	return &Sidecar{runner: r, tables: tables}
 }
 
+// Handler returns the path and the handler of the service.
+func (s *Sidecar) Handler() (string, http.Handler) {
+	return peerv1connect.NewSidecarServiceHandler(s, wire.Compression())
+}
+
 // Run implements peerv1connect.SidecarServiceHandler.
 func (s *Sidecar) Run(ctx context.Context, req *connect.Request[peerv1.RunRequest], stream *connect.ServerStream[peerv1.RunResponse]) error {
 	r, err := decodeRun(time.Now(), req.Msg)
--- a/routers/peer/sidecar_test.go
+++ b/routers/peer/sidecar_test.go
@@ -49,7 +49,7 @@
 	go settled()
 }
 
-func startSidecar(t *testing.T) (peerv1connect.SidecarServiceClient, *billCounter) {
+func startSidecar(t *testing.T, options ...connect.ClientOption) (peerv1connect.SidecarServiceClient, *billCounter) {
 	t.Helper()
 	biller := &billCounter{}
 	r := runner.New("drafting-1", "sidecar/1", echoBackend{}, runner.WithBiller(biller))
@@ -57,7 +57,7 @@
 		t.Fatal(err)
 	}
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewSidecarServiceHandler(NewSidecar(r, nil)))
+	mux.Handle(NewSidecar(r, nil).Handler())
 	s := httptest.NewServer(mux)
 	t.Cleanup(func() {
 		s.Close()
@@ -65,7 +65,7 @@
 			t.Error(err)
 		}
 	})
-	return peerv1connect.NewSidecarServiceClient(s.Client(), s.URL), biller
+	return peerv1connect.NewSidecarServiceClient(s.Client(), s.URL, options...), biller
 }
 
 // answer runs a request and returns its tokens and last frame.
