--- a/tests/scenario/commands_test.go
+++ b/tests/scenario/commands_test.go
@@ -214,3 +214,29 @@
 	ts.Check(err)
 	return n
 }
+
+// checkRuns is "runs N [resumed]": the model servers that are left ran N requests
+// between them, the last of them from a token on that another server had made.
+func checkRuns(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	ctx, cancel := waitContext()
+	defer cancel()
+	runs, resumed := 0, false
+	for _, model := range f.ModelNames() {
+		var ran []engine.Ran
+		if err := getJSON(ctx, f, f.URL(model)+"/ran", &ran); err != nil {
+			// A killed server counts nothing.
+			continue
+		}
+		runs += len(ran)
+		for _, r := range ran {
+			resumed = resumed || r.StartToken > 0
+		}
+	}
+	if got := strconv.Itoa(runs); got != args[0] {
+		ts.Fatalf("the model servers ran %s requests, want %s", got, args[0])
+	}
+	if want := len(args) > 1; resumed != want {
+		ts.Fatalf("a run was resumed: %t, want %t", resumed, want)
+	}
+}
--- a/tests/scenario/scenario_test.go
+++ b/tests/scenario/scenario_test.go
@@ -54,6 +54,7 @@
 			"faults": setFaults,
 			"await":  awaitOutput,
 			"ran":    checkRan,
+			"runs":   checkRuns,
 			"answer": writeAnswer,
 			"budget": checkBudget,
 		},
