Take the ports of a fleet below those of outgoing connections

Cause: tests/scenario failed now and then, since a port found free was given to an outgoing connection, or was in use for UDP, before its process started (entry-2 ended before it was ready). Change: ports are counted up from a start of the process's own below 32000, and tried for TCP and UDP.

--- a/standin/cluster/fleet.go
+++ b/standin/cluster/fleet.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -106,19 +105,12 @@
 	for _, server := range f.servers() {
 		names = append(names, SidecarOf(server)+" peer", SidecarOf(server)+" operator")
 	}
-	var listeners []net.Listener
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
 	for _, name := range names {
-		l, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+		port, err := freePort()
 		if err != nil {
-			return errors.WithStack(err)
+			return err
 		}
-		listeners = append(listeners, l)
-		f.ports[name] = l.Addr().(*net.TCPAddr).Port
+		f.ports[name] = port
 	}
 	return nil
 }
