--- a/routers/caller/handler.go
+++ b/routers/caller/handler.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"connectrpc.com/connect"
+	"github.com/google/uuid"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
@@ -44,6 +45,9 @@
 	Answered()
 }
 
+// RequestIDHeader holds the id of a request that got no whole answer.
+const RequestIDHeader = "Crocusline-Request-Id"
+
 // Handler implements caller.v1.RouterService.
 type Handler struct {
 	log        hclog.Logger
@@ -78,7 +82,7 @@
 func (h *Handler) Call(ctx context.Context, req *connect.Request[callerv1.CallRequest]) (*connect.Response[callerv1.CallResponse], error) {
 	request := req.Msg.GetRequest()
 	if request == nil {
-		return nil, h.refuse("", refusal.New(refusal.InvalidRequest, 0, `the field "request" is missing`))
+		return nil, h.refuse(newID(), "", refusal.New(refusal.InvalidRequest, 0, `the field "request" is missing`))
 	}
 	sink := &textSink{}
 	answer, err := h.serve(ctx, req.Header(), request, sink)
@@ -97,19 +101,20 @@
 
 func (h *Handler) serve(ctx context.Context, header http.Header, msg *callerv1.SubmitRequest, sink dispatch.Sink) (dispatch.Answer, error) {
 	req, err := request(msg)
+	req.ID = newID()
 	if err != nil {
-		return dispatch.Answer{}, h.refuse(msg.GetWorkspace(), err)
+		return dispatch.Answer{}, h.refuse(req.ID, msg.GetWorkspace(), err)
 	}
 	plan, release, err := h.admission.Admit(bearerToken(header), req)
 	if err != nil {
-		return dispatch.Answer{}, h.refuse(req.Workspace, err)
+		return dispatch.Answer{}, h.refuse(req.ID, req.Workspace, err)
 	}
 	defer release()
 	reporter := &reportingSink{Sink: sink, report: func() { h.admission.Accepted(req.Workspace, req.Kind) }}
 	answer, err := h.dispatcher.Dispatch(ctx, req, plan, reporter)
 	if err != nil {
 		h.admission.Ended(req.Workspace, req.Kind, err)
-		return dispatch.Answer{}, h.refuse(req.Workspace, err)
+		return dispatch.Answer{}, h.refuse(req.ID, req.Workspace, err)
 	}
 	h.counters.Answered()
 	h.log.Info("request answered", "requestId", answer.RequestID, "workspace", req.Workspace,
@@ -118,23 +123,33 @@
 	return answer, nil
 }
 
-// refuse counts and logs the end of a request and turns it into a Connect error.
-func (h *Handler) refuse(workspace string, err error) error {
+func newID() string {
+	return uuid.Must(uuid.NewV7()).String()
+}
+
+// refuse counts and logs the end of a request and turns it into a Connect error,
+// whose metadata holds the request's id.
+func (h *Handler) refuse(id, workspace string, err error) error {
 	var sinkErr *dispatch.SinkError
 	if errors.As(err, &sinkErr) {
-		h.log.Info("caller gone", "workspace", workspace, "error", sinkErr.Cause)
+		h.log.Info("caller gone", "requestId", id, "workspace", workspace, "error", sinkErr.Cause)
 		return connect.NewError(connect.CodeCanceled, err)
 	}
 	e, ok := refusal.As(err)
 	if !ok {
-		h.log.Error("unexpected error", "workspace", workspace, "error", err)
+		h.log.Error("unexpected error", "requestId", id, "workspace", workspace, "error", err)
 		e = refusal.New(refusal.Unspecified, 0, "internal error")
 		e.Outcome = refusal.Unknown
 	}
 	h.counters.Refused(e.Reason)
-	h.log.Info("request refused", "workspace", workspace, "reason", e.Reason,
+	h.log.Info("request refused", "requestId", id, "workspace", workspace, "reason", e.Reason,
 		"outcome", e.Outcome, "retryAfter", e.RetryAfter)
-	return refusalwire.Encode(e)
+	encoded := refusalwire.Encode(e)
+	var ce *connect.Error
+	if errors.As(encoded, &ce) {
+		ce.Meta().Set(RequestIDHeader, id)
+	}
+	return encoded
 }
 
 // request checks the parts of a message that need no tables.
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -127,11 +127,14 @@
 func (d *Dispatcher) Dispatch(ctx context.Context, req Request, p Plan, sink Sink) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
 	defer cancel()
+	if req.ID == "" {
+		req.ID = uuid.Must(uuid.NewV7()).String()
+	}
 	j := &job{
 		Dispatcher: d,
 		req:        req,
 		plan:       p,
-		requestID:  uuid.Must(uuid.NewV7()).String(),
+		requestID:  req.ID,
 		relay:      relay{sink: sink, from: req.FromToken},
 	}
 	if p.Route.Idempotent {
--- a/services/dispatch/request.go
+++ b/services/dispatch/request.go
@@ -9,6 +9,9 @@
 
 // Request is one caller's request, as received.
 type Request struct {
+	// ID names the request in logs and bills. It is unique; an empty one is
+	// replaced.
+	ID             string
 	Workspace      string
 	Kind           string
 	IdempotencyKey string
