--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -182,3 +182,33 @@
 		t.Fatal(err)
 	}
 }
+
+var sourcePath = regexp.MustCompile(`\b(?:cmd|coordination|models|modules|routers|services|standin)/[A-Za-z0-9_./-]*[A-Za-z0-9_]`)
+
+// TestArchitecturePaths checks that the files and packages that the page names
+// exist, and that the page names each package of the layers it explains.
+func TestArchitecturePaths(t *testing.T) {
+	named := sourcePath.FindAllString(page(t, "ARCHITECTURE.md"), -1)
+	if len(named) == 0 {
+		t.Fatal("the page names no file")
+	}
+	for _, path := range named {
+		if _, err := os.Stat(filepath.Join("..", path)); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, layer := range []string{"coordination", "models", "routers", "services"} {
+		dirs, err := os.ReadDir(filepath.Join("..", layer))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, dir := range dirs {
+			name := layer + "/" + dir.Name()
+			if dir.IsDir() && !slices.ContainsFunc(named, func(path string) bool {
+				return path == name || strings.HasPrefix(path, name+"/")
+			}) {
+				t.Errorf("the page does not name the package %s", name)
+			}
+		}
+	}
+}
