Use standard terms in place of metaphors in comments and names

Cause: "taken for dead", "on its way", "lacks", "judged", "patience" and the like had to be explained to a newcomer.

Ruled out: renaming the sequence, allowance and exit code names, which are in the wire format, the settings or the output of scripts.

Tests: services/receipt/receipt_test.go follows a renamed constant; nothing else in tests changed.

Conclusion: names such as quiet, silent and turn are left.

--- a/cmd/submission.go
+++ b/cmd/submission.go
@@ -66,7 +66,7 @@
 		if err == nil {
 			return done, nil
 		}
-		pause, again := s.judge(try, err)
+		pause, again := s.decideRetry(try, err)
 		if !again || ctx.Err() != nil || time.Now().Add(pause).After(s.giveUp) {
 			return nil, s.final(err)
 		}
@@ -142,8 +142,8 @@
 	}
 }
 
-// judge says whether another try is worth making, and after which pause.
-func (s *submission) judge(try int, err error) (time.Duration, bool) {
+// decideRetry says whether another try is worth making, and after which pause.
+func (s *submission) decideRetry(try int, err error) (time.Duration, bool) {
 	var output *outputError
 	if errors.As(err, &output) {
 		return 0, false
@@ -193,14 +193,14 @@
 	case s.mayHaveRun:
 		return &ExitError{Code: Unknown, Cause: errors.Errorf("unknown whether the request ran; the last try: %s; %s", reason(err), again)}
 	case refused && e.RetryAfter > 0:
-		return &ExitError{Code: ComeBack, Cause: errors.Errorf("refused: %s; come back in %s", reason(err), comeBack(e.RetryAfter))}
+		return &ExitError{Code: ComeBack, Cause: errors.Errorf("refused: %s; come back in %s", reason(err), formatRetryAfter(e.RetryAfter))}
 	default:
 		return &ExitError{Code: NotRun, Cause: errors.Errorf("not run: %s", reason(err))}
 	}
 }
 
-// comeBack rounds up, so that nobody comes back too early.
-func comeBack(d time.Duration) string {
+// formatRetryAfter rounds up, so that no retry is sent too early.
+func formatRetryAfter(d time.Duration) string {
 	seconds := (d + time.Second - 1) / time.Second
 	return fmt.Sprintf("%d s", seconds)
 }
--- a/models/ledger/entry.go
+++ b/models/ledger/entry.go
@@ -112,7 +112,7 @@
 	Attempt   int64  `json:"attempt"`
 }
 
-// CloseHolder returns all that a dead entry incarnation still holds. Only the
+// CloseHolder returns all that an ended entry incarnation still holds. Only the
 // shard's owner writes it, once every sidecar has fenced the incarnation and
 // settled its holds.
 type CloseHolder struct {
--- a/models/run/fence.go
+++ b/models/run/fence.go
@@ -22,7 +22,7 @@
 	return settled, actions
 }
 
-// cutRelays ends the fenced relays that have no last frame on its way.
+// cutRelays ends the fenced relays that are not being sent the last frame.
 // Non-idempotent work is charged in any case, so its relays may go on.
 func (b *Book) cutRelays(now time.Time, rec *record, isFenced func(*relay) bool) []Action {
 	if !rec.request.Idempotent {
--- a/models/run/record.go
+++ b/models/run/record.go
@@ -30,7 +30,7 @@
 	interrupted time.Time
 	finished    time.Time
 	acked       time.Time
-	// payer of idempotent work is empty until a last frame is on its way.
+	// payer of idempotent work is empty until a last frame is being sent.
 	payer  payer
 	charge chargeState
 }
@@ -48,7 +48,7 @@
 	requestID string
 	hold      ledger.Hold
 	replayed  bool
-	// handing is set while the last frame is on its way to the relay.
+	// handing is set while the last frame is being sent to the relay.
 	handing bool
 }
 
@@ -71,7 +71,7 @@
 	return r.charge == chargeDue && (!r.request.Idempotent || r.acked.IsZero())
 }
 
-// handing reports whether a last frame is on its way to some relay.
+// handing reports whether a last frame is being sent to some relay.
 func (r *record) handing() bool {
 	for _, rel := range r.relays {
 		if rel.handing {
--- a/routers/caller/handler.go
+++ b/routers/caller/handler.go
@@ -122,7 +122,7 @@
 func (h *Handler) refuse(workspace string, err error) error {
 	var sinkErr *dispatch.SinkError
 	if errors.As(err, &sinkErr) {
-		h.log.Info("caller gone", "workspace", workspace, "error", sinkErr.Cause)
+		h.log.Info("caller disconnected", "workspace", workspace, "error", sinkErr.Cause)
 		return connect.NewError(connect.CodeCanceled, err)
 	}
 	e, ok := refusal.As(err)
--- a/services/dispatch/once.go
+++ b/services/dispatch/once.go
@@ -17,9 +17,9 @@
 const (
 	// inquireInterval is the pause between questions to a sidecar.
 	inquireInterval = 200 * time.Millisecond
-	// joinPatience is how long a joiner waits for the entry that registered an
+	// joinTimeout is how long a joiner waits for the entry that registered an
 	// attempt to dispatch it, before the attempt is fenced.
-	joinPatience = time.Second
+	joinTimeout = time.Second
 )
 
 // digest identifies the content of a request, so that a key is not used for two.
@@ -143,7 +143,7 @@
 // resolve asks the attempt's sidecar until it is known whether it ran. The
 // entry that dispatched it fences at once; a joiner waits for it first.
 func (j *job) resolve(ctx context.Context, l leg, fence bool) onceStep {
-	patience := j.now().Add(joinPatience)
+	fenceAt := j.now().Add(joinTimeout)
 	for {
 		state, err := j.inquire(ctx, l.sidecar, l.attempt, fence)
 		var changed *incarnationError
@@ -163,7 +163,7 @@
 				return step
 			}
 		}
-		fence = fence || j.now().After(patience)
+		fence = fence || j.now().After(fenceAt)
 		if !sleep(ctx, inquireInterval) {
 			return onceStep{err: j.unreachable()}
 		}
--- a/services/ledger/balance.go
+++ b/services/ledger/balance.go
@@ -178,7 +178,7 @@
 }
 
 // Recall has the tokens of a workspace's budget that no hold has taken given
-// back, because somebody else lacks them.
+// back, because another holder needs them.
 func (c *Client) Recall(workspace string) {
 	c.mu.Lock()
 	a := c.accounts[workspace]
--- a/services/ledger/client.go
+++ b/services/ledger/client.go
@@ -98,7 +98,7 @@
 // WithLogger sets the logger.
 func WithLogger(l hclog.Logger) Option { return func(c *Client) { c.logger = l } }
 
-// New returns the client of the process's life that incarnation names.
+// New returns the client of the process with the given incarnation.
 func New(incarnation string, log platform.Log, opts ...Option) *Client {
 	c := &Client{
 		incarnation: incarnation,
@@ -254,7 +254,7 @@
 	return closed, nil
 }
 
-// ClosedError says that a shard's owner took this process for dead. Its holds
+// ClosedError says that a shard's owner closed this process's holder. Its holds
 // pay for nothing any more, so that the process has to be restarted.
 type ClosedError struct {
 	Incarnation string
@@ -266,7 +266,7 @@
 	return fmt.Sprintf("%s was closed in ledger shard %d: restart the process", e.Incarnation, e.Shard)
 }
 
-// Err returns a *ClosedError once this process was taken for dead. A process
+// Err returns a *ClosedError once this process's holder was closed. A process
 // with an error is not ready, and has to be restarted.
 func (c *Client) Err() error {
 	c.mu.Lock()
--- a/services/ledger/owner.go
+++ b/services/ledger/owner.go
@@ -24,9 +24,9 @@
 	ownerTimeout = 750 * time.Millisecond
 	// ownerQuiet is how long an owner that did not answer is not asked again.
 	ownerQuiet = time.Second
-	// ownerPatience is how long entries that nobody waits for are kept for a known
+	// ownerWait is how long entries that nobody waits for are kept for a known
 	// owner that does not answer, or the one that follows it.
-	ownerPatience = 5 * time.Second
+	ownerWait = 5 * time.Second
 	// ownerRetry is the time between two tries of such entries.
 	ownerRetry = 250 * time.Millisecond
 )
@@ -133,7 +133,7 @@
 	}
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	return time.Since(sh.silent) < ownerPatience
+	return time.Since(sh.silent) < ownerWait
 }
 
 func (c *Client) askAt(ctx context.Context, address netip.AddrPort, call ownerCall) error {
--- a/services/ledger/reserve.go
+++ b/services/ledger/reserve.go
@@ -86,7 +86,7 @@
 	}
 	sh := c.shard(c.ShardOf(workspace))
 	if sh.closed.Load() {
-		return ledger.Hold{}, refusal.New(refusal.Fenced, retryLog, "this instance was taken for dead; retry at another one")
+		return ledger.Hold{}, refusal.New(refusal.Fenced, retryLog, "this instance was fenced; retry at another one")
 	}
 	a := c.account(workspace)
 	a.mu.Lock()
@@ -176,7 +176,7 @@
 		if a.cut(tokens) {
 			return true, nil
 		}
-		if free := c.view(sh, a).budget.Free(); free < a.lack(tokens) {
+		if free := c.view(sh, a).budget.Free(); free < a.shortfall(tokens) {
 			break
 		}
 	}
@@ -186,7 +186,7 @@
 func (c *Client) grantRequest(a *account, entry ledger.Grant, tokens int64) *peerv1.DrawRequest {
 	req := c.drawRequest()
 	req.Sequence = entry.Sequence
-	req.Need = max(1, a.lack(tokens))
+	req.Need = max(1, a.shortfall(tokens))
 	req.Want = entry.Tokens
 	return req
 }
@@ -208,8 +208,8 @@
 	}, false
 }
 
-// lack returns how many tokens a hold needs beyond what is here.
-func (a *account) lack(tokens int64) int64 {
+// shortfall returns how many tokens a hold needs beyond the allowance.
+func (a *account) shortfall(tokens int64) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return tokens - a.allowance.Free()
--- a/services/ledger/shard.go
+++ b/services/ledger/shard.go
@@ -29,7 +29,7 @@
 	settled escrow.Ranges
 	// quiet is until when the owner is not asked, because it did not answer.
 	quiet time.Time
-	// closed says that the shard's owner took this process for dead.
+	// closed says that the shard's owner closed this process's holder.
 	closed atomic.Bool
 	// silent is since when the owner does not answer, zero if it does.
 	silent time.Time
--- a/services/ledger/tail.go
+++ b/services/ledger/tail.go
@@ -18,7 +18,7 @@
 	holds *holds
 	// short takes the workspaces whose budget did not cover a grant.
 	short chan<- string
-	// closed is set when the shard's owner took this process for dead.
+	// closed is set when the shard's owner closed this process's holder.
 	closed *atomic.Bool
 	// policy and neighbour size the standing reserves by demand, which belongs
 	// to the stream as state does.
@@ -124,7 +124,7 @@
 	sums   allowance.Sums
 	// reserve is the holder's standing reserve, if the stream is read.
 	reserve int64
-	// closed says that the shard's owner took the holder for dead.
+	// closed says that the shard's owner closed the holder.
 	closed bool
 	// now is the log time of the last record that the view holds.
 	now time.Time
--- a/services/receipt/receipt.go
+++ b/services/receipt/receipt.go
@@ -20,8 +20,8 @@
 // Name is the service's name.
 const Name = "receipt"
 
-// A sidecar's words for a request that it will never bill: one that it refuses
-// from now on, and one that it ran without learning whether it took effect.
+// The states in which a sidecar never bills a request: it refuses the request from
+// now on, or it ran it without learning whether it took effect.
 const (
 	stateFenced     = "fenced"
 	stateUnresolved = "unknown"
@@ -38,9 +38,9 @@
 	callTimeout = 2 * time.Second
 	// lastRoundTimeout bounds the round before the process ends.
 	lastRoundTimeout = 5 * time.Second
-	// sidecarPatience is how long the sidecar has to get its bill into the
+	// sidecarBillTimeout is how long the sidecar has to get its bill into the
 	// stream before the entry writes its own copy.
-	sidecarPatience = 5 * time.Second
+	sidecarBillTimeout = 5 * time.Second
 )
 
 // Ledger is what receipts need of the ledger.
@@ -83,7 +83,7 @@
 }
 
 // later doubles the pause: a sidecar keeps an interrupted request for its grace
-// time, and many of them asked for each second would cost the entry dear.
+// time, and asking for many of them each second would load the entry.
 func (p pending) later(now time.Time) pending {
 	p.pause = min(max(2*p.pause, settleInterval), longestPause)
 	p.next = now.Add(p.pause)
@@ -146,7 +146,7 @@
 		case p := <-s.ring:
 			s.take(ctx, p)
 		case <-ticker.C:
-			s.settleAll(ctx, sidecarPatience)
+			s.settleAll(ctx, sidecarBillTimeout)
 		case <-ctx.Done():
 			s.lastRound(context.WithoutCancel(ctx))
 			return
@@ -186,18 +186,18 @@
 	}
 }
 
-// settleAll makes one round. An answered receipt older than patience whose bill
+// settleAll makes one round. An answered receipt older than timeout whose bill
 // the sidecar has not settled is written by this entry.
-func (s *Service) settleAll(ctx context.Context, patience time.Duration) {
+func (s *Service) settleAll(ctx context.Context, timeout time.Duration) {
 	var rest []pending
 	due := map[int][]pending{}
 	now := s.now()
 	for _, p := range s.kept {
-		if patience > 0 && now.Before(p.next) {
+		if timeout > 0 && now.Before(p.next) {
 			rest = append(rest, p)
 			continue
 		}
-		switch s.progress(ctx, p, patience) {
+		switch s.progress(ctx, p, timeout) {
 		case settled:
 		case writable:
 			due[p.Bill.Hold.Shard] = append(due[p.Bill.Hold.Shard], p)
@@ -225,13 +225,13 @@
 	settled
 )
 
-func (s *Service) progress(ctx context.Context, p pending, patience time.Duration) progress {
+func (s *Service) progress(ctx context.Context, p pending, timeout time.Duration) progress {
 	switch {
 	case !p.answered:
 		return s.abandoned(ctx, p)
 	case s.acknowledge(ctx, p):
 		return settled
-	case s.now().Sub(p.since) >= patience:
+	case s.now().Sub(p.since) >= timeout:
 		return writable
 	default:
 		return waiting
@@ -275,8 +275,8 @@
 // abandoned says how far the receipt of a request is that may have run. Its
 // hold waits until the sidecar cannot bill it any more: because it was told to
 // refuse the request, or because its incarnation is gone. A bill of nothing then
-// frees the hold. The fold takes the first bill of a hold, so that one on its
-// way still counts.
+// frees the hold. The fold takes the first bill of a hold, so that one that
+// is being posted still counts.
 func (s *Service) abandoned(ctx context.Context, p pending) progress {
 	if s.ledger.Settled(p.Bill.Hold) {
 		return settled
--- a/services/receipt/receipt_test.go
+++ b/services/receipt/receipt_test.go
@@ -89,7 +89,7 @@
 		for len(s.ring) > 0 {
 			s.take(t.Context(), <-s.ring)
 		}
-		s.settleAll(t.Context(), sidecarPatience)
+		s.settleAll(t.Context(), sidecarBillTimeout)
 	}
 }
 
--- a/services/runner/relay.go
+++ b/services/runner/relay.go
@@ -61,7 +61,7 @@
 	return &refusal.Error{
 		Reason:  refusal.Fenced,
 		Outcome: refusal.Unknown,
-		Advice:  "The entry's incarnation was fenced while the answer was on its way.",
+		Advice:  "The entry's incarnation was fenced while the answer was being sent.",
 	}
 }
 
--- a/services/shard/draw.go
+++ b/services/shard/draw.go
@@ -55,8 +55,8 @@
 	return connect.NewResponse(o.account(m)), nil
 }
 
-// grant moves tokens to the holder, or waits for others to give back what the
-// budget lacks.
+// grant moves tokens to the holder, or waits until returns of others cover
+// the need.
 func (p *part) grant(ctx context.Context, o *opening, m *peerv1.DrawRequest) error {
 	tokens := p.grantSize(o, m)
 	if tokens > 0 {
--- a/services/shard/holders.go
+++ b/services/shard/holders.go
@@ -110,7 +110,7 @@
 
 // collect asks the sidecars that have not proven yet that no hold of the holder
 // can be charged there any more. It returns how many members have not. A sidecar
-// that has answered so refuses the holder for the rest of its life.
+// that has answered so refuses the holder from then on.
 func (p *proofs) collect(ctx context.Context, holder string, state func() *fleet.State) int {
 	var group errgroup.Group
 	group.SetLimit(fenceCalls)
--- a/services/shard/part.go
+++ b/services/shard/part.go
@@ -26,7 +26,7 @@
 	watch *lease.Watch
 	// watched is the epoch of the owner that the watch is about.
 	watched  int64
-	judged   judged
+	last     evaluation
 	openings int
 	// hinted is the last epoch of which the hint was published.
 	hinted uint64
@@ -40,8 +40,8 @@
 	recalled map[string]time.Time
 }
 
-// judged is the standing by the newest state looked at.
-type judged struct {
+// evaluation is the standing by the newest state looked at.
+type evaluation struct {
 	state    *fleet.State
 	standing lease.Standing
 	member   bool
@@ -128,8 +128,8 @@
 // standing returns what the state says of the shard's owner and of this process's
 // turn, if this process is a member.
 func (p *part) standing(state *fleet.State) (lease.Standing, bool) {
-	if p.judged.state == state {
-		return p.judged.standing, p.judged.member
+	if p.last.state == state {
+		return p.last.standing, p.last.member
 	}
 	owner := state.Owners[p.number].Incarnation
 	_, owned := state.Members[owner]
@@ -138,8 +138,8 @@
 		owner = ""
 	}
 	rank, member := p.rank(state, p.host.member.Incarnation, owner)
-	p.judged = judged{state: state, standing: lease.Standing{Rank: rank, Owned: owned}, member: member}
-	return p.judged.standing, member
+	p.last = evaluation{state: state, standing: lease.Standing{Rank: rank, Owned: owned}, member: member}
+	return p.last.standing, member
 }
 
 // rank returns an entry's place in the shard's order of the members but except,
--- a/services/stream/stream.go
+++ b/services/stream/stream.go
@@ -112,7 +112,7 @@
 	return func(s *Stream) { s.schedule, s.checkpoints = schedule, allowed }
 }
 
-// New returns the stream of that name. Incarnation names this process's life.
+// New returns the stream of that name, for the process with the given incarnation.
 func New(name, incarnation string, log platform.Log, fold Fold, opts ...Option) *Stream {
 	s := &Stream{
 		name:        name,
