Merge three copies of a timed wait and the checks of escrow moves

Cause: billing, dispatch and stream each had the same wait that a context ends, and Budget.Grant and Budget.Return the same checks of their number.

Ruled out: one CBOR mode for models/ledger, modules/codec and coordination/fence. Their time options and bounds differ, and coordination imports no module; one mode would change what is written to the log. The caches of peer clients differ in type and would need generics.

Change: modules/delay with delay.Wait; Budget.beginMove.

Mutations: delay.Wait returning true when the context ends, TestWait fails; beginMove not keeping the number, TestErrors of coordination/escrow fails.

--- a/coordination/escrow/budget.go
+++ b/coordination/escrow/budget.go
@@ -111,14 +111,10 @@
 // and returns; one that is not above the last is a *DuplicateError. A refused
 // grant uses up its number.
 func (b *Budget) Grant(holder string, sequence uint64, tokens int64) error {
-	if tokens <= 0 {
-		return &InvalidError{Tokens: tokens}
-	}
-	a := b.account(holder)
-	if sequence <= a.Sequence {
-		return &DuplicateError{}
+	a, err := b.beginMove(holder, sequence, tokens)
+	if err != nil {
+		return err
 	}
-	a.Sequence = sequence
 	if tokens > b.Free() {
 		return &UncoveredError{Want: tokens, Free: b.Free()}
 	}
@@ -128,16 +124,26 @@
 	return nil
 }
 
-// Return moves tokens of the holder that it has not spent back to the budget.
-func (b *Budget) Return(holder string, sequence uint64, tokens int64) error {
+// beginMove returns the holder's account with the number of a grant or return
+// used up, whether or not the move is refused afterwards.
+func (b *Budget) beginMove(holder string, sequence uint64, tokens int64) (*Account, error) {
 	if tokens <= 0 {
-		return &InvalidError{Tokens: tokens}
+		return nil, &InvalidError{Tokens: tokens}
 	}
 	a := b.account(holder)
 	if sequence <= a.Sequence {
-		return &DuplicateError{}
+		return nil, &DuplicateError{}
 	}
 	a.Sequence = sequence
+	return a, nil
+}
+
+// Return moves tokens of the holder that it has not spent back to the budget.
+func (b *Budget) Return(holder string, sequence uint64, tokens int64) error {
+	a, err := b.beginMove(holder, sequence, tokens)
+	if err != nil {
+		return err
+	}
 	if err := b.take(holder, a, tokens); err != nil {
 		return err
 	}
--- a/services/billing/billing.go
+++ b/services/billing/billing.go
@@ -14,6 +14,7 @@
 
 	"github.com/crocusline/crocusline/kernel"
 	"github.com/crocusline/crocusline/models/ledger"
+	"github.com/crocusline/crocusline/modules/delay"
 )
 
 // Name is the name of the billing service.
@@ -170,7 +171,7 @@
 		if err := k.post(s.number, batch); err != nil {
 			postsFailed.Inc()
 			k.log.Warn("post to ledger shard failed", "shard", s.number, "requests", len(batch), "error", err)
-			if !k.sleep(pause.NextBackOff()) {
+			if !delay.Wait(k.ctx, pause.NextBackOff()) {
 				return
 			}
 			continue
@@ -219,15 +220,3 @@
 		}
 	}
 }
-
-// sleep returns false when the keeper closes first.
-func (k *Keeper) sleep(d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-k.ctx.Done():
-		return false
-	}
-}
--- a/services/dispatch/idempotent.go
+++ b/services/dispatch/idempotent.go
@@ -12,6 +12,7 @@
 	"github.com/crocusline/crocusline/models/placement"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/retry"
+	"github.com/crocusline/crocusline/modules/delay"
 	peerv1 "github.com/crocusline/crocusline/modules/wire/peer/v1"
 )
 
@@ -119,7 +120,7 @@
 		return verdict.Err
 	}
 	j.counters.Retried(failed.refused.Reason)
-	if !sleep(ctx, verdict.After) {
+	if !delay.Wait(ctx, verdict.After) {
 		return failed.refused
 	}
 	return nil
--- a/services/dispatch/once.go
+++ b/services/dispatch/once.go
@@ -10,6 +10,7 @@
 	"github.com/crocusline/crocusline/coordination/once"
 	"github.com/crocusline/crocusline/models/ledger"
 	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/modules/delay"
 	registry "github.com/crocusline/crocusline/services/ledger"
 	"github.com/crocusline/crocusline/services/refusalwire"
 )
@@ -164,7 +165,7 @@
 			}
 		}
 		fence = fence || j.now().After(fenceAt)
-		if !sleep(ctx, inquireInterval) {
+		if !delay.Wait(ctx, inquireInterval) {
 			return onceStep{err: j.unreachable()}
 		}
 	}
@@ -228,15 +229,3 @@
 	}
 	return j.beforeRetry(ctx, &legError{refused: step.notRun, cause: step.notRun}, tries)
 }
-
-// sleep waits and says whether the context still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/services/stream/append.go
+++ b/services/stream/append.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/coordination/fence"
+	"github.com/crocusline/crocusline/modules/delay"
 	"github.com/crocusline/crocusline/modules/platform"
 )
 
@@ -155,7 +156,7 @@
 		if err := s.Wait(ctx, func(st Status) bool { return st.Ready }); err != nil {
 			return
 		}
-		sleep(ctx, time.Until(s.last.Add(s.interval)))
+		delay.Wait(ctx, time.Until(s.last.Add(s.interval)))
 		if err := s.limiter.Wait(ctx); err != nil {
 			return
 		}
--- a/services/stream/checkpoint.go
+++ b/services/stream/checkpoint.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/coordination/fence"
+	"github.com/crocusline/crocusline/modules/delay"
 )
 
 // checkpointPoll is how often the schedule of checkpoints is looked at.
@@ -15,7 +16,7 @@
 // keepCheckpoints writes checkpoints when they are due, until the context ends.
 func (s *Stream) keepCheckpoints(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, checkpointPoll)
+		delay.Wait(ctx, checkpointPoll)
 		if !s.due(time.Now()) || !s.checkpoints() {
 			continue
 		}
--- a/services/stream/tail.go
+++ b/services/stream/tail.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/coordination/fence"
+	"github.com/crocusline/crocusline/modules/delay"
 	"github.com/crocusline/crocusline/modules/platform"
 )
 
@@ -50,7 +51,7 @@
 			continue
 		}
 		s.fail(ctx, err)
-		sleep(ctx, pause.NextBackOff())
+		delay.Wait(ctx, pause.NextBackOff())
 	}
 }
 
@@ -193,12 +194,3 @@
 	s.answer(record.Sequence, verdict{Verdict: result.Verdict, offset: r.Offset})
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
