--- a/routers/caller/handler.go
+++ b/routers/caller/handler.go
@@ -132,7 +132,7 @@
 func (h *Handler) refuse(id, workspace string, err error) error {
 	var sinkErr *dispatch.SinkError
 	if errors.As(err, &sinkErr) {
-		h.log.Info("caller gone", "requestId", id, "workspace", workspace, "error", sinkErr.Cause)
+		h.log.Info("caller disconnected", "requestId", id, "workspace", workspace, "error", sinkErr.Cause)
 		return connect.NewError(connect.CodeCanceled, err)
 	}
 	e, ok := refusal.As(err)
