--- a/services/dispatch/once.go
+++ b/services/dispatch/once.go
@@ -10,6 +10,7 @@
 	"github.com/crocusline/crocusline/coordination/once"
 	"github.com/crocusline/crocusline/models/ledger"
 	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/modules/delay"
 	registry "github.com/crocusline/crocusline/services/ledger"
 	"github.com/crocusline/crocusline/services/refusalwire"
 )
@@ -17,9 +18,9 @@
 const (
 	// inquireInterval is the pause between questions to a sidecar.
 	inquireInterval = 200 * time.Millisecond
-	// joinPatience is how long a joiner waits for the entry that registered an
+	// joinTimeout is how long a joiner waits for the entry that registered an
 	// attempt to dispatch it, before the attempt is fenced.
-	joinPatience = time.Second
+	joinTimeout = time.Second
 )
 
 // digest identifies the content of a request, so that a key is not used for two.
@@ -143,7 +144,7 @@
 // resolve asks the attempt's sidecar until it is known whether it ran. The
 // entry that dispatched it fences at once; a joiner waits for it first.
 func (j *job) resolve(ctx context.Context, l leg, fence bool) onceStep {
-	patience := j.now().Add(joinPatience)
+	fenceAt := j.now().Add(joinTimeout)
 	for {
 		state, err := j.inquire(ctx, l.sidecar, l.attempt, fence)
 		var changed *incarnationError
@@ -163,8 +164,8 @@
 				return step
 			}
 		}
-		fence = fence || j.now().After(patience)
-		if !sleep(ctx, inquireInterval) {
+		fence = fence || j.now().After(fenceAt)
+		if !delay.Wait(ctx, inquireInterval) {
 			return onceStep{err: j.unreachable()}
 		}
 	}
@@ -228,15 +229,3 @@
 	}
 	return j.beforeRetry(ctx, &legError{refused: step.notRun, cause: step.notRun}, tries)
 }
-
-// sleep waits and says whether the context still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
