--- a/routers/peer/table_test.go
+++ b/routers/peer/table_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/netip"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,10 +17,16 @@
 
 // heldState is a state that does not change by itself.
 type heldState struct {
-	state *fleet.State
+	state atomic.Pointer[fleet.State]
 }
 
-func (h *heldState) State() *fleet.State { return h.state }
+func newHeldState() *heldState {
+	h := &heldState{}
+	h.state.Store(fleet.New())
+	return h
+}
+
+func (h *heldState) State() *fleet.State { return h.state.Load() }
 
 // identity returns certificates of an authority of their own.
 func identity(t *testing.T) *peer.Identity {
@@ -50,7 +57,7 @@
 // Tables travel over the peer protocol as control.NewPeerSource asks for them.
 func TestTablesOverThePeerProtocol(t *testing.T) {
 	id := identity(t)
-	held := &heldState{state: fleet.New()}
+	held := newHeldState()
 	mux := http.NewServeMux()
 	mux.Handle(NewTables(held))
 	server, err := peer.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), id, mux)
@@ -66,7 +73,8 @@
 		t.Fatalf("a peer without tables gave %+v", state)
 	}
 	delta := table.Delta{Workspaces: map[string]table.Workspace{"clinics": {Weight: 3}}}
-	held.state, _ = held.state.Apply(4, time.Unix(0, 0), fleet.Publish{ID: "p", Delta: delta})
+	next, _ := held.State().Apply(4, time.Unix(0, 0), fleet.Publish{ID: "p", Delta: delta})
+	held.state.Store(next)
 	state, err := source.Current(t.Context(), server.Address(), 0)
 	if err != nil || state == nil || state.Next != 5 || state.Tables.Workspaces["clinics"].Weight != 3 {
 		t.Fatalf("got %+v, %v", state, err)
