coordination/version: the versioned table as a library

Cause: the compare-and-set on the published version, with its history of who won, stood inside models/fleet, so nobody else could embed it.

Change: version.Table holds version, published version and history; Replace takes effect only on the published base, Amend on any, both once an ID. It never changes in place. models/fleet decides by it and keeps the tables. State keeps History as []Publication, converted at each operator's change.

The tests that models/fleet had are untouched.

Mutations in scratch copies: 11 in version/table.go, each made the property or the history test fail (base check, duplicate checks, moved base, winner, Newer, clone, bound, version numbers); 5 in fleet/publication.go fail too, of which two (server not carried over) passed the old tests and fail the new ones.

--- a/models/fleet/state.go
+++ b/models/fleet/state.go
@@ -7,15 +7,9 @@
 	"github.com/crocusline/crocusline/models/table"
 )
 
-// What the state remembers of the past.
-const (
-	// historyLength is how many operators' changes are kept, to recognise a
-	// second record of one and to name the winner of a race.
-	historyLength = 256
-	// goneWindow is how long, by the log's clock, an ended incarnation is
-	// remembered, so that a late record can't bring it back.
-	goneWindow = 7 * 24 * time.Hour
-)
+// goneWindow is how long, by the log's clock, an ended incarnation is
+// remembered, so that a late record can't bring it back.
+const goneWindow = 7 * 24 * time.Hour
 
 // State is the state of the fleet at one offset of the control stream. It
 // never changes once built: Apply returns a new one.
@@ -84,12 +78,8 @@
 // Published returns the operator's change with the ID, if it took effect and
 // is remembered.
 func (s *State) Published(id string) (Publication, bool) {
-	for _, p := range s.History {
-		if p.ID == id {
-			return p, true
-		}
-	}
-	return Publication{}, false
+	change, known := s.versions().Find(id)
+	return publicationOf(change), known
 }
 
 // IsGone says whether the incarnation has ended for good.
