coordination/drain: the drain's decisions as a library

Cause: when a process takes no new work, and when it may stop, was decided inside services/drain under its mutex, and could not be embedded.

The tests that services/drain had are untouched.

--- /dev/null
+++ b/coordination/drain/example_test.go
@@ -0,0 +1,27 @@
+package drain_test
+
+import (
+	"fmt"
+
+	"github.com/crocusline/crocusline/coordination/drain"
+)
+
+func Example() {
+	var s drain.State
+	fmt.Println("in service, idle: safe", s.Safe())
+	s = s.Plan(true)
+	loads := []drain.Load{{Name: "requests", Count: 0}, {Name: "bills", Count: 2}}
+	fmt.Println("planned: draining", s.Draining(), "safe", s.Safe(loads...), "waits for", drain.WaitsFor(loads...))
+	loads[1].Count = 0
+	fmt.Println("nothing left: safe", s.Safe(loads...))
+	s = s.Plan(false)
+	fmt.Println("withdrawn: draining", s.Draining())
+	s = s.Close().Plan(true).Plan(false)
+	fmt.Println("closed, then withdrawn: draining", s.Draining())
+	// Output:
+	// in service, idle: safe false
+	// planned: draining true safe false waits for [{bills 2}]
+	// nothing left: safe true
+	// withdrawn: draining false
+	// closed, then withdrawn: draining true
+}
--- a/services/drain/drain.go
+++ b/services/drain/drain.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/crocusline/crocusline/coordination/drain"
 	"github.com/crocusline/crocusline/kernel"
 	"github.com/crocusline/crocusline/services/runner"
 )
@@ -45,9 +46,8 @@
 	work Drainable
 	log  hclog.Logger
 
-	mu      sync.Mutex
-	planned bool
-	closing bool
+	mu    sync.Mutex
+	state drain.State
 }
 
 // Option changes a Drainer at construction.
@@ -89,22 +89,25 @@
 func (d *Drainer) Plan(ctx context.Context, leaving bool) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.planned == leaving {
+	next := d.state.Plan(leaving)
+	if next == d.state {
 		return nil
 	}
-	if err := d.work.Drain(ctx, leaving || d.closing); err != nil {
+	if err := d.work.Drain(ctx, next.Draining()); err != nil {
 		return errors.WithMessage(err, "drain")
 	}
-	d.planned = leaving
+	d.state = next
 	d.log.Info("planned stop", "leaving", leaving)
 	return nil
 }
 
 // Draining reports whether the server takes no new work.
-func (d *Drainer) Draining() bool {
+func (d *Drainer) Draining() bool { return d.current().Draining() }
+
+func (d *Drainer) current() drain.State {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.planned || d.closing
+	return d.state
 }
 
 // WaitsFor returns what has to end before the stop is safe.
@@ -112,7 +115,15 @@
 
 // Safe reports whether the server takes no new work and nothing is left.
 func (d *Drainer) Safe() bool {
-	return d.Draining() && d.work.WaitsFor() == runner.Waiting{}
+	return d.current().Safe(loads(d.work.WaitsFor())...)
+}
+
+func loads(w runner.Waiting) []drain.Load {
+	return []drain.Load{
+		{Name: "requests", Count: w.Requests},
+		{Name: "relays", Count: w.Relays},
+		{Name: "bills", Count: w.Bills},
+	}
 }
 
 // Shutdown refuses new work and waits until nothing is left. When the context
@@ -120,7 +131,7 @@
 func (d *Drainer) Shutdown(ctx context.Context) error {
 	began := time.Now()
 	d.mu.Lock()
-	d.closing = true
+	d.state = d.state.Close()
 	err := d.work.Drain(ctx, true)
 	d.mu.Unlock()
 	if err != nil {
@@ -130,7 +141,7 @@
 	defer ticker.Stop()
 	for {
 		left := d.work.WaitsFor()
-		if left == (runner.Waiting{}) {
+		if d.current().Safe(loads(left)...) {
 			d.log.Info("drained", "waited", time.Since(began))
 			return nil
 		}
