--- a/standin/capacity/page.go
+++ b/standin/capacity/page.go
@@ -40,16 +40,31 @@
 }
 
 func measureAll(ctx context.Context, bin, dir string) ([]Result, error) {
-	measures := append(fleetMeasures(), ledgerMeasures()...)
 	dir, err := filepath.Abs(dir)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	results, err := runAll(ctx, append(fleetMeasures(), ledgerMeasures()...))
+	if err != nil {
+		return nil, err
+	}
+	for _, choose := range []func(*processes) []Measure{(*processes).controlMeasures, (*processes).requestMeasures} {
+		more, err := measureProcesses(ctx, bin, dir, choose)
+		if err != nil {
+			return nil, err
+		}
+		results = append(results, more...)
+	}
+	return results, nil
+}
+
+// measureProcesses takes measures of processes that are started for them.
+func measureProcesses(ctx context.Context, bin, dir string, choose func(*processes) []Measure) ([]Result, error) {
 	p, err := startProcesses(ctx, bin, dir)
 	if err != nil {
 		return nil, err
 	}
-	results, err := runAll(ctx, append(measures, p.measures()...))
+	results, err := runAll(ctx, choose(p))
 	if closeErr := p.Close(); err == nil {
 		err = closeErr
 	}
--- a/standin/capacity/streams.go
+++ b/standin/capacity/streams.go
@@ -39,10 +39,9 @@
 	changeTimeSpan = 5 * time.Second
 )
 
-// processMeasures cost an entry and a sidecar that run.
-func (p *processes) measures() []Measure {
-	tokens := []int{2500, 5000, 10000, 20000}
-	requests := []int{100, 200, 400, 800}
+// controlMeasures cost changes of configuration and open streams. The streams
+// are cancelled, which keeps the processes busy for a while afterwards.
+func (p *processes) controlMeasures() []Measure {
 	streams := []int{0, 100, 200, 400, 800}
 	changes := []int{5, 10, 20, 40}
 	return []Measure{
@@ -50,6 +49,14 @@
 		{entryTraffic, "traffic of an entry with the platform in 5 s", "B", "change of configuration", changes, p.trafficOf(entryName, p.change)},
 		{entryStream, "resident memory of an entry", "B", "open stream", streams, p.memoryOf(entryName)},
 		{sidecarStream, "resident memory of a sidecar", "B", "open stream", streams, p.memoryOf(sidecarName)},
+	}
+}
+
+// requestMeasures cost requests and their tokens.
+func (p *processes) requestMeasures() []Measure {
+	tokens := []int{2500, 5000, 10000, 20000}
+	requests := []int{100, 200, 400, 800}
+	return []Measure{
 		{entryToken, "processor time of an entry", "us", "token relayed", tokens, p.cpuOf(entryName, p.relay)},
 		{sidecarToken, "processor time of a sidecar", "us", "token relayed", tokens, p.cpuOf(sidecarName, p.relay)},
 		{entryRequest, "processor time of an entry", "us", "request of 4 tokens", requests, p.cpuOf(entryName, p.burst)},
