--- a/coordination/escrow/budget_test.go
+++ b/coordination/escrow/budget_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/crocusline/crocusline/coordination/escrow"
+	_ "github.com/crocusline/crocusline/tests/fixedseed"
 )
 
 func Example() {
--- a/coordination/fence/reader_test.go
+++ b/coordination/fence/reader_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/crocusline/crocusline/coordination/fence"
+	_ "github.com/crocusline/crocusline/tests/fixedseed"
 )
 
 var epochStart = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/coordination/once/registry_test.go
+++ b/coordination/once/registry_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/crocusline/crocusline/coordination/once"
+	_ "github.com/crocusline/crocusline/tests/fixedseed"
 )
 
 var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/coordination/version/table_test.go
+++ b/coordination/version/table_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/crocusline/crocusline/coordination/version"
+	_ "github.com/crocusline/crocusline/tests/fixedseed"
 )
 
 // anyChange draws a change that often collides with earlier ones.
--- a/models/fleet/fleet_test.go
+++ b/models/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/crocusline/crocusline/models/fleet"
 	"github.com/crocusline/crocusline/models/table"
 	"github.com/crocusline/crocusline/modules/codec"
+	_ "github.com/crocusline/crocusline/tests/fixedseed"
 )
 
 var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
--- a/models/ledger/state_test.go
+++ b/models/ledger/state_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/crocusline/crocusline/models/ledger"
+	_ "github.com/crocusline/crocusline/tests/fixedseed"
 )
 
 var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/models/placement/placement_test.go
+++ b/models/placement/placement_test.go
@@ -12,6 +12,7 @@
 	"github.com/crocusline/crocusline/models/queue"
 	"github.com/crocusline/crocusline/models/rank"
 	"github.com/crocusline/crocusline/models/refusal"
+	_ "github.com/crocusline/crocusline/tests/fixedseed"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/models/retry/retry_test.go
+++ b/models/retry/retry_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/retry"
+	_ "github.com/crocusline/crocusline/tests/fixedseed"
 )
 
 func failed(idempotent, dispatched bool, reason refusal.Reason, outcome refusal.Outcome) retry.Attempt {
--- a/models/table/table_test.go
+++ b/models/table/table_test.go
@@ -16,6 +16,7 @@
 	"github.com/crocusline/crocusline/models/table"
 	"github.com/crocusline/crocusline/modules/codec"
 	"github.com/crocusline/crocusline/modules/setting"
+	_ "github.com/crocusline/crocusline/tests/fixedseed"
 )
 
 const (
