Remember the bills of the window by hash

Change: hashes, written without field names. Mutations: hash left empty, window not restored: each fails a test of models/ledger.

--- a/models/ledger/state.go
+++ b/models/ledger/state.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"crypto/sha256"
 	"slices"
 	"time"
 
@@ -55,10 +56,22 @@
 	ClosedAt time.Time `json:"closedAt"`
 }
 
-// billedKey remembers the bill of a caller's key.
-type billedKey struct {
-	Key string    `json:"key"`
-	At  time.Time `json:"at"`
+// requestHash names a billed request in a shard: the first half of a SHA-256,
+// because callers choose their keys and must find no two with one hash.
+type requestHash [sha256.Size / 2]byte
+
+func hashRequest(workspace, identity string) (h requestHash) {
+	sum := sha256.Sum256([]byte(attemptKey(workspace, identity)))
+	copy(h[:], sum[:])
+	return h
+}
+
+// billedRequest remembers the bill of a request. A checkpoint holds very many, so
+// that they are written without field names.
+type billedRequest struct {
+	_    struct{} `cbor:",toarray"`
+	Hash requestHash
+	At   time.Time
 }
 
 // State is the state of one shard. It is not safe for concurrent use.
@@ -66,19 +79,19 @@
 	budgets  map[string]*budget
 	holders  map[string]*holder
 	attempts *once.Registry
-	// billed lists the keys of bills in the order of their log time.
-	billed     []billedKey
-	billedKeys map[string]bool
-	now        time.Time
+	// billed lists the bills of the window in the order of their log time.
+	billed   []billedRequest
+	isBilled map[requestHash]bool
+	now      time.Time
 }
 
 // New returns the state of an empty stream.
 func New() *State {
 	return &State{
-		budgets:    map[string]*budget{},
-		holders:    map[string]*holder{},
-		attempts:   once.New(),
-		billedKeys: map[string]bool{},
+		budgets:  map[string]*budget{},
+		holders:  map[string]*holder{},
+		attempts: once.New(),
+		isBilled: map[requestHash]bool{},
 	}
 }
 
@@ -157,8 +170,8 @@
 		b.WriteOff.Tokens += min(e.Tokens, e.Hold.Tokens)
 		return WrittenOff
 	}
-	key := attemptKey(e.Workspace, e.identity())
-	repeated := s.billedKeys[key]
+	request := hashRequest(e.Workspace, e.identity())
+	repeated := s.isBilled[request]
 	spent := e.Tokens
 	if repeated {
 		spent = 0
@@ -167,12 +180,12 @@
 		return effectOf(err)
 	}
 	h.Settled.Add(e.Hold.Sequence)
-	return s.count(b, e, key, repeated)
+	return s.count(b, e, request, repeated)
 }
 
 // count counts a bill whose hold was settled just now. A bill of no tokens only
 // gives the hold back.
-func (s *State) count(b *budget, e Bill, key string, repeated bool) Effect {
+func (s *State) count(b *budget, e Bill, request requestHash, repeated bool) Effect {
 	if repeated {
 		b.Duplicates++
 		return Duplicate
@@ -181,8 +194,8 @@
 		return Applied
 	}
 	b.Bills++
-	s.billedKeys[key] = true
-	s.billed = append(s.billed, billedKey{Key: key, At: s.now})
+	s.isBilled[request] = true
+	s.billed = append(s.billed, billedRequest{Hash: request, At: s.now})
 	return Applied
 }
 
@@ -221,7 +234,7 @@
 func (s *State) forget() {
 	n := 0
 	for n < len(s.billed) && s.now.Sub(s.billed[n].At) > KeyWindow {
-		delete(s.billedKeys, s.billed[n].Key)
+		delete(s.isBilled, s.billed[n].Hash)
 		n++
 	}
 	s.billed = s.billed[n:]
--- a/models/ledger/view.go
+++ b/models/ledger/view.go
@@ -109,7 +109,7 @@
 	Budgets  map[string]*budget      `json:"budgets"`
 	Holders  map[string]*holder      `json:"holders"`
 	Attempts map[string]once.Attempt `json:"attempts"`
-	Billed   []billedKey             `json:"billed"`
+	Billed   []billedRequest         `json:"billed"`
 	Now      time.Time               `json:"now"`
 }
 
@@ -147,7 +147,7 @@
 	fresh.attempts.Restore(snap.Attempts)
 	fresh.billed = snap.Billed
 	for _, k := range snap.Billed {
-		fresh.billedKeys[k.Key] = true
+		fresh.isBilled[k.Hash] = true
 	}
 	fresh.now = snap.Now
 	*s = *fresh
