--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -26,6 +26,7 @@
 func commands() []command {
 	return []command{
 		newEntryCommand(),
+		newGatewayCommand(),
 		newSidecarCommand(),
 		newSubmitCommand(),
 		newPublishCommand(),
--- /dev/null
+++ b/services/follower/follower.go
@@ -0,0 +1,185 @@
+// Package follower keeps a process up to date with one topic of the platform's
+// store: first the newest record of each key, then all changes in order.
+package follower
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/models/record"
+	"github.com/crocusline/crocusline/modules/delay"
+)
+
+// Defaults of the options.
+const (
+	// DefaultWait is how long the store may hold a read without news. With the
+	// client's own timeout it bounds how long a silent connection goes unnoticed.
+	DefaultWait = 700 * time.Millisecond
+	// DefaultPace is the shortest time between two reads. Reads are priced, and
+	// changes may take a second to be followed.
+	DefaultPace = 200 * time.Millisecond
+
+	firstRetry   = 100 * time.Millisecond
+	longestRetry = 500 * time.Millisecond
+)
+
+// Log is the store.
+type Log interface {
+	// Read returns records from an offset on, waiting for one if there is none.
+	Read(ctx context.Context, r record.Read) (record.Batch, error)
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context, topic string) (record.Newest, error)
+}
+
+// Handler takes what was read. It is called by one goroutine.
+type Handler interface {
+	// Reset replaces all that is known by the newest records.
+	Reset(records []record.Record, next int64)
+	// Apply takes changes; next is the offset after them.
+	Apply(records []record.Record, next int64)
+	// Reached says whether the topic could be read just now.
+	Reached(ok bool)
+}
+
+// Option changes a Follower at construction.
+type Option func(*Follower)
+
+// WithPace sets the shortest time between two reads.
+func WithPace(d time.Duration) Option { return func(f *Follower) { f.pace = d } }
+
+// WithWait sets how long the store may hold a read without news.
+func WithWait(d time.Duration) Option { return func(f *Follower) { f.wait = d } }
+
+// Follower follows one topic.
+type Follower struct {
+	log     hclog.Logger
+	from    Log
+	topic   string
+	handler Handler
+	pace    time.Duration
+	wait    time.Duration
+
+	next      int64
+	known     bool
+	reachable atomic.Bool
+	answered  atomic.Int64
+	began     time.Time
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
+}
+
+// New returns a follower of the topic.
+func New(log hclog.Logger, from Log, topic string, handler Handler, opts ...Option) *Follower {
+	f := &Follower{
+		log: log.With("topic", topic), from: from, topic: topic, handler: handler,
+		pace: DefaultPace, wait: DefaultWait, began: time.Now(),
+	}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// Start begins to follow.
+func (f *Follower) Start(ctx context.Context) {
+	ctx, f.cancel = context.WithCancel(ctx)
+	f.done.Go(func() { f.run(ctx) })
+}
+
+// Close ends the following and waits for it.
+func (f *Follower) Close() error {
+	if f.cancel != nil {
+		f.cancel()
+	}
+	f.done.Wait()
+	return nil
+}
+
+// Reachable says whether the last read was answered.
+func (f *Follower) Reachable() bool { return f.reachable.Load() }
+
+// Age is the time since the topic was last read.
+func (f *Follower) Age() time.Duration {
+	return time.Since(f.began) - time.Duration(f.answered.Load())
+}
+
+func (f *Follower) run(ctx context.Context) {
+	policy := backoff.ExponentialBackOff{
+		InitialInterval: firstRetry, Multiplier: backoff.DefaultMultiplier, MaxInterval: longestRetry,
+		RandomizationFactor: backoff.DefaultRandomizationFactor,
+	}
+	policy.Reset()
+	for ctx.Err() == nil {
+		began := time.Now()
+		err := f.step(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		f.note(err)
+		pause := f.pace - time.Since(began)
+		if err != nil {
+			pause = policy.NextBackOff()
+		} else {
+			policy.Reset()
+		}
+		if pause > 0 && !delay.Wait(ctx, pause) {
+			return
+		}
+	}
+}
+
+// note logs a change of the topic's reachability and tells the handler.
+func (f *Follower) note(err error) {
+	var expired *record.ExpiredError
+	if errors.As(err, &expired) {
+		f.log.Warn("records expired", "error", err)
+		return
+	}
+	ok := err == nil
+	was := f.reachable.Swap(ok)
+	switch {
+	case ok && !was:
+		f.log.Info("store reached", "next", f.next, "age", f.Age())
+	case !ok && was:
+		f.log.Warn("store lost", "next", f.next, "error", err)
+	case !ok:
+		f.log.Debug("store still lost", "error", err)
+	}
+	if ok {
+		f.answered.Store(int64(time.Since(f.began)))
+	}
+	f.handler.Reached(ok)
+}
+
+// step makes one read.
+func (f *Follower) step(ctx context.Context) error {
+	if !f.known {
+		newest, err := f.from.Newest(ctx, f.topic)
+		if err != nil {
+			return err
+		}
+		f.handler.Reset(newest.Records, newest.Next)
+		f.next, f.known = newest.Next, true
+		return nil
+	}
+	batch, err := f.from.Read(ctx, record.Read{Topic: f.topic, From: f.next, Wait: f.wait})
+	if err != nil {
+		var expired *record.ExpiredError
+		if errors.As(err, &expired) {
+			f.known = false
+		}
+		return err
+	}
+	if batch.Unreadable > 0 {
+		f.log.Warn("unreadable records", "count", batch.Unreadable, "next", batch.Next)
+	}
+	f.handler.Apply(batch.Records, batch.Next)
+	f.next = batch.Next
+	return nil
+}
--- /dev/null
+++ b/services/prepaid/prepaid.go
@@ -0,0 +1,418 @@
+// Package prepaid keeps an entry's part of each workspace's prepaid tokens: it
+// follows the accounts in the platform's store, grows and shrinks the entry's
+// grants there, and reserves tokens for requests from them without asking anybody.
+package prepaid
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/kernel"
+	"github.com/crocusline/crocusline/models/prepaid"
+	"github.com/crocusline/crocusline/models/record"
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/route"
+	"github.com/crocusline/crocusline/services/follower"
+)
+
+// Name is the service's name.
+const Name = "prepaid"
+
+const (
+	// writeInterval is how often grants are compared with what they should be.
+	writeInterval = 400 * time.Millisecond
+	// urgentInterval is the shortest time between two writes while requests wait.
+	urgentInterval = 20 * time.Millisecond
+	// grantWait is how long a request waits for a larger grant: some exchanges with
+	// the store, a small part of the most urgent goal.
+	grantWait = 120 * time.Millisecond
+	// wantedMemory is how long a refused request counts as wanting tokens.
+	wantedMemory = time.Second
+	// usualDay is the time in which a workspace is assumed to use its prepaid total
+	// until its demand was seen.
+	usualDay = 45 * time.Second
+	// assumedEntries is the number of entries until their accounts are known.
+	assumedEntries = 4
+	// comeBack is when a caller may try another entry, which may hold tokens.
+	comeBack = 300 * time.Millisecond
+	// followPace is the shortest time between two reads of the accounts.
+	followPace = 20 * time.Millisecond
+)
+
+// Log is the store.
+type Log interface {
+	follower.Log
+	// Append writes records if the topic ends at the offset.
+	Append(ctx context.Context, topic string, at int64, records []record.Record) error
+}
+
+// Tables gives the tables in force.
+type Tables interface {
+	Table() *route.Table
+}
+
+// Option changes a Service at construction.
+type Option func(*Service)
+
+// WithPlanner sets how grants are sized.
+func WithPlanner(p *prepaid.Planner) Option { return func(s *Service) { s.planner = p } }
+
+// Service holds the entry's purses.
+type Service struct {
+	log         hclog.Logger
+	store       Log
+	topic       string
+	tables      Tables
+	instance    string
+	incarnation string
+	planner     *prepaid.Planner
+	follower    *follower.Follower
+
+	mu       sync.Mutex
+	accounts map[string]prepaid.Account
+	purses   map[string]*purse
+	next     int64
+	known    bool
+	changed  chan struct{}
+
+	kick   chan struct{}
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// purse is one workspace's purse and since when it lacked tokens.
+type purse struct {
+	*prepaid.Purse
+	wanted time.Time
+}
+
+// New returns the service of an incarnation of the instance.
+func New(log hclog.Logger, store Log, topic string, tables Tables, instance, incarnation string, opts ...Option) *Service {
+	s := &Service{
+		log: log.Named(Name), store: store, topic: topic, tables: tables,
+		instance: instance, incarnation: incarnation, planner: prepaid.NewPlanner(),
+		accounts: map[string]prepaid.Account{}, purses: map[string]*purse{},
+		changed: make(chan struct{}), kick: make(chan struct{}, 1),
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.follower = follower.New(s.log, store, topic, handler{s}, follower.WithPace(followPace))
+	return s
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Start implements kernel.Service.
+func (s *Service) Start(ctx context.Context, _ *kernel.Kernel) error {
+	ctx, s.cancel = context.WithCancel(ctx)
+	s.follower.Start(ctx)
+	s.done.Go(func() { s.writeAll(ctx) })
+	return nil
+}
+
+// Close implements kernel.Service. Unused tokens go back first, if the store can
+// be reached.
+func (s *Service) Close() error {
+	if s.cancel != nil {
+		s.cancel()
+	}
+	s.done.Wait()
+	err := s.follower.Close()
+	if s.follower.Reachable() {
+		s.giveBack()
+	}
+	return err
+}
+
+// Ready says whether the accounts are known.
+func (s *Service) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known
+}
+
+// Hold is tokens set aside for one request.
+type Hold struct {
+	service   *Service
+	workspace string
+	tokens    int64
+}
+
+// Settle ends the hold with the tokens that the request used.
+func (h *Hold) Settle(used int64) {
+	if h == nil {
+		return
+	}
+	h.service.mu.Lock()
+	defer h.service.mu.Unlock()
+	h.service.purses[h.workspace].Settle(h.tokens, used)
+}
+
+// Reserve sets aside the most that a request can cost. It returns a nil Hold for
+// a workspace without a prepaid total.
+func (s *Service) Reserve(ctx context.Context, w route.Workspace, tokens int64) (*Hold, error) {
+	if !w.Limited || tokens == 0 {
+		return nil, nil
+	}
+	deadline := time.NewTimer(grantWait)
+	defer deadline.Stop()
+	for asked := false; ; asked = true {
+		changed, err := s.tryReserve(w, tokens, asked)
+		if err == nil {
+			return &Hold{service: s, workspace: w.Name, tokens: tokens}, nil
+		}
+		if err.Reason == refusal.BudgetExhausted || !s.follower.Reachable() {
+			return nil, err
+		}
+		s.urge()
+		select {
+		case <-changed:
+		case <-deadline.C:
+			return nil, err
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+// tryReserve reserves from what is granted. If that fails it returns a channel
+// that is closed with the next change of the accounts, and the refusal.
+func (s *Service) tryReserve(w route.Workspace, tokens int64, asked bool) (<-chan struct{}, *refusal.Error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	p := s.purse(w, now)
+	if !asked {
+		p.Asked(now, tokens)
+	}
+	if p.Reserve(tokens) {
+		return nil, nil
+	}
+	p.Want(tokens)
+	p.wanted = now
+	account, known := s.accounts[w.Name]
+	if known && account.Unspent(w.Prepaid) < tokens {
+		return s.changed, refusal.New(refusal.BudgetExhausted, 0, "the prepaid tokens do not cover the request: top up")
+	}
+	return s.changed, refusal.New(refusal.BudgetUnreachable, comeBack,
+		"this entry holds too few of the workspace's tokens: come back, another entry may hold more")
+}
+
+// purse returns the workspace's purse.
+func (s *Service) purse(w route.Workspace, now time.Time) *purse {
+	p, known := s.purses[w.Name]
+	if !known {
+		entries := max(len(s.accounts[w.Name].Grants), assumedEntries)
+		prior := float64(w.Prepaid) / usualDay.Seconds() / float64(entries)
+		p = &purse{Purse: prepaid.NewPurse(now, prior)}
+		if g, held := s.accounts[w.Name].Grants[s.instance]; held && g.Incarnation == s.incarnation {
+			p.SetGranted(g.Total)
+		}
+		s.purses[w.Name] = p
+	}
+	return p
+}
+
+// Balance is what an entry knows of a workspace's tokens, for log lines.
+type Balance struct {
+	Free    int64
+	Unspent int64
+	Age     time.Duration
+}
+
+// Balance returns what is known of the workspace's tokens.
+func (s *Service) Balance(w route.Workspace) Balance {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := Balance{Unspent: s.accounts[w.Name].Unspent(w.Prepaid), Age: s.follower.Age()}
+	if p, known := s.purses[w.Name]; known {
+		b.Free = p.Free()
+	}
+	return b
+}
+
+func (s *Service) urge() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
+
+// writeAll compares the grants with what they should be, from time to time and
+// when a request lacks tokens.
+func (s *Service) writeAll(ctx context.Context) {
+	ticker := time.NewTicker(writeInterval)
+	defer ticker.Stop()
+	for last := time.Now(); ; last = time.Now() {
+		select {
+		case <-ticker.C:
+		case <-s.kick:
+			if wait := urgentInterval - time.Since(last); wait > 0 {
+				time.Sleep(wait)
+			}
+		case <-ctx.Done():
+			return
+		}
+		if s.follower.Reachable() {
+			s.write(ctx)
+		}
+	}
+}
+
+// write makes one conditional write of the accounts that should change.
+func (s *Service) write(ctx context.Context) {
+	records, at := s.plan(time.Now())
+	if len(records) == 0 {
+		return
+	}
+	err := s.store.Append(ctx, s.topic, at, records)
+	var conflict *record.ConflictError
+	var refused *record.RefusedError
+	switch {
+	case err == nil:
+		s.wrote(records, at)
+	case errors.As(err, &conflict):
+		s.log.Debug("grant conflicted", "at", at, "end", conflict.End)
+	case errors.As(err, &refused):
+		s.log.Warn("grant refused", "at", at, "error", err)
+	default:
+		// The write may still take effect; the totals that were lowered stay so until
+		// the topic was read beyond the offset.
+		s.log.Warn("grant outcome unknown", "at", at, "error", err)
+	}
+}
+
+// plan returns the records to write and the offset at which they may be.
+func (s *Service) plan(now time.Time) ([]record.Record, int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	table := s.tables.Table()
+	if table == nil || !s.known {
+		return nil, 0
+	}
+	var records []record.Record
+	for _, w := range limited(table) {
+		p := s.purse(w, now)
+		if now.Sub(p.wanted) > wantedMemory {
+			p.ForgetWanted()
+		}
+		next, changed := s.planner.Plan(s.accounts[w.Name], w.Prepaid, p.Holder(now, s.instance, s.incarnation))
+		if !changed {
+			continue
+		}
+		value, err := next.Encode()
+		if err != nil {
+			s.log.Error("account not encoded", "workspace", w.Name, "error", err)
+			continue
+		}
+		p.Sent(s.next, next.Grants[s.instance].Total)
+		records = append(records, record.Record{Key: w.Name, Value: value})
+	}
+	return records, s.next
+}
+
+// limited returns the workspaces with a prepaid total, by name.
+func limited(t *route.Table) []route.Workspace {
+	var all []route.Workspace
+	for _, w := range t.Workspaces {
+		if w.Limited {
+			all = append(all, w)
+		}
+	}
+	slices.SortFunc(all, func(a, b route.Workspace) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
+// wrote applies a write of this entry's own that was acknowledged at the offset.
+func (s *Service) wrote(records []record.Record, at int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next != at {
+		return
+	}
+	for i := range records {
+		records[i].Offset = at + int64(i)
+	}
+	s.apply(records, at+int64(len(records)))
+}
+
+// apply takes records that begin where the accounts end.
+func (s *Service) apply(records []record.Record, next int64) {
+	for _, r := range records {
+		if r.Offset < s.next || r.Value == nil {
+			continue
+		}
+		account, err := prepaid.ParseAccount(r.Value)
+		if err != nil {
+			s.log.Error("account not readable", "workspace", r.Key, "offset", r.Offset, "error", err)
+			continue
+		}
+		s.accounts[r.Key] = account
+		s.take(r.Key, account, r.Offset)
+	}
+	if next > s.next {
+		s.next = next
+		for _, p := range s.purses {
+			p.Reached(next)
+		}
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+// take moves the entry's own grant into its purse.
+func (s *Service) take(workspace string, account prepaid.Account, offset int64) {
+	p, known := s.purses[workspace]
+	if !known {
+		return
+	}
+	total := int64(0)
+	if g, held := account.Grants[s.instance]; held && g.Incarnation == s.incarnation {
+		total = g.Total
+	}
+	p.SetGranted(total)
+	s.log.Debug("grant read", "workspace", workspace, "total", total, "free", p.Free(), "offset", offset)
+}
+
+// giveBack returns the unused tokens before the process ends.
+func (s *Service) giveBack() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	s.mu.Lock()
+	s.planner = prepaid.NewPlanner(prepaid.WithHorizon(0), prepaid.WithSlack(0))
+	for _, p := range s.purses {
+		p.ForgetWanted()
+	}
+	s.mu.Unlock()
+	s.write(ctx)
+}
+
+// handler takes what the follower reads.
+type handler struct{ s *Service }
+
+// Reset implements follower.Handler.
+func (h handler) Reset(records []record.Record, next int64) {
+	h.s.mu.Lock()
+	defer h.s.mu.Unlock()
+	h.s.next = 0
+	h.s.apply(records, next)
+	h.s.known = true
+}
+
+// Apply implements follower.Handler.
+func (h handler) Apply(records []record.Record, next int64) {
+	h.s.mu.Lock()
+	defer h.s.mu.Unlock()
+	h.s.apply(records, next)
+}
+
+// Reached implements follower.Handler.
+func (handler) Reached(bool) {}
