Bound what a killed entry can have spent by terms in its newest record

Change: a grant carries terms: little beyond what was recorded for the first 3 s, then what a cut needs. A successor counts as spent what the terms allowed until it started, by the machine's uptime or, after a power loss, by the time of day. Streams wait twice their goal for a first event before another server.

--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -4,17 +4,30 @@
 
 // Defaults of a Planner.
 const (
-	// DefaultHorizon is the time for which an entry holds tokens: the longest cut
-	// from the store on the operators' ordinary days, 9 s, at twice the demand.
-	DefaultHorizon = 18 * time.Second
+	// DefaultHorizon is the time for which an entry holds tokens: the length of the
+	// operators' ordinary days, since nothing is lost by holding them.
+	DefaultHorizon = 60 * time.Second
 	// DefaultSlack is the part of the target by which a grant may be off before it
 	// is written anew. It keeps small changes of the demand from costing a call.
 	DefaultSlack = 0.2
+	// windowPart of what is left may be spent at once beyond what was recorded. All
+	// entries together lose some times as much when they are killed.
+	windowPart = 0.02
+	// cutWindow is what an entry that is cut off may spend at once: one large
+	// request, of up to ten times the usual size, or the demand of cutDemand.
+	cutWindow = 30_000
+	cutDemand = 2 * time.Second
+	// ratePart and cutRatePart of the demand is the speed of spending, before and
+	// after it is clear that an entry is cut off. Workspaces send several times
+	// their usual at times.
+	ratePart    = 1.3
+	cutRatePart = 2.5
 )
 
-// Planner decides how large an entry's grant should be. It is made for a load
-// that reaches entries unevenly, with cuts from the store that begin without
-// notice and workspaces that send several times their usual.
+// Planner decides how large an entry's grant should be, and by which terms it may
+// be spent. It is made for a load that reaches entries unevenly, with cuts from
+// the store that begin without notice, workspaces that send several times their
+// usual, and entries that are killed all at once.
 type Planner struct {
 	horizon time.Duration
 	slack   float64
@@ -42,6 +55,11 @@
 type Holder struct {
 	Instance    string
 	Incarnation string
+	// Sequence is the number of the record to write.
+	Sequence int64
+	Now      Clock
+	// Newest is the latest time of day in the records of all entries.
+	Newest int64
 	// Spent is what was used, Held what requests under way may still use.
 	Spent int64
 	Held  int64
@@ -57,9 +75,8 @@
 	next := a.clone()
 	old, known := next.Grants[h.Instance]
 	if known && old.Incarnation != h.Incarnation {
-		next.Closed += old.Total
+		next.close(h.Instance, h.Now, h.Newest)
 		old, known = Grant{}, false
-		delete(next.Grants, h.Instance)
 	}
 	committed := h.Spent + h.Held
 	target := p.target(next, prepaid, h)
@@ -71,47 +88,50 @@
 		total = committed + target
 	}
 	total = max(total, committed)
-	next.Grants[h.Instance] = Grant{
-		Incarnation: h.Incarnation, Total: total, Spent: h.Spent, Demand: h.Demand, Wanted: missing(h.Wanted, total-committed),
+	grant := Grant{
+		Terms: terms(total, h, next.Unspent(prepaid)), Incarnation: h.Incarnation, Sequence: h.Sequence, Sent: h.Now,
+		Spent: h.Spent, Demand: h.Demand, Wanted: max(0, h.Wanted-(total-committed)),
 	}
-	return next, !known || p.differs(old, next.Grants[h.Instance], target)
+	next.Grants[h.Instance] = grant
+	return next, !known || differs(old, grant)
 }
 
-// missing is the part of what is wanted that free tokens don't cover.
-func missing(wanted, free int64) int64 { return max(0, wanted-free) }
+// terms bound the spending of a grant.
+func terms(total int64, h Holder, unspent int64) Terms {
+	return Terms{
+		Total: total, Committed: h.Spent + h.Held,
+		Window: max(h.Wanted, min(cutWindow, int64(float64(unspent)*windowPart))), Rate: h.Demand * ratePart,
+		CutWindow: max(cutWindow, int64(h.Demand*cutDemand.Seconds())), CutRate: h.Demand * cutRatePart,
+	}
+}
+
+// differs says whether the record tells others something new.
+func differs(old, next Grant) bool {
+	return old.Total != next.Total || old.Committed != next.Committed || old.Spent != next.Spent ||
+		(old.Wanted == 0) != (next.Wanted == 0)
+}
 
 // target is the number of free tokens that the holder should have: enough for
 // the horizon while there is plenty, and its share by demand of what is left.
 func (p *Planner) target(a Account, prepaid int64, h Holder) int64 {
 	others, called := 0.0, int64(0)
+	left := prepaid - a.Closed - h.Spent - h.Held
 	for name, g := range a.Grants {
 		if name != h.Instance {
 			others += g.Demand
 			called += g.Wanted
-		}
-	}
-	left := prepaid - a.Closed - h.Spent - h.Held
-	for name, g := range a.Grants {
-		if name != h.Instance {
 			left -= g.Spent
 		}
 	}
 	target := h.Demand * p.horizon.Seconds()
+	share := 1.0
 	if all := h.Demand + others; all > 0 {
-		target = min(target, float64(max(0, left))*h.Demand/all)
+		share = h.Demand / all
+		target = min(target, float64(max(0, left))*share)
 	}
-	if unassigned := prepaid - a.Granted(); called > 0 && unassigned < called {
+	if unassigned := prepaid - a.Granted(); called > max(0, unassigned) {
 		// Others refuse requests for want of what lies idle here.
-		target = min(target, float64(max(0, left-called))*h.Demand/(h.Demand+others+1))
+		target = min(target, float64(max(0, left-called))*share)
 	}
 	return int64(target)
 }
-
-// differs says whether the record tells others something new.
-func (p *Planner) differs(old, next Grant, target int64) bool {
-	if old.Total != next.Total || (old.Wanted == 0) != (next.Wanted == 0) {
-		return true
-	}
-	margin := int64(float64(target) * p.slack)
-	return next.Spent-old.Spent > margin
-}
--- a/models/prepaid/purse.go
+++ b/models/prepaid/purse.go
@@ -10,19 +10,26 @@
 	// than the pause between two requests of a small workspace at one entry.
 	demandMemory = 8 * time.Second
 	// priorWeight is for how long of observation the assumed demand counts.
-	priorWeight = 4 * time.Second
+	priorWeight = time.Second
 )
 
+// sentTerms are terms that were written, and since when they count.
+type sentTerms struct {
+	Terms
+	at time.Time
+}
+
 // Purse is an entry's own account of one workspace's grant. It can't be used by
 // several goroutines at once.
 type Purse struct {
-	granted int64
-	// limits are totals that were written but not read back, by the offset at
-	// which their write was to take effect. They bind if they are lower.
-	limits map[int64]int64
-	spent  int64
-	held   int64
-	wanted int64
+	// inForce are the terms that were read back.
+	inForce sentTerms
+	// pending are terms that were written but not read back, by their number. Any
+	// of them may be in force, so all bind.
+	pending map[int64]pendingTerms
+	spent   int64
+	held    int64
+	wanted  int64
 
 	prior    float64
 	started  time.Time
@@ -30,41 +37,54 @@
 	updated  time.Time
 }
 
+// pendingTerms are terms whose write was to take effect at an offset.
+type pendingTerms struct {
+	sentTerms
+	offset int64
+}
+
 // NewPurse returns an empty purse that assumes a demand in tokens a second
 // until it has seen some.
 func NewPurse(now time.Time, prior float64) *Purse {
-	return &Purse{limits: map[int64]int64{}, prior: prior, started: now, updated: now}
+	return &Purse{pending: map[int64]pendingTerms{}, prior: prior, started: now, updated: now}
 }
 
-// SetGranted sets the total that was read back from the record.
-func (p *Purse) SetGranted(total int64) { p.granted = total }
+// Sent notes terms that are being written at the offset under a number.
+func (p *Purse) Sent(now time.Time, sequence, offset int64, t Terms) {
+	p.pending[sequence] = pendingTerms{sentTerms: sentTerms{Terms: t, at: now}, offset: offset}
+}
 
-// Sent notes a total that is being written at the offset.
-func (p *Purse) Sent(offset, total int64) { p.limits[offset] = total }
+// InForce notes that the terms of that number were read back.
+func (p *Purse) InForce(sequence int64) {
+	if t, known := p.pending[sequence]; known {
+		p.inForce = t.sentTerms
+		delete(p.pending, sequence)
+	}
+}
 
-// Reached drops the notes on writes before the offset: they took effect and were
-// read back, or never will.
+// Reached drops the terms whose write was to take effect before the offset: they
+// were read back, or never will be in force.
 func (p *Purse) Reached(offset int64) {
-	for at := range p.limits {
-		if at < offset {
-			delete(p.limits, at)
+	for sequence, t := range p.pending {
+		if t.offset < offset {
+			delete(p.pending, sequence)
 		}
 	}
 }
 
 // Free is what new requests may use.
-func (p *Purse) Free() int64 {
-	total := p.granted
-	for _, limit := range p.limits {
-		total = min(total, limit)
+func (p *Purse) Free(now time.Time) int64 {
+	limit := p.inForce.limit(now.Sub(p.inForce.at))
+	for _, t := range p.pending {
+		limit = min(limit, t.limit(now.Sub(t.at)))
 	}
-	return total - p.spent - p.held
+	return limit - p.spent - p.held
 }
 
-// Reserve holds the most that a request can cost, and reports whether the grant
-// covers it.
-func (p *Purse) Reserve(tokens int64) bool {
-	if tokens > p.Free() {
+// Reserve holds the most that a request can cost, and reports whether the terms
+// cover it.
+func (p *Purse) Reserve(now time.Time, tokens int64) bool {
+	if tokens > p.Free(now) {
 		return false
 	}
 	p.held += tokens
@@ -77,7 +97,7 @@
 	p.spent += min(used, held)
 }
 
-// Want notes a request that the grant did not cover.
+// Want notes a request that the terms did not cover.
 func (p *Purse) Want(tokens int64) { p.wanted = max(p.wanted, tokens) }
 
 // ForgetWanted drops the note on refused requests.
@@ -103,10 +123,8 @@
 	return (p.prior*priorWeight.Seconds() + p.observed) / (priorWeight.Seconds() + span)
 }
 
-// Holder returns the entry's view of its grant.
-func (p *Purse) Holder(now time.Time, instance, incarnation string) Holder {
-	return Holder{
-		Instance: instance, Incarnation: incarnation,
-		Spent: p.spent, Held: p.held, Demand: p.Demand(now), Wanted: p.wanted,
-	}
+// Holder fills in the entry's view of its grant.
+func (p *Purse) Holder(now time.Time, h Holder) Holder {
+	h.Spent, h.Held, h.Demand, h.Wanted = p.spent, p.held, p.Demand(now), p.wanted
+	return h
 }
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -18,6 +18,7 @@
 	"github.com/crocusline/crocusline/models/record"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/route"
+	"github.com/crocusline/crocusline/modules/uptime"
 	"github.com/crocusline/crocusline/services/follower"
 )
 
@@ -74,12 +75,17 @@
 	planner     *prepaid.Planner
 	follower    *follower.Follower
 
+	wall     *uptime.Wall
+	sequence int64
+
 	mu       sync.Mutex
 	accounts map[string]prepaid.Account
-	purses   map[string]*purse
-	next     int64
-	known    bool
-	changed  chan struct{}
+	// broken are the workspaces whose newest record can't be decoded.
+	broken  map[string]bool
+	purses  map[string]*purse
+	next    int64
+	known   bool
+	changed chan struct{}
 
 	kick   chan struct{}
 	cancel context.CancelFunc
@@ -97,7 +103,8 @@
 	s := &Service{
 		log: log.Named(Name), store: store, topic: topic, tables: tables,
 		instance: instance, incarnation: incarnation, planner: prepaid.NewPlanner(),
-		accounts: map[string]prepaid.Account{}, purses: map[string]*purse{},
+		wall:     uptime.NewWall(),
+		accounts: map[string]prepaid.Account{}, broken: map[string]bool{}, purses: map[string]*purse{},
 		changed: make(chan struct{}), kick: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
@@ -193,7 +200,7 @@
 	if !asked {
 		p.Asked(now, tokens)
 	}
-	if p.Reserve(tokens) {
+	if p.Reserve(now, tokens) {
 		return nil, nil
 	}
 	p.Want(tokens)
@@ -213,9 +220,6 @@
 		entries := max(len(s.accounts[w.Name].Grants), assumedEntries)
 		prior := float64(w.Prepaid) / usualDay.Seconds() / float64(entries)
 		p = &purse{Purse: prepaid.NewPurse(now, prior)}
-		if g, held := s.accounts[w.Name].Grants[s.instance]; held && g.Incarnation == s.incarnation {
-			p.SetGranted(g.Total)
-		}
 		s.purses[w.Name] = p
 	}
 	return p
@@ -234,7 +238,7 @@
 	defer s.mu.Unlock()
 	b := Balance{Unspent: s.accounts[w.Name].Unspent(w.Prepaid), Age: s.follower.Age()}
 	if p, known := s.purses[w.Name]; known {
-		b.Free = p.Free()
+		b.Free = p.Free(time.Now())
 	}
 	return b
 }
@@ -298,13 +302,22 @@
 	if table == nil || !s.known {
 		return nil, 0
 	}
+	clock := s.clock()
+	newest := s.newest()
 	var records []record.Record
 	for _, w := range limited(table) {
+		if s.broken[w.Name] {
+			continue
+		}
 		p := s.purse(w, now)
 		if now.Sub(p.wanted) > wantedMemory {
 			p.ForgetWanted()
 		}
-		next, changed := s.planner.Plan(s.accounts[w.Name], w.Prepaid, p.Holder(now, s.instance, s.incarnation))
+		s.sequence++
+		holder := p.Holder(now, prepaid.Holder{
+			Instance: s.instance, Incarnation: s.incarnation, Sequence: s.sequence, Now: clock, Newest: newest,
+		})
+		next, changed := s.planner.Plan(s.accounts[w.Name], w.Prepaid, holder)
 		if !changed {
 			continue
 		}
@@ -313,12 +326,33 @@
 			s.log.Error("account not encoded", "workspace", w.Name, "error", err)
 			continue
 		}
-		p.Sent(s.next, next.Grants[s.instance].Total)
+		p.Sent(now, s.sequence, s.next, next.Grants[s.instance].Terms)
 		records = append(records, record.Record{Key: w.Name, Value: value})
 	}
 	return records, s.next
 }
 
+// clock reads the clocks that a successor of this process can compare.
+func (s *Service) clock() prepaid.Clock {
+	c := prepaid.Clock{Wall: s.wall.Earliest()}
+	up, err := uptime.Now()
+	if err != nil {
+		s.log.Debug("uptime not known", "error", err)
+		return c
+	}
+	c.Uptime, c.Boot = up.Milliseconds(), uptime.Boot()
+	return c
+}
+
+// newest is the latest time of day in all accounts.
+func (s *Service) newest() int64 {
+	var newest int64
+	for _, a := range s.accounts {
+		newest = max(newest, a.Newest())
+	}
+	return newest
+}
+
 // limited returns the workspaces with a prepaid total, by name.
 func limited(t *route.Table) []route.Workspace {
 	var all []route.Workspace
@@ -352,9 +386,12 @@
 		}
 		account, err := prepaid.ParseAccount(r.Value)
 		if err != nil {
+			// Nobody may write over a record that may hold grants.
 			s.log.Error("account not readable", "workspace", r.Key, "offset", r.Offset, "error", err)
+			s.broken[r.Key] = true
 			continue
 		}
+		delete(s.broken, r.Key)
 		s.accounts[r.Key] = account
 		s.take(r.Key, account, r.Offset)
 	}
@@ -368,18 +405,16 @@
 	}
 }
 
-// take moves the entry's own grant into its purse.
+// take puts the entry's own terms in force.
 func (s *Service) take(workspace string, account prepaid.Account, offset int64) {
 	p, known := s.purses[workspace]
 	if !known {
 		return
 	}
-	total := int64(0)
 	if g, held := account.Grants[s.instance]; held && g.Incarnation == s.incarnation {
-		total = g.Total
+		p.InForce(g.Sequence)
+		s.log.Debug("grant read", "workspace", workspace, "total", g.Total, "committed", g.Committed, "offset", offset)
 	}
-	p.SetGranted(total)
-	s.log.Debug("grant read", "workspace", workspace, "total", total, "free", p.Free(), "offset", offset)
 }
 
 // giveBack returns the unused tokens before the process ends.
--- a/services/relay/leg.go
+++ b/services/relay/leg.go
@@ -89,7 +89,7 @@
 	}
 	patience := j.route.Goal / 2
 	if j.route.Kind.Streams() {
-		patience = max(patience, 2*choice.Predicted+silenceMargin)
+		patience = max(2*j.route.Goal, 2*choice.Predicted+silenceMargin)
 	}
 	return min(patience, left)
 }
