Write narrow terms often, and wait for what they will allow

Ruled out: over-counting of answered requests (4.35 M of 4.97 M were used). Change: the window is at most some usual requests, terms grow only after 0.7 s, entries write five times a second, requests wait up to 0.4 s for terms that will cover them, tokens called for by others are returned at once, and requests of equal workspaces are ranked by route.

--- a/models/prepaid/account.go
+++ b/models/prepaid/account.go
@@ -16,32 +16,38 @@
 )
 
 // Terms bound what an entry may spend, more with the time since they were sent
-// and never more than Total. At first they allow little: an entry in touch with
-// the store soon writes new ones, and what they allow is lost if it is killed.
-// After the patience they allow what an entry needs that is cut off.
+// and never more than Total. At first they allow a window: an entry in touch with
+// the store writes new terms as it goes, and what the terms allow is lost if the
+// entry is killed. Later they allow what an entry needs that is cut off.
 type Terms struct {
 	// Total is the sum of tokens that the incarnation may spend in its life.
 	Total int64 `json:"total"`
 	// Committed is what it had spent and reserved when it wrote the terms.
 	Committed int64 `json:"committed"`
-	// Window is what it may spend at once beyond that, and Rate the tokens a second
-	// by which that grows.
-	Window int64   `json:"window"`
-	Rate   float64 `json:"rate"`
-	// CutWindow and CutRate are added after the patience.
+	// Window is what it may spend at once beyond that.
+	Window int64 `json:"window"`
+	// Rate is the tokens a second that are added after rateDelay.
+	Rate float64 `json:"rate"`
+	// CutWindow and CutRate are added after cutDelay.
 	CutWindow int64   `json:"cutWindow"`
 	CutRate   float64 `json:"cutRate"`
 }
 
-// patience is when terms begin to allow what an entry needs that is cut off. It
-// is longer than an entry that is killed takes to start again.
-const patience = 3 * time.Second
+const (
+	// rateDelay is some times the interval in which an entry writes its terms anew.
+	rateDelay = 700 * time.Millisecond
+	// cutDelay is longer than an entry that is killed takes to start again.
+	cutDelay = 3 * time.Second
+)
 
 // limit is the most that may be spent a time after the terms were sent.
 func (t Terms) limit(after time.Duration) int64 {
-	allowed := t.Committed + t.Window + int64(t.Rate*max(0, after.Seconds()))
-	if cut := after - patience; cut >= 0 {
-		allowed += t.CutWindow + int64(t.CutRate*cut.Seconds())
+	allowed := t.Committed + t.Window
+	if late := after - rateDelay; late > 0 {
+		allowed += int64(t.Rate * late.Seconds())
+	}
+	if late := after - cutDelay; late >= 0 {
+		allowed += t.CutWindow + int64(t.CutRate*late.Seconds())
 	}
 	return min(t.Total, allowed)
 }
--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -10,9 +10,14 @@
 	// DefaultSlack is the part of the target by which a grant may be off before it
 	// is written anew. It keeps small changes of the demand from costing a call.
 	DefaultSlack = 0.2
-	// windowPart of what is left may be spent at once beyond what was recorded. All
+	// handedOut is the part of what is left that entries hold. The rest is for
+	// requests that are larger than the usual.
+	handedOut = 0.9
+	// windowPart of what is left may be spent at once beyond what was recorded, and
+	// usualWindow, which is some requests of the usual size, where that is less. All
 	// entries together lose some times as much when they are killed.
-	windowPart = 0.02
+	windowPart  = 0.02
+	usualWindow = 40_000
 	// cutWindow is what an entry that is cut off may spend at once: one large
 	// request, of up to ten times the usual size, or the demand of cutDemand.
 	cutWindow = 30_000
@@ -100,7 +105,7 @@
 func terms(total int64, h Holder, unspent int64) Terms {
 	return Terms{
 		Total: total, Committed: h.Spent + h.Held,
-		Window: max(h.Wanted, min(cutWindow, int64(float64(unspent)*windowPart))), Rate: h.Demand * ratePart,
+		Window: max(h.Wanted, min(usualWindow, int64(float64(unspent)*windowPart))), Rate: h.Demand * ratePart,
 		CutWindow: max(cutWindow, int64(h.Demand*cutDemand.Seconds())), CutRate: h.Demand * cutRatePart,
 	}
 }
@@ -127,7 +132,7 @@
 	share := 1.0
 	if all := h.Demand + others; all > 0 {
 		share = h.Demand / all
-		target = min(target, float64(max(0, left))*share)
+		target = min(target, float64(max(0, left))*handedOut*share)
 	}
 	if unassigned := prepaid - a.Granted(); called > max(0, unassigned) {
 		// Others refuse requests for want of what lies idle here.
--- a/models/prepaid/purse.go
+++ b/models/prepaid/purse.go
@@ -81,6 +81,9 @@
 	return limit - p.spent - p.held
 }
 
+// Granted is what is left of the grant, whatever the terms allow now.
+func (p *Purse) Granted() int64 { return p.inForce.Total - p.spent - p.held }
+
 // Reserve holds the most that a request can cost, and reports whether the terms
 // cover it.
 func (p *Purse) Reserve(now time.Time, tokens int64) bool {
@@ -91,6 +94,23 @@
 	return true
 }
 
+// Covered returns how long it takes until the terms cover a request without being
+// written anew, if that is within the limit.
+func (p *Purse) Covered(now time.Time, tokens int64, limit time.Duration) (time.Duration, bool) {
+	if p.Free(now.Add(limit)) < tokens {
+		return 0, false
+	}
+	low, high := time.Duration(0), limit
+	for high-low > time.Millisecond {
+		if middle := (low + high) / 2; p.Free(now.Add(middle)) >= tokens {
+			high = middle
+		} else {
+			low = middle
+		}
+	}
+	return high, true
+}
+
 // Settle ends a hold with what the request used.
 func (p *Purse) Settle(held, used int64) {
 	p.held -= held
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -27,12 +27,15 @@
 
 const (
 	// writeInterval is how often grants are compared with what they should be.
-	writeInterval = 400 * time.Millisecond
+	writeInterval = 200 * time.Millisecond
 	// urgentInterval is the shortest time between two writes while requests wait.
 	urgentInterval = 20 * time.Millisecond
 	// grantWait is how long a request waits for a larger grant: some exchanges with
 	// the store, a small part of the most urgent goal.
 	grantWait = 120 * time.Millisecond
+	// longestWait is how long a request waits until the terms cover it, a part of
+	// the most urgent goal.
+	longestWait = 400 * time.Millisecond
 	// wantedMemory is how long a refused request counts as wanting tokens.
 	wantedMemory = time.Second
 	// usualDay is the time in which a workspace is assumed to use its prepaid total
@@ -164,53 +167,88 @@
 }
 
 // Reserve sets aside the most that a request can cost. It returns a nil Hold for
-// a workspace without a prepaid total.
+// a workspace without a prepaid total. If the terms don't cover the request it
+// waits for new ones, or until the old ones do, but not for long.
 func (s *Service) Reserve(ctx context.Context, w route.Workspace, tokens int64) (*Hold, error) {
 	if !w.Limited || tokens == 0 {
 		return nil, nil
 	}
-	deadline := time.NewTimer(grantWait)
-	defer deadline.Stop()
-	for asked := false; ; asked = true {
-		changed, err := s.tryReserve(w, tokens, asked)
-		if err == nil {
+	began := time.Now()
+	s.asked(w, began, tokens)
+	for {
+		t := s.try(w, tokens, longestWait-time.Since(began))
+		if t.err == nil {
 			return &Hold{service: s, workspace: w.Name, tokens: tokens}, nil
 		}
-		if err.Reason == refusal.BudgetExhausted || !s.follower.Reachable() {
-			return nil, err
+		wait := grantWait - time.Since(began)
+		if !s.follower.Reachable() {
+			wait = 0
+		}
+		if t.covered > 0 {
+			wait = max(wait, t.covered)
+		}
+		if wait <= 0 || t.err.Reason == refusal.BudgetExhausted {
+			return nil, t.err
 		}
 		s.urge()
-		select {
-		case <-changed:
-		case <-deadline.C:
-			return nil, err
-		case <-ctx.Done():
-			return nil, err
+		if !s.await(ctx, t.changed, wait) {
+			return nil, t.err
 		}
 	}
 }
 
-// tryReserve reserves from what is granted. If that fails it returns a channel
-// that is closed with the next change of the accounts, and the refusal.
-func (s *Service) tryReserve(w route.Workspace, tokens int64, asked bool) (<-chan struct{}, *refusal.Error) {
+// await waits for a change of the accounts or the time, and reports whether to
+// try again.
+func (*Service) await(ctx context.Context, changed <-chan struct{}, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// asked counts a request to the workspace's demand.
+func (s *Service) asked(w route.Workspace, now time.Time, tokens int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.purse(w, now).Asked(now, tokens)
+}
+
+// trial is a try to reserve.
+type trial struct {
+	// err is the refusal if it failed.
+	err *refusal.Error
+	// changed is closed with the next change of the accounts.
+	changed <-chan struct{}
+	// covered is when the terms will cover the request, or 0.
+	covered time.Duration
+}
+
+// try reserves from what the terms allow.
+func (s *Service) try(w route.Workspace, tokens int64, patience time.Duration) trial {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	p := s.purse(w, now)
-	if !asked {
-		p.Asked(now, tokens)
-	}
 	if p.Reserve(now, tokens) {
-		return nil, nil
+		return trial{}
 	}
 	p.Want(tokens)
 	p.wanted = now
+	t := trial{changed: s.changed, err: refusal.New(refusal.BudgetUnreachable, comeBack,
+		"this entry holds too few of the workspace's tokens: come back, another entry may hold more")}
 	account, known := s.accounts[w.Name]
 	if known && account.Unspent(w.Prepaid) < tokens {
-		return s.changed, refusal.New(refusal.BudgetExhausted, 0, "the prepaid tokens do not cover the request: top up")
+		t.err = refusal.New(refusal.BudgetExhausted, 0, "the prepaid tokens do not cover the request: top up")
+	}
+	if after, ok := p.Covered(now, tokens, patience); ok && patience > 0 {
+		t.covered = after
 	}
-	return s.changed, refusal.New(refusal.BudgetUnreachable, comeBack,
-		"this entry holds too few of the workspace's tokens: come back, another entry may hold more")
+	return t
 }
 
 // purse returns the workspace's purse.
@@ -227,9 +265,15 @@
 
 // Balance is what an entry knows of a workspace's tokens, for log lines.
 type Balance struct {
+	// Free is what the terms allow now, Granted what is left of the entry's grant,
+	// and Unspent what may be left of the prepaid total.
 	Free    int64
+	Granted int64
 	Unspent int64
-	Age     time.Duration
+	// Demand is the tokens a second that callers ask of this entry.
+	Demand float64
+	// Age is the time since the accounts were read.
+	Age time.Duration
 }
 
 // Balance returns what is known of the workspace's tokens.
@@ -238,7 +282,8 @@
 	defer s.mu.Unlock()
 	b := Balance{Unspent: s.accounts[w.Name].Unspent(w.Prepaid), Age: s.follower.Age()}
 	if p, known := s.purses[w.Name]; known {
-		b.Free = p.Free(time.Now())
+		now := time.Now()
+		b.Free, b.Granted, b.Demand = p.Free(now), p.Granted(), p.Demand(now)
 	}
 	return b
 }
@@ -405,12 +450,18 @@
 	}
 }
 
-// take puts the entry's own terms in force.
+// take puts the entry's own terms in force. If another entry lacks tokens, the
+// grants are planned anew at once.
 func (s *Service) take(workspace string, account prepaid.Account, offset int64) {
 	p, known := s.purses[workspace]
 	if !known {
 		return
 	}
+	for name, g := range account.Grants {
+		if name != s.instance && g.Wanted > 0 {
+			s.urge()
+		}
+	}
 	if g, held := account.Grants[s.instance]; held && g.Incarnation == s.incarnation {
 		p.InForce(g.Sequence)
 		s.log.Debug("grant read", "workspace", workspace, "total", g.Total, "committed", g.Committed, "offset", offset)
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -180,12 +180,13 @@
 	}
 }
 
-// priority is the request's rank at the server.
+// routeRanks is the number of ranks that routes have.
+const routeRanks = 3
+
+// priority is the request's rank at the server: by workspace first, and by route
+// among equal workspaces.
 func (j *job) priority() int {
-	if j.workspace.Priority >= 0 {
-		return j.workspace.Priority
-	}
-	return j.route.Priority
+	return max(0, j.workspace.Priority)*routeRanks + min(j.route.Priority, routeRanks-1)
 }
 
 // unseenEvents is the number of events that a server may have sent and the
@@ -214,7 +215,7 @@
 	took := time.Since(j.request.Arrived)
 	pairs := []any{
 		"route", j.route.Name, "workspace", j.workspace.Name, "tablesVersion", j.version, "server", j.server,
-		"sends", len(j.tried), "ran", j.ran, "events", j.events, "first", j.first.Round(time.Millisecond),
+		"sends", len(j.tried), "ran", j.ran, "events", j.events, "tokens", j.used(), "first", j.first.Round(time.Millisecond),
 		"took", took.Round(time.Millisecond), "left", time.Until(j.expires).Round(time.Millisecond),
 	}
 	var aborted *AbortedError
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -187,7 +187,7 @@
 	if j != nil {
 		b := s.budget.Balance(j.workspace)
 		pairs = append(pairs, "route", j.route.Name, "workspace", j.workspace.Name, "tablesVersion", j.version,
-			"tokens", r.MostTokens(), "free", b.Free, "unspent", b.Unspent, "accountsAge", b.Age.Round(time.Millisecond))
+			"tokens", r.MostTokens(), "free", b.Free, "granted", b.Granted, "demand", int64(b.Demand), "unspent", b.Unspent, "accountsAge", b.Age.Round(time.Millisecond))
 	}
 	s.log.Info("request refused", pairs...)
 }
