Keep one record a grant, renew terms, and return tokens until they are returned

Ruled out: the overcount of answered requests. Change: a compact record for each grant; terms are written anew after 0.5 s; a closing process writes until its grants are what it spent; reads are paced and hurried when a request lacks tokens. Conflicts on a slow store still stop a return.

--- a/models/prepaid/account.go
+++ b/models/prepaid/account.go
@@ -1,17 +1,17 @@
-// Package prepaid shares the prepaid tokens of workspaces between entries. The
-// record of each workspace's account names what was granted to whom; it changes
-// only by conditional writes, so that the sum of all grants stays within the
-// prepaid total whatever is lost or late. An entry spends from its grant without
+// Package prepaid shares the prepaid tokens of workspaces between entries. Each
+// entry keeps one record for each workspace, its grant. Grants change only by
+// writes on the condition that no other was made meanwhile, so that their sum
+// stays within the prepaid total whatever is lost or late. An entry spends from its grant without
 // asking anybody, also while it is cut off, but no faster than the terms of its
 // newest record allow. So the tokens of a killed entry are known to be unspent
 // but for a small part.
 package prepaid
 
 import (
-	"encoding/json"
 	"maps"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 )
 
@@ -21,16 +21,16 @@
 // entry is killed. Later they allow what an entry needs that is cut off.
 type Terms struct {
 	// Total is the sum of tokens that the incarnation may spend in its life.
-	Total int64 `json:"total"`
+	Total int64 `cbor:"1,keyasint"`
 	// Committed is what it had spent and reserved when it wrote the terms.
-	Committed int64 `json:"committed"`
+	Committed int64 `cbor:"2,keyasint"`
 	// Window is what it may spend at once beyond that.
-	Window int64 `json:"window"`
+	Window int64 `cbor:"3,keyasint"`
 	// Rate is the tokens a second that are added after rateDelay.
-	Rate float64 `json:"rate"`
+	Rate int64 `cbor:"4,keyasint"`
 	// CutWindow and CutRate are added after cutDelay.
-	CutWindow int64   `json:"cutWindow"`
-	CutRate   float64 `json:"cutRate"`
+	CutWindow int64 `cbor:"5,keyasint"`
+	CutRate   int64 `cbor:"6,keyasint"`
 }
 
 const (
@@ -44,10 +44,10 @@
 func (t Terms) limit(after time.Duration) int64 {
 	allowed := t.Committed + t.Window
 	if late := after - rateDelay; late > 0 {
-		allowed += int64(t.Rate * late.Seconds())
+		allowed += int64(float64(t.Rate) * late.Seconds())
 	}
 	if late := after - cutDelay; late >= 0 {
-		allowed += t.CutWindow + int64(t.CutRate*late.Seconds())
+		allowed += t.CutWindow + int64(float64(t.CutRate)*late.Seconds())
 	}
 	return min(t.Total, allowed)
 }
@@ -55,12 +55,12 @@
 // Clock is what a process can tell of the time when it writes or reads a record.
 type Clock struct {
 	// Wall is the time of day in ms since 1970. It may jump.
-	Wall int64 `json:"wall"`
+	Wall int64 `cbor:"1,keyasint"`
 	// Uptime is the time in ms since the machine started, which counts while it
 	// is suspended.
-	Uptime int64 `json:"uptime"`
+	Uptime int64 `cbor:"2,keyasint"`
 	// Boot identifies the start of the machine.
-	Boot string `json:"boot"`
+	Boot uint64 `cbor:"3,keyasint"`
 }
 
 const (
@@ -83,55 +83,58 @@
 	return max(0, wall) + clockError
 }
 
-// Grant is what one entry holds of an account.
+// Grant is what one entry holds of a workspace's tokens.
 type Grant struct {
-	Terms
+	Terms `cbor:"1,keyasint"`
 	// Incarnation is the process that holds it. A later process of the same
 	// instance closes it: the former one has ended.
-	Incarnation string `json:"incarnation"`
+	Incarnation uint64 `cbor:"2,keyasint"`
 	// Sequence numbers the records of the incarnation.
-	Sequence int64 `json:"sequence"`
+	Sequence int64 `cbor:"3,keyasint"`
 	// Sent is when the record was sent, at the earliest.
-	Sent Clock `json:"sent"`
+	Sent Clock `cbor:"4,keyasint"`
 	// Spent is what the incarnation had spent when it wrote the record.
-	Spent int64 `json:"spent"`
+	Spent int64 `cbor:"5,keyasint"`
 	// Demand is the tokens a second that callers asked of the entry.
-	Demand float64 `json:"demand"`
+	Demand int64 `cbor:"6,keyasint"`
 	// Wanted is what the entry lacks for requests that it had to refuse.
-	Wanted int64 `json:"wanted,omitempty"`
+	Wanted int64 `cbor:"7,keyasint,omitempty"`
+	// Closed is what earlier incarnations of the instance may have spent.
+	Closed int64 `cbor:"8,keyasint,omitempty"`
 }
 
-// Account is the record of one workspace.
-type Account struct {
-	// Closed is what ended incarnations may have spent.
-	Closed int64 `json:"closed"`
-	// Grants are by the name of the instance.
-	Grants map[string]Grant `json:"grants"`
+// ParseGrant decodes a record.
+func ParseGrant(data []byte) (Grant, error) {
+	var g Grant
+	err := cbor.Unmarshal(data, &g)
+	return g, errors.Wrap(err, "decode grant")
 }
 
-// ParseAccount decodes a record.
-func ParseAccount(data []byte) (Account, error) {
-	var a Account
-	if err := json.Unmarshal(data, &a); err != nil {
-		return Account{}, errors.Wrap(err, "decode prepaid account")
-	}
-	if a.Grants == nil {
-		a.Grants = map[string]Grant{}
-	}
-	return a, nil
+// Encode returns the record.
+func (g Grant) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(g)
+	return data, errors.Wrap(err, "encode grant")
 }
 
-// Encode returns the record.
-func (a Account) Encode() ([]byte, error) {
-	data, err := json.Marshal(a)
-	return data, errors.Wrap(err, "encode prepaid account")
+// Account is all that was granted of one workspace's tokens, by the name of the
+// instance that holds it.
+type Account map[string]Grant
+
+// With returns the account with another grant of the instance.
+func (a Account) With(instance string, g Grant) Account {
+	next := maps.Clone(a)
+	if next == nil {
+		next = Account{}
+	}
+	next[instance] = g
+	return next
 }
 
 // Granted is all that was handed out.
 func (a Account) Granted() int64 {
-	sum := a.Closed
-	for _, g := range a.Grants {
-		sum += g.Total
+	var sum int64
+	for _, g := range a {
+		sum += g.Closed + g.Total
 	}
 	return sum
 }
@@ -139,34 +142,24 @@
 // Unspent is the most that can be left of the prepaid total, in grants or not
 // handed out.
 func (a Account) Unspent(prepaid int64) int64 {
-	left := prepaid - a.Closed
-	for _, g := range a.Grants {
-		left -= g.Spent
+	left := prepaid
+	for _, g := range a {
+		left -= g.Closed + g.Spent
 	}
 	return left
 }
 
-// Newest is the latest time of day in the account's grants.
+// Newest is the latest time of day in the account.
 func (a Account) Newest() int64 {
 	var newest int64
-	for _, g := range a.Grants {
+	for _, g := range a {
 		newest = max(newest, g.Sent.Wall)
 	}
 	return newest
 }
 
-// close counts as spent what the former process of an instance may have spent,
-// and drops its grant.
-func (a *Account) close(instance string, now Clock, newest int64) {
-	g := a.Grants[instance]
-	a.Closed += g.limit(now.since(g.Sent, newest))
-	delete(a.Grants, instance)
-}
-
-func (a Account) clone() Account {
-	a.Grants = maps.Clone(a.Grants)
-	if a.Grants == nil {
-		a.Grants = map[string]Grant{}
-	}
-	return a
+// closed counts as spent what the holder of a grant may have spent, for a
+// successor that reads it at the time.
+func (g Grant) closed(now Clock, newest int64) Grant {
+	return Grant{Closed: g.Closed + g.limit(now.since(g.Sent, newest))}
 }
--- a/models/prepaid/fleet_test.go
+++ b/models/prepaid/fleet_test.go
@@ -99,7 +99,7 @@
 func newFleet(seed uint64, total int64, demands ...func(time.Duration) float64) *fleet {
 	f := &fleet{
 		rand: rand.New(rand.NewPCG(seed, 1)), prepaid: total, planner: prepaid.NewPlanner(),
-		account: prepaid.Account{Grants: map[string]prepaid.Grant{}},
+		account: prepaid.Account{},
 	}
 	for i, demand := range demands {
 		e := &entry{fleet: f, name: fmt.Sprintf("entry-%d", i), demand: demand, size: 12_000}
@@ -150,7 +150,7 @@
 func (e *entry) start() {
 	e.incarnation++
 	e.purse = prepaid.NewPurse(e.fleet.time(), float64(e.fleet.prepaid)/45/float64(max(4, len(e.fleet.entries))))
-	e.account, e.next = prepaid.Account{}, 0
+	e.account, e.next = nil, 0
 	e.holds, e.waiting = nil, nil
 	e.lowest = e.offset
 }
@@ -197,30 +197,30 @@
 		return
 	}
 	e.viewed = f.now
-	if e.next == f.end && e.account.Grants != nil {
+	if e.next == f.end && e.account != nil {
 		return
 	}
 	e.account, e.next = f.account, f.end
-	if g, held := e.account.Grants[e.name]; held && g.Incarnation == e.id() {
+	if g, held := e.account[e.name]; held && g.Incarnation == e.id() {
 		e.purse.InForce(g.Sequence)
 	}
 	e.purse.Reached(e.next)
 }
 
-func (e *entry) id() string { return fmt.Sprintf("%s/%d", e.name, e.incarnation) }
+func (e *entry) id() uint64 { return uint64(e.incarnation) }
 
 func (e *entry) clock() prepaid.Clock {
 	return prepaid.Clock{
 		Wall:   epoch.Add(e.fleet.now + e.lowest).UnixMilli(),
 		Uptime: (e.fleet.now - e.booted).Milliseconds(),
-		Boot:   fmt.Sprintf("%s-%d", e.name, e.boots),
+		Boot:   uint64(e.boots),
 	}
 }
 
 // write plans the grant and writes it, with whatever the store makes of that.
 func (e *entry) write() {
 	f := e.fleet
-	if e.cut || e.account.Grants == nil || f.now-e.viewed > staleAfter {
+	if e.cut || e.account == nil || f.now-e.viewed > staleAfter {
 		return
 	}
 	e.written = f.now
@@ -228,13 +228,14 @@
 		e.purse.ForgetWanted()
 	}
 	e.sequence++
-	next, changed := f.planner.Plan(e.account, f.prepaid, e.purse.Holder(f.time(), prepaid.Holder{
+	grant, changed := f.planner.Plan(e.account, f.prepaid, e.purse.Holder(f.time(), prepaid.Holder{
 		Instance: e.name, Incarnation: e.id(), Sequence: e.sequence, Now: e.clock(), Newest: e.account.Newest(),
 	}))
 	if !changed {
 		return
 	}
-	e.purse.Sent(f.time(), e.sequence, e.next, next.Grants[e.name].Terms)
+	e.purse.Sent(f.time(), e.sequence, e.next, grant.Terms)
+	next := e.account.With(e.name, grant)
 	if f.rand.Float64() < f.storeFaults {
 		switch f.rand.IntN(3) {
 		case 0: // The request is lost.
--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -29,6 +29,10 @@
 	cutRatePart = 2.5
 )
 
+// renewAfter is the age at which terms are written anew though nothing else
+// changed, since what they allow grows with their age.
+const renewAfter = 500 * time.Millisecond
+
 // Planner decides how large an entry's grant should be, and by which terms it may
 // be spent. It is made for a load that reaches entries unevenly, with cuts from
 // the store that begin without notice, workspaces that send several times their
@@ -59,7 +63,7 @@
 // Holder is an entry's own view of its grant.
 type Holder struct {
 	Instance    string
-	Incarnation string
+	Incarnation uint64
 	// Sequence is the number of the record to write.
 	Sequence int64
 	Now      Clock
@@ -74,31 +78,29 @@
 	Wanted int64
 }
 
-// Plan returns the account with the holder's grant as it should be, and whether
-// that is worth a write.
-func (p *Planner) Plan(a Account, prepaid int64, h Holder) (Account, bool) {
-	next := a.clone()
-	old, known := next.Grants[h.Instance]
+// Plan returns the holder's grant as it should be, and whether that is worth a
+// write.
+func (p *Planner) Plan(a Account, prepaid int64, h Holder) (Grant, bool) {
+	old, known := a[h.Instance]
 	if known && old.Incarnation != h.Incarnation {
-		next.close(h.Instance, h.Now, h.Newest)
-		old, known = Grant{}, false
+		old, known = old.closed(h.Now, h.Newest), false
+		a = a.With(h.Instance, old)
 	}
 	committed := h.Spent + h.Held
-	target := p.target(next, prepaid, h)
+	target := p.target(a, prepaid, h)
 	total := old.Total
 	switch free, margin := old.Total-committed, int64(float64(target)*p.slack); {
 	case free < target-margin || free < h.Wanted:
-		total = min(committed+max(target, h.Wanted), old.Total+max(0, prepaid-next.Granted()))
+		total = min(committed+max(target, h.Wanted), old.Total+max(0, prepaid-a.Granted()))
 	case free > target+margin:
 		total = committed + target
 	}
 	total = max(total, committed)
 	grant := Grant{
-		Terms: terms(total, h, next.Unspent(prepaid)), Incarnation: h.Incarnation, Sequence: h.Sequence, Sent: h.Now,
-		Spent: h.Spent, Demand: h.Demand, Wanted: max(0, h.Wanted-(total-committed)),
+		Terms: terms(total, h, a.Unspent(prepaid)), Incarnation: h.Incarnation, Sequence: h.Sequence, Sent: h.Now,
+		Spent: h.Spent, Demand: int64(h.Demand), Wanted: max(0, h.Wanted-(total-committed)), Closed: old.Closed,
 	}
-	next.Grants[h.Instance] = grant
-	return next, !known || differs(old, grant) || h.Wanted > old.Window
+	return grant, !known || differs(old, grant) || h.Wanted > old.Window
 }
 
 // terms bound the spending of a grant.
@@ -106,25 +108,26 @@
 	left := float64(max(0, unspent))
 	return Terms{
 		Total: total, Committed: h.Spent + h.Held,
-		Window: max(h.Wanted, min(usualWindow, int64(windowPart*left))), Rate: h.Demand * ratePart,
-		CutWindow: max(cutWindow, int64(h.Demand*cutDemand.Seconds())), CutRate: h.Demand * cutRatePart,
+		Window: max(h.Wanted, min(usualWindow, int64(windowPart*left))), Rate: int64(h.Demand * ratePart),
+		CutWindow: max(cutWindow, int64(h.Demand*cutDemand.Seconds())), CutRate: int64(h.Demand * cutRatePart),
 	}
 }
 
 // differs says whether the record tells others something new.
 func differs(old, next Grant) bool {
 	return old.Total != next.Total || old.Committed != next.Committed || old.Spent != next.Spent ||
-		(old.Wanted == 0) != (next.Wanted == 0)
+		(old.Wanted == 0) != (next.Wanted == 0) || next.Sent.Wall-old.Sent.Wall > renewAfter.Milliseconds()
 }
 
 // target is the number of free tokens that the holder should have: enough for
 // the horizon while there is plenty, and its share by demand of what is left.
 func (p *Planner) target(a Account, prepaid int64, h Holder) int64 {
 	others, called := 0.0, int64(0)
-	left := prepaid - a.Closed - h.Spent - h.Held
-	for name, g := range a.Grants {
+	left := prepaid - h.Spent - h.Held
+	for name, g := range a {
+		left -= g.Closed
 		if name != h.Instance {
-			others += g.Demand
+			others += float64(g.Demand)
 			called += g.Wanted
 			left -= g.Spent
 		}
--- a/models/prepaid/prepaid_test.go
+++ b/models/prepaid/prepaid_test.go
@@ -164,25 +164,27 @@
 	}
 }
 
-func TestAccountRoundTrip(t *testing.T) {
-	a := prepaid.Account{Closed: 7, Grants: map[string]prepaid.Grant{
-		"entry-0": {Incarnation: "entry-0/1", Sequence: 3, Terms: prepaid.Terms{Total: 100, Committed: 20, Window: 5, Rate: 1.5}, Spent: 11},
-	}}
-	data, err := a.Encode()
+func TestGrantRoundTrip(t *testing.T) {
+	g := prepaid.Grant{
+		Terms:       prepaid.Terms{Total: 100, Committed: 20, Window: 5, Rate: 15, CutWindow: 3, CutRate: 40},
+		Incarnation: 1 << 63, Sequence: 3, Sent: prepaid.Clock{Wall: 5, Uptime: 6, Boot: 7}, Spent: 11, Demand: 2, Closed: 7,
+	}
+	data, err := g.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := prepaid.ParseAccount(data)
+	got, err := prepaid.ParseGrant(data)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got.Closed != 7 || got.Grants["entry-0"] != a.Grants["entry-0"] {
-		t.Errorf("got %+v, want %+v", got, a)
+	if got != g {
+		t.Errorf("got %+v, want %+v", got, g)
 	}
-	if granted, unspent := got.Granted(), got.Unspent(200); granted != 107 || unspent != 182 {
+	account := prepaid.Account{}.With("entry-0", g)
+	if granted, unspent := account.Granted(), account.Unspent(200); granted != 107 || unspent != 182 {
 		t.Errorf("granted %d and unspent %d, want 107 and 182", granted, unspent)
 	}
-	if _, err := prepaid.ParseAccount([]byte("{")); err == nil {
+	if _, err := prepaid.ParseGrant([]byte("{")); err == nil {
 		t.Error("a broken record was read")
 	}
 }
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -23,7 +23,7 @@
 	DefaultWait = 700 * time.Millisecond
 	// DefaultPace is the shortest time between two reads. Reads are priced, and
 	// changes may take a second to be followed.
-	DefaultPace = 200 * time.Millisecond
+	DefaultPace = 300 * time.Millisecond
 
 	firstRetry   = 100 * time.Millisecond
 	longestRetry = 500 * time.Millisecond
@@ -67,6 +67,7 @@
 
 	next      int64
 	known     bool
+	hurry     chan struct{}
 	reachable atomic.Bool
 	answered  atomic.Int64
 	began     time.Time
@@ -78,7 +79,7 @@
 func New(log hclog.Logger, from Log, topic string, handler Handler, opts ...Option) *Follower {
 	f := &Follower{
 		log: log.With("topic", topic), from: from, topic: topic, handler: handler,
-		pace: DefaultPace, wait: DefaultWait, began: time.Now(),
+		pace: DefaultPace, wait: DefaultWait, began: time.Now(), hurry: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -122,18 +123,40 @@
 			return
 		}
 		f.note(err)
-		pause := f.pace - time.Since(began)
 		if err != nil {
-			pause = policy.NextBackOff()
-		} else {
-			policy.Reset()
+			if !delay.Wait(ctx, policy.NextBackOff()) {
+				return
+			}
+			continue
 		}
-		if pause > 0 && !delay.Wait(ctx, pause) {
+		policy.Reset()
+		if !f.rest(ctx, f.pace-time.Since(began)) {
 			return
 		}
 	}
 }
 
+// Hurry makes the next read begin at once.
+func (f *Follower) Hurry() {
+	select {
+	case f.hurry <- struct{}{}:
+	default:
+	}
+}
+
+// rest waits until the next read is due. It returns false when the context ends.
+func (f *Follower) rest(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.hurry:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // note logs a change of the topic's reachability and tells the handler.
 func (f *Follower) note(err error) {
 	var expired *record.ExpiredError
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
@@ -27,7 +28,7 @@
 
 const (
 	// writeInterval is how often grants are compared with what they should be.
-	writeInterval = 200 * time.Millisecond
+	writeInterval = 250 * time.Millisecond
 	// urgentInterval is the shortest time between two writes while requests wait.
 	urgentInterval = 20 * time.Millisecond
 	// grantWait is how long a request waits for a larger grant: some exchanges with
@@ -43,13 +44,16 @@
 	usualDay = 45 * time.Second
 	// assumedEntries is the number of entries until their accounts are known.
 	assumedEntries = 4
+	// giveBackTimeout bounds the return of unused tokens when the process ends.
+	giveBackTimeout = time.Second
 	// comeBack is when a caller may try another entry, which may hold tokens.
 	comeBack = 300 * time.Millisecond
 	// staleAfter is the age of the accounts at which the store is probably lost. A
 	// write then would only hold back the terms of the one before.
 	staleAfter = 600 * time.Millisecond
-	// followPace is the shortest time between two reads of the accounts.
-	followPace = 20 * time.Millisecond
+	// followPace is the shortest time between two reads of the accounts while no
+	// request lacks tokens.
+	followPace = 100 * time.Millisecond
 	// followWait is how long the store may hold a read of the accounts.
 	followWait = 400 * time.Millisecond
 )
@@ -79,7 +83,7 @@
 	topic       string
 	tables      Tables
 	instance    string
-	incarnation string
+	incarnation uint64
 	planner     *prepaid.Planner
 	follower    *follower.Follower
 
@@ -110,7 +114,7 @@
 func New(log hclog.Logger, store Log, topic string, tables Tables, instance, incarnation string, opts ...Option) *Service {
 	s := &Service{
 		log: log.Named(Name), store: store, topic: topic, tables: tables,
-		instance: instance, incarnation: incarnation, planner: prepaid.NewPlanner(),
+		instance: instance, incarnation: xxhash.Sum64String(incarnation), planner: prepaid.NewPlanner(),
 		wall:     uptime.NewWall(),
 		accounts: map[string]prepaid.Account{}, broken: map[string]bool{}, purses: map[string]*purse{},
 		changed: make(chan struct{}), kick: make(chan struct{}, 1),
@@ -127,8 +131,8 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(ctx context.Context, _ *kernel.Kernel) error {
-	ctx, s.cancel = context.WithCancel(ctx)
 	s.follower.Start(ctx)
+	ctx, s.cancel = context.WithCancel(ctx)
 	s.done.Go(func() { s.writeAll(ctx) })
 	return nil
 }
@@ -140,11 +144,8 @@
 		s.cancel()
 	}
 	s.done.Wait()
-	err := s.follower.Close()
-	if s.follower.Reachable() {
-		s.giveBack()
-	}
-	return err
+	s.giveBack()
+	return s.follower.Close()
 }
 
 // Ready says whether the accounts are known.
@@ -196,6 +197,7 @@
 			return nil, t.err
 		}
 		s.urge()
+		s.follower.Hurry()
 		if !s.await(ctx, t.changed, wait) {
 			return nil, t.err
 		}
@@ -260,7 +262,7 @@
 func (s *Service) purse(w route.Workspace, now time.Time) *purse {
 	p, known := s.purses[w.Name]
 	if !known {
-		entries := max(len(s.accounts[w.Name].Grants), assumedEntries)
+		entries := max(len(s.accounts[w.Name]), assumedEntries)
 		prior := float64(w.Prepaid) / usualDay.Seconds() / float64(entries)
 		p = &purse{Purse: prepaid.NewPurse(now, prior)}
 		s.purses[w.Name] = p
@@ -334,7 +336,9 @@
 	case err == nil:
 		s.wrote(records, at)
 	case errors.As(err, &conflict):
+		// Others wrote first; what they wrote is read before the next try.
 		s.log.Debug("grant conflicted", "at", at, "end", conflict.End)
+		s.follower.Hurry()
 	case errors.As(err, &refused):
 		s.log.Warn("grant refused", "at", at, "error", err)
 	default:
@@ -367,17 +371,17 @@
 		holder := p.Holder(now, prepaid.Holder{
 			Instance: s.instance, Incarnation: s.incarnation, Sequence: s.sequence, Now: clock, Newest: newest,
 		})
-		next, changed := s.planner.Plan(s.accounts[w.Name], w.Prepaid, holder)
+		grant, changed := s.planner.Plan(s.accounts[w.Name], w.Prepaid, holder)
 		if !changed {
 			continue
 		}
-		value, err := next.Encode()
+		value, err := grant.Encode()
 		if err != nil {
-			s.log.Error("account not encoded", "workspace", w.Name, "error", err)
+			s.log.Error("grant not encoded", "workspace", w.Name, "error", err)
 			continue
 		}
-		p.Sent(now, s.sequence, s.next, next.Grants[s.instance].Terms)
-		records = append(records, record.Record{Key: w.Name, Value: value})
+		p.Sent(now, s.sequence, s.next, grant.Terms)
+		records = append(records, record.Record{Key: grantKey(w.Name, s.instance), Value: value})
 	}
 	return records, s.next
 }
@@ -390,7 +394,7 @@
 		s.log.Debug("uptime not known", "error", err)
 		return c
 	}
-	c.Uptime, c.Boot = up.Milliseconds(), uptime.Boot()
+	c.Uptime, c.Boot = up.Milliseconds(), xxhash.Sum64String(uptime.Boot())
 	return c
 }
 
@@ -428,22 +432,17 @@
 	s.apply(records, at+int64(len(records)))
 }
 
+// keySeparator stands between workspace and instance in the key of a grant.
+const keySeparator = "\x1f"
+
+func grantKey(workspace, instance string) string { return workspace + keySeparator + instance }
+
 // apply takes records that begin where the accounts end.
 func (s *Service) apply(records []record.Record, next int64) {
 	for _, r := range records {
-		if r.Offset < s.next || r.Value == nil {
-			continue
-		}
-		account, err := prepaid.ParseAccount(r.Value)
-		if err != nil {
-			// Nobody may write over a record that may hold grants.
-			s.log.Error("account not readable", "workspace", r.Key, "offset", r.Offset, "error", err)
-			s.broken[r.Key] = true
-			continue
+		if r.Offset >= s.next && r.Value != nil {
+			s.applyGrant(r)
 		}
-		delete(s.broken, r.Key)
-		s.accounts[r.Key] = account
-		s.take(r.Key, account, r.Offset)
 	}
 	if next > s.next {
 		s.next = next
@@ -455,35 +454,65 @@
 	}
 }
 
-// take puts the entry's own terms in force. If another entry lacks tokens, the
-// grants are planned anew at once.
-func (s *Service) take(workspace string, account prepaid.Account, offset int64) {
-	p, known := s.purses[workspace]
-	if !known {
+// applyGrant takes one grant. If another entry lacks tokens, the grants are
+// planned anew at once.
+func (s *Service) applyGrant(r record.Record) {
+	workspace, instance, found := strings.Cut(r.Key, keySeparator)
+	grant, err := prepaid.ParseGrant(r.Value)
+	if err != nil || !found {
+		// Nobody may hand out tokens while it is not known what was granted.
+		s.log.Error("grant not readable", "key", r.Key, "offset", r.Offset, "error", err)
+		s.broken[workspace] = true
 		return
 	}
-	for name, g := range account.Grants {
-		if name != s.instance && g.Wanted > 0 {
+	delete(s.broken, workspace)
+	s.accounts[workspace] = s.accounts[workspace].With(instance, grant)
+	if instance != s.instance {
+		if grant.Wanted > 0 {
 			s.urge()
 		}
+		return
 	}
-	if g, held := account.Grants[s.instance]; held && g.Incarnation == s.incarnation {
-		p.InForce(g.Sequence)
-		s.log.Debug("grant read", "workspace", workspace, "total", g.Total, "committed", g.Committed, "offset", offset)
+	if p, known := s.purses[workspace]; known && grant.Incarnation == s.incarnation {
+		p.InForce(grant.Sequence)
+		s.log.Debug("grant read", "workspace", workspace, "total", grant.Total, "committed", grant.Committed,
+			"closed", grant.Closed, "offset", r.Offset)
 	}
 }
 
 // giveBack returns the unused tokens before the process ends.
 func (s *Service) giveBack() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), giveBackTimeout)
 	defer cancel()
 	s.mu.Lock()
 	s.planner = prepaid.NewPlanner(prepaid.WithHorizon(0), prepaid.WithSlack(0))
 	for _, p := range s.purses {
 		p.ForgetWanted()
+		p.wanted = time.Time{}
 	}
 	s.mu.Unlock()
-	s.write(ctx)
+	for s.follower.Reachable() && ctx.Err() == nil {
+		s.mu.Lock()
+		kept, changed := s.kept(), s.changed
+		s.mu.Unlock()
+		if kept == 0 {
+			return
+		}
+		s.write(ctx)
+		s.await(ctx, changed, urgentInterval)
+	}
+	s.log.Warn("tokens not returned", "reachable", s.follower.Reachable())
+}
+
+// kept is the number of tokens that this entry holds and does not use.
+func (s *Service) kept() int64 {
+	var sum int64
+	for _, account := range s.accounts {
+		if g, held := account[s.instance]; held && g.Incarnation == s.incarnation {
+			sum += g.Total - g.Committed
+		}
+	}
+	return sum
 }
 
 // handler takes what the follower reads.
