Write grants under a condition and reports in order

Ruled out: rarer writes, since the terms must stay narrow. Change: grants, which seldom change, are in four partitions; reports of what was spent, with the terms, are ordered by producer and sequence and need no condition. An entry whose share is small holds less than it, so that the rest can be granted for a large request.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -117,7 +117,8 @@
 	g.client = exchange.New()
 	g.catalog = catalog.New(logger, g.store, platform.Codec{},
 		catalog.WithFailureDomain(s.FailureDomain), catalog.WithPeers(g.peers))
-	g.prepaid = prepaid.New(logger, g.store, platform.Codec{}.AccountsTopic(), g.catalog, s.Instance, g.incarnation)
+	grants, reports := platform.Codec{}.BudgetTopics()
+	g.prepaid = prepaid.New(logger, g.store, prepaid.Topics{Grants: grants, Reports: reports}, g.catalog, s.Instance)
 	r := relay.New(logger, platform.Messages{}, g.catalog, g.prepaid, g.client, append(retries(s), relay.WithMetrics(g.metrics))...)
 	g.handler = front.New(logger, platform.Messages{}, r, g.catalog)
 	g.readiness = front.NewReadiness(g.handler, g.catalog.Ready, g.prepaid.Ready)
--- a/models/prepaid/account.go
+++ b/models/prepaid/account.go
@@ -1,10 +1,14 @@
-// Package prepaid shares the prepaid tokens of workspaces between entries. Each
-// entry keeps one record for each workspace, its grant. Grants change only by
-// writes on the condition that no other was made meanwhile, so that their sum
-// stays within the prepaid total whatever is lost or late. An entry spends from its grant without
-// asking anybody, also while it is cut off, but no faster than the terms of its
-// newest record allow. So the tokens of a killed entry are known to be unspent
-// but for a small part.
+// Package prepaid shares the prepaid tokens of workspaces between entries. An
+// entry keeps two records for each workspace in the platform's store:
+//
+//   - its grant, which changes only by writes on the condition that no other grant
+//     was written meanwhile, so that the sum of all grants stays within the prepaid
+//     total whatever is lost or late;
+//   - its report, which it writes in order and without a condition. It bounds what
+//     the entry may spend of its grant until the next one.
+//
+// An entry spends from its grant without asking anybody, also while it is cut off.
+// What a killed entry may have spent is known from its last report.
 package prepaid
 
 import (
@@ -15,26 +19,52 @@
 	"github.com/pkg/errors"
 )
 
-// Terms bound what an entry may spend, more with the time since they were sent
-// and never more than Total. At first they allow a window: an entry in touch with
-// the store writes new terms as it goes, and what the terms allow is lost if the
-// entry is killed. Later they allow what an entry needs that is cut off.
-type Terms struct {
+// Grant is what one entry holds of a workspace's tokens.
+type Grant struct {
+	// Incarnation is the process that holds it. A later process of the same
+	// instance closes it: the former one has ended.
+	Incarnation int64 `cbor:"1,keyasint"`
+	// Sequence numbers the grants of the incarnation.
+	Sequence int64 `cbor:"2,keyasint"`
 	// Total is the sum of tokens that the incarnation may spend in its life.
-	Total int64 `cbor:"1,keyasint"`
+	Total int64 `cbor:"3,keyasint"`
+	// Closed is what earlier incarnations of the instance may have spent.
+	Closed int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Report is what an entry says of one workspace.
+type Report struct {
+	Terms `cbor:"1,keyasint"`
+	// Incarnation is the process that wrote it.
+	Incarnation int64 `cbor:"2,keyasint"`
+	// Sent is when it was sent, at the earliest.
+	Sent Clock `cbor:"3,keyasint"`
+	// Spent is what the incarnation had spent.
+	Spent int64 `cbor:"4,keyasint"`
+	// Demand is the tokens a second that callers asked of the entry.
+	Demand int64 `cbor:"5,keyasint"`
+	// Wanted is what the entry lacks for requests that it had to refuse.
+	Wanted int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// Terms bound what an entry may spend, more with the time since they were sent.
+// At first they allow a window: an entry in touch with the store reports again as
+// it goes, and what the terms allow is lost if the entry is killed. Later they
+// allow what an entry needs that is cut off.
+type Terms struct {
 	// Committed is what it had spent and reserved when it wrote the terms.
-	Committed int64 `cbor:"2,keyasint"`
+	Committed int64 `cbor:"1,keyasint"`
 	// Window is what it may spend at once beyond that.
-	Window int64 `cbor:"3,keyasint"`
+	Window int64 `cbor:"2,keyasint"`
 	// Rate is the tokens a second that are added after rateDelay.
-	Rate int64 `cbor:"4,keyasint"`
+	Rate int64 `cbor:"3,keyasint"`
 	// CutWindow and CutRate are added after cutDelay.
-	CutWindow int64 `cbor:"5,keyasint"`
-	CutRate   int64 `cbor:"6,keyasint"`
+	CutWindow int64 `cbor:"4,keyasint"`
+	CutRate   int64 `cbor:"5,keyasint"`
 }
 
 const (
-	// rateDelay is some times the interval in which an entry writes its terms anew.
+	// rateDelay is some times the interval in which an entry reports.
 	rateDelay = 700 * time.Millisecond
 	// cutDelay is longer than an entry that is killed takes to start again.
 	cutDelay = 3 * time.Second
@@ -49,7 +79,7 @@
 	if late := after - cutDelay; late >= 0 {
 		allowed += t.CutWindow + int64(float64(t.CutRate)*late.Seconds())
 	}
-	return min(t.Total, allowed)
+	return allowed
 }
 
 // Clock is what a process can tell of the time when it writes or reads a record.
@@ -72,7 +102,7 @@
 	clockStep = 5 * time.Second
 )
 
-// since bounds the time from when a record was sent until its writer ended, for a
+// since bounds the time from when a report was sent until its writer ended, for a
 // successor that reads it.
 func (c Clock) since(sent Clock, newest int64) time.Duration {
 	wall := time.Duration(max(c.Wall, newest)-sent.Wall) * time.Millisecond
@@ -83,27 +113,7 @@
 	return max(0, wall) + clockError
 }
 
-// Grant is what one entry holds of a workspace's tokens.
-type Grant struct {
-	Terms `cbor:"1,keyasint"`
-	// Incarnation is the process that holds it. A later process of the same
-	// instance closes it: the former one has ended.
-	Incarnation uint64 `cbor:"2,keyasint"`
-	// Sequence numbers the records of the incarnation.
-	Sequence int64 `cbor:"3,keyasint"`
-	// Sent is when the record was sent, at the earliest.
-	Sent Clock `cbor:"4,keyasint"`
-	// Spent is what the incarnation had spent when it wrote the record.
-	Spent int64 `cbor:"5,keyasint"`
-	// Demand is the tokens a second that callers asked of the entry.
-	Demand int64 `cbor:"6,keyasint"`
-	// Wanted is what the entry lacks for requests that it had to refuse.
-	Wanted int64 `cbor:"7,keyasint,omitempty"`
-	// Closed is what earlier incarnations of the instance may have spent.
-	Closed int64 `cbor:"8,keyasint,omitempty"`
-}
-
-// ParseGrant decodes a record.
+// ParseGrant decodes a grant.
 func ParseGrant(data []byte) (Grant, error) {
 	var g Grant
 	err := cbor.Unmarshal(data, &g)
@@ -116,24 +126,58 @@
 	return data, errors.Wrap(err, "encode grant")
 }
 
-// Account is all that was granted of one workspace's tokens, by the name of the
-// instance that holds it.
-type Account map[string]Grant
+// ParseReport decodes a report.
+func ParseReport(data []byte) (Report, error) {
+	var r Report
+	err := cbor.Unmarshal(data, &r)
+	return r, errors.Wrap(err, "decode report")
+}
+
+// Encode returns the record.
+func (r Report) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(r)
+	return data, errors.Wrap(err, "encode report")
+}
+
+// Account is all that is known of one workspace's tokens, by the name of the
+// instance.
+type Account struct {
+	Grants  map[string]Grant
+	Reports map[string]Report
+}
+
+// WithGrant returns the account with another grant of the instance.
+func (a Account) WithGrant(instance string, g Grant) Account {
+	a.Grants = maps.Clone(a.Grants)
+	if a.Grants == nil {
+		a.Grants = map[string]Grant{}
+	}
+	a.Grants[instance] = g
+	return a
+}
 
-// With returns the account with another grant of the instance.
-func (a Account) With(instance string, g Grant) Account {
-	next := maps.Clone(a)
-	if next == nil {
-		next = Account{}
+// WithReport returns the account with another report of the instance.
+func (a Account) WithReport(instance string, r Report) Account {
+	a.Reports = maps.Clone(a.Reports)
+	if a.Reports == nil {
+		a.Reports = map[string]Report{}
 	}
-	next[instance] = g
-	return next
+	a.Reports[instance] = r
+	return a
+}
+
+// report is what the holder of a grant reported of it.
+func (a Account) report(instance string, g Grant) Report {
+	if r := a.Reports[instance]; r.Incarnation == g.Incarnation {
+		return r
+	}
+	return Report{}
 }
 
 // Granted is all that was handed out.
 func (a Account) Granted() int64 {
 	var sum int64
-	for _, g := range a {
+	for _, g := range a.Grants {
 		sum += g.Closed + g.Total
 	}
 	return sum
@@ -143,8 +187,8 @@
 // handed out.
 func (a Account) Unspent(prepaid int64) int64 {
 	left := prepaid
-	for _, g := range a {
-		left -= g.Closed + g.Spent
+	for name, g := range a.Grants {
+		left -= g.Closed + a.report(name, g).Spent
 	}
 	return left
 }
@@ -152,14 +196,19 @@
 // Newest is the latest time of day in the account.
 func (a Account) Newest() int64 {
 	var newest int64
-	for _, g := range a {
-		newest = max(newest, g.Sent.Wall)
+	for _, r := range a.Reports {
+		newest = max(newest, r.Sent.Wall)
 	}
 	return newest
 }
 
-// closed counts as spent what the holder of a grant may have spent, for a
-// successor that reads it at the time.
-func (g Grant) closed(now Clock, newest int64) Grant {
-	return Grant{Closed: g.Closed + g.limit(now.since(g.Sent, newest))}
+// closed counts as spent what the former process of an instance may have spent of
+// its grant. A process that did not report on its grant has spent nothing of it.
+func (a Account) closed(instance string, now Clock, newest int64) Grant {
+	g := a.Grants[instance]
+	r := a.report(instance, g)
+	if r.Incarnation == 0 {
+		return Grant{Closed: g.Closed}
+	}
+	return Grant{Closed: g.Closed + min(g.Total, r.limit(now.since(r.Sent, newest)))}
 }
--- a/models/prepaid/fleet_test.go
+++ b/models/prepaid/fleet_test.go
@@ -10,7 +10,9 @@
 
 const (
 	tick          = 50 * time.Millisecond
-	writeInterval = 200 * time.Millisecond
+	writeInterval = 400 * time.Millisecond
+	// reportInterval is how often an entry reports.
+	reportInterval = 250 * time.Millisecond
 	// staleAfter is the age of an entry's view at which it writes no more.
 	staleAfter = 600 * time.Millisecond
 	// wantedMemory is how long a request counts as wanting tokens.
@@ -32,8 +34,8 @@
 	planner *prepaid.Planner
 	entries []*entry
 
-	// account and end are the store's; late are writes without an answer that may
-	// still take effect.
+	// account and end are the store's; late are grants written without an answer
+	// that may still take effect.
 	account prepaid.Account
 	end     int64
 	late    []lateWrite
@@ -55,9 +57,10 @@
 }
 
 type lateWrite struct {
-	at      int64
-	account prepaid.Account
-	due     time.Duration
+	at    int64
+	name  string
+	grant prepaid.Grant
+	due   time.Duration
 }
 
 type entry struct {
@@ -66,9 +69,13 @@
 	incarnation int
 	purse       *prepaid.Purse
 	// account and next are the entry's view of the store's.
-	account  prepaid.Account
-	next     int64
-	viewed   time.Duration
+	account prepaid.Account
+	next    int64
+	viewed  time.Duration
+	known   bool
+	// report is a report whose outcome is not known.
+	report   *prepaid.Report
+	reported time.Duration
 	sequence int64
 	written  time.Duration
 	wanted   time.Duration
@@ -99,7 +106,6 @@
 func newFleet(seed uint64, total int64, demands ...func(time.Duration) float64) *fleet {
 	f := &fleet{
 		rand: rand.New(rand.NewPCG(seed, 1)), prepaid: total, planner: prepaid.NewPlanner(),
-		account: prepaid.Account{},
 	}
 	for i, demand := range demands {
 		e := &entry{fleet: f, name: fmt.Sprintf("entry-%d", i), demand: demand, size: 12_000}
@@ -129,7 +135,7 @@
 		case w.due > f.now:
 			rest = append(rest, w)
 		case w.at == f.end:
-			f.account, f.end = w.account, f.end+1
+			f.account, f.end = f.account.WithGrant(w.name, w.grant), f.end+1
 		}
 	}
 	f.late = rest
@@ -150,7 +156,7 @@
 func (e *entry) start() {
 	e.incarnation++
 	e.purse = prepaid.NewPurse(e.fleet.time(), float64(e.fleet.prepaid)/45/float64(max(4, len(e.fleet.entries))))
-	e.account, e.next = nil, 0
+	e.account, e.next, e.known, e.report = prepaid.Account{}, 0, false, nil
 	e.holds, e.waiting = nil, nil
 	e.lowest = e.offset
 }
@@ -189,6 +195,9 @@
 	if f.now-e.written >= writeInterval || len(e.waiting) > 0 {
 		e.write()
 	}
+	if f.now-e.reported >= reportInterval || len(e.waiting) > 0 {
+		e.tell()
+	}
 }
 
 func (e *entry) read() {
@@ -196,18 +205,15 @@
 	if e.cut {
 		return
 	}
-	e.viewed = f.now
-	if e.next == f.end && e.account != nil {
-		return
-	}
+	e.viewed, e.known = f.now, true
 	e.account, e.next = f.account, f.end
-	if g, held := e.account[e.name]; held && g.Incarnation == e.id() {
-		e.purse.InForce(g.Sequence)
+	if g, held := e.account.Grants[e.name]; held && g.Incarnation == e.id() {
+		e.purse.GrantInForce(g)
 	}
 	e.purse.Reached(e.next)
 }
 
-func (e *entry) id() uint64 { return uint64(e.incarnation) }
+func (e *entry) id() int64 { return int64(e.incarnation) }
 
 func (e *entry) clock() prepaid.Clock {
 	return prepaid.Clock{
@@ -217,38 +223,66 @@
 	}
 }
 
-// write plans the grant and writes it, with whatever the store makes of that.
+func (e *entry) holder() prepaid.Holder {
+	e.sequence++
+	return e.purse.Holder(e.fleet.time(), prepaid.Holder{
+		Instance: e.name, Incarnation: e.id(), Sequence: e.sequence, Now: e.clock(), Newest: e.account.Newest(),
+	})
+}
+
+// write writes the grant, with whatever the store makes of that.
 func (e *entry) write() {
 	f := e.fleet
-	if e.cut || e.account == nil || f.now-e.viewed > staleAfter {
+	if e.cut || !e.known || f.now-e.viewed > staleAfter {
 		return
 	}
 	e.written = f.now
 	if f.now-e.wanted > wantedMemory {
 		e.purse.ForgetWanted()
 	}
-	e.sequence++
-	grant, changed := f.planner.Plan(e.account, f.prepaid, e.purse.Holder(f.time(), prepaid.Holder{
-		Instance: e.name, Incarnation: e.id(), Sequence: e.sequence, Now: e.clock(), Newest: e.account.Newest(),
-	}))
+	grant, changed := f.planner.Grant(e.account, f.prepaid, e.holder())
 	if !changed {
 		return
 	}
-	e.purse.Sent(f.time(), e.sequence, e.next, grant.Terms)
-	next := e.account.With(e.name, grant)
+	e.purse.SentGrant(grant.Sequence, e.next, grant.Total)
 	if f.rand.Float64() < f.storeFaults {
 		switch f.rand.IntN(3) {
 		case 0: // The request is lost.
 			return
 		case 1: // It takes effect later, or not at all.
-			f.late = append(f.late, lateWrite{at: e.next, account: next, due: f.now + time.Duration(f.rand.IntN(6000))*time.Millisecond})
+			late := time.Duration(f.rand.IntN(6000)) * time.Millisecond
+			f.late = append(f.late, lateWrite{at: e.next, name: e.name, grant: grant, due: f.now + late})
 			return
 		}
 		// The answer is lost.
 	}
 	if e.next == f.end {
-		f.account, f.end = next, f.end+1
+		f.account, f.end = f.account.WithGrant(e.name, grant), f.end+1
+	}
+}
+
+// tell writes a report, or the last one again while its outcome is not known.
+func (e *entry) tell() {
+	f := e.fleet
+	if e.report == nil {
+		report, changed := f.planner.Report(e.account, f.prepaid, e.holder())
+		if !changed || !e.known {
+			return
+		}
+		e.report = &report
+		e.purse.SentReport(f.time(), report.Terms)
+	}
+	fault := f.rand.Float64() < f.storeFaults
+	if e.cut || (fault && f.rand.IntN(2) == 0) {
+		return
+	}
+	f.account = f.account.WithReport(e.name, *e.report)
+	if fault {
+		return
 	}
+	e.account = e.account.WithReport(e.name, *e.report)
+	e.report, e.reported = nil, f.now
+	e.purse.ReportInForce()
 }
 
 func (e *entry) finish() {
--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -13,10 +13,13 @@
 	// handedOut is the part of what is left that entries hold. The rest is for
 	// requests that are larger than the usual.
 	handedOut = 0.9
-	// windowPart of what is left may be spent at once beyond what was recorded, and
-	// usualWindow, which is some requests of the usual size, where that is less. All
-	// entries together lose some times as much when they are killed.
-	windowPart  = 0.02
+	// lump is the size of a large request. An entry whose share is not much larger
+	// holds less than its share, so that the rest can be granted for a request.
+	lump = 50_000
+	// windowPart of an entry's share of what is left may be spent at once beyond
+	// what was reported, and usualWindow, which is some requests of the usual size,
+	// where that is less. As much is lost of each entry that is killed.
+	windowPart  = 0.08
 	usualWindow = 40_000
 	// cutWindow is what an entry that is cut off may spend at once: one large
 	// request, of up to ten times the usual size, or the demand of cutDemand.
@@ -63,11 +66,11 @@
 // Holder is an entry's own view of its grant.
 type Holder struct {
 	Instance    string
-	Incarnation uint64
-	// Sequence is the number of the record to write.
+	Incarnation int64
+	// Sequence is the number of the grant to write.
 	Sequence int64
 	Now      Clock
-	// Newest is the latest time of day in the records of all entries.
+	// Newest is the latest time of day in the reports of all entries.
 	Newest int64
 	// Spent is what was used, Held what requests under way may still use.
 	Spent int64
@@ -78,69 +81,86 @@
 	Wanted int64
 }
 
-// Plan returns the holder's grant as it should be, and whether that is worth a
+func (h Holder) committed() int64 { return h.Spent + h.Held }
+
+// Grant returns the holder's grant as it should be, and whether that is worth a
 // write.
-func (p *Planner) Plan(a Account, prepaid int64, h Holder) (Grant, bool) {
-	old, known := a[h.Instance]
+func (p *Planner) Grant(a Account, prepaid int64, h Holder) (Grant, bool) {
+	old, known := a.Grants[h.Instance]
 	if known && old.Incarnation != h.Incarnation {
-		old, known = old.closed(h.Now, h.Newest), false
-		a = a.With(h.Instance, old)
+		old, known = a.closed(h.Instance, h.Now, h.Newest), false
+		a = a.WithGrant(h.Instance, old)
 	}
-	committed := h.Spent + h.Held
 	target := p.target(a, prepaid, h)
 	total := old.Total
-	switch free, margin := old.Total-committed, int64(float64(target)*p.slack); {
+	switch free, margin := old.Total-h.committed(), int64(float64(target)*p.slack); {
 	case free < target-margin || free < h.Wanted:
-		total = min(committed+max(target, h.Wanted), old.Total+max(0, prepaid-a.Granted()))
+		total = min(h.committed()+max(target, h.Wanted), old.Total+max(0, prepaid-a.Granted()))
 	case free > target+margin:
-		total = committed + target
+		total = h.committed() + target
 	}
-	total = max(total, committed)
 	grant := Grant{
-		Terms: terms(total, h, a.Unspent(prepaid)), Incarnation: h.Incarnation, Sequence: h.Sequence, Sent: h.Now,
-		Spent: h.Spent, Demand: int64(h.Demand), Wanted: max(0, h.Wanted-(total-committed)), Closed: old.Closed,
+		Incarnation: h.Incarnation, Sequence: h.Sequence, Total: max(total, h.committed()), Closed: old.Closed,
 	}
-	return grant, !known || differs(old, grant) || h.Wanted > old.Window
+	return grant, !known || grant.Total != old.Total
 }
 
-// terms bound the spending of a grant.
-func terms(total int64, h Holder, unspent int64) Terms {
-	left := float64(max(0, unspent))
-	return Terms{
-		Total: total, Committed: h.Spent + h.Held,
-		Window: max(h.Wanted, min(usualWindow, int64(windowPart*left))), Rate: int64(h.Demand * ratePart),
-		CutWindow: max(cutWindow, int64(h.Demand*cutDemand.Seconds())), CutRate: int64(h.Demand * cutRatePart),
+// Report returns the holder's report, and whether it tells more than the last.
+// A holder without a grant has nothing to report.
+func (p *Planner) Report(a Account, prepaid int64, h Holder) (Report, bool) {
+	grant, known := a.Grants[h.Instance]
+	if !known || grant.Incarnation != h.Incarnation {
+		return Report{}, false
+	}
+	old := a.report(h.Instance, grant)
+	share, _ := p.share(a, h)
+	left := float64(max(0, a.Unspent(prepaid))) * share
+	report := Report{
+		Terms: Terms{
+			Committed: h.committed(), Window: max(h.Wanted, min(usualWindow, int64(windowPart*left))),
+			Rate:      int64(h.Demand * ratePart),
+			CutWindow: min(int64(left), max(cutWindow, int64(h.Demand*cutDemand.Seconds()))),
+			CutRate:   int64(h.Demand * cutRatePart),
+		},
+		Incarnation: h.Incarnation, Sent: h.Now, Spent: h.Spent, Demand: int64(h.Demand),
+		Wanted: max(0, h.Wanted-(grant.Total-h.committed())),
 	}
+	return report, old.Incarnation == 0 || old.Committed != report.Committed || old.Spent != report.Spent ||
+		(old.Wanted == 0) != (report.Wanted == 0) || h.Wanted > old.Window ||
+		report.Sent.Wall-old.Sent.Wall > renewAfter.Milliseconds()
 }
 
-// differs says whether the record tells others something new.
-func differs(old, next Grant) bool {
-	return old.Total != next.Total || old.Committed != next.Committed || old.Spent != next.Spent ||
-		(old.Wanted == 0) != (next.Wanted == 0) || next.Sent.Wall-old.Sent.Wall > renewAfter.Milliseconds()
+// share is the holder's part of the demand, and called what others lack.
+func (p *Planner) share(a Account, h Holder) (share float64, called int64) {
+	all := h.Demand
+	for name, g := range a.Grants {
+		if name != h.Instance {
+			r := a.report(name, g)
+			all += float64(r.Demand)
+			called += r.Wanted
+		}
+	}
+	if all <= 0 {
+		return 0, called
+	}
+	return h.Demand / all, called
 }
 
 // target is the number of free tokens that the holder should have: enough for
 // the horizon while there is plenty, and its share by demand of what is left.
 func (p *Planner) target(a Account, prepaid int64, h Holder) int64 {
-	others, called := 0.0, int64(0)
-	left := prepaid - h.Spent - h.Held
-	for name, g := range a {
+	share, called := p.share(a, h)
+	left := prepaid - h.committed()
+	for name, g := range a.Grants {
 		left -= g.Closed
 		if name != h.Instance {
-			others += float64(g.Demand)
-			called += g.Wanted
-			left -= g.Spent
+			left -= a.report(name, g).Spent
 		}
 	}
-	target := h.Demand * p.horizon.Seconds()
-	share := 1.0
-	if all := h.Demand + others; all > 0 {
-		share = h.Demand / all
-		target = min(target, float64(max(0, left))*handedOut*share)
-	}
-	if unassigned := prepaid - a.Granted(); called > max(0, unassigned) {
+	if called > max(0, prepaid-a.Granted()) {
 		// Others refuse requests for want of what lies idle here.
-		target = min(target, float64(max(0, left-called))*share)
+		left -= called
 	}
-	return int64(target)
+	part := float64(max(0, left)) * handedOut * share
+	return int64(min(h.Demand*p.horizon.Seconds(), part*part/(part+lump)))
 }
--- a/models/prepaid/prepaid_test.go
+++ b/models/prepaid/prepaid_test.go
@@ -164,23 +164,26 @@
 	}
 }
 
-func TestGrantRoundTrip(t *testing.T) {
-	g := prepaid.Grant{
-		Terms:       prepaid.Terms{Total: 100, Committed: 20, Window: 5, Rate: 15, CutWindow: 3, CutRate: 40},
-		Incarnation: 1 << 63, Sequence: 3, Sent: prepaid.Clock{Wall: 5, Uptime: 6, Boot: 7}, Spent: 11, Demand: 2, Closed: 7,
-	}
-	data, err := g.Encode()
+func TestRoundTrip(t *testing.T) {
+	grant := prepaid.Grant{Incarnation: 1 << 60, Sequence: 3, Total: 100, Closed: 7}
+	data, err := grant.Encode()
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := prepaid.ParseGrant(data)
-	if err != nil {
+	if got, err := prepaid.ParseGrant(data); err != nil || got != grant {
+		t.Errorf("got %+v and %v, want %+v", got, err, grant)
+	}
+	report := prepaid.Report{
+		Terms:       prepaid.Terms{Committed: 20, Window: 5, Rate: 15, CutWindow: 3, CutRate: 40},
+		Incarnation: 1 << 60, Sent: prepaid.Clock{Wall: 5, Uptime: 6, Boot: 7}, Spent: 11, Demand: 2,
+	}
+	if data, err = report.Encode(); err != nil {
 		t.Fatal(err)
 	}
-	if got != g {
-		t.Errorf("got %+v, want %+v", got, g)
+	if got, err := prepaid.ParseReport(data); err != nil || got != report {
+		t.Errorf("got %+v and %v, want %+v", got, err, report)
 	}
-	account := prepaid.Account{}.With("entry-0", g)
+	account := prepaid.Account{}.WithGrant("entry-0", grant).WithReport("entry-0", report)
 	if granted, unspent := account.Granted(), account.Unspent(200); granted != 107 || unspent != 182 {
 		t.Errorf("granted %d and unspent %d, want 107 and 182", granted, unspent)
 	}
--- a/models/prepaid/purse.go
+++ b/models/prepaid/purse.go
@@ -19,17 +19,27 @@
 	at time.Time
 }
 
+func (t sentTerms) limit(now time.Time) int64 { return t.Terms.limit(now.Sub(t.at)) }
+
+// sentTotal is a grant whose write was to take effect at an offset.
+type sentTotal struct {
+	total  int64
+	offset int64
+}
+
 // Purse is an entry's own account of one workspace's grant. It can't be used by
 // several goroutines at once.
 type Purse struct {
-	// inForce are the terms that were read back.
-	inForce sentTerms
-	// pending are terms that were written but not read back, by their number. Any
-	// of them may be in force, so all bind.
-	pending map[int64]pendingTerms
-	spent   int64
-	held    int64
-	wanted  int64
+	// total is what was read back, and totals what was written but not read back,
+	// by its number. Any of these may be in force, so all bind.
+	total  int64
+	totals map[int64]sentTotal
+	// terms are in force, and reported may be.
+	terms    *sentTerms
+	reported *sentTerms
+	spent    int64
+	held     int64
+	wanted   int64
 
 	prior    float64
 	started  time.Time
@@ -37,55 +47,68 @@
 	updated  time.Time
 }
 
-// pendingTerms are terms whose write was to take effect at an offset.
-type pendingTerms struct {
-	sentTerms
-	offset int64
-}
-
 // NewPurse returns an empty purse that assumes a demand in tokens a second
 // until it has seen some.
 func NewPurse(now time.Time, prior float64) *Purse {
-	return &Purse{pending: map[int64]pendingTerms{}, prior: prior, started: now, updated: now}
+	return &Purse{totals: map[int64]sentTotal{}, prior: prior, started: now, updated: now}
 }
 
-// Sent notes terms that are being written at the offset under a number.
-func (p *Purse) Sent(now time.Time, sequence, offset int64, t Terms) {
-	p.pending[sequence] = pendingTerms{sentTerms: sentTerms{Terms: t, at: now}, offset: offset}
+// SentGrant notes a total that is being written at the offset under a number.
+func (p *Purse) SentGrant(sequence, offset, total int64) {
+	p.totals[sequence] = sentTotal{total: total, offset: offset}
 }
 
-// InForce notes that the terms of that number were read back.
-func (p *Purse) InForce(sequence int64) {
-	if t, known := p.pending[sequence]; known {
-		p.inForce = t.sentTerms
-		delete(p.pending, sequence)
-	}
+// GrantInForce notes a grant that was read back.
+func (p *Purse) GrantInForce(g Grant) {
+	p.total = g.Total
+	delete(p.totals, g.Sequence)
 }
 
-// Reached drops the terms whose write was to take effect before the offset: they
+// Reached drops the grants whose write was to take effect before the offset: they
 // were read back, or never will be in force.
 func (p *Purse) Reached(offset int64) {
-	for sequence, t := range p.pending {
+	for sequence, t := range p.totals {
 		if t.offset < offset {
-			delete(p.pending, sequence)
+			delete(p.totals, sequence)
 		}
 	}
 }
 
+// SentReport notes terms that are being written.
+func (p *Purse) SentReport(now time.Time, t Terms) {
+	p.reported = &sentTerms{Terms: t, at: now}
+}
+
+// ReportInForce notes that the terms written last are in force.
+func (p *Purse) ReportInForce() {
+	if p.reported != nil {
+		p.terms, p.reported = p.reported, nil
+	}
+}
+
+// ReportVoid notes that the terms written last never will be in force.
+func (p *Purse) ReportVoid() { p.reported = nil }
+
 // Free is what new requests may use.
 func (p *Purse) Free(now time.Time) int64 {
-	limit := p.inForce.limit(now.Sub(p.inForce.at))
-	for _, t := range p.pending {
-		limit = min(limit, t.limit(now.Sub(t.at)))
+	if p.terms == nil {
+		return 0
+	}
+	limit := min(p.total, p.terms.limit(now))
+	for _, t := range p.totals {
+		limit = min(limit, t.total)
+	}
+	if p.reported != nil {
+		limit = min(limit, p.reported.limit(now))
 	}
 	return limit - p.spent - p.held
 }
 
 // Granted is what is left of the grant, whatever the terms allow now.
-func (p *Purse) Granted() int64 { return p.inForce.Total - p.spent - p.held }
+func (p *Purse) Granted() int64 { return p.total - p.spent - p.held }
 
-// Reserve holds the most that a request can cost, and reports whether the terms
-// cover it.
+// Reserve holds the most that a request can cost, and reports whether grant and
+// terms cover it.
 func (p *Purse) Reserve(now time.Time, tokens int64) bool {
 	if tokens > p.Free(now) {
 		return false
@@ -94,8 +117,8 @@
 	return true
 }
 
-// Covered returns how long it takes until the terms cover a request without being
-// written anew, if that is within the limit.
+// Covered returns how long it takes until the terms cover a request without a new
+// report, if that is within the limit.
 func (p *Purse) Covered(now time.Time, tokens int64, limit time.Duration) (time.Duration, bool) {
 	if p.Free(now.Add(limit)) < tokens {
 		return 0, false
@@ -117,7 +140,7 @@
 	p.spent += min(used, held)
 }
 
-// Want notes a request that the terms did not cover.
+// Want notes a request that was not covered.
 func (p *Purse) Want(tokens int64) { p.wanted = max(p.wanted, tokens) }
 
 // ForgetWanted drops the note on refused requests.
--- a/models/record/record.go
+++ b/models/record/record.go
@@ -15,9 +15,15 @@
 	Offset int64
 }
 
+// Partition is one sequence of records of a topic.
+type Partition struct {
+	Topic  string
+	Number int
+}
+
 // Read says what to read.
 type Read struct {
-	Topic string
+	Partition
 	// From is the offset of the first record.
 	From int64
 	// Wait is how long the store may wait for a record.
@@ -41,29 +47,70 @@
 	Next    int64
 }
 
+// Condition says under what condition a write is made.
+type Condition interface{ isCondition() }
+
+// At makes a write only if the partition ends at the offset.
+type At int64
+
+// Ordered makes the writes of one producer in order, each once: a write that is
+// made again has no effect, and one that comes after a later one neither. An
+// epoch ends all lower ones.
+type Ordered struct {
+	Producer string
+	Epoch    int64
+	Sequence int64
+}
+
+func (At) isCondition()      {}
+func (Ordered) isCondition() {}
+
+// Write is a write of some records, all or none.
+type Write struct {
+	Partition
+	Condition Condition
+	Records   []Record
+}
+
 // ExpiredError says that records at an offset are no longer kept.
 type ExpiredError struct {
-	Topic    string
+	Partition
 	From     int64
 	Earliest int64
 }
 
 // Error implements error.
 func (e *ExpiredError) Error() string {
-	return fmt.Sprintf("records of %s from offset %d have expired, the first is %d", e.Topic, e.From, e.Earliest)
+	return fmt.Sprintf("records of %s/%d from offset %d have expired, the first is %d", e.Topic, e.Number, e.From, e.Earliest)
 }
 
 // ConflictError says that a write was not made since the topic did not end at
 // the expected offset.
 type ConflictError struct {
-	Topic string
-	At    int64
-	End   int64
+	Partition
+	At  int64
+	End int64
 }
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("%s ends at offset %d, not at %d", e.Topic, e.End, e.At)
+	return fmt.Sprintf("%s/%d ends at offset %d, not at %d", e.Topic, e.Number, e.End, e.At)
+}
+
+// OrderError says that an ordered write was not made.
+type OrderError struct {
+	// Ended says that a higher epoch was seen.
+	Ended bool
+	// Expected is the sequence that would follow.
+	Expected int64
+}
+
+// Error implements error.
+func (e *OrderError) Error() string {
+	if e.Ended {
+		return "a later process writes under this name"
+	}
+	return fmt.Sprintf("the write is out of order: sequence %d would follow", e.Expected)
 }
 
 // RefusedError says that the store did nothing.
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -1,4 +1,4 @@
-// Package follower keeps a process up to date with one topic of the platform's
+// Package follower keeps a process up to date with one partition of the platform's
 // store: first the newest record of each key, then all changes in order.
 package follower
 
@@ -34,7 +34,7 @@
 	// Read returns records from an offset on, waiting for one if there is none.
 	Read(ctx context.Context, r record.Read) (record.Batch, error)
 	// Newest returns the newest record of each key.
-	Newest(ctx context.Context, topic string) (record.Newest, error)
+	Newest(ctx context.Context, p record.Partition) (record.Newest, error)
 }
 
 // Handler takes what was read. It is called by one goroutine.
@@ -56,11 +56,11 @@
 // WithWait sets how long the store may hold a read without news.
 func WithWait(d time.Duration) Option { return func(f *Follower) { f.wait = d } }
 
-// Follower follows one topic.
+// Follower follows one partition.
 type Follower struct {
 	log     hclog.Logger
 	from    Log
-	topic   string
+	part    record.Partition
 	handler Handler
 	pace    time.Duration
 	wait    time.Duration
@@ -75,10 +75,10 @@
 	done      sync.WaitGroup
 }
 
-// New returns a follower of the topic.
-func New(log hclog.Logger, from Log, topic string, handler Handler, opts ...Option) *Follower {
+// New returns a follower of the partition.
+func New(log hclog.Logger, from Log, part record.Partition, handler Handler, opts ...Option) *Follower {
 	f := &Follower{
-		log: log.With("topic", topic), from: from, topic: topic, handler: handler,
+		log: log.With("topic", part.Topic, "partition", part.Number), from: from, part: part, handler: handler,
 		pace: DefaultPace, wait: DefaultWait, began: time.Now(), hurry: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
@@ -183,7 +183,7 @@
 // step makes one read.
 func (f *Follower) step(ctx context.Context) error {
 	if !f.known {
-		newest, err := f.from.Newest(ctx, f.topic)
+		newest, err := f.from.Newest(ctx, f.part)
 		if err != nil {
 			return err
 		}
@@ -191,7 +191,7 @@
 		f.next, f.known = newest.Next, true
 		return nil
 	}
-	batch, err := f.from.Read(ctx, record.Read{Topic: f.topic, From: f.next, Wait: f.wait})
+	batch, err := f.from.Read(ctx, record.Read{Partition: f.part, From: f.next, Wait: f.wait})
 	if err != nil {
 		var expired *record.ExpiredError
 		if errors.As(err, &expired) {
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -1,18 +1,16 @@
-// Package prepaid keeps an entry's part of each workspace's prepaid tokens: it
-// follows the accounts in the platform's store, grows and shrinks the entry's
-// grants there, and reserves tokens for requests from them without asking anybody.
+// Package prepaid keeps an entry's part of each workspace's prepaid tokens. It
+// follows grants and reports in the platform's store, grows and shrinks the
+// entry's grants there, reports what was spent, and reserves tokens for requests
+// without asking anybody.
 package prepaid
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/kernel"
 	"github.com/crocusline/crocusline/models/prepaid"
@@ -27,10 +25,9 @@
 const Name = "prepaid"
 
 const (
-	// writeInterval is how often grants are compared with what they should be.
-	writeInterval = 250 * time.Millisecond
-	// urgentInterval is the shortest time between two writes while requests wait.
-	urgentInterval = 20 * time.Millisecond
+	// partitions share the workspaces' grants, so that entries that write at once
+	// seldom meet. All entries must use the same number.
+	partitions = 4
 	// grantWait is how long a request waits for a larger grant: some exchanges with
 	// the store, a small part of the most urgent goal.
 	grantWait = 120 * time.Millisecond
@@ -42,27 +39,22 @@
 	// usualDay is the time in which a workspace is assumed to use its prepaid total
 	// until its demand was seen.
 	usualDay = 45 * time.Second
-	// assumedEntries is the number of entries until their accounts are known.
+	// assumedEntries is the number of entries until their grants are known.
 	assumedEntries = 4
-	// giveBackTimeout bounds the return of unused tokens when the process ends.
-	giveBackTimeout = time.Second
 	// comeBack is when a caller may try another entry, which may hold tokens.
 	comeBack = 300 * time.Millisecond
-	// staleAfter is the age of the accounts at which the store is probably lost. A
-	// write then would only hold back the terms of the one before.
-	staleAfter = 600 * time.Millisecond
-	// followPace is the shortest time between two reads of the accounts while no
-	// request lacks tokens.
-	followPace = 100 * time.Millisecond
-	// followWait is how long the store may hold a read of the accounts.
-	followWait = 400 * time.Millisecond
+	// followPace is the shortest time between two reads while no request lacks
+	// tokens.
+	followPace = 150 * time.Millisecond
+	// giveBackTimeout bounds the return of unused tokens when the process ends.
+	giveBackTimeout = time.Second
 )
 
 // Log is the store.
 type Log interface {
 	follower.Log
-	// Append writes records if the topic ends at the offset.
-	Append(ctx context.Context, topic string, at int64, records []record.Record) error
+	// Append makes a write if its condition holds.
+	Append(ctx context.Context, w record.Write) error
 }
 
 // Tables gives the tables in force.
@@ -70,6 +62,12 @@
 	Table() *route.Table
 }
 
+// Topics are where grants and reports are.
+type Topics struct {
+	Grants  string
+	Reports string
+}
+
 // Option changes a Service at construction.
 type Option func(*Service)
 
@@ -78,28 +76,27 @@
 
 // Service holds the entry's purses.
 type Service struct {
-	log         hclog.Logger
-	store       Log
-	topic       string
-	tables      Tables
-	instance    string
-	incarnation uint64
-	planner     *prepaid.Planner
-	follower    *follower.Follower
-
+	log      hclog.Logger
+	store    Log
+	topics   Topics
+	tables   Tables
+	instance string
+	planner  *prepaid.Planner
 	wall     *uptime.Wall
-	sequence int64
-
-	mu       sync.Mutex
-	accounts map[string]prepaid.Account
-	// broken are the workspaces whose newest record can't be decoded.
+	grants   []*granter
+	reporter *reporter
+
+	mu sync.Mutex
+	// incarnation is higher than those of all former processes of the instance. It
+	// is set once their records are known.
+	incarnation int64
+	sequence    int64
+	accounts    map[string]prepaid.Account
+	// broken are the workspaces with a grant that can't be decoded.
 	broken  map[string]bool
 	purses  map[string]*purse
-	next    int64
-	known   bool
 	changed chan struct{}
 
-	kick   chan struct{}
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -110,19 +107,21 @@
 	wanted time.Time
 }
 
-// New returns the service of an incarnation of the instance.
-func New(log hclog.Logger, store Log, topic string, tables Tables, instance, incarnation string, opts ...Option) *Service {
+// New returns the service of a process of the instance.
+func New(log hclog.Logger, store Log, topics Topics, tables Tables, instance string, opts ...Option) *Service {
 	s := &Service{
-		log: log.Named(Name), store: store, topic: topic, tables: tables,
-		instance: instance, incarnation: xxhash.Sum64String(incarnation), planner: prepaid.NewPlanner(),
-		wall:     uptime.NewWall(),
+		log: log.Named(Name), store: store, topics: topics, tables: tables,
+		instance: instance, planner: prepaid.NewPlanner(), wall: uptime.NewWall(),
 		accounts: map[string]prepaid.Account{}, broken: map[string]bool{}, purses: map[string]*purse{},
-		changed: make(chan struct{}), kick: make(chan struct{}, 1),
+		changed: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.follower = follower.New(s.log, store, topic, handler{s}, follower.WithPace(followPace), follower.WithWait(followWait))
+	for number := range partitions {
+		s.grants = append(s.grants, newGranter(s, number))
+	}
+	s.reporter = newReporter(s)
 	return s
 }
 
@@ -131,9 +130,15 @@
 
 // Start implements kernel.Service.
 func (s *Service) Start(ctx context.Context, _ *kernel.Kernel) error {
-	s.follower.Start(ctx)
+	s.reporter.follower.Start(ctx)
+	for _, g := range s.grants {
+		g.follower.Start(ctx)
+	}
 	ctx, s.cancel = context.WithCancel(ctx)
-	s.done.Go(func() { s.writeAll(ctx) })
+	s.done.Go(func() { s.reporter.run(ctx) })
+	for _, g := range s.grants {
+		s.done.Go(func() { g.run(ctx) })
+	}
 	return nil
 }
 
@@ -145,14 +150,37 @@
 	}
 	s.done.Wait()
 	s.giveBack()
-	return s.follower.Close()
+	err := s.reporter.follower.Close()
+	for _, g := range s.grants {
+		if closeErr := g.follower.Close(); err == nil {
+			err = closeErr
+		}
+	}
+	return err
 }
 
-// Ready says whether the accounts are known.
+// Ready says whether grants and reports are known.
 func (s *Service) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.known
+	return s.known()
+}
+
+func (s *Service) known() bool {
+	for _, g := range s.grants {
+		if !g.known {
+			return false
+		}
+	}
+	return s.reporter.known
+}
+
+// reachable says whether the store was read a short while ago.
+func (s *Service) reachable() bool { return s.reporter.follower.Reachable() }
+
+// granter returns what writes the workspace's grants.
+func (s *Service) granter(workspace string) *granter {
+	return s.grants[xxhash.Sum64String(workspace)%partitions]
 }
 
 // Hold is tokens set aside for one request.
@@ -173,8 +201,8 @@
 }
 
 // Reserve sets aside the most that a request can cost. It returns a nil Hold for
-// a workspace without a prepaid total. If the terms don't cover the request it
-// waits for new ones, or until the old ones do, but not for long.
+// a workspace without a prepaid total. If grant and terms don't cover the request
+// it waits for new ones, or until the old ones do, but not for long.
 func (s *Service) Reserve(ctx context.Context, w route.Workspace, tokens int64) (*Hold, error) {
 	if !w.Limited || tokens == 0 {
 		return nil, nil
@@ -187,7 +215,7 @@
 			return &Hold{service: s, workspace: w.Name, tokens: tokens}, nil
 		}
 		wait := grantWait - time.Since(began)
-		if !s.follower.Reachable() {
+		if !s.reachable() {
 			wait = 0
 		}
 		if t.covered > 0 {
@@ -196,17 +224,15 @@
 		if wait <= 0 || t.err.Reason == refusal.BudgetExhausted {
 			return nil, t.err
 		}
-		s.urge()
-		s.follower.Hurry()
-		if !s.await(ctx, t.changed, wait) {
+		s.urge(w.Name)
+		if !await(ctx, t.changed, wait) {
 			return nil, t.err
 		}
 	}
 }
 
-// await waits for a change of the accounts or the time, and reports whether to
-// try again.
-func (*Service) await(ctx context.Context, changed <-chan struct{}, wait time.Duration) bool {
+// await waits for a change or the time, and reports whether to try again.
+func await(ctx context.Context, changed <-chan struct{}, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
@@ -229,13 +255,13 @@
 type trial struct {
 	// err is the refusal if it failed.
 	err *refusal.Error
-	// changed is closed with the next change of the accounts.
+	// changed is closed with the next change of grants or reports.
 	changed <-chan struct{}
 	// covered is when the terms will cover the request, or 0.
 	covered time.Duration
 }
 
-// try reserves from what the terms allow.
+// try reserves from what grant and terms allow.
 func (s *Service) try(w route.Workspace, tokens int64, patience time.Duration) trial {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -248,8 +274,7 @@
 	p.wanted = now
 	t := trial{changed: s.changed, err: refusal.New(refusal.BudgetUnreachable, comeBack,
 		"this entry holds too few of the workspace's tokens: come back, another entry may hold more")}
-	account, known := s.accounts[w.Name]
-	if known && account.Unspent(w.Prepaid) < tokens {
+	if s.known() && s.accounts[w.Name].Unspent(w.Prepaid) < tokens {
 		t.err = refusal.New(refusal.BudgetExhausted, 0, "the prepaid tokens do not cover the request: top up")
 	}
 	if after, ok := p.Covered(now, tokens, patience); ok && patience > 0 {
@@ -262,14 +287,25 @@
 func (s *Service) purse(w route.Workspace, now time.Time) *purse {
 	p, known := s.purses[w.Name]
 	if !known {
-		entries := max(len(s.accounts[w.Name]), assumedEntries)
+		entries := max(len(s.accounts[w.Name].Grants), assumedEntries)
 		prior := float64(w.Prepaid) / usualDay.Seconds() / float64(entries)
 		p = &purse{Purse: prepaid.NewPurse(now, prior)}
 		s.purses[w.Name] = p
 	}
+	if now.Sub(p.wanted) > wantedMemory {
+		p.ForgetWanted()
+	}
 	return p
 }
 
+// urge makes grants and reports be written and read at once.
+func (s *Service) urge(workspace string) {
+	g := s.granter(workspace)
+	g.urge()
+	g.follower.Hurry()
+	s.reporter.urge()
+}
+
 // Balance is what an entry knows of a workspace's tokens, for log lines.
 type Balance struct {
 	// Free is what the terms allow now, Granted what is left of the entry's grant,
@@ -279,7 +315,7 @@
 	Unspent int64
 	// Demand is the tokens a second that callers ask of this entry.
 	Demand float64
-	// Age is the time since the accounts were read.
+	// Age is the time since the reports were read.
 	Age time.Duration
 }
 
@@ -287,7 +323,7 @@
 func (s *Service) Balance(w route.Workspace) Balance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := Balance{Unspent: s.accounts[w.Name].Unspent(w.Prepaid), Age: s.follower.Age()}
+	b := Balance{Unspent: s.accounts[w.Name].Unspent(w.Prepaid), Age: s.reporter.follower.Age()}
 	if p, known := s.purses[w.Name]; known {
 		now := time.Now()
 		b.Free, b.Granted, b.Demand = p.Free(now), p.Granted(), p.Demand(now)
@@ -295,95 +331,30 @@
 	return b
 }
 
-func (s *Service) urge() {
-	select {
-	case s.kick <- struct{}{}:
-	default:
-	}
+// notify wakes the requests that wait for a change.
+func (s *Service) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
-// writeAll compares the grants with what they should be, from time to time and
-// when a request lacks tokens.
-func (s *Service) writeAll(ctx context.Context) {
-	ticker := time.NewTicker(writeInterval)
-	defer ticker.Stop()
-	for last := time.Now(); ; last = time.Now() {
-		select {
-		case <-ticker.C:
-		case <-s.kick:
-			if wait := urgentInterval - time.Since(last); wait > 0 {
-				time.Sleep(wait)
-			}
-		case <-ctx.Done():
-			return
-		}
-		if s.follower.Reachable() && s.follower.Age() < staleAfter {
-			s.write(ctx)
-		}
-	}
+// holder is the entry's view of its grant of the workspace.
+func (s *Service) holder(w route.Workspace, now time.Time, clock prepaid.Clock) prepaid.Holder {
+	s.sequence++
+	return s.purse(w, now).Holder(now, prepaid.Holder{
+		Instance: s.instance, Incarnation: s.begun(), Sequence: s.sequence, Now: clock, Newest: s.newest(),
+	})
 }
 
-// write makes one conditional write of the accounts that should change.
-func (s *Service) write(ctx context.Context) {
-	records, at := s.plan(time.Now())
-	if len(records) == 0 {
-		return
-	}
-	err := s.store.Append(ctx, s.topic, at, records)
-	var conflict *record.ConflictError
-	var refused *record.RefusedError
-	switch {
-	case err == nil:
-		s.wrote(records, at)
-	case errors.As(err, &conflict):
-		// Others wrote first; what they wrote is read before the next try.
-		s.log.Debug("grant conflicted", "at", at, "end", conflict.End)
-		s.follower.Hurry()
-	case errors.As(err, &refused):
-		s.log.Warn("grant refused", "at", at, "error", err)
-	default:
-		// The write may still take effect; the totals that were lowered stay so until
-		// the topic was read beyond the offset.
-		s.log.Warn("grant outcome unknown", "at", at, "error", err)
-	}
-}
-
-// plan returns the records to write and the offset at which they may be.
-func (s *Service) plan(now time.Time) ([]record.Record, int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	table := s.tables.Table()
-	if table == nil || !s.known {
-		return nil, 0
-	}
-	clock := s.clock()
-	newest := s.newest()
-	var records []record.Record
-	for _, w := range limited(table) {
-		if s.broken[w.Name] {
-			continue
-		}
-		p := s.purse(w, now)
-		if now.Sub(p.wanted) > wantedMemory {
-			p.ForgetWanted()
-		}
-		s.sequence++
-		holder := p.Holder(now, prepaid.Holder{
-			Instance: s.instance, Incarnation: s.incarnation, Sequence: s.sequence, Now: clock, Newest: newest,
-		})
-		grant, changed := s.planner.Plan(s.accounts[w.Name], w.Prepaid, holder)
-		if !changed {
-			continue
+// begun returns the incarnation, which exceeds those that the records name.
+func (s *Service) begun() int64 {
+	if s.incarnation == 0 {
+		s.incarnation = s.wall.Earliest()
+		for _, a := range s.accounts {
+			s.incarnation = max(s.incarnation, a.Grants[s.instance].Incarnation+1, a.Reports[s.instance].Incarnation+1)
 		}
-		value, err := grant.Encode()
-		if err != nil {
-			s.log.Error("grant not encoded", "workspace", w.Name, "error", err)
-			continue
-		}
-		p.Sent(now, s.sequence, s.next, grant.Terms)
-		records = append(records, record.Record{Key: grantKey(w.Name, s.instance), Value: value})
+		s.log.Info("incarnation begun", "instance", s.instance, "incarnation", s.incarnation)
 	}
-	return records, s.next
+	return s.incarnation
 }
 
 // clock reads the clocks that a successor of this process can compare.
@@ -407,79 +378,6 @@
 	return newest
 }
 
-// limited returns the workspaces with a prepaid total, by name.
-func limited(t *route.Table) []route.Workspace {
-	var all []route.Workspace
-	for _, w := range t.Workspaces {
-		if w.Limited {
-			all = append(all, w)
-		}
-	}
-	slices.SortFunc(all, func(a, b route.Workspace) int { return strings.Compare(a.Name, b.Name) })
-	return all
-}
-
-// wrote applies a write of this entry's own that was acknowledged at the offset.
-func (s *Service) wrote(records []record.Record, at int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.next != at {
-		return
-	}
-	for i := range records {
-		records[i].Offset = at + int64(i)
-	}
-	s.apply(records, at+int64(len(records)))
-}
-
-// keySeparator stands between workspace and instance in the key of a grant.
-const keySeparator = "\x1f"
-
-func grantKey(workspace, instance string) string { return workspace + keySeparator + instance }
-
-// apply takes records that begin where the accounts end.
-func (s *Service) apply(records []record.Record, next int64) {
-	for _, r := range records {
-		if r.Offset >= s.next && r.Value != nil {
-			s.applyGrant(r)
-		}
-	}
-	if next > s.next {
-		s.next = next
-		for _, p := range s.purses {
-			p.Reached(next)
-		}
-		close(s.changed)
-		s.changed = make(chan struct{})
-	}
-}
-
-// applyGrant takes one grant. If another entry lacks tokens, the grants are
-// planned anew at once.
-func (s *Service) applyGrant(r record.Record) {
-	workspace, instance, found := strings.Cut(r.Key, keySeparator)
-	grant, err := prepaid.ParseGrant(r.Value)
-	if err != nil || !found {
-		// Nobody may hand out tokens while it is not known what was granted.
-		s.log.Error("grant not readable", "key", r.Key, "offset", r.Offset, "error", err)
-		s.broken[workspace] = true
-		return
-	}
-	delete(s.broken, workspace)
-	s.accounts[workspace] = s.accounts[workspace].With(instance, grant)
-	if instance != s.instance {
-		if grant.Wanted > 0 {
-			s.urge()
-		}
-		return
-	}
-	if p, known := s.purses[workspace]; known && grant.Incarnation == s.incarnation {
-		p.InForce(grant.Sequence)
-		s.log.Debug("grant read", "workspace", workspace, "total", grant.Total, "committed", grant.Committed,
-			"closed", grant.Closed, "offset", r.Offset)
-	}
-}
-
 // giveBack returns the unused tokens before the process ends.
 func (s *Service) giveBack() {
 	ctx, cancel := context.WithTimeout(context.Background(), giveBackTimeout)
@@ -491,48 +389,9 @@
 		p.wanted = time.Time{}
 	}
 	s.mu.Unlock()
-	for s.follower.Reachable() && ctx.Err() == nil {
-		s.mu.Lock()
-		kept, changed := s.kept(), s.changed
-		s.mu.Unlock()
-		if kept == 0 {
-			return
-		}
-		s.write(ctx)
-		s.await(ctx, changed, urgentInterval)
+	var returned sync.WaitGroup
+	for _, g := range s.grants {
+		returned.Go(func() { g.giveBack(ctx) })
 	}
-	s.log.Warn("tokens not returned", "reachable", s.follower.Reachable())
+	returned.Wait()
 }
-
-// kept is the number of tokens that this entry holds and does not use.
-func (s *Service) kept() int64 {
-	var sum int64
-	for _, account := range s.accounts {
-		if g, held := account[s.instance]; held && g.Incarnation == s.incarnation {
-			sum += g.Total - g.Committed
-		}
-	}
-	return sum
-}
-
-// handler takes what the follower reads.
-type handler struct{ s *Service }
-
-// Reset implements follower.Handler.
-func (h handler) Reset(records []record.Record, next int64) {
-	h.s.mu.Lock()
-	defer h.s.mu.Unlock()
-	h.s.next = 0
-	h.s.apply(records, next)
-	h.s.known = true
-}
-
-// Apply implements follower.Handler.
-func (h handler) Apply(records []record.Record, next int64) {
-	h.s.mu.Lock()
-	defer h.s.mu.Unlock()
-	h.s.apply(records, next)
-}
-
-// Reached implements follower.Handler.
-func (handler) Reached(bool) {}
