Weigh reading shared parts again, and correct predictions by what is seen

Change: parts count as cached once a request is sent; servers within the comfort of the goal differ only by what they have to read again; how late first events are, or should have been, is added to the prediction for a while. Tests of the new packages are added.

--- a/models/balance/balance.go
+++ b/models/balance/balance.go
@@ -37,9 +37,10 @@
 	crossingCost = 10 * time.Millisecond
 	// failureCost is the time lost to a failed attempt: a timeout and a repeat.
 	failureCost = 700 * time.Millisecond
-	// visibility is how much of a server's load other entries are assumed to add
-	// to what this one sees. Deployments have four entries or more.
-	visibility = 2.0
+	// comfortPart of the goal leaves time for what is not seen from here.
+	comfortPart = 0.4
+	// delayMemory is about how long an engine works off what delayed a request.
+	delayMemory = 600 * time.Millisecond
 )
 
 // Bounds on how long a server is left alone after it could not be reached.
@@ -83,7 +84,12 @@
 	roster.Server
 	running int
 	// unread is the prompt tokens of requests without a first event.
-	unread     int64
+	unread int64
+	// waiting are when those requests should have had one.
+	waiting map[string]time.Time
+	// delay is by how much first events came later than predicted, as of delayed.
+	delay      time.Duration
+	delayed    time.Time
 	cache      *cache
 	failures   float64
 	suspension time.Duration
@@ -100,7 +106,7 @@
 	for _, s := range servers {
 		known, ok := b.servers[s.ID]
 		if !ok || known.Started != s.Started {
-			known = &server{cache: newCache(memory)}
+			known = &server{cache: newCache(memory), waiting: map[string]time.Time{}}
 		}
 		known.Server = s
 		current[s.ID] = known
@@ -110,10 +116,14 @@
 
 // Work is what a request asks of a server.
 type Work struct {
-	Parts  []call.Part
-	Prompt int64
+	// Request is the request's id.
+	Request string
+	Parts   []call.Part
+	Prompt  int64
 	// Exclude names servers that were tried already.
 	Exclude []string
+	// Goal is the time to the first event that the caller should see at most.
+	Goal time.Duration
 	// Repeatable requests may test servers that failed.
 	Repeatable bool
 }
@@ -139,8 +149,8 @@
 		if slices.Contains(w.Exclude, s.ID) {
 			continue
 		}
-		predicted, cached := b.predict(s, w, s == home)
-		cost := predicted + b.penalty(now, s, w) + time.Duration(b.rand.Int64N(int64(time.Millisecond)))
+		predicted, cached := b.predict(now, s, w, s == home)
+		cost := max(predicted, comfort(w)) + rereadCost(w, cached) + b.penalty(now, s, w) + time.Duration(b.rand.Int64N(int64(time.Millisecond)))
 		if cost < bestCost {
 			best, bestCost = s, cost
 			choice = Choice{Server: s.Server, Predicted: predicted, Cached: cached, Trial: s.suspension > 0}
@@ -178,21 +188,31 @@
 }
 
 // predict is the expected time to the first event and the cached tokens.
-func (b *Balancer) predict(s *server, w Work, home bool) (time.Duration, int64) {
+func (b *Balancer) predict(now time.Time, s *server, w Work, home bool) (time.Duration, int64) {
 	if b.memory == 0 {
-		wait := float64(s.running) * visibility / float64(max(1, s.Slots))
+		wait := float64(s.running) / float64(max(1, s.Slots))
 		return plainCost + time.Duration(wait*float64(plainCost)), 0
 	}
 	cached := s.cache.shared(w.Parts)
 	if home {
 		cached = max(cached, sharedTokens(w.Parts))
 	}
-	tokens := float64(w.Prompt-min(cached, w.Prompt)) + float64(s.unread)*visibility
+	tokens := float64(w.Prompt-min(cached, w.Prompt)) + float64(s.unread)
 	predicted := firstEvent + time.Duration(tokens/prefillRate*float64(time.Millisecond)) +
-		time.Duration(s.running)*slotCost
+		time.Duration(s.running)*slotCost + s.backlog(now)
 	return predicted, cached
 }
 
+// backlog is the work ahead at a server that this entry did not send, by how late
+// first events were lately or are now.
+func (s *server) backlog(now time.Time) time.Duration {
+	backlog := time.Duration(float64(s.delay) * math.Exp(-now.Sub(s.delayed).Seconds()/delayMemory.Seconds()))
+	for _, due := range s.waiting {
+		backlog = max(backlog, now.Sub(due))
+	}
+	return backlog
+}
+
 // penalty is the time that speaks against a server beside the prediction.
 func (b *Balancer) penalty(now time.Time, s *server, w Work) time.Duration {
 	cost := time.Duration(s.failures * float64(failureCost))
@@ -210,6 +230,18 @@
 	return cost
 }
 
+// comfort is the time to the first event below which servers count as equally
+// fast, so that what is cached decides.
+func comfort(w Work) time.Duration {
+	return time.Duration(float64(w.Goal) * comfortPart)
+}
+
+// rereadCost is the engine time that reading shared parts again takes from others.
+func rereadCost(w Work, cached int64) time.Duration {
+	missing := max(0, sharedTokens(w.Parts)-cached)
+	return time.Duration(float64(missing) / prefillRate * float64(time.Millisecond))
+}
+
 // sharedTokens is the size of all parts but the last, which is the request's own.
 func sharedTokens(parts []call.Part) int64 {
 	var sum int64
@@ -219,14 +251,20 @@
 	return sum
 }
 
-// Sent notes a request that is sent to the server; Ended takes it back.
-func (b *Balancer) Sent(id string, w Work, cached int64) {
+// Sent notes a request that is sent to the server; Ended takes it back. Its shared
+// parts count as cached from now on, since requests that follow are read later.
+func (b *Balancer) Sent(now time.Time, id string, w Work, c Choice) {
 	s, known := b.servers[id]
 	if !known {
 		return
 	}
+	cached := c.Cached
 	s.running++
+	s.waiting[w.Request] = now.Add(c.Predicted)
 	s.unread += w.Prompt - min(cached, w.Prompt)
+	if len(w.Parts) > 1 {
+		s.cache.add(now, w.Parts[:len(w.Parts)-1])
+	}
 	if s.suspension > 0 {
 		s.trials++
 	}
@@ -238,13 +276,19 @@
 	if !known {
 		return
 	}
+	if due, waited := s.waiting[w.Request]; waited {
+		s.delay = (s.backlog(now) + max(0, now.Sub(due))) / 2
+		s.delayed = now
+		delete(s.waiting, w.Request)
+	}
 	s.unread = max(0, s.unread-(w.Prompt-min(cached, w.Prompt)))
 	s.cache.add(now, w.Parts)
 }
 
 // Ended notes the end of a request that was sent.
-func (b *Balancer) Ended(id string) {
+func (b *Balancer) Ended(id string, w Work) {
 	if s, known := b.servers[id]; known {
+		delete(s.waiting, w.Request)
 		s.running = max(0, s.running-1)
 		s.trials = max(0, s.trials-1)
 	}
--- /dev/null
+++ b/models/roster/roster_test.go
@@ -0,0 +1,73 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/crocusline/crocusline/models/roster"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func ids(servers []roster.Server) string {
+	text := ""
+	for _, s := range servers {
+		text += s.ID
+	}
+	return text
+}
+
+func expect(t *testing.T, r *roster.Roster, after time.Duration, want string) {
+	t.Helper()
+	if got := ids(r.Usable(start.Add(after))); got != want {
+		t.Errorf("after %s: %q are usable, want %q", after, got, want)
+	}
+}
+
+func newRoster() *roster.Roster {
+	r := roster.New()
+	r.Put(roster.Server{ID: "a"})
+	r.Put(roster.Server{ID: "b"})
+	return r
+}
+
+func TestRemoved(t *testing.T) {
+	r := newRoster()
+	r.Remove("a", start)
+	r.Remove("c", start)
+	expect(t, r, 0, "b")
+	r.Put(roster.Server{ID: "b", Draining: true})
+	expect(t, r, 0, "")
+}
+
+// TestLapsed replays an outage of the list in which all entries lapse, of which
+// one comes back.
+func TestLapsed(t *testing.T) {
+	r := newRoster()
+	r.Lost()
+	r.Remove("a", start.Add(time.Second))
+	expect(t, r, 20*time.Second, "ab")
+	r.Regained(start.Add(30 * time.Second))
+	r.Remove("b", start.Add(30*time.Second+100*time.Millisecond))
+	expect(t, r, 31*time.Second, "ab")
+	r.Put(roster.Server{ID: "a"})
+	expect(t, r, 32*time.Second, "ab")
+	expect(t, r, 33*time.Second, "a")
+	r.Remove("a", start.Add(40*time.Second))
+	expect(t, r, 40*time.Second, "")
+}
+
+func TestDrainingIsNotKept(t *testing.T) {
+	r := newRoster()
+	r.Put(roster.Server{ID: "a", Draining: true})
+	r.Lost()
+	r.Remove("a", start)
+	r.Remove("b", start)
+	expect(t, r, time.Second, "b")
+}
+
+func TestRetain(t *testing.T) {
+	r := newRoster()
+	r.Retain(map[string]bool{"b": true}, start)
+	expect(t, r, 0, "b")
+}
--- /dev/null
+++ b/services/prepaid/prepaid_test.go
@@ -0,0 +1,252 @@
+package prepaid_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/route"
+	"github.com/crocusline/crocusline/modules/metric"
+	"github.com/crocusline/crocusline/platform"
+	"github.com/crocusline/crocusline/services/prepaid"
+	"github.com/crocusline/crocusline/standin/site"
+)
+
+// tables are the tables in force.
+type tables struct{ table *route.Table }
+
+func (t tables) Table() *route.Table { return t.table }
+
+var topics = prepaid.Topics{Grants: "keyed.grants", Reports: "keyed.reports"}
+
+// fleet is some entries at one store.
+type fleet struct {
+	*testing.T
+	store     *site.Store
+	address   netip.AddrPort
+	workspace route.Workspace
+}
+
+func newFleet(t *testing.T, total int64) *fleet {
+	t.Helper()
+	store := site.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return &fleet{
+		T: t, store: store, address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")),
+		workspace: route.Workspace{Name: "clinics", Limited: true, Prepaid: total},
+	}
+}
+
+// start starts an entry. Its end returns tokens only if it is closed.
+func (f *fleet) start(name string) *prepaid.Service {
+	f.Helper()
+	client := platform.NewStore(f.address, metric.New())
+	table := route.New(route.Contents{Workspaces: map[string]route.Workspace{"clinics": f.workspace}})
+	s := prepaid.New(hclog.NewNullLogger(), client, topics, tables{table}, name)
+	if err := s.Start(context.Background(), nil); err != nil {
+		f.Fatal(err)
+	}
+	f.eventually("the accounts are known", s.Ready)
+	return s
+}
+
+func (f *fleet) eventually(what string, check func() bool) {
+	f.Helper()
+	for range 1000 {
+		if check() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.Fatalf("not within 10 s: %s", what)
+}
+
+// reserve reserves tokens as soon as the entry has them.
+func (f *fleet) reserve(s *prepaid.Service, tokens int64) *prepaid.Hold {
+	f.Helper()
+	var hold *prepaid.Hold
+	f.eventually(fmt.Sprintf("%d tokens are reserved", tokens), func() bool {
+		var err error
+		hold, err = s.Reserve(f.Context(), f.workspace, tokens)
+		return err == nil
+	})
+	return hold
+}
+
+// TestSharedByEntries checks that entries that reserve at once get all of the
+// tokens together, and no more.
+func TestSharedByEntries(t *testing.T) {
+	const (
+		total   = 200_000
+		request = 5_000
+	)
+	f := newFleet(t, total)
+	entries := []*prepaid.Service{f.start("entry-1"), f.start("entry-2"), f.start("entry-3")}
+	var mu sync.Mutex
+	var served int64
+	var done sync.WaitGroup
+	for _, e := range entries {
+		done.Go(func() {
+			for misses := 0; misses < 12; {
+				hold, err := e.Reserve(f.Context(), f.workspace, request)
+				if err != nil {
+					misses++
+					time.Sleep(50 * time.Millisecond)
+					continue
+				}
+				hold.Settle(request)
+				mu.Lock()
+				served += request
+				mu.Unlock()
+			}
+		})
+	}
+	done.Wait()
+	if served > total {
+		t.Errorf("served %d of %d tokens", served, total)
+	}
+	if served < total*9/10 {
+		t.Errorf("served only %d of %d tokens", served, total)
+	}
+	for _, e := range entries {
+		if err := e.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// TestCutOff checks that an entry that lost the store goes on from its grant, and
+// then refuses as not run.
+func TestCutOff(t *testing.T) {
+	f := newFleet(t, 400_000)
+	e := f.start("entry-1")
+	f.reserve(e, 5_000).Settle(5_000)
+	f.store.SetFault(site.Silent)
+	var used int64
+	for range 40 {
+		hold, err := e.Reserve(t.Context(), f.workspace, 1_000)
+		if err != nil {
+			if r, ok := refusal.As(err); !ok || r.Outcome != refusal.NotRun || r.RetryAfter == 0 {
+				t.Fatalf("got %v, want a refusal with a time to come back", err)
+			}
+			break
+		}
+		hold.Settle(1_000)
+		used += 1_000
+	}
+	if used == 0 {
+		t.Error("nothing was served while the store was away")
+	}
+	f.store.SetFault(site.None)
+	if err := e.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestReturned checks that a process that ends in order leaves its tokens to others.
+func TestReturned(t *testing.T) {
+	f := newFleet(t, 100_000)
+	first := f.start("entry-1")
+	f.reserve(first, 10_000).Settle(10_000)
+	if err := first.Close(); err != nil {
+		t.Fatal(err)
+	}
+	second := f.start("entry-2")
+	f.reserve(second, 88_000).Settle(88_000)
+	if err := second.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestSuccessor checks that the successor of a process that ended without a word
+// counts as spent what that may have spent, and no more than its grant.
+func TestSuccessor(t *testing.T) {
+	f := newFleet(t, 100_000)
+	first := f.start("entry-1")
+	f.reserve(first, 30_000).Settle(30_000)
+	// The process is not closed: it stands for one that was killed.
+	second := f.start("entry-1")
+	var used int64
+	for range 60 {
+		if hold, err := second.Reserve(t.Context(), f.workspace, 2_000); err == nil {
+			hold.Settle(2_000)
+			used += 2_000
+		}
+	}
+	if used > 70_000 {
+		t.Errorf("the successor used %d tokens of 70000", used)
+	}
+	if used < 20_000 {
+		t.Errorf("the successor used only %d tokens", used)
+	}
+	if err := second.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestLostAnswers checks that writes whose answers are lost are neither counted
+// twice nor forgotten.
+func TestLostAnswers(t *testing.T) {
+	f := newFleet(t, 100_000)
+	e := f.start("entry-1")
+	f.reserve(e, 1_000).Settle(1_000)
+	f.store.SetFault(site.LoseAnswers)
+	time.Sleep(400 * time.Millisecond)
+	f.store.SetFault(site.None)
+	f.reserve(e, 60_000).Settle(60_000)
+	f.reserve(e, 35_000).Settle(35_000)
+	if _, err := e.Reserve(t.Context(), f.workspace, 5_000); err == nil {
+		t.Error("more was reserved than is paid for")
+	}
+	if err := e.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestUnreadableGrant checks that nobody hands out tokens while a grant can't be
+// decoded.
+func TestUnreadableGrant(t *testing.T) {
+	f := newFleet(t, 100_000)
+	for part := range 4 {
+		// The record is put in each partition, as the test does not know the right one.
+		f.putUnreadable(part)
+	}
+	e := f.start("entry-1")
+	if _, err := e.Reserve(t.Context(), f.workspace, 1_000); err == nil {
+		t.Error("tokens were reserved")
+	}
+	if err := e.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+func (f *fleet) putUnreadable(part int) {
+	f.Helper()
+	f.store.PutIn(topics.Grants, part, "clinics\x1fentry-2", []byte("?"))
+}
+
+// TestUnlimited checks that a workspace without a prepaid total needs no hold.
+func TestUnlimited(t *testing.T) {
+	f := newFleet(t, 1)
+	e := f.start("entry-1")
+	hold, err := e.Reserve(t.Context(), route.Workspace{Name: "stores"}, 1_000_000)
+	if err != nil || hold != nil {
+		t.Errorf("got %v and %v", hold, err)
+	}
+	hold.Settle(5)
+	if err := e.Close(); err != nil {
+		t.Error(err)
+	}
+}
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -90,7 +90,10 @@
 	for sends := 1; ; sends++ {
 		choice, ok := j.choose()
 		if !ok {
-			return j.giveUp(w, fallback, refusal.New(refusal.NoServer, failedPause, "no backend server takes work now"))
+			if j.last == nil {
+				j.last = refusal.New(refusal.NoServer, failedPause, "no backend server takes work now")
+			}
+			return j.giveUp(w, fallback, j.last)
 		}
 		switch o := j.send(ctx, w, choice, sends).(type) {
 		case relayed:
@@ -167,8 +170,9 @@
 	var ok bool
 	work := j.work()
 	j.service.catalog.Balance(j.pool.Name, func(b *balance.Balancer) {
-		if choice, ok = b.Choose(time.Now(), work); ok {
-			b.Sent(choice.Server.ID, work, choice.Cached)
+		now := time.Now()
+		if choice, ok = b.Choose(now, work); ok {
+			b.Sent(now, choice.Server.ID, work, choice)
 		}
 	})
 	return choice, ok
@@ -176,7 +180,8 @@
 
 func (j *job) work() balance.Work {
 	return balance.Work{
-		Parts: j.request.Prefix, Prompt: j.request.PromptTokens, Exclude: j.tried, Repeatable: j.route.Kind.Repeatable(),
+		Request: j.request.ID, Parts: j.request.Prefix, Prompt: j.request.PromptTokens, Exclude: j.tried,
+		Goal: j.route.Goal, Repeatable: j.route.Kind.Repeatable(),
 	}
 }
 
--- a/services/relay/leg.go
+++ b/services/relay/leg.go
@@ -211,9 +211,10 @@
 	now := time.Now()
 	j.service.catalog.Balance(j.pool.Name, func(b *balance.Balancer) {
 		if !read.done {
+			// The prompt was not read, as far as is known; it waits no more.
 			b.Read(now, id, balance.Work{Prompt: read.work.Prompt}, read.cached)
 		}
-		b.Ended(id)
+		b.Ended(id, read.work)
 		switch o := o.(type) {
 		case relayed:
 			if j.answered >= http.StatusInternalServerError {
