--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -149,6 +149,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Silent:
+		// Only after its body is read does the request end with its connection.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	case LoseAnswers:
