--- a/services/catalog/catalog_test.go
+++ b/services/catalog/catalog_test.go
@@ -101,6 +101,20 @@
 	w.eventually("no server is usable", func() bool { return w.available() == 0 })
 }
 
+// TestNeverGoesBack checks that an older version that comes later is not adopted.
+func TestNeverGoesBack(t *testing.T) {
+	w := newWorld(t)
+	w.store.Put(operatorTopic, "config", config(5))
+	w.eventually("version 5 is in force", func() bool { return w.version() == 5 })
+	w.store.Put(operatorTopic, "config", config(4))
+	// Both topics were read again once some calls more were made.
+	calls := w.store.Calls() + 8
+	w.eventually("the store was read again", func() bool { return w.store.Calls() > calls })
+	if w.version() != 5 {
+		t.Errorf("version %d is in force, want 5", w.version())
+	}
+}
+
 // TestExpiredRecords checks that records that went before they were read are made
 // up for by the newest ones.
 func TestExpiredRecords(t *testing.T) {
--- a/services/relay/leg.go
+++ b/services/relay/leg.go
@@ -45,9 +45,11 @@
 	j.server = id
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	patience := time.AfterFunc(j.patience(choice, sends), func() { cancel(errSilent) })
-	defer patience.Stop()
-	read := &reading{job: j, id: id, work: work, cached: choice.Cached, patience: patience}
+	read := &reading{job: j, id: id, work: work, cached: choice.Cached}
+	if d, limited := j.patience(choice, sends); limited {
+		read.patience = time.AfterFunc(d, func() { cancel(errSilent) })
+		defer read.patience.Stop()
+	}
 	resp, err := j.service.client.Do(ctx, j.outgoing(choice))
 	var o outcome
 	if err != nil {
@@ -82,16 +84,14 @@
 
 // patience is how long a server may be silent before the request goes to another
 // one. It leaves time to reach the goal there; only what may run twice is moved.
-func (j *job) patience(choice balance.Choice, sends int) time.Duration {
-	left := time.Until(j.expires)
+func (j *job) patience(choice balance.Choice, sends int) (time.Duration, bool) {
 	if !j.route.Kind.Repeatable() || j.ran+1 >= j.route.Attempts || sends >= mostSends {
-		return left
+		return 0, false
 	}
-	patience := j.route.Goal / 2
 	if j.route.Kind.Streams() {
-		patience = max(2*j.route.Goal, 2*choice.Predicted+silenceMargin)
+		return max(2*j.route.Goal, 2*choice.Predicted+silenceMargin), true
 	}
-	return min(patience, left)
+	return j.route.Goal / 2, true
 }
 
 // silenceMargin covers the steps of other requests that an engine finishes before
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -30,10 +30,11 @@
 
 // reading notes when a server has read a request's prompt.
 type reading struct {
-	job      *job
-	id       string
-	work     balance.Work
-	cached   int64
+	job    *job
+	id     string
+	work   balance.Work
+	cached int64
+	// patience ends a send to a silent server; nil if nothing does.
 	patience *time.Timer
 	done     bool
 }
@@ -44,7 +45,9 @@
 		return
 	}
 	r.done = true
-	r.patience.Stop()
+	if r.patience != nil {
+		r.patience.Stop()
+	}
 	now := time.Now()
 	j := r.job
 	if j.first == 0 {
