Play faults from outside on real gateways

Cause: the users ask for a randomized soak of the real programs. Change: make faults starts gateways as processes, with a loopback proxy before the store and each server, signals in series, and faults of the stand-in of the store; it checks runs, promises, whole answers and prepaid totals from what clients and servers saw. Before: nothing of the kind.

--- a/Makefile
+++ b/Makefile
@@ -46,9 +46,9 @@
 	PATH=$(CURDIR)/bin:$$PATH $(GO) generate ./...
 
 # Seeded faults in virtual time. SEEDS is the number of seeds, FROM the first.
-SEEDS ?= 10000
 FROM ?= 0
 .PHONY: soak
+soak: SEEDS ?= 10000
 soak:
 	$(GO) test ./tests/simulation -run TestSeeds -count=1 -timeout 6h -v -args -seeds=$(SEEDS) -from=$(FROM)
 
@@ -56,3 +56,11 @@
 .PHONY: budgets
 budgets:
 	$(GO) test ./tests/simulation -run TestBudgetPolicies -count=1 -v
+
+# Faults from outside on real gateways. SEED is the first seed, SEEDS their number.
+SEED ?= 1
+GATEWAYS ?= 3
+.PHONY: faults
+faults: SEEDS ?= 1
+faults:
+	$(GO) test ./tests/faults -run TestFaults -count=1 -timeout 6h -v -args -from=$(SEED) -seeds=$(SEEDS) -gateways=$(GATEWAYS)
--- /dev/null
+++ b/tests/faults/fleet_test.go
@@ -0,0 +1,239 @@
+package faults_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/crocusline/crocusline/standin/site"
+)
+
+const (
+	// grace is the time between SIGTERM and SIGKILL, in s.
+	grace = 4
+	// exitTimeout is how long a process may take to end after SIGTERM.
+	exitTimeout = (grace + 2) * time.Second
+)
+
+// gateway is one real process with its own way to the store.
+type gateway struct {
+	name     string
+	callers  netip.AddrPort
+	ready    netip.AddrPort
+	settings string
+	log      *os.File
+	store    *proxy
+
+	// restarting is held while one process ends and the next starts.
+	restarting sync.Mutex
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{}
+}
+
+// fleet is the gateways, the store and the servers of one run.
+type fleet struct {
+	*testing.T
+	binary   string
+	store    *site.Store
+	gateways []*gateway
+	servers  []*site.Server
+	links    []*proxy
+	version  int
+	prepaid  int64
+}
+
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func addressOf(url string) netip.AddrPort {
+	return netip.MustParseAddrPort(strings.TrimPrefix(url, "http://"))
+}
+
+func newFleet(t *testing.T, binary string, gateways, servers int) *fleet {
+	t.Helper()
+	f := &fleet{T: t, binary: binary, store: site.NewStore(), prepaid: 40_000}
+	web := httptest.NewServer(f.store)
+	t.Cleanup(func() {
+		web.CloseClientConnections()
+		web.Close()
+	})
+	for i := range servers {
+		s := site.NewServer(fmt.Sprintf("s%d", i), eventsOfStream)
+		t.Cleanup(s.Close)
+		f.servers = append(f.servers, s)
+		f.links = append(f.links, newProxy(t, s.Address()))
+		f.list(i, "ready")
+	}
+	f.publish()
+	dir := t.TempDir()
+	var seeds []string
+	for i := range gateways {
+		g := &gateway{name: fmt.Sprintf("front-%d", i), callers: freeAddress(t), ready: freeAddress(t), store: newProxy(t, addressOf(web.URL))}
+		peers := freeAddress(t)
+		seeds = append(seeds, peers.String())
+		g.settings = filepath.Join(dir, g.name+".json")
+		writeSettings(t, g, peers, seeds)
+		f.gateways = append(f.gateways, g)
+	}
+	for _, g := range f.gateways {
+		f.start(g)
+		t.Cleanup(func() { g.end(t) })
+	}
+	return f
+}
+
+func writeSettings(t *testing.T, g *gateway, peers netip.AddrPort, seeds []string) {
+	t.Helper()
+	data, err := json.Marshal(map[string]any{
+		"node_name": g.name, "zone": "z", "region": "r",
+		"bind":       map[string]string{"front": g.callers.String(), "ready": g.ready.String(), "control": peers.String()},
+		"seed_addrs": seeds, "limits": map[string]any{"memory_mb": 134, "max_fds": 4100},
+		"parameters": map[string]any{"grace_s": grace, "budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 60},
+		"platform":   map[string]any{"address": g.store.address().String(), "writes_per_s": 800, "reads_per_s": 2000},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(g.settings, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if g.log, err = os.Create(filepath.Join(t.TempDir(), g.name+".log")); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// publish writes the tables with the prepaid total as it is.
+func (f *fleet) publish() {
+	f.version++
+	route := func(prefix, kind, pool string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": prefix, "host": host, "path_prefix": "/" + prefix + "/", "type": kind, "timeout_ms": 2000, "goal_ms": 300,
+			"max_attempts": attempts, "service": pool, "resumable": resumable, "gap_goal_ms": 500,
+		}
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": f.version,
+		"routes": []any{
+			route("once", "non_idempotent", "s", 2, false), route("lookup", "idempotent", "s", 2, false),
+			route("draft", "streaming", "s", 2, true), route("plan", "streaming", "s", 2, false),
+		},
+		"services": []any{map[string]any{"name": "s", "max_conns": 400, "engine": map[string]any{"max_concurrency": 64, "kv_tokens": 100_000, "stride": eventTokens}}},
+		"tenants":  []any{map[string]any{"name": "clinics", "api_keys": []string{key}, "prepaid": f.prepaid}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.store.Put("keyed.op", "config", data)
+}
+
+// list writes a server's entry; an empty state removes it.
+func (f *fleet) list(i int, state string) {
+	s := f.servers[i]
+	if state == "" {
+		f.store.Put("keyed.servers", s.ID, nil)
+		return
+	}
+	f.store.Put("keyed.servers", s.ID, fmt.Appendf(nil,
+		`{"service":"s","address":%q,"zone":"z","version":"v1","max_concurrency":64,"state":%q,"warmup_left_ms":0,"sequence":1}`,
+		f.links[i].address().String(), state))
+}
+
+func (f *fleet) start(g *gateway) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	cmd := exec.Command(f.binary, "gateway", "--settings", g.settings)
+	cmd.Stdout, cmd.Stderr = g.log, g.log
+	if err := cmd.Start(); err != nil {
+		f.Errorf("start %s: %v", g.name, err)
+		return
+	}
+	exited := make(chan struct{})
+	g.cmd, g.exited = cmd, exited
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+}
+
+// settle waits for a restart under way.
+func (g *gateway) settle() {
+	g.restarting.Lock()
+	defer g.restarting.Unlock()
+}
+
+// signal sends a signal to the process, by its id.
+func (g *gateway) signal(s syscall.Signal) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.cmd != nil {
+		// A process that has ended takes no signal.
+		_ = g.cmd.Process.Signal(s)
+	}
+}
+
+// wait waits for the end of the process.
+func (g *gateway) wait(timeout time.Duration) bool {
+	g.mu.Lock()
+	exited := g.exited
+	g.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(timeout):
+		return false
+	}
+}
+
+// code is the exit code of a process that has ended.
+func (g *gateway) code() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cmd.ProcessState.ExitCode()
+}
+
+func (g *gateway) end(t *testing.T) {
+	g.signal(syscall.SIGKILL)
+	if !g.wait(exitTimeout) {
+		t.Errorf("%s does not end", g.name)
+	}
+	if t.Failed() {
+		text, err := os.ReadFile(g.log.Name())
+		if err != nil {
+			t.Error(err)
+		}
+		keep(t, g.name, text)
+	}
+	_ = g.log.Close()
+}
+
+// keep writes a log where it stays after the run, if a place is named.
+func keep(t *testing.T, name string, text []byte) {
+	t.Helper()
+	dir := os.Getenv("FAULT_LOGS")
+	if dir == "" {
+		return
+	}
+	file := filepath.Join(dir, strings.ReplaceAll(t.Name(), "/", "-")+"-"+name+".log")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Error(err)
+	}
+}
