--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -9,7 +9,7 @@
 	DefaultHorizon = 60 * time.Second
 	// DefaultSlack is the part of the target by which a grant may be off before it
 	// is written anew. It keeps small changes of the demand from costing a call.
-	DefaultSlack = 0.2
+	DefaultSlack = 0.4
 	// handedOut is the part of what is left that entries hold. The rest is for
 	// requests that are larger than the usual.
 	handedOut = 0.9
@@ -93,7 +93,7 @@
 	}
 	target := p.target(a, prepaid, h)
 	total := old.Total
-	switch free, margin := old.Total-h.committed(), int64(float64(target)*p.slack); {
+	switch free, margin := old.Total-h.committed(), p.margin(target); {
 	case free < target-margin || free < h.Wanted:
 		total = min(h.committed()+max(target, h.Wanted), old.Total+max(0, prepaid-a.Granted()))
 	case free > target+margin:
@@ -105,6 +105,15 @@
 	return grant, !known || grant.Total != old.Total
 }
 
+// margin is by how much free tokens may be off their target. A usual request alone
+// is no reason to write a grant.
+func (p *Planner) margin(target int64) int64 {
+	if p.slack == 0 {
+		return 0
+	}
+	return max(int64(float64(target)*p.slack), min(target, lump/2))
+}
+
 // Report returns the holder's report, and whether it tells more than the last.
 // A holder without a grant has nothing to report.
 func (p *Planner) Report(a Account, prepaid int64, h Holder) (Report, bool) {
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -25,6 +25,10 @@
 	// changes may take a second to be followed.
 	DefaultPace = 300 * time.Millisecond
 
+	// hurriedPace is the shortest time between two reads when changes are waited for:
+	// some exchanges with the store.
+	hurriedPace = 40 * time.Millisecond
+
 	firstRetry   = 100 * time.Millisecond
 	longestRetry = 500 * time.Millisecond
 )
@@ -130,13 +134,13 @@
 			continue
 		}
 		policy.Reset()
-		if !f.rest(ctx, f.pace-time.Since(began)) {
+		if !f.rest(ctx, began) {
 			return
 		}
 	}
 }
 
-// Hurry makes the next read begin at once.
+// Hurry makes the next read begin soon.
 func (f *Follower) Hurry() {
 	select {
 	case f.hurry <- struct{}{}:
@@ -145,8 +149,11 @@
 }
 
 // rest waits until the next read is due. It returns false when the context ends.
-func (f *Follower) rest(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
+func (f *Follower) rest(ctx context.Context, began time.Time) bool {
+	if !delay.Wait(ctx, hurriedPace-time.Since(began)) {
+		return false
+	}
+	timer := time.NewTimer(f.pace - time.Since(began))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/services/prepaid/grant.go
+++ b/services/prepaid/grant.go
@@ -41,7 +41,7 @@
 
 func newGranter(s *Service, number int) *granter {
 	g := &granter{service: s, number: number, kick: make(chan struct{}, 1)}
-	g.follower = follower.New(s.log, s.store, g.partition(), g, follower.WithPace(followPace))
+	g.follower = follower.New(s.log, s.store, g.partition(), g, follower.WithPace(grantPace))
 	return g
 }
 
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -43,9 +43,10 @@
 	assumedEntries = 4
 	// comeBack is when a caller may try another entry, which may hold tokens.
 	comeBack = 300 * time.Millisecond
-	// followPace is the shortest time between two reads while no request lacks
-	// tokens.
-	followPace = 150 * time.Millisecond
+	// grantPace and reportPace are the shortest times between two reads while no
+	// request lacks tokens. Reads are priced, and grants change seldom.
+	grantPace  = 500 * time.Millisecond
+	reportPace = 300 * time.Millisecond
 	// giveBackTimeout bounds the return of unused tokens when the process ends.
 	giveBackTimeout = time.Second
 )
--- a/services/prepaid/report.go
+++ b/services/prepaid/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -15,8 +16,16 @@
 )
 
 const (
-	// reportInterval is how often the entry reports what changed.
+	// reportInterval is how often the entry reports what changed, in a fleet of up
+	// to smallFleet entries. In larger ones, where each entry's part of the load is
+	// smaller, the interval grows with their number, so that calls don't.
 	reportInterval = 250 * time.Millisecond
+	smallFleet     = 8
+	// responders is the number of entries that return tokens at once when another
+	// lacks some. If all did, their writes would meet.
+	responders = 3.0
+	// longestReportInterval keeps terms from growing between two reports.
+	longestReportInterval = 600 * time.Millisecond
 	// repeatPause is the time before a report without an answer is sent again.
 	repeatPause = 100 * time.Millisecond
 )
@@ -32,11 +41,13 @@
 	ended bool
 	// known says that the topic was read. The service's lock guards it.
 	known bool
+	// reporting are the instances that report. The service's lock guards it.
+	reporting map[string]bool
 }
 
 func newReporter(s *Service) *reporter {
-	r := &reporter{service: s, kick: make(chan struct{}, 1)}
-	r.follower = follower.New(s.log, s.store, r.partition(), r, follower.WithPace(followPace))
+	r := &reporter{service: s, reporting: map[string]bool{}, kick: make(chan struct{}, 1)}
+	r.follower = follower.New(s.log, s.store, r.partition(), r, follower.WithPace(reportPace))
 	return r
 }
 
@@ -52,11 +63,12 @@
 }
 
 func (r *reporter) run(ctx context.Context) {
-	ticker := time.NewTicker(reportInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(reportInterval)
+	defer timer.Stop()
 	for last := time.Now(); !r.ended; last = time.Now() {
+		timer.Reset(r.interval())
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-r.kick:
 			if wait := urgentInterval - time.Since(last); wait > 0 {
 				time.Sleep(wait)
@@ -70,6 +82,14 @@
 	}
 }
 
+// interval is the time between two reports.
+func (r *reporter) interval() time.Duration {
+	r.service.mu.Lock()
+	defer r.service.mu.Unlock()
+	entries := len(r.reporting)
+	return min(max(reportInterval, reportInterval*time.Duration(entries)/smallFleet), longestReportInterval)
+}
+
 // batch is a write of some workspaces' reports.
 type batch struct {
 	reports map[string]prepaid.Report
@@ -182,8 +202,8 @@
 	r.known = true
 }
 
-// Apply implements follower.Handler. If another entry lacks tokens, the grants
-// are planned anew at once.
+// Apply implements follower.Handler. If another entry lacks tokens, some plan
+// their grants anew at once.
 func (r *reporter) Apply(records []record.Record, _ int64) {
 	s := r.service
 	s.mu.Lock()
@@ -202,8 +222,9 @@
 		if instance == s.instance && report.Incarnation == s.incarnation && s.incarnation != 0 {
 			continue
 		}
+		r.reporting[instance] = true
 		s.accounts[workspace] = s.accounts[workspace].WithReport(instance, report)
-		if report.Wanted > 0 {
+		if report.Wanted > 0 && rand.Float64() < responders/float64(len(r.reporting)) {
 			s.granter(workspace).urge()
 		}
 	}
