--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -9,7 +9,7 @@
 	DefaultHorizon = 60 * time.Second
 	// DefaultSlack is the part of the target by which a grant may be off before it
 	// is written anew. It keeps small changes of the demand from costing a call.
-	DefaultSlack = 0.4
+	DefaultSlack = 0.2
 	// handedOut is the part of what is left that entries hold. The rest is for
 	// requests that are larger than the usual.
 	handedOut = 0.9
