--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -47,8 +47,9 @@
 	// request lacks tokens. Reads are priced, and grants change seldom.
 	grantPace  = 500 * time.Millisecond
 	reportPace = 300 * time.Millisecond
-	// giveBackTimeout bounds the return of unused tokens when the process ends.
-	giveBackTimeout = time.Second
+	// giveBackTimeout bounds the return of unused tokens when the process ends. With
+	// the time for requests under way it must stay within the grace.
+	giveBackTimeout = 700 * time.Millisecond
 )
 
 // Log is the store.
