Share the pacing of the writers, and drop what nothing uses

Cause: read as a newcomer, the loops of grants and reports stood twice; options of the exchange, settings and Roster.Retain (with its test) had no caller. Ruled out: fresher connections for what must not be repeated, which the removed option allowed but no measurement asked for. Change: pacer; less code, the same behaviour.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -112,7 +112,7 @@
 		settings: s, log: logger, metrics: metric.New(),
 		incarnation: s.Instance + "/" + uuid.Must(uuid.NewV7()).String(),
 	}
-	g.store = platform.NewStore(s.Store.Address, g.metrics)
+	g.store = platform.NewStore(s.Store, g.metrics)
 	g.peers = front.NewPeerClient(others(s.Seeds, s.Listen.Peers))
 	g.client = exchange.New()
 	g.catalog = catalog.New(logger, g.store, platform.Codec{},
--- a/models/roster/roster.go
+++ b/models/roster/roster.go
@@ -83,15 +83,6 @@
 	return !r.regained.IsZero() && now.Before(r.regained.Add(lapseGrace))
 }
 
-// Retain removes all servers but those listed, as Remove does.
-func (r *Roster) Retain(ids map[string]bool, now time.Time) {
-	for id := range r.servers {
-		if !ids[id] {
-			r.Remove(id, now)
-		}
-	}
-}
-
 // Usable returns the servers that take new requests, ordered by id.
 func (r *Roster) Usable(now time.Time) []Server {
 	var usable []Server
--- a/models/roster/roster_test.go
+++ b/models/roster/roster_test.go
@@ -65,9 +65,3 @@
 	r.Remove("b", start)
 	expect(t, r, time.Second, "b")
 }
-
-func TestRetain(t *testing.T) {
-	r := newRoster()
-	r.Retain(map[string]bool{"b": true}, start)
-	expect(t, r, 0, "b")
-}
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -80,19 +80,10 @@
 // WithIdle sets how long a connection is kept unused.
 func WithIdle(d time.Duration) Option { return func(c *Client) { c.idle = d } }
 
-// WithFresh sets how long an unused connection is trusted with a request that
-// must not be sent twice.
-func WithFresh(d time.Duration) Option { return func(c *Client) { c.fresh = d } }
-
-// WithSource sets the local address of connections.
-func WithSource(a netip.Addr) Option { return func(c *Client) { c.source = a } }
-
 // Client keeps the connections to all servers.
 type Client struct {
 	dialTimeout time.Duration
 	idle        time.Duration
-	fresh       time.Duration
-	source      netip.Addr
 
 	mu     sync.Mutex
 	hosts  map[netip.AddrPort]*host
@@ -111,7 +102,7 @@
 // New returns a client without connections.
 func New(opts ...Option) *Client {
 	c := &Client{
-		dialTimeout: DefaultDialTimeout, idle: DefaultIdle, fresh: DefaultIdle,
+		dialTimeout: DefaultDialTimeout, idle: DefaultIdle,
 		hosts: map[netip.AddrPort]*host{},
 	}
 	for _, opt := range opts {
@@ -135,8 +126,6 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Cautious requests use only connections that were in use a short while ago.
-	Cautious bool
 	// Connections is the most connections to the address at a time; 0 stands for
 	// DefaultConnections.
 	Connections int
@@ -157,11 +146,7 @@
 
 // take returns a kept connection or a new one.
 func (c *Client) take(ctx context.Context, r *Request) (*conn, error) {
-	limit := c.idle
-	if r.Cautious {
-		limit = c.fresh
-	}
-	if kept := c.kept(r.Address, limit); kept != nil {
+	if kept := c.kept(r.Address); kept != nil {
 		c.reused.Add(1)
 		return kept, nil
 	}
@@ -169,9 +154,6 @@
 		return nil, &DialError{Address: r.Address, Full: true}
 	}
 	dialer := net.Dialer{Timeout: c.dialTimeout, KeepAliveConfig: keepAlive, Control: limitSilence}
-	if c.source.IsValid() {
-		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.source, 0))
-	}
 	raw, err := dialer.DialContext(ctx, "tcp", r.Address.String())
 	if err != nil {
 		c.release(r.Address)
@@ -197,7 +179,7 @@
 }
 
 // kept takes the connection that was used last, if it is usable.
-func (c *Client) kept(address netip.AddrPort, limit time.Duration) *conn {
+func (c *Client) kept(address netip.AddrPort) *conn {
 	now := time.Now()
 	for {
 		c.mu.Lock()
@@ -207,7 +189,7 @@
 			return nil
 		}
 		last := h.idle[len(h.idle)-1]
-		if now.Sub(last.used) > min(limit, last.keep) {
+		if now.Sub(last.used) > min(c.idle, last.keep) {
 			c.mu.Unlock()
 			return nil
 		}
--- a/services/prepaid/grant.go
+++ b/services/prepaid/grant.go
@@ -17,8 +17,6 @@
 const (
 	// grantInterval is how often grants are compared with what they should be.
 	grantInterval = 400 * time.Millisecond
-	// urgentInterval is the shortest time between two writes while requests wait.
-	urgentInterval = 20 * time.Millisecond
 	// staleAfter is the age of what was read at which the store is probably lost.
 	staleAfter = 900 * time.Millisecond
 	// keySeparator stands between workspace and instance in the key of a record.
@@ -32,7 +30,7 @@
 	service  *Service
 	number   int
 	follower *follower.Follower
-	kick     chan struct{}
+	pacer    *pacer
 	// next is the offset up to which the partition was read. The service's lock
 	// guards it.
 	next  int64
@@ -40,7 +38,7 @@
 }
 
 func newGranter(s *Service, number int) *granter {
-	g := &granter{service: s, number: number, kick: make(chan struct{}, 1)}
+	g := &granter{service: s, number: number, pacer: newPacer()}
 	g.follower = follower.New(s.log, s.store, g.partition(), g, follower.WithPace(grantPace))
 	return g
 }
@@ -49,28 +47,10 @@
 	return record.Partition{Topic: g.service.topics.Grants, Number: g.number}
 }
 
-func (g *granter) urge() {
-	select {
-	case g.kick <- struct{}{}:
-	default:
-	}
-}
-
 // run compares the grants with what they should be, from time to time and when
 // tokens are lacking.
 func (g *granter) run(ctx context.Context) {
-	ticker := time.NewTicker(grantInterval)
-	defer ticker.Stop()
-	for last := time.Now(); ; last = time.Now() {
-		select {
-		case <-ticker.C:
-		case <-g.kick:
-			if wait := urgentInterval - time.Since(last); wait > 0 {
-				time.Sleep(wait)
-			}
-		case <-ctx.Done():
-			return
-		}
+	for g.pacer.wait(ctx, grantInterval) {
 		if g.follower.Reachable() && g.follower.Age() < staleAfter {
 			g.write(ctx)
 		}
@@ -191,7 +171,7 @@
 	s.accounts[workspace] = s.accounts[workspace].WithGrant(instance, grant)
 	if p, known := s.purses[workspace]; known && instance == s.instance && grant.Incarnation == s.incarnation {
 		p.GrantInForce(grant)
-		s.reporter.urge()
+		s.reporter.pacer.urge()
 		s.log.Debug("grant read", "workspace", workspace, "total", grant.Total, "closed", grant.Closed, "offset", r.Offset)
 	}
 }
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -303,9 +303,9 @@
 // urge makes grants and reports be written and read at once.
 func (s *Service) urge(workspace string) {
 	g := s.granter(workspace)
-	g.urge()
+	g.pacer.urge()
 	g.follower.Hurry()
-	s.reporter.urge()
+	s.reporter.pacer.urge()
 }
 
 // Balance is what an entry knows of a workspace's tokens, for log lines.
--- a/services/prepaid/report.go
+++ b/services/prepaid/report.go
@@ -35,7 +35,7 @@
 type reporter struct {
 	service  *Service
 	follower *follower.Follower
-	kick     chan struct{}
+	pacer    *pacer
 	sequence int64
 	// ended says that a later process of the instance reports.
 	ended bool
@@ -46,7 +46,7 @@
 }
 
 func newReporter(s *Service) *reporter {
-	r := &reporter{service: s, reporting: map[string]bool{}, kick: make(chan struct{}, 1)}
+	r := &reporter{service: s, reporting: map[string]bool{}, pacer: newPacer()}
 	r.follower = follower.New(s.log, s.store, r.partition(), r, follower.WithPace(reportPace))
 	return r
 }
@@ -55,27 +55,8 @@
 	return record.Partition{Topic: r.service.topics.Reports}
 }
 
-func (r *reporter) urge() {
-	select {
-	case r.kick <- struct{}{}:
-	default:
-	}
-}
-
 func (r *reporter) run(ctx context.Context) {
-	timer := time.NewTimer(reportInterval)
-	defer timer.Stop()
-	for last := time.Now(); !r.ended; last = time.Now() {
-		timer.Reset(r.interval())
-		select {
-		case <-timer.C:
-		case <-r.kick:
-			if wait := urgentInterval - time.Since(last); wait > 0 {
-				time.Sleep(wait)
-			}
-		case <-ctx.Done():
-			return
-		}
+	for !r.ended && r.pacer.wait(ctx, r.interval()) {
 		if b := r.plan(time.Now()); b != nil {
 			r.write(ctx, b)
 		}
@@ -225,7 +206,7 @@
 		r.reporting[instance] = true
 		s.accounts[workspace] = s.accounts[workspace].WithReport(instance, report)
 		if report.Wanted > 0 && rand.Float64() < responders/float64(len(r.reporting)) {
-			s.granter(workspace).urge()
+			s.granter(workspace).pacer.urge()
 		}
 	}
 }
--- a/services/relay/leg.go
+++ b/services/relay/leg.go
@@ -76,7 +76,6 @@
 			Server: choice.Server.ID, Left: time.Until(j.expires), Workspace: j.workspace.Name,
 			Priority: j.priority(), LastEvent: lastEvent,
 		}),
-		Cautious:    !j.route.Kind.Repeatable(),
 		Connections: max(1, j.pool.Connections/connectionShare),
 		Foreign:     func(h http.Header) bool { return j.service.messages.Foreign(r, h) },
 	}
