Let requests wait until the terms cover them, in order

Change: a request that the terms in force will cover within 2 s and a quarter of its time is booked. Its tokens are held at once, so its wait is known, and others go ahead only if it stays covered in time. What is not covered in time is refused at once, as before. An entry that knows few reports expects more entries and takes a quarter at most.

TestWaitsForTerms failed three times of three without the change.

--- a/models/prepaid/fleet_test.go
+++ b/models/prepaid/fleet_test.go
@@ -19,8 +19,10 @@
 	wantedMemory = time.Second
 	// runTime is how long a request runs.
 	runTime = 600 * time.Millisecond
-	// patientFor is how long a request waits for tokens.
-	patientFor = 400 * time.Millisecond
+	// patientFor is how long a request waits for a larger grant, and longestWait how
+	// long until the terms cover it.
+	patientFor  = 400 * time.Millisecond
+	longestWait = 2 * time.Second
 )
 
 var epoch = time.Unix(1_700_000_000, 0)
@@ -99,8 +101,9 @@
 }
 
 type waiting struct {
-	tokens int64
-	since  time.Duration
+	tokens  int64
+	since   time.Duration
+	booking *prepaid.Booking
 }
 
 func newFleet(seed uint64, total int64, demands ...func(time.Duration) float64) *fleet {
@@ -314,15 +317,15 @@
 	f := e.fleet
 	rest := e.waiting[:0]
 	for _, w := range e.waiting {
+		if w.booking == nil && f.now > w.since {
+			w.booking, _ = e.purse.Book(f.time(), w.tokens, longestWait-(f.now-w.since))
+		}
 		switch {
-		case e.purse.Reserve(f.time(), w.tokens):
+		case e.begins(w):
 			e.holds = append(e.holds, hold{tokens: w.tokens, until: f.now + runTime})
 			f.result.served += w.tokens
-		case f.now-w.since > patientFor:
-			f.result.refused += w.tokens
-			if w.tokens < f.prepaid*97/100-f.spent() {
-				f.result.owed += w.tokens
-			}
+		case f.now-w.since > w.patience():
+			e.refuse(w)
 		default:
 			e.purse.Want(w.tokens)
 			e.wanted = f.now
@@ -331,3 +334,28 @@
 	}
 	e.waiting = rest
 }
+
+func (w waiting) patience() time.Duration {
+	if w.booking != nil {
+		return longestWait
+	}
+	return patientFor
+}
+
+func (e *entry) begins(w waiting) bool {
+	if w.booking != nil {
+		return e.purse.Begin(e.fleet.time(), w.booking)
+	}
+	return e.purse.Reserve(e.fleet.time(), w.tokens)
+}
+
+func (e *entry) refuse(w waiting) {
+	f := e.fleet
+	if w.booking != nil {
+		e.purse.Cancel(w.booking)
+	}
+	f.result.refused += w.tokens
+	if w.tokens < f.prepaid*97/100-f.spent() {
+		f.result.owed += w.tokens
+	}
+}
--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -32,6 +32,10 @@
 	cutRatePart = 2.5
 )
 
+// fewReports is the number of reports below which more entries are expected: the
+// fewest entries of the operators' deployments.
+const fewReports = 4
+
 // renewAfter is the age at which terms are written anew though nothing else
 // changed, since what they allow grows with their age.
 const renewAfter = 500 * time.Millisecond
@@ -152,7 +156,12 @@
 	if all <= 0 {
 		return 0, called
 	}
-	return h.Demand / all, called
+	share = h.Demand / all
+	if len(a.Reports) < fewReports {
+		// Others are probably about to report.
+		share = min(share, 1.0/fewReports)
+	}
+	return share, called
 }
 
 // target is the number of free tokens that the holder should have: enough for
--- a/models/prepaid/purse.go
+++ b/models/prepaid/purse.go
@@ -40,6 +40,8 @@
 	spent    int64
 	held     int64
 	wanted   int64
+	// bookings are requests that wait, by when they came. Their tokens are held.
+	bookings []*Booking
 
 	prior    float64
 	started  time.Time
@@ -108,32 +110,15 @@
 func (p *Purse) Granted() int64 { return p.total - p.spent - p.held }
 
 // Reserve holds the most that a request can cost, and reports whether grant and
-// terms cover it.
+// terms cover it. It may go ahead of bookings that are still covered in time.
 func (p *Purse) Reserve(now time.Time, tokens int64) bool {
-	if tokens > p.Free(now) {
+	if tokens > p.room(now) {
 		return false
 	}
 	p.held += tokens
 	return true
 }
 
-// Covered returns how long it takes until the terms cover a request without a new
-// report, if that is within the limit.
-func (p *Purse) Covered(now time.Time, tokens int64, limit time.Duration) (time.Duration, bool) {
-	if p.Free(now.Add(limit)) < tokens {
-		return 0, false
-	}
-	low, high := time.Duration(0), limit
-	for high-low > time.Millisecond {
-		if middle := (low + high) / 2; p.Free(now.Add(middle)) >= tokens {
-			high = middle
-		} else {
-			low = middle
-		}
-	}
-	return high, true
-}
-
 // Settle ends a hold with what the request used.
 func (p *Purse) Settle(held, used int64) {
 	p.held -= held
--- a/models/prepaid/purse_test.go
+++ b/models/prepaid/purse_test.go
@@ -39,14 +39,53 @@
 	}
 	p.Settle(60, 40)
 	expectFree(t, p, 0, 60)
-	if after, ok := p.Covered(epoch, 160, time.Second); !ok || after < 790*time.Millisecond || after > 810*time.Millisecond {
-		t.Errorf("covered after %s (%t), want 0.8 s", after, ok)
+	b, ok := p.Book(epoch, 160, time.Second)
+	if !ok {
+		t.Fatal("not booked though it is covered in time")
 	}
-	if _, ok := p.Covered(epoch, 5000, time.Second); ok {
+	if after := b.Due().Sub(epoch); after < 790*time.Millisecond || after > 810*time.Millisecond {
+		t.Errorf("covered after %s, want 0.8 s", after)
+	}
+	p.Cancel(b)
+	if _, ok := p.Book(epoch, 5000, time.Second); ok {
 		t.Error("covered too early")
 	}
 }
 
+// TestBookings replays a cut in which a large request waits for the terms: small
+// ones go ahead only as long as it is covered in time, and the next large one
+// waits for its turn.
+func TestBookings(t *testing.T) {
+	p := newPurse()
+	p.SentReport(epoch, terms)
+	p.ReportInForce()
+	first, ok := p.Book(epoch, 600, 2*time.Second)
+	if !ok {
+		t.Fatal("the first is not booked")
+	}
+	second, ok := p.Book(epoch, 400, 2*time.Second)
+	if !ok || second.Due().Sub(first.Due()) < 390*time.Millisecond {
+		t.Fatalf("the second is due at %v, the first at %v", second.Due(), first.Due())
+	}
+	if p.Reserve(epoch, 50) {
+		t.Error("a small request delays the first booking")
+	}
+	if p.Begin(first.Due().Add(-10*time.Millisecond), first) {
+		t.Error("the first begins too early")
+	}
+	if p.Begin(first.Due(), second) || !p.Begin(first.Due(), first) {
+		t.Error("the second begins in place of the first")
+	}
+	p.Settle(600, 300)
+	if !p.Reserve(first.Due(), 300) {
+		t.Error("what the first did not use is not free for a small request")
+	}
+	if p.Begin(second.Due().Add(-10*time.Millisecond), second) || !p.Begin(second.Due(), second) {
+		t.Error("the second does not begin when it is due")
+	}
+	expectFree(t, p, second.Due().Sub(epoch), 0)
+}
+
 // TestUnansweredReport checks that a report that may be in force binds, since a
 // successor may go by it.
 func TestUnansweredReport(t *testing.T) {
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -31,9 +31,11 @@
 	// grantWait is how long a request waits for a larger grant: some exchanges with
 	// the store, a small part of the most urgent goal.
 	grantWait = 120 * time.Millisecond
-	// longestWait is how long a request waits until the terms cover it, a part of
-	// the most urgent goal.
-	longestWait = 400 * time.Millisecond
+	// longestWait is how long a request waits until the terms cover it: most of
+	// cutDelay, after which they allow more. patientPart of the time that a request
+	// has left is the most that it waits.
+	longestWait = 2 * time.Second
+	patientPart = 0.25
 	// wantedMemory is how long a refused request counts as wanting tokens.
 	wantedMemory = time.Second
 	// usualDay is the time in which a workspace is assumed to use its prepaid total
@@ -203,36 +205,70 @@
 }
 
 // Reserve sets aside the most that a request can cost. It returns a nil Hold for
-// a workspace without a prepaid total. If grant and terms don't cover the request
-// it waits for new ones, or until the old ones do, but not for long.
+// a workspace without a prepaid total. A request that grant and terms will cover
+// soon waits for that; one that needs a larger grant waits for some exchanges with
+// the store.
 func (s *Service) Reserve(ctx context.Context, w route.Workspace, tokens int64) (*Hold, error) {
 	if !w.Limited || tokens == 0 {
 		return nil, nil
 	}
 	began := time.Now()
 	s.asked(w, began, tokens)
+	patience := patience(ctx, began)
 	for {
-		t := s.try(w, tokens, longestWait-time.Since(began))
+		t := s.try(w, tokens, patience-time.Since(began))
 		if t.err == nil {
 			return &Hold{service: s, workspace: w.Name, tokens: tokens}, nil
 		}
-		wait := grantWait - time.Since(began)
-		if !s.reachable() {
-			wait = 0
-		}
-		if t.covered > 0 {
-			wait = max(wait, t.covered)
+		s.urge(w.Name)
+		if t.booking != nil {
+			return s.await(ctx, w, t.booking, tokens)
 		}
-		if wait <= 0 || t.err.Reason == refusal.BudgetExhausted {
+		wait := grantWait - time.Since(began)
+		if wait <= 0 || !s.reachable() || t.err.Reason == refusal.BudgetExhausted {
 			return nil, t.err
 		}
-		s.urge(w.Name)
 		if !await(ctx, t.changed, wait) {
 			return nil, t.err
 		}
 	}
 }
 
+// patience is how long a request may wait for tokens.
+func patience(ctx context.Context, now time.Time) time.Duration {
+	deadline, set := ctx.Deadline()
+	if !set {
+		return longestWait
+	}
+	return min(longestWait, time.Duration(float64(deadline.Sub(now))*patientPart))
+}
+
+// await waits until a booking is covered. A renewed report covers it sooner than
+// it is due.
+func (s *Service) await(ctx context.Context, w route.Workspace, b *prepaid.Booking, tokens int64) (*Hold, error) {
+	for {
+		changed, begun := s.begin(w, b)
+		if begun {
+			return &Hold{service: s, workspace: w.Name, tokens: tokens}, nil
+		}
+		wait := time.Until(b.Due())
+		if wait <= 0 || !await(ctx, changed, wait) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.purses[w.Name].Cancel(b)
+			return nil, unreachable()
+		}
+	}
+}
+
+// begin ends a booking if it is covered. Otherwise it returns what is closed with
+// the next change.
+func (s *Service) begin(w route.Workspace, b *prepaid.Booking) (<-chan struct{}, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed, s.purses[w.Name].Begin(time.Now(), b)
+}
+
 // await waits for a change or the time, and reports whether to try again.
 func await(ctx context.Context, changed <-chan struct{}, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
@@ -257,10 +293,10 @@
 type trial struct {
 	// err is the refusal if it failed.
 	err *refusal.Error
+	// booking holds the tokens if they are covered soon.
+	booking *prepaid.Booking
 	// changed is closed with the next change of grants or reports.
 	changed <-chan struct{}
-	// covered is when the terms will cover the request, or 0.
-	covered time.Duration
 }
 
 // try reserves from what grant and terms allow.
@@ -272,19 +308,24 @@
 	if p.Reserve(now, tokens) {
 		return trial{}
 	}
+	t := trial{changed: s.changed, err: unreachable()}
+	if b, ok := p.Book(now, tokens, patience); ok {
+		t.booking = b
+		return t
+	}
 	p.Want(tokens)
 	p.wanted = now
-	t := trial{changed: s.changed, err: refusal.New(refusal.BudgetUnreachable, comeBack,
-		"this entry holds too few of the workspace's tokens: come back, another entry may hold more")}
 	if s.known() && s.accounts[w.Name].Unspent(w.Prepaid) < tokens {
 		t.err = refusal.New(refusal.BudgetExhausted, 0, "the prepaid tokens do not cover the request: top up")
 	}
-	if after, ok := p.Covered(now, tokens, patience); ok && patience > 0 {
-		t.covered = after
-	}
 	return t
 }
 
+func unreachable() *refusal.Error {
+	return refusal.New(refusal.BudgetUnreachable, comeBack,
+		"this entry holds too few of the workspace's tokens: come back, another entry may hold more")
+}
+
 // purse returns the workspace's purse.
 func (s *Service) purse(w route.Workspace, now time.Time) *purse {
 	p, known := s.purses[w.Name]
--- a/services/prepaid/prepaid_test.go
+++ b/services/prepaid/prepaid_test.go
@@ -155,6 +155,33 @@
 	}
 }
 
+// TestWaitsForTerms checks that a large request waits during a cut if the terms
+// will cover it, and that one they will not cover is refused at once.
+func TestWaitsForTerms(t *testing.T) {
+	f := newFleet(t, 2_000_000)
+	e := f.start("entry-1")
+	f.reserve(e, 5_000).Settle(5_000)
+	f.store.SetFault(site.Silent)
+	const growing = 3300 * time.Millisecond // The terms' last growth has begun.
+	time.Sleep(growing)
+	began := time.Now()
+	if _, err := e.Reserve(t.Context(), f.workspace, 1_900_000); err == nil || time.Since(began) > 50*time.Millisecond {
+		t.Errorf("got %v after %s, want a refusal at once", err, time.Since(began))
+	}
+	before := e.Balance(f.workspace).Free
+	time.Sleep(200 * time.Millisecond)
+	free := e.Balance(f.workspace).Free
+	hold, err := e.Reserve(t.Context(), f.workspace, free+4*(free-before))
+	if err != nil {
+		t.Fatalf("not served though the terms allow it in 0.8 s: %v", err)
+	}
+	hold.Settle(1)
+	f.store.SetFault(site.None)
+	if err := e.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
 // TestReturned checks that a process that ends in order leaves its tokens to others.
 func TestReturned(t *testing.T) {
 	f := newFleet(t, 100_000)
