Forget the assumed demand, and learn how evenly callers reach entries

Ruled out: terms or held tokens as the cause (free equalled what was granted); a top-up that came late (the total had not changed).

Change: the assumed demand counts until the entry takes requests and is then forgotten within some seconds. An entry with small workspaces sees too few of their requests to tell what comes, so shares also count what every entry may expect beyond what it saw: little if requests of the workspace meet at one entry, near an even split if they do not. Reports carry the number of requests seen.

--- a/models/prepaid/account.go
+++ b/models/prepaid/account.go
@@ -45,6 +45,8 @@
 	Demand int64 `cbor:"5,keyasint"`
 	// Wanted is what the entry lacks for requests that it had to refuse.
 	Wanted int64 `cbor:"6,keyasint,omitempty"`
+	// Seen is the number of requests in the memory of the demand, in hundredths.
+	Seen int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Terms bound what an entry may spend, more with the time since they were sent.
--- a/models/prepaid/fleet_test.go
+++ b/models/prepaid/fleet_test.go
@@ -17,6 +17,8 @@
 	staleAfter = 600 * time.Millisecond
 	// wantedMemory is how long a request counts as wanting tokens.
 	wantedMemory = time.Second
+	// assumedEntries is the number of entries until their grants are known.
+	assumedEntries = 4
 	// runTime is how long a request runs.
 	runTime = 600 * time.Millisecond
 	// patientFor is how long a request waits for a larger grant, and longestWait how
@@ -158,7 +160,8 @@
 // start begins an incarnation.
 func (e *entry) start() {
 	e.incarnation++
-	e.purse = prepaid.NewPurse(e.fleet.time(), float64(e.fleet.prepaid)/45/float64(max(4, len(e.fleet.entries))))
+	e.purse = prepaid.NewPurse(e.fleet.time(), float64(e.fleet.prepaid)/45/assumedEntries)
+	e.purse.Started(e.fleet.time())
 	e.account, e.next, e.known, e.report = prepaid.Account{}, 0, false, nil
 	e.holds, e.waiting = nil, nil
 	e.lowest = e.offset
--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -32,6 +32,9 @@
 	cutRatePart = 2.5
 )
 
+// hundredths is the unit of the number of requests in reports.
+const hundredths = 100
+
 // fewReports is the number of reports below which more entries are expected: the
 // fewest entries of the operators' deployments.
 const fewReports = 4
@@ -81,6 +84,8 @@
 	Held  int64
 	// Demand is the tokens a second that callers asked for.
 	Demand float64
+	// Seen is the number of requests in the memory of the demand.
+	Seen float64
 	// Wanted is what refused requests lacked.
 	Wanted int64
 }
@@ -126,8 +131,7 @@
 		return Report{}, false
 	}
 	old := a.report(h.Instance, grant)
-	share, _ := p.share(a, h)
-	left := float64(max(0, a.Unspent(prepaid))) * share
+	left := float64(max(0, a.Unspent(prepaid))) * p.demand(a, h).share
 	report := Report{
 		Terms: Terms{
 			Committed: h.committed(), Window: max(h.Wanted, min(usualWindow, int64(windowPart*left))),
@@ -136,6 +140,7 @@
 			CutRate:   int64(h.Demand * cutRatePart),
 		},
 		Incarnation: h.Incarnation, Sent: h.Now, Spent: h.Spent, Demand: int64(h.Demand),
+		Seen:   int64(h.Seen * hundredths),
 		Wanted: max(0, h.Wanted-(grant.Total-h.committed())),
 	}
 	return report, old.Incarnation == 0 || old.Committed != report.Committed || old.Spent != report.Spent ||
@@ -143,31 +148,47 @@
 		report.Sent.Wall-old.Sent.Wall > renewAfter.Milliseconds()
 }
 
-// share is the holder's part of the demand, and called what others lack.
-func (p *Planner) share(a Account, h Holder) (share float64, called int64) {
-	all := h.Demand
+// demand is what an entry knows of the demand of all.
+type demand struct {
+	// share is the holder's part of what is to come.
+	share float64
+	// own is the tokens a second to expect, at least.
+	own float64
+	// called is what others lack.
+	called int64
+}
+
+// demand sums up the reports. Callers of some workspaces reach all entries alike,
+// so that what an entry saw in a few seconds tells little of the next ones; those
+// of others keep to one entry. How often two requests met at one entry tells which.
+func (p *Planner) demand(a Account, h Holder) demand {
+	all, spread := h.Demand, newSpread(h.Seen)
+	var d demand
 	for name, g := range a.Grants {
 		if name != h.Instance {
 			r := a.report(name, g)
 			all += float64(r.Demand)
-			called += r.Wanted
+			d.called += r.Wanted
+			spread.add(float64(r.Seen) / hundredths)
 		}
 	}
 	if all <= 0 {
-		return 0, called
+		return d
 	}
-	share = h.Demand / all
+	unseen := spread.unseen(all)
+	d.own = h.Demand + unseen
+	d.share = d.own / (all + unseen*float64(spread.entries))
 	if len(a.Reports) < fewReports {
 		// Others are probably about to report.
-		share = min(share, 1.0/fewReports)
+		d.share = min(d.share, 1.0/fewReports)
 	}
-	return share, called
+	return d
 }
 
 // target is the number of free tokens that the holder should have: enough for
 // the horizon while there is plenty, and its share by demand of what is left.
 func (p *Planner) target(a Account, prepaid int64, h Holder) int64 {
-	share, called := p.share(a, h)
+	d := p.demand(a, h)
 	left := prepaid - h.committed()
 	for name, g := range a.Grants {
 		left -= g.Closed
@@ -175,10 +196,10 @@
 			left -= a.report(name, g).Spent
 		}
 	}
-	if called > max(0, prepaid-a.Granted()) {
+	if d.called > max(0, prepaid-a.Granted()) {
 		// Others refuse requests for want of what lies idle here.
-		left -= called
+		left -= d.called
 	}
-	part := float64(max(0, left)) * handedOut * share
-	return int64(min(h.Demand*p.horizon.Seconds(), part*part/(part+lump)))
+	part := float64(max(0, left)) * handedOut * d.share
+	return int64(min(d.own*p.horizon.Seconds(), part*part/(part+lump)))
 }
--- a/models/prepaid/prepaid_test.go
+++ b/models/prepaid/prepaid_test.go
@@ -119,6 +119,11 @@
 		demands: []func(time.Duration) float64{hot(20_000, 4, 10*second, 16*second), steady(3_000), steady(3_000), steady(3_000)},
 		disturb: func(*fleet) {},
 	},
+	{
+		name: "all callers at one entry of many", total: 740_000,
+		demands: append([]func(time.Duration) float64{hot(15_000, 3, 14*second, 20*second)}, manySteady(22, 0)...),
+		disturb: func(f *fleet) { cutAll(f, 6*second, 14*second); cutAll(f, 23*second, 31*second) },
+	},
 	{
 		name: "kill of all entries", total: 2_000_000,
 		demands: []func(time.Duration) float64{steady(20_000), steady(15_000), steady(7_000), steady(3_000)},
@@ -142,6 +147,15 @@
 	}
 }
 
+// manySteady is a demand that reaches entries alike.
+func manySteady(entries int, rate float64) []func(time.Duration) float64 {
+	var all []func(time.Duration) float64
+	for range entries {
+		all = append(all, steady(rate))
+	}
+	return all
+}
+
 // TestPatterns replays each load and compares the tokens refused, though they
 // were paid for, with the target.
 func TestPatterns(t *testing.T) {
--- a/models/prepaid/purse.go
+++ b/models/prepaid/purse.go
@@ -9,8 +9,11 @@
 	// demandMemory is the time over which the demand is averaged. It is longer
 	// than the pause between two requests of a small workspace at one entry.
 	demandMemory = 8 * time.Second
-	// priorWeight is for how long of observation the assumed demand counts.
+	// priorWeight is for how long of observation the assumed demand counts at first,
+	// and priorMemory how fast it is forgotten, within some requests of a large
+	// workspace: callers of many workspaces reach few of the entries.
 	priorWeight = time.Second
+	priorMemory = 2 * time.Second
 )
 
 // sentTerms are terms that were written, and since when they count.
@@ -43,16 +46,27 @@
 	// bookings are requests that wait, by when they came. Their tokens are held.
 	bookings []*Booking
 
-	prior    float64
-	started  time.Time
+	prior float64
+	// started is when the entry took its first request, of any workspace.
+	started time.Time
+	// observed are the tokens asked for and seen the requests, both faded.
 	observed float64
+	seen     float64
 	updated  time.Time
 }
 
 // NewPurse returns an empty purse that assumes a demand in tokens a second
-// until it has seen some.
+// until the entry has taken requests for a while.
 func NewPurse(now time.Time, prior float64) *Purse {
-	return &Purse{totals: map[int64]sentTotal{}, prior: prior, started: now, updated: now}
+	return &Purse{totals: map[int64]sentTotal{}, prior: prior, updated: now}
+}
+
+// Started notes that the entry takes requests, of whatever workspace. Until then
+// that it saw none of this one says nothing.
+func (p *Purse) Started(now time.Time) {
+	if p.started.IsZero() {
+		p.started = now
+	}
 }
 
 // SentGrant notes a total that is being written at the offset under a number.
@@ -135,24 +149,31 @@
 func (p *Purse) Asked(now time.Time, tokens int64) {
 	p.fade(now)
 	p.observed += float64(tokens)
+	p.seen++
 }
 
 func (p *Purse) fade(now time.Time) {
-	p.observed *= math.Exp(-now.Sub(p.updated).Seconds() / demandMemory.Seconds())
+	kept := math.Exp(-now.Sub(p.updated).Seconds() / demandMemory.Seconds())
+	p.observed *= kept
+	p.seen *= kept
 	p.updated = now
 }
 
 // Demand is the tokens a second that callers ask for, by what was seen and, for
 // the first seconds, by what was assumed.
 func (p *Purse) Demand(now time.Time) float64 {
+	if p.started.IsZero() {
+		return p.prior
+	}
 	p.fade(now)
-	memory := demandMemory.Seconds()
-	span := memory * (1 - math.Exp(-now.Sub(p.started).Seconds()/memory))
-	return (p.prior*priorWeight.Seconds() + p.observed) / (priorWeight.Seconds() + span)
+	age, memory := now.Sub(p.started).Seconds(), demandMemory.Seconds()
+	span := memory * (1 - math.Exp(-age/memory))
+	weight := priorWeight.Seconds() * math.Exp(-age/priorMemory.Seconds())
+	return (p.prior*weight + p.observed) / (weight + span)
 }
 
 // Holder fills in the entry's view of its grant.
 func (p *Purse) Holder(now time.Time, h Holder) Holder {
-	h.Spent, h.Held, h.Demand, h.Wanted = p.spent, p.held, p.Demand(now), p.wanted
+	h.Spent, h.Held, h.Demand, h.Seen, h.Wanted = p.spent, p.held, p.Demand(now), p.seen, p.wanted
 	return h
 }
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -97,8 +97,10 @@
 	sequence    int64
 	accounts    map[string]prepaid.Account
 	// broken are the workspaces with a grant that can't be decoded.
-	broken  map[string]bool
-	purses  map[string]*purse
+	broken map[string]bool
+	purses map[string]*purse
+	// started is when the entry took its first request.
+	started time.Time
 	changed chan struct{}
 
 	cancel context.CancelFunc
@@ -286,6 +288,12 @@
 func (s *Service) asked(w route.Workspace, now time.Time, tokens int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.started.IsZero() {
+		s.started = now
+		for _, p := range s.purses {
+			p.Started(now)
+		}
+	}
 	s.purse(w, now).Asked(now, tokens)
 }
 
@@ -333,6 +341,9 @@
 		entries := max(len(s.accounts[w.Name].Grants), assumedEntries)
 		prior := float64(w.Prepaid) / usualDay.Seconds() / float64(entries)
 		p = &purse{Purse: prepaid.NewPurse(now, prior)}
+		if !s.started.IsZero() {
+			p.Started(now)
+		}
 		s.purses[w.Name] = p
 	}
 	if now.Sub(p.wanted) > wantedMemory {
