Count as spent what a killed entry could spend until its successor began

Successors took the time from the report until they had read the store (1.1 to 1.8 s), though the process before them had ended when they began, 0.5 s after the kill.

Change: the clock is read when the process begins. The check of the machine's uptime compares with the own time of day at that moment alone, since the newest time in all reports moves on.

TestLateSuccessor fails with the former clock.

--- a/models/prepaid/account.go
+++ b/models/prepaid/account.go
@@ -105,14 +105,15 @@
 )
 
 // since bounds the time from when a report was sent until its writer ended, for a
-// successor that reads it.
+// successor that began at this time.
 func (c Clock) since(sent Clock, newest int64) time.Duration {
-	wall := time.Duration(max(c.Wall, newest)-sent.Wall) * time.Millisecond
+	wall := time.Duration(c.Wall-sent.Wall) * time.Millisecond
 	up := time.Duration(c.Uptime-sent.Uptime) * time.Millisecond
 	if c.Boot == sent.Boot && up >= 0 && (up-wall).Abs() < clockStep {
 		return up
 	}
-	return max(0, wall) + clockError
+	wall = max(0, wall, time.Duration(newest-sent.Wall)*time.Millisecond)
+	return wall + clockError
 }
 
 // ParseGrant decodes a grant.
@@ -206,11 +207,11 @@
 
 // closed counts as spent what the former process of an instance may have spent of
 // its grant. A process that did not report on its grant has spent nothing of it.
-func (a Account) closed(instance string, now Clock, newest int64) Grant {
+func (a Account) closed(instance string, began Clock, newest int64) Grant {
 	g := a.Grants[instance]
 	r := a.report(instance, g)
 	if r.Incarnation == 0 {
 		return Grant{Closed: g.Closed}
 	}
-	return Grant{Closed: g.Closed + min(g.Total, r.limit(now.since(r.Sent, newest)))}
+	return Grant{Closed: g.Closed + min(g.Total, r.limit(began.since(r.Sent, newest)))}
 }
--- a/models/prepaid/fleet_test.go
+++ b/models/prepaid/fleet_test.go
@@ -71,6 +71,7 @@
 	fleet       *fleet
 	name        string
 	incarnation int
+	began       prepaid.Clock
 	purse       *prepaid.Purse
 	// account and next are the entry's view of the store's.
 	account prepaid.Account
@@ -165,6 +166,7 @@
 	e.account, e.next, e.known, e.report = prepaid.Account{}, 0, false, nil
 	e.holds, e.waiting = nil, nil
 	e.lowest = e.offset
+	e.began = e.clock()
 }
 
 // kill ends the incarnation; the next one starts after the pause.
@@ -232,7 +234,7 @@
 func (e *entry) holder() prepaid.Holder {
 	e.sequence++
 	return e.purse.Holder(e.fleet.time(), prepaid.Holder{
-		Instance: e.name, Incarnation: e.id(), Sequence: e.sequence, Now: e.clock(), Newest: e.account.Newest(),
+		Instance: e.name, Incarnation: e.id(), Sequence: e.sequence, Began: e.began, Now: e.clock(), Newest: e.account.Newest(),
 	})
 }
 
--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -76,7 +76,9 @@
 	Incarnation int64
 	// Sequence is the number of the grant to write.
 	Sequence int64
-	Now      Clock
+	// Began is when the process began: the former one of the instance had ended.
+	Began Clock
+	Now   Clock
 	// Newest is the latest time of day in the reports of all entries.
 	Newest int64
 	// Spent is what was used, Held what requests under way may still use.
@@ -97,7 +99,7 @@
 func (p *Planner) Grant(a Account, prepaid int64, h Holder) (Grant, bool) {
 	old, known := a.Grants[h.Instance]
 	if known && old.Incarnation != h.Incarnation {
-		old, known = a.closed(h.Instance, h.Now, h.Newest), false
+		old, known = a.closed(h.Instance, h.Began, h.Newest), false
 		a = a.WithGrant(h.Instance, old)
 	}
 	target := p.target(a, prepaid, h)
--- a/models/prepaid/purse_test.go
+++ b/models/prepaid/purse_test.go
@@ -116,3 +116,23 @@
 	p.Reached(10)
 	expectFree(t, p, time.Minute, 10_000)
 }
+
+// TestLateSuccessor replays a kill during an outage of the store: the successor
+// counts as spent what the former process could spend until the successor began,
+// however long it takes until the store can be read.
+func TestLateSuccessor(t *testing.T) {
+	at := func(after time.Duration) prepaid.Clock {
+		return prepaid.Clock{Wall: epoch.Add(after).UnixMilli(), Uptime: (time.Hour + after).Milliseconds(), Boot: 1}
+	}
+	account := prepaid.Account{}.
+		WithGrant("entry-1", prepaid.Grant{Incarnation: 1, Total: 8_000}).
+		WithReport("entry-1", prepaid.Report{Terms: terms, Incarnation: 1, Sent: at(0)})
+	holder := prepaid.Holder{
+		Instance: "entry-1", Incarnation: 2, Began: at(1700 * time.Millisecond), Now: at(20 * time.Second),
+		Newest: at(20 * time.Second).Wall,
+	}
+	grant, changed := prepaid.NewPlanner().Grant(account, 10_000, holder)
+	if want := int64(100 + 1000); !changed || grant.Closed != want {
+		t.Errorf("%d tokens count as spent, want %d", grant.Closed, want)
+	}
+}
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -87,6 +87,8 @@
 	instance string
 	planner  *prepaid.Planner
 	wall     *uptime.Wall
+	// began is when the process began.
+	began    prepaid.Clock
 	grants   []*granter
 	reporter *reporter
 
@@ -124,6 +126,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.began = s.clock()
 	for number := range partitions {
 		s.grants = append(s.grants, newGranter(s, number))
 	}
@@ -395,7 +398,8 @@
 func (s *Service) holder(w route.Workspace, now time.Time, clock prepaid.Clock) prepaid.Holder {
 	s.sequence++
 	return s.purse(w, now).Holder(now, prepaid.Holder{
-		Instance: s.instance, Incarnation: s.begun(), Sequence: s.sequence, Now: clock, Newest: s.newest(),
+		Instance: s.instance, Incarnation: s.begun(), Sequence: s.sequence,
+		Began: s.began, Now: clock, Newest: s.newest(),
 	})
 }
 
