Lend prepaid tokens between entries

Cause: in the cuts of the grown sites every entry lives off its own share of each workspace, with 23 and 28 entries often less than one large request.

Ruled out: larger shares (they are all there is), longer waits for grants (nobody can write them in a cut).

Change: an entry that lacks tokens asks others over the peers' port, those first that have most by their last reports, and only if enough of them probably have what is lacking. What is lent counts as spent by the lender, within its grant and terms, whether it arrives or not; the borrower keeps it apart and uses it first. Grants carry the address. An entry without an answer, or with too little, is left out for 0.5 s.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -118,7 +118,8 @@
 	g.catalog = catalog.New(logger, g.store, platform.Codec{},
 		catalog.WithFailureDomain(s.FailureDomain), catalog.WithPeers(g.peers))
 	grants, reports := platform.Codec{}.BudgetTopics()
-	g.prepaid = prepaid.New(logger, g.store, prepaid.Topics{Grants: grants, Reports: reports}, g.catalog, s.Instance)
+	g.prepaid = prepaid.New(logger, g.store, prepaid.Topics{Grants: grants, Reports: reports}, g.catalog, s.Instance,
+		prepaid.WithPeers(g.peers, s.Listen.Peers), prepaid.WithMetrics(g.metrics))
 	r := relay.New(logger, platform.Messages{}, g.catalog, g.prepaid, g.client, append(retries(s), relay.WithMetrics(g.metrics))...)
 	g.handler = front.New(logger, platform.Messages{}, r, g.catalog)
 	g.readiness = front.NewReadiness(g.handler, g.catalog.Ready, g.prepaid.Ready)
@@ -176,7 +177,7 @@
 
 func (g *gateway) listenPeers() (closer, error) {
 	mux := http.NewServeMux()
-	mux.Handle("/peer/", front.NewPeers(g.log, g.catalog))
+	mux.Handle("/peer/", front.NewPeers(g.log, g.catalog, g.prepaid))
 	mux.Handle("GET /metrics", g.metrics)
 	return web.NewServer(g.settings.Listen.Peers, mux)
 }
--- a/models/prepaid/account.go
+++ b/models/prepaid/account.go
@@ -13,6 +13,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -30,6 +31,8 @@
 	Total int64 `cbor:"3,keyasint"`
 	// Closed is what earlier incarnations of the instance may have spent.
 	Closed int64 `cbor:"4,keyasint,omitempty"`
+	// Peer is where the holder lends tokens to other entries.
+	Peer netip.AddrPort `cbor:"5,keyasint"`
 }
 
 // Report is what an entry says of one workspace.
@@ -105,15 +108,17 @@
 )
 
 // since bounds the time from when a report was sent until its writer ended, for a
-// successor that began at this time.
-func (c Clock) since(sent Clock, newest int64) time.Duration {
-	wall := time.Duration(c.Wall-sent.Wall) * time.Millisecond
-	up := time.Duration(c.Uptime-sent.Uptime) * time.Millisecond
-	if c.Boot == sent.Boot && up >= 0 && (up-wall).Abs() < clockStep {
+// successor that began at a time and reads it now. A time of day that was behind
+// when the successor began has often been corrected since, so only the uptime is
+// taken from then.
+func since(sent, began, now Clock, newest int64) time.Duration {
+	wall := time.Duration(began.Wall-sent.Wall) * time.Millisecond
+	up := time.Duration(began.Uptime-sent.Uptime) * time.Millisecond
+	if began.Boot == sent.Boot && up >= 0 && (up-wall).Abs() < clockStep {
 		return up
 	}
-	wall = max(0, wall, time.Duration(newest-sent.Wall)*time.Millisecond)
-	return wall + clockError
+	wall = time.Duration(max(now.Wall, newest)-sent.Wall) * time.Millisecond
+	return max(0, wall) + clockError
 }
 
 // ParseGrant decodes a grant.
@@ -205,13 +210,14 @@
 	return newest
 }
 
-// closed counts as spent what the former process of an instance may have spent of
-// its grant. A process that did not report on its grant has spent nothing of it.
-func (a Account) closed(instance string, began Clock, newest int64) Grant {
-	g := a.Grants[instance]
-	r := a.report(instance, g)
+// closed counts as spent what the former process of the holder's instance may have
+// spent of its grant. A process that did not report on its grant has spent nothing
+// of it.
+func (a Account) closed(h Holder) Grant {
+	g := a.Grants[h.Instance]
+	r := a.report(h.Instance, g)
 	if r.Incarnation == 0 {
 		return Grant{Closed: g.Closed}
 	}
-	return Grant{Closed: g.Closed + min(g.Total, r.limit(began.since(r.Sent, newest)))}
+	return Grant{Closed: g.Closed + min(g.Total, r.limit(since(r.Sent, h.Began, h.Now, h.Newest)))}
 }
--- a/models/prepaid/clock_test.go
+++ b/models/prepaid/clock_test.go
@@ -23,7 +23,7 @@
 		{"all clocks are behind", Clock{Wall: 998_000, Boot: 2}, 0, clockError},
 	}
 	for _, tt := range tests {
-		if got := tt.now.since(sent, tt.newest); got != tt.want {
+		if got := since(sent, tt.now, tt.now, tt.newest); got != tt.want {
 			t.Errorf("%s: got %s, want %s", tt.name, got, tt.want)
 		}
 	}
--- a/models/prepaid/fleet_test.go
+++ b/models/prepaid/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/crocusline/crocusline/models/prepaid"
@@ -25,8 +27,13 @@
 	// long until the terms cover it.
 	patientFor  = 400 * time.Millisecond
 	longestWait = 2 * time.Second
+	// mostAsked is how many entries are asked for what a request lacks.
+	mostAsked = 8
 )
 
+// anyPeer stands for the address of each entry: they are told apart by name.
+var anyPeer = netip.MustParseAddrPort("10.0.0.1:80")
+
 var epoch = time.Unix(1_700_000_000, 0)
 
 // fleet is some entries that share the tokens of one workspace through a store,
@@ -89,6 +96,8 @@
 
 	cut     bool
 	down    time.Duration
+	dead    bool
+	alone   bool
 	booted  time.Duration
 	boots   int
 	offset  time.Duration
@@ -100,6 +109,7 @@
 
 type hold struct {
 	tokens int64
+	part   prepaid.Part
 	until  time.Duration
 }
 
@@ -121,6 +131,15 @@
 	return f
 }
 
+// resize sets the mean size of requests, unless it is 0.
+func (f *fleet) resize(size int64) {
+	for _, e := range f.entries {
+		if size > 0 {
+			e.size = size
+		}
+	}
+}
+
 func (f *fleet) time() time.Time { return epoch.Add(f.now) }
 
 // run lets the time pass until it is at.
@@ -164,7 +183,7 @@
 	e.purse = prepaid.NewPurse(e.fleet.time(), float64(e.fleet.prepaid)/45/assumedEntries)
 	e.purse.Started(e.fleet.time())
 	e.account, e.next, e.known, e.report = prepaid.Account{}, 0, false, nil
-	e.holds, e.waiting = nil, nil
+	e.holds, e.waiting, e.dead = nil, nil, false
 	e.lowest = e.offset
 	e.began = e.clock()
 }
@@ -175,6 +194,7 @@
 		return
 	}
 	e.fleet.used += e.own()
+	e.dead = true
 	e.down = e.fleet.now + pause
 	if powerOff {
 		e.boots++
@@ -182,9 +202,17 @@
 	}
 }
 
+// own is what was spent and what requests under way may spend. Bookings have not
+// begun.
 func (e *entry) own() int64 {
 	h := e.purse.Holder(e.fleet.time(), prepaid.Holder{})
-	return h.Spent + h.Held
+	own := h.Spent + h.Held
+	for _, w := range e.waiting {
+		if w.booking != nil {
+			own -= w.booking.Held()
+		}
+	}
+	return own
 }
 
 func (e *entry) step() {
@@ -234,7 +262,7 @@
 func (e *entry) holder() prepaid.Holder {
 	e.sequence++
 	return e.purse.Holder(e.fleet.time(), prepaid.Holder{
-		Instance: e.name, Incarnation: e.id(), Sequence: e.sequence, Began: e.began, Now: e.clock(), Newest: e.account.Newest(),
+		Instance: e.name, Peer: anyPeer, Incarnation: e.id(), Sequence: e.sequence, Began: e.began, Now: e.clock(), Newest: e.account.Newest(),
 	})
 }
 
@@ -300,7 +328,7 @@
 			rest = append(rest, h)
 			continue
 		}
-		e.purse.Settle(h.tokens, h.tokens*97/100)
+		e.purse.Settle(h.part, h.tokens*97/100)
 	}
 	e.holds = rest
 }
@@ -325,10 +353,13 @@
 		if w.booking == nil && f.now > w.since {
 			w.booking, _ = e.purse.Book(f.time(), w.tokens, longestWait-(f.now-w.since))
 		}
+		part, begun := e.begins(w)
 		switch {
-		case e.begins(w):
-			e.holds = append(e.holds, hold{tokens: w.tokens, until: f.now + runTime})
+		case begun:
+			e.holds = append(e.holds, hold{tokens: w.tokens, part: part, until: f.now + runTime})
 			f.result.served += w.tokens
+		case w.booking == nil && f.now > w.since && e.borrow(w.tokens):
+			rest = append(rest, w)
 		case f.now-w.since > w.patience():
 			e.refuse(w)
 		default:
@@ -347,13 +378,46 @@
 	return patientFor
 }
 
-func (e *entry) begins(w waiting) bool {
+func (e *entry) begins(w waiting) (prepaid.Part, bool) {
 	if w.booking != nil {
 		return e.purse.Begin(e.fleet.time(), w.booking)
 	}
 	return e.purse.Reserve(e.fleet.time(), w.tokens)
 }
 
+// borrow asks other entries for what a request lacks. Answers get lost at times.
+func (e *entry) borrow(tokens int64) bool {
+	f := e.fleet
+	var asked []string
+	for {
+		lack := e.purse.Lack(f.time(), tokens)
+		lenders := slices.DeleteFunc(e.account.Lenders(e.name, f.now-e.viewed), func(l prepaid.Lender) bool {
+			return slices.Contains(asked, l.Instance)
+		})
+		willing := prepaid.Willing(lenders, lack, mostAsked-len(asked))
+		if lack <= 0 || len(willing) == 0 {
+			return lack <= 0
+		}
+		peer := f.named(willing[f.rand.IntN(len(willing))].Instance)
+		asked = append(asked, peer.name)
+		if e.alone || peer.alone || peer.dead {
+			continue
+		}
+		if lent := peer.purse.Lend(f.time(), lack); f.rand.Float64() >= f.storeFaults {
+			e.purse.Borrow(lent)
+		}
+	}
+}
+
+func (f *fleet) named(name string) *entry {
+	for _, e := range f.entries {
+		if e.name == name {
+			return e
+		}
+	}
+	return nil
+}
+
 func (e *entry) refuse(w waiting) {
 	f := e.fleet
 	if w.booking != nil {
--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -1,6 +1,9 @@
 package prepaid
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // Defaults of a Planner.
 const (
@@ -74,6 +77,8 @@
 type Holder struct {
 	Instance    string
 	Incarnation int64
+	// Peer is where the entry lends tokens.
+	Peer netip.AddrPort
 	// Sequence is the number of the grant to write.
 	Sequence int64
 	// Began is when the process began: the former one of the instance had ended.
@@ -99,7 +104,7 @@
 func (p *Planner) Grant(a Account, prepaid int64, h Holder) (Grant, bool) {
 	old, known := a.Grants[h.Instance]
 	if known && old.Incarnation != h.Incarnation {
-		old, known = a.closed(h.Instance, h.Began, h.Newest), false
+		old, known = a.closed(h), false
 		a = a.WithGrant(h.Instance, old)
 	}
 	target := p.target(a, prepaid, h)
@@ -112,6 +117,7 @@
 	}
 	grant := Grant{
 		Incarnation: h.Incarnation, Sequence: h.Sequence, Total: max(total, h.committed()), Closed: old.Closed,
+		Peer: h.Peer,
 	}
 	return grant, !known || grant.Total != old.Total
 }
--- a/models/prepaid/prepaid_test.go
+++ b/models/prepaid/prepaid_test.go
@@ -55,7 +55,7 @@
 func disturb(f *fleet) {
 	e := f.entries[f.rand.IntN(len(f.entries))]
 	pause := time.Duration(300+f.rand.IntN(2500)) * time.Millisecond
-	switch f.rand.IntN(9) {
+	switch f.rand.IntN(10) {
 	case 0, 1:
 		e.cut = true
 	case 2, 3:
@@ -76,6 +76,8 @@
 		}
 	case 8:
 		f.prepaid += f.prepaid / 10
+	case 9:
+		e.alone = !e.alone
 	}
 }
 
@@ -85,8 +87,10 @@
 
 // pattern is a load with its disturbance.
 type pattern struct {
-	name    string
-	total   int64
+	name  string
+	total int64
+	// size is the mean size of requests, if not the usual.
+	size    int64
 	demands []func(time.Duration) float64
 	disturb func(f *fleet)
 }
@@ -124,6 +128,11 @@
 		demands: append([]func(time.Duration) float64{hot(15_000, 3, 14*second, 20*second)}, manySteady(22, 0)...),
 		disturb: func(f *fleet) { cutAll(f, 6*second, 14*second); cutAll(f, 23*second, 31*second) },
 	},
+	{
+		name: "large requests at many entries, cut off", total: 900_000, size: 24_000,
+		demands: manySteady(20, 1_000),
+		disturb: func(f *fleet) { cutAll(f, 6*second, 14*second); cutAll(f, 23*second, 31*second) },
+	},
 	{
 		name: "kill of all entries", total: 2_000_000,
 		demands: []func(time.Duration) float64{steady(20_000), steady(15_000), steady(7_000), steady(3_000)},
@@ -165,6 +174,7 @@
 			var sum result
 			for seed := range uint64(seeds) {
 				f := newFleet(seed, p.total, p.demands...)
+				f.resize(p.size)
 				p.disturb(f)
 				f.run(day)
 				if spent := f.spent(); spent > f.prepaid {
--- a/models/prepaid/purse.go
+++ b/models/prepaid/purse.go
@@ -43,6 +43,8 @@
 	spent    int64
 	held     int64
 	wanted   int64
+	// borrowed tokens were given by other entries, which count them as spent.
+	borrowed int64
 	// bookings are requests that wait, by when they came. Their tokens are held.
 	bookings []*Booking
 
@@ -106,7 +108,10 @@
 func (p *Purse) ReportVoid() { p.reported = nil }
 
 // Free is what new requests may use.
-func (p *Purse) Free(now time.Time) int64 {
+func (p *Purse) Free(now time.Time) int64 { return p.own(now) + p.borrowed }
+
+// own is what is free of the grant by the terms.
+func (p *Purse) own(now time.Time) int64 {
 	if p.terms == nil {
 		return 0
 	}
@@ -123,22 +128,58 @@
 // Granted is what is left of the grant, whatever the terms allow now.
 func (p *Purse) Granted() int64 { return p.total - p.spent - p.held }
 
+// Part is what a request holds of a purse.
+type Part struct {
+	own      int64
+	borrowed int64
+}
+
 // Reserve holds the most that a request can cost, and reports whether grant and
 // terms cover it. It may go ahead of bookings that are still covered in time.
-func (p *Purse) Reserve(now time.Time, tokens int64) bool {
-	if tokens > p.room(now) {
-		return false
+func (p *Purse) Reserve(now time.Time, tokens int64) (Part, bool) {
+	part := p.divide(tokens)
+	if part.own > p.room(now) {
+		return Part{}, false
 	}
-	p.held += tokens
-	return true
+	p.hold(part)
+	return part, true
+}
+
+// divide takes as much as possible from borrowed tokens, since those are lost if
+// the process ends.
+func (p *Purse) divide(tokens int64) Part {
+	borrowed := min(tokens, p.borrowed)
+	return Part{own: tokens - borrowed, borrowed: borrowed}
+}
+
+func (p *Purse) hold(part Part) {
+	p.held += part.own
+	p.borrowed -= part.borrowed
 }
 
 // Settle ends a hold with what the request used.
-func (p *Purse) Settle(held, used int64) {
-	p.held -= held
-	p.spent += min(used, held)
+func (p *Purse) Settle(part Part, used int64) {
+	p.held -= part.own
+	p.borrowed += max(0, part.borrowed-used)
+	p.spent += min(max(0, used-part.borrowed), part.own)
+}
+
+// Lend gives up to that many tokens to another entry. They count as spent here, so
+// that nothing depends on whether they arrive.
+func (p *Purse) Lend(now time.Time, tokens int64) int64 {
+	lent := max(0, min(tokens, p.room(now)))
+	p.spent += lent
+	return lent
 }
 
+// Lack is what a request would have to borrow.
+func (p *Purse) Lack(now time.Time, tokens int64) int64 {
+	return tokens - p.borrowed - max(0, p.room(now))
+}
+
+// Borrow adds tokens that another entry gave.
+func (p *Purse) Borrow(tokens int64) { p.borrowed += tokens }
+
 // Want notes a request that was not covered.
 func (p *Purse) Want(tokens int64) { p.wanted = max(p.wanted, tokens) }
 
--- a/models/prepaid/purse_test.go
+++ b/models/prepaid/purse_test.go
@@ -34,10 +34,14 @@
 	expectFree(t, p, 1700*time.Millisecond, 1100)
 	expectFree(t, p, 4*time.Second, 100+3300+500+2000)
 	expectFree(t, p, time.Minute, 10_000)
-	if p.Reserve(epoch, 101) || !p.Reserve(epoch, 60) {
-		t.Error("reservations don't keep to the window")
+	if _, ok := p.Reserve(epoch, 101); ok {
+		t.Error("more than the window was reserved")
 	}
-	p.Settle(60, 40)
+	part, ok := p.Reserve(epoch, 60)
+	if !ok {
+		t.Error("the window was not reserved")
+	}
+	p.Settle(part, 40)
 	expectFree(t, p, 0, 60)
 	b, ok := p.Book(epoch, 160, time.Second)
 	if !ok {
@@ -67,23 +71,55 @@
 	if !ok || second.Due().Sub(first.Due()) < 390*time.Millisecond {
 		t.Fatalf("the second is due at %v, the first at %v", second.Due(), first.Due())
 	}
-	if p.Reserve(epoch, 50) {
+	if _, ok := p.Reserve(epoch, 50); ok {
 		t.Error("a small request delays the first booking")
 	}
-	if p.Begin(first.Due().Add(-10*time.Millisecond), first) {
-		t.Error("the first begins too early")
+	expectBegun(t, p, first, first.Due().Add(-10*time.Millisecond), false)
+	expectBegun(t, p, second, first.Due(), false)
+	p.Settle(expectBegun(t, p, first, first.Due(), true), 300)
+	if _, ok := p.Reserve(first.Due(), 300); !ok {
+		t.Error("what the first did not use is not free for a small request")
 	}
-	if p.Begin(first.Due(), second) || !p.Begin(first.Due(), first) {
-		t.Error("the second begins in place of the first")
+	expectBegun(t, p, second, second.Due().Add(-10*time.Millisecond), false)
+	expectBegun(t, p, second, second.Due(), true)
+	expectFree(t, p, second.Due().Sub(epoch), 0)
+}
+
+func expectBegun(t *testing.T, p *prepaid.Purse, b *prepaid.Booking, now time.Time, want bool) prepaid.Part {
+	t.Helper()
+	part, got := p.Begin(now, b)
+	if got != want {
+		t.Errorf("at %s of a booking due at %s: begun is %t, want %t", now, b.Due(), got, want)
 	}
-	p.Settle(600, 300)
-	if !p.Reserve(first.Due(), 300) {
-		t.Error("what the first did not use is not free for a small request")
+	return part
+}
+
+// TestLoan checks that what is lent counts as spent, whether it arrives or not,
+// and that borrowed tokens are used first and come back if they were not used.
+func TestLoan(t *testing.T) {
+	lender, borrower := newPurse(), newPurse()
+	lender.SentReport(epoch, terms)
+	lender.ReportInForce()
+	if lent := lender.Lend(epoch, 500); lent != 100 {
+		t.Fatalf("%d tokens were lent of a window of 100", lent)
+	}
+	expectFree(t, lender, 0, 0)
+	if h := lender.Holder(epoch, prepaid.Holder{}); h.Spent != 100 {
+		t.Errorf("%d tokens count as spent, want 100", h.Spent)
+	}
+	if lack := borrower.Lack(epoch, 90); lack != 90 {
+		t.Errorf("%d tokens are lacking, want 90", lack)
+	}
+	borrower.Borrow(100)
+	part, ok := borrower.Reserve(epoch, 90)
+	if !ok {
+		t.Fatal("borrowed tokens were not reserved")
 	}
-	if p.Begin(second.Due().Add(-10*time.Millisecond), second) || !p.Begin(second.Due(), second) {
-		t.Error("the second does not begin when it is due")
+	borrower.Settle(part, 70)
+	expectFree(t, borrower, 0, 30)
+	if h := borrower.Holder(epoch, prepaid.Holder{}); h.Spent != 0 || h.Held != 0 {
+		t.Errorf("borrowed tokens count as spent again: %+v", h)
 	}
-	expectFree(t, p, second.Due().Sub(epoch), 0)
 }
 
 // TestUnansweredReport checks that a report that may be in force binds, since a
--- a/routers/front/front_test.go
+++ b/routers/front/front_test.go
@@ -162,8 +162,17 @@
 
 func (snapshots) Snapshot() catalog.Snapshot { return catalog.Snapshot{Next: 7} }
 
+type lender struct{}
+
+func (lender) Lend(workspace string, tokens int64) int64 {
+	if workspace != "clinics" {
+		return 0
+	}
+	return tokens / 2
+}
+
 func TestPeers(t *testing.T) {
-	server := httptest.NewServer(front.NewPeers(hclog.NewNullLogger(), snapshots{}))
+	server := httptest.NewServer(front.NewPeers(hclog.NewNullLogger(), snapshots{}, lender{}))
 	defer server.Close()
 	client := front.NewPeerClient(nil)
 	if _, err := client.Snapshot(t.Context(), 0); err == nil {
@@ -174,6 +183,20 @@
 	if err != nil || got.Next != 7 {
 		t.Errorf("got %+v and %v", got, err)
 	}
+	peer := addresses(t, server)[0]
+	if lent, err := client.Borrow(t.Context(), peer, "clinics", 800); err != nil || lent != 400 {
+		t.Errorf("borrowed %d tokens, want 400: %v", lent, err)
+	}
+	if lent, err := client.Borrow(t.Context(), peer, "stores", 800); err != nil || lent != 0 {
+		t.Errorf("borrowed %d tokens, want none: %v", lent, err)
+	}
+	resp, err := http.Post(server.URL+"/peer/v1/tokens", "application/json", strings.NewReader("{"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _ = resp.Body.Close(); resp.StatusCode != http.StatusBadRequest {
+		t.Errorf("a broken question got status %d", resp.StatusCode)
+	}
 	_ = client.Close()
 }
 
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	"github.com/crocusline/crocusline/models/record"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/route"
+	"github.com/crocusline/crocusline/modules/metric"
 	"github.com/crocusline/crocusline/modules/uptime"
 	"github.com/crocusline/crocusline/services/follower"
 )
@@ -91,6 +93,9 @@
 	began    prepaid.Clock
 	grants   []*granter
 	reporter *reporter
+	metrics  *metric.Set
+	peers    Peers
+	address  netip.AddrPort
 
 	mu sync.Mutex
 	// incarnation is higher than those of all former processes of the instance. It
@@ -101,6 +106,8 @@
 	// broken are the workspaces with a grant that can't be decoded.
 	broken map[string]bool
 	purses map[string]*purse
+	// dry says until when peers are not asked, by instance and by key of record.
+	dry map[string]time.Time
 	// started is when the entry took its first request.
 	started time.Time
 	changed chan struct{}
@@ -121,7 +128,7 @@
 		log: log.Named(Name), store: store, topics: topics, tables: tables,
 		instance: instance, planner: prepaid.NewPlanner(), wall: uptime.NewWall(),
 		accounts: map[string]prepaid.Account{}, broken: map[string]bool{}, purses: map[string]*purse{},
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), dry: map[string]time.Time{}, metrics: metric.New(),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -196,7 +203,7 @@
 type Hold struct {
 	service   *Service
 	workspace string
-	tokens    int64
+	part      prepaid.Part
 }
 
 // Settle ends the hold with the tokens that the request used.
@@ -206,35 +213,48 @@
 	}
 	h.service.mu.Lock()
 	defer h.service.mu.Unlock()
-	h.service.purses[h.workspace].Settle(h.tokens, used)
+	h.service.purses[h.workspace].Settle(h.part, used)
 }
 
 // Reserve sets aside the most that a request can cost. It returns a nil Hold for
-// a workspace without a prepaid total. A request that grant and terms will cover
-// soon waits for that; one that needs a larger grant waits for some exchanges with
-// the store.
+// a workspace without a prepaid total. A request that needs a larger grant waits
+// for some exchanges with the store. What is still lacking is borrowed from other
+// entries; if they have too little, the request waits until the terms of this one
+// cover it.
 func (s *Service) Reserve(ctx context.Context, w route.Workspace, tokens int64) (*Hold, error) {
 	if !w.Limited || tokens == 0 {
 		return nil, nil
 	}
 	began := time.Now()
 	s.asked(w, began, tokens)
-	patience := patience(ctx, began)
+	t := s.tryGranted(ctx, w, tokens)
+	if t.lacking() && s.borrow(ctx, w, tokens) {
+		t = s.try(w, tokens, promptWait)
+	}
+	if t.lacking() {
+		t = s.try(w, tokens, patience(ctx, began)-time.Since(began))
+	}
+	switch {
+	case t.booking != nil:
+		return s.await(ctx, w, t.booking)
+	case t.err != nil:
+		return nil, t.err
+	}
+	return &Hold{service: s, workspace: w.Name, part: t.part}, nil
+}
+
+// tryGranted tries to reserve until there was time for a larger grant.
+func (s *Service) tryGranted(ctx context.Context, w route.Workspace, tokens int64) trial {
+	began := time.Now()
 	for {
-		t := s.try(w, tokens, patience-time.Since(began))
+		t := s.try(w, tokens, promptWait)
 		if t.err == nil {
-			return &Hold{service: s, workspace: w.Name, tokens: tokens}, nil
+			return t
 		}
 		s.urge(w.Name)
-		if t.booking != nil {
-			return s.await(ctx, w, t.booking, tokens)
-		}
 		wait := grantWait - time.Since(began)
-		if wait <= 0 || !s.reachable() || t.err.Reason == refusal.BudgetExhausted {
-			return nil, t.err
-		}
-		if !await(ctx, t.changed, wait) {
-			return nil, t.err
+		if !t.lacking() || wait <= 0 || !s.reachable() || !await(ctx, t.changed, wait) {
+			return t
 		}
 	}
 }
@@ -250,11 +270,11 @@
 
 // await waits until a booking is covered. A renewed report covers it sooner than
 // it is due.
-func (s *Service) await(ctx context.Context, w route.Workspace, b *prepaid.Booking, tokens int64) (*Hold, error) {
+func (s *Service) await(ctx context.Context, w route.Workspace, b *prepaid.Booking) (*Hold, error) {
 	for {
-		changed, begun := s.begin(w, b)
-		if begun {
-			return &Hold{service: s, workspace: w.Name, tokens: tokens}, nil
+		hold, changed := s.begin(w, b)
+		if hold != nil {
+			return hold, nil
 		}
 		wait := time.Until(b.Due())
 		if wait <= 0 || !await(ctx, changed, wait) {
@@ -268,10 +288,14 @@
 
 // begin ends a booking if it is covered. Otherwise it returns what is closed with
 // the next change.
-func (s *Service) begin(w route.Workspace, b *prepaid.Booking) (<-chan struct{}, bool) {
+func (s *Service) begin(w route.Workspace, b *prepaid.Booking) (*Hold, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.changed, s.purses[w.Name].Begin(time.Now(), b)
+	part, begun := s.purses[w.Name].Begin(time.Now(), b)
+	if !begun {
+		return nil, s.changed
+	}
+	return &Hold{service: s, workspace: w.Name, part: part}, nil
 }
 
 // await waits for a change or the time, and reports whether to try again.
@@ -302,22 +326,29 @@
 
 // trial is a try to reserve.
 type trial struct {
-	// err is the refusal if it failed.
+	// part is what was reserved.
+	part prepaid.Part
+	// err is the refusal if nothing was.
 	err *refusal.Error
-	// booking holds the tokens if they are covered soon.
+	// booking holds the tokens if they are covered soon. Then err has no meaning yet.
 	booking *prepaid.Booking
 	// changed is closed with the next change of grants or reports.
 	changed <-chan struct{}
 }
 
+// lacking says that the entry's own tokens don't cover the request, but others may.
+func (t trial) lacking() bool {
+	return t.err != nil && t.booking == nil && t.err.Reason != refusal.BudgetExhausted
+}
+
 // try reserves from what grant and terms allow.
 func (s *Service) try(w route.Workspace, tokens int64, patience time.Duration) trial {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	p := s.purse(w, now)
-	if p.Reserve(now, tokens) {
-		return trial{}
+	if part, ok := p.Reserve(now, tokens); ok {
+		return trial{part: part}
 	}
 	t := trial{changed: s.changed, err: unreachable()}
 	if b, ok := p.Book(now, tokens, patience); ok {
@@ -398,7 +429,7 @@
 func (s *Service) holder(w route.Workspace, now time.Time, clock prepaid.Clock) prepaid.Holder {
 	s.sequence++
 	return s.purse(w, now).Holder(now, prepaid.Holder{
-		Instance: s.instance, Incarnation: s.begun(), Sequence: s.sequence,
+		Instance: s.instance, Peer: s.address, Incarnation: s.begun(), Sequence: s.sequence,
 		Began: s.began, Now: clock, Newest: s.newest(),
 	})
 }
--- a/services/prepaid/prepaid_test.go
+++ b/services/prepaid/prepaid_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/route"
@@ -50,11 +51,11 @@
 }
 
 // start starts an entry. Its end returns tokens only if it is closed.
-func (f *fleet) start(name string) *prepaid.Service {
+func (f *fleet) start(name string, opts ...prepaid.Option) *prepaid.Service {
 	f.Helper()
 	client := platform.NewStore(f.address, metric.New())
 	table := route.New(route.Contents{Workspaces: map[string]route.Workspace{"clinics": f.workspace}})
-	s := prepaid.New(hclog.NewNullLogger(), client, topics, tables{table}, name)
+	s := prepaid.New(hclog.NewNullLogger(), client, topics, tables{table}, name, opts...)
 	if err := s.Start(context.Background(), nil); err != nil {
 		f.Fatal(err)
 	}
@@ -182,6 +183,56 @@
 	}
 }
 
+// peers are entries that reach each other, by their addresses.
+type peers map[netip.AddrPort]*prepaid.Service
+
+// Borrow implements prepaid.Peers.
+func (p peers) Borrow(_ context.Context, peer netip.AddrPort, workspace string, tokens int64) (int64, error) {
+	if p[peer] == nil {
+		return 0, errors.Errorf("no entry at %s", peer)
+	}
+	return p[peer].Lend(workspace, tokens), nil
+}
+
+// TestBorrow replays a cut of all entries in which the callers of a workspace all
+// come to one: it borrows from the others, and refuses soon if they don't answer.
+func TestBorrow(t *testing.T) {
+	f := newFleet(t, 2_000_000)
+	reached := peers{}
+	var entries []*prepaid.Service
+	for i := range 4 {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(9000+i))
+		e := f.start(fmt.Sprintf("entry-%d", i), prepaid.WithPeers(reached, address))
+		entries, reached[address] = append(entries, e), e
+	}
+	for _, e := range entries {
+		f.reserve(e, 1_000).Settle(1_000)
+	}
+	time.Sleep(time.Second)
+	f.store.SetFault(site.Silent)
+	time.Sleep(3500 * time.Millisecond)
+	own := entries[0].Balance(f.workspace).Free
+	hold, err := entries[0].Reserve(t.Context(), f.workspace, own+150_000)
+	if err != nil {
+		t.Fatalf("nothing was borrowed: %v", err)
+	}
+	hold.Settle(own + 150_000)
+	clear(reached)
+	began := time.Now()
+	if _, err = entries[0].Reserve(t.Context(), f.workspace, 400_000); err == nil {
+		t.Error("400000 tokens were reserved with no peer in reach")
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the refusal took %s", took)
+	}
+	f.store.SetFault(site.None)
+	for _, e := range entries {
+		if err := e.Close(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // TestReturned checks that a process that ends in order leaves its tokens to others.
 func TestReturned(t *testing.T) {
 	f := newFleet(t, 100_000)
