Hand out nearly whole shares, and let terms grow for 3 s of a cut at most

Cause: with loans, tokens that lie idle at one entry serve the others, but tokens that nobody holds serve no one in a cut: on the grown sites a share loses a quarter or more to the lump.

Change: the lump is 6,000 tokens and 0.95 is handed out; the growth of a cut ends after 3 s, that by the demand goes on. What an entry expects is its share of the measured demand, no longer more in sum.

--- a/models/prepaid/account.go
+++ b/models/prepaid/account.go
@@ -63,7 +63,7 @@
 	Window int64 `cbor:"2,keyasint"`
 	// Rate is the tokens a second that are added after rateDelay.
 	Rate int64 `cbor:"3,keyasint"`
-	// CutWindow and CutRate are added after cutDelay.
+	// CutWindow and, for cutGrowth, CutRate are added after cutDelay.
 	CutWindow int64 `cbor:"4,keyasint"`
 	CutRate   int64 `cbor:"5,keyasint"`
 }
@@ -73,6 +73,9 @@
 	rateDelay = 700 * time.Millisecond
 	// cutDelay is longer than an entry that is killed takes to start again.
 	cutDelay = 3 * time.Second
+	// cutGrowth is how long CutRate counts. With cutDelay it is most of the longest
+	// usual cut; what terms allow in a longer outage is lost if entries are killed.
+	cutGrowth = 3 * time.Second
 )
 
 // limit is the most that may be spent a time after the terms were sent.
@@ -82,7 +85,7 @@
 		allowed += int64(float64(t.Rate) * late.Seconds())
 	}
 	if late := after - cutDelay; late >= 0 {
-		allowed += t.CutWindow + int64(float64(t.CutRate)*late.Seconds())
+		allowed += t.CutWindow + int64(float64(t.CutRate)*min(late, cutGrowth).Seconds())
 	}
 	return allowed
 }
--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -15,10 +15,10 @@
 	DefaultSlack = 0.2
 	// handedOut is the part of what is left that entries hold. The rest is for
 	// requests that are larger than the usual.
-	handedOut = 0.9
-	// lump is the size of a usual large request. An entry whose share is not much larger
+	handedOut = 0.95
+	// lump is the size of a usual request. An entry whose share is not much larger
 	// holds less than its share, so that the rest can be granted for a request.
-	lump = 15_000
+	lump = 6_000
 	// windowPart of an entry's share of what is left may be spent at once beyond
 	// what was reported, and usualWindow, which is some requests of the usual size,
 	// where that is less. As much is lost of each entry that is killed.
@@ -160,7 +160,7 @@
 type demand struct {
 	// share is the holder's part of what is to come.
 	share float64
-	// own is the tokens a second to expect, at least.
+	// own is the tokens a second to expect.
 	own float64
 	// called is what others lack.
 	called int64
@@ -184,8 +184,8 @@
 		return d
 	}
 	unseen := spread.unseen(all)
-	d.own = h.Demand + unseen
-	d.share = d.own / (all + unseen*float64(spread.entries))
+	d.share = (h.Demand + unseen) / (all + unseen*float64(spread.entries))
+	d.own = d.share * all
 	if len(a.Reports) < fewReports {
 		// Others are probably about to report.
 		d.share = min(d.share, 1.0/fewReports)
--- a/models/prepaid/prepaid_test.go
+++ b/models/prepaid/prepaid_test.go
@@ -133,6 +133,24 @@
 		demands: manySteady(20, 1_000),
 		disturb: func(f *fleet) { cutAll(f, 6*second, 14*second); cutAll(f, 23*second, 31*second) },
 	},
+	{
+		name: "kill of all entries late in a cut", total: 2_000_000,
+		demands: manySteady(20, 2_000),
+		disturb: func(f *fleet) {
+			f.run(14 * second)
+			for _, e := range f.entries {
+				e.cut = true
+			}
+			f.run(25 * second)
+			for _, e := range f.entries {
+				e.kill(time.Second, false)
+			}
+			f.run(26 * second)
+			for _, e := range f.entries {
+				e.cut = false
+			}
+		},
+	},
 	{
 		name: "kill of all entries", total: 2_000_000,
 		demands: []func(time.Duration) float64{steady(20_000), steady(15_000), steady(7_000), steady(3_000)},
