Tell callers when the tokens for their request will probably be there

Cause: a request without tokens was told to come back in 0.3 s, to find another entry.

Change: Retry-After is the first time at which the terms of this entry and of the peers that it would ask allow the request, by their last reports, 0.3 to 4.2 s. What tries to reserve is in a file of its own.

TestBorrow checks both ends of the time.

--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -16,7 +16,6 @@
 	"github.com/crocusline/crocusline/kernel"
 	"github.com/crocusline/crocusline/models/prepaid"
 	"github.com/crocusline/crocusline/models/record"
-	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/route"
 	"github.com/crocusline/crocusline/modules/metric"
 	"github.com/crocusline/crocusline/modules/uptime"
@@ -30,14 +29,6 @@
 	// partitions share the workspaces' grants, so that entries that write at once
 	// seldom meet. All entries must use the same number.
 	partitions = 4
-	// grantWait is how long a request waits for a larger grant: some exchanges with
-	// the store, a small part of the most urgent goal.
-	grantWait = 120 * time.Millisecond
-	// longestWait is how long a request waits until the terms cover it: most of
-	// cutDelay, after which they allow more. patientPart of the time that a request
-	// has left is the most that it waits.
-	longestWait = 2 * time.Second
-	patientPart = 0.25
 	// wantedMemory is how long a refused request counts as wanting tokens.
 	wantedMemory = time.Second
 	// usualDay is the time in which a workspace is assumed to use its prepaid total
@@ -45,8 +36,6 @@
 	usualDay = 45 * time.Second
 	// assumedEntries is the number of entries until their grants are known.
 	assumedEntries = 4
-	// comeBack is when a caller may try another entry, which may hold tokens.
-	comeBack = 300 * time.Millisecond
 	// grantPace and reportPace are the shortest times between two reads while no
 	// request lacks tokens. Reads are priced, and grants change seldom.
 	grantPace  = 500 * time.Millisecond
@@ -199,175 +188,6 @@
 	return s.grants[xxhash.Sum64String(workspace)%partitions]
 }
 
-// Hold is tokens set aside for one request.
-type Hold struct {
-	service   *Service
-	workspace string
-	part      prepaid.Part
-}
-
-// Settle ends the hold with the tokens that the request used.
-func (h *Hold) Settle(used int64) {
-	if h == nil {
-		return
-	}
-	h.service.mu.Lock()
-	defer h.service.mu.Unlock()
-	h.service.purses[h.workspace].Settle(h.part, used)
-}
-
-// Reserve sets aside the most that a request can cost. It returns a nil Hold for
-// a workspace without a prepaid total. A request that needs a larger grant waits
-// for some exchanges with the store. What is still lacking is borrowed from other
-// entries; if they have too little, the request waits until the terms of this one
-// cover it.
-func (s *Service) Reserve(ctx context.Context, w route.Workspace, tokens int64) (*Hold, error) {
-	if !w.Limited || tokens == 0 {
-		return nil, nil
-	}
-	began := time.Now()
-	s.asked(w, began, tokens)
-	t := s.tryGranted(ctx, w, tokens)
-	if t.lacking() && s.borrow(ctx, w, tokens) {
-		t = s.try(w, tokens, promptWait)
-	}
-	if t.lacking() {
-		t = s.try(w, tokens, patience(ctx, began)-time.Since(began))
-	}
-	switch {
-	case t.booking != nil:
-		return s.await(ctx, w, t.booking)
-	case t.err != nil:
-		return nil, t.err
-	}
-	return &Hold{service: s, workspace: w.Name, part: t.part}, nil
-}
-
-// tryGranted tries to reserve until there was time for a larger grant.
-func (s *Service) tryGranted(ctx context.Context, w route.Workspace, tokens int64) trial {
-	began := time.Now()
-	for {
-		t := s.try(w, tokens, promptWait)
-		if t.err == nil {
-			return t
-		}
-		s.urge(w.Name)
-		wait := grantWait - time.Since(began)
-		if !t.lacking() || wait <= 0 || !s.reachable() || !await(ctx, t.changed, wait) {
-			return t
-		}
-	}
-}
-
-// patience is how long a request may wait for tokens.
-func patience(ctx context.Context, now time.Time) time.Duration {
-	deadline, set := ctx.Deadline()
-	if !set {
-		return longestWait
-	}
-	return min(longestWait, time.Duration(float64(deadline.Sub(now))*patientPart))
-}
-
-// await waits until a booking is covered. A renewed report covers it sooner than
-// it is due.
-func (s *Service) await(ctx context.Context, w route.Workspace, b *prepaid.Booking) (*Hold, error) {
-	for {
-		hold, changed := s.begin(w, b)
-		if hold != nil {
-			return hold, nil
-		}
-		wait := time.Until(b.Due())
-		if wait <= 0 || !await(ctx, changed, wait) {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.purses[w.Name].Cancel(b)
-			return nil, unreachable()
-		}
-	}
-}
-
-// begin ends a booking if it is covered. Otherwise it returns what is closed with
-// the next change.
-func (s *Service) begin(w route.Workspace, b *prepaid.Booking) (*Hold, <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	part, begun := s.purses[w.Name].Begin(time.Now(), b)
-	if !begun {
-		return nil, s.changed
-	}
-	return &Hold{service: s, workspace: w.Name, part: part}, nil
-}
-
-// await waits for a change or the time, and reports whether to try again.
-func await(ctx context.Context, changed <-chan struct{}, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-changed:
-	case <-timer.C:
-	case <-ctx.Done():
-		return false
-	}
-	return true
-}
-
-// asked counts a request to the workspace's demand.
-func (s *Service) asked(w route.Workspace, now time.Time, tokens int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.started.IsZero() {
-		s.started = now
-		for _, p := range s.purses {
-			p.Started(now)
-		}
-	}
-	s.purse(w, now).Asked(now, tokens)
-}
-
-// trial is a try to reserve.
-type trial struct {
-	// part is what was reserved.
-	part prepaid.Part
-	// err is the refusal if nothing was.
-	err *refusal.Error
-	// booking holds the tokens if they are covered soon. Then err has no meaning yet.
-	booking *prepaid.Booking
-	// changed is closed with the next change of grants or reports.
-	changed <-chan struct{}
-}
-
-// lacking says that the entry's own tokens don't cover the request, but others may.
-func (t trial) lacking() bool {
-	return t.err != nil && t.booking == nil && t.err.Reason != refusal.BudgetExhausted
-}
-
-// try reserves from what grant and terms allow.
-func (s *Service) try(w route.Workspace, tokens int64, patience time.Duration) trial {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	p := s.purse(w, now)
-	if part, ok := p.Reserve(now, tokens); ok {
-		return trial{part: part}
-	}
-	t := trial{changed: s.changed, err: unreachable()}
-	if b, ok := p.Book(now, tokens, patience); ok {
-		t.booking = b
-		return t
-	}
-	p.Want(tokens)
-	p.wanted = now
-	if s.known() && s.accounts[w.Name].Unspent(w.Prepaid) < tokens {
-		t.err = refusal.New(refusal.BudgetExhausted, 0, "the prepaid tokens do not cover the request: top up")
-	}
-	return t
-}
-
-func unreachable() *refusal.Error {
-	return refusal.New(refusal.BudgetUnreachable, comeBack,
-		"this entry holds too few of the workspace's tokens: come back, another entry may hold more")
-}
-
 // purse returns the workspace's purse.
 func (s *Service) purse(w route.Workspace, now time.Time) *purse {
 	p, known := s.purses[w.Name]
--- a/services/prepaid/prepaid_test.go
+++ b/services/prepaid/prepaid_test.go
@@ -219,12 +219,13 @@
 	hold.Settle(own + 150_000)
 	clear(reached)
 	began := time.Now()
-	if _, err = entries[0].Reserve(t.Context(), f.workspace, 400_000); err == nil {
-		t.Error("400000 tokens were reserved with no peer in reach")
-	}
-	if took := time.Since(began); took > time.Second {
-		t.Errorf("the refusal took %s", took)
+	_, err = entries[0].Reserve(t.Context(), f.workspace, 400_000)
+	if took := time.Since(began); err == nil || took > time.Second {
+		t.Errorf("got %v after %s with no peer in reach, want a refusal", err, took)
 	}
+	expectBack(t, err, time.Second, 3*time.Second)
+	_, err = entries[0].Reserve(t.Context(), f.workspace, 1_900_000)
+	expectBack(t, err, 4*time.Second, 5*time.Second)
 	f.store.SetFault(site.None)
 	for _, e := range entries {
 		if err := e.Close(); err != nil {
@@ -233,6 +234,19 @@
 	}
 }
 
+// expectBack checks that a refusal sends the caller back in time for what the
+// terms will allow.
+func expectBack(t *testing.T, err error, least, most time.Duration) {
+	t.Helper()
+	r, ok := refusal.As(err)
+	if !ok {
+		t.Fatalf("got %v, want a refusal", err)
+	}
+	if r.RetryAfter < least || r.RetryAfter > most {
+		t.Errorf("told to come back in %s, want %s to %s", r.RetryAfter, least, most)
+	}
+}
+
 // TestReturned checks that a process that ends in order leaves its tokens to others.
 func TestReturned(t *testing.T) {
 	f := newFleet(t, 100_000)
