Log waits and loans with the request's id, and tell callers who left apart

Cause: a loan is a decision for a request, but its line named only the workspace; a request that waited for terms had no line.

Change: the lines carry requestId and the age of the reports; `tokens awaited` is new; an answer that its caller abandoned has reason outcomeUnknown unless the deadline passed.

TestReasonOfCallerGone checks the reason.

--- a/services/prepaid/lending.go
+++ b/services/prepaid/lending.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/crocusline/crocusline/models/prepaid"
 	"github.com/crocusline/crocusline/models/route"
 	"github.com/crocusline/crocusline/modules/metric"
@@ -64,7 +66,7 @@
 
 // borrow asks peers for what a request lacks, and reports whether they gave it.
 // While the store is away the entries still reach each other.
-func (s *Service) borrow(ctx context.Context, w route.Workspace, tokens int64) bool {
+func (s *Service) borrow(ctx context.Context, log hclog.Logger, w route.Workspace, tokens int64) bool {
 	if s.peers == nil {
 		return false
 	}
@@ -75,7 +77,7 @@
 		if lack <= 0 || lender == nil || ctx.Err() != nil {
 			return lack <= 0
 		}
-		s.ask(ctx, w, *lender, lack)
+		s.ask(ctx, log, w, *lender, lack)
 	}
 }
 
@@ -98,7 +100,7 @@
 }
 
 // ask borrows from one peer.
-func (s *Service) ask(ctx context.Context, w route.Workspace, l prepaid.Lender, lack int64) {
+func (s *Service) ask(ctx context.Context, log hclog.Logger, w route.Workspace, l prepaid.Lender, lack int64) {
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	began := time.Now()
@@ -107,7 +109,7 @@
 	defer s.mu.Unlock()
 	if err != nil {
 		s.dry[l.Instance] = time.Now().Add(dryTime)
-		s.log.Info("peer did not answer", "peer", l.Instance, "workspace", w.Name, "error", err)
+		log.Info("peer did not answer", "peer", l.Instance, "address", l.Peer, "error", err)
 		return
 	}
 	if got < lack {
@@ -117,6 +119,6 @@
 	got = max(0, min(got, lack))
 	s.purses[w.Name].Borrow(got)
 	s.metrics.Counter(tokensBorrowed).AddInt64(got)
-	s.log.Info("tokens borrowed", "peer", l.Instance, "workspace", w.Name, "asked", lack, "borrowed", got,
-		"expected", l.Free, "took", time.Since(began).Round(time.Millisecond))
+	log.Info("tokens borrowed", "peer", l.Instance, "asked", lack, "borrowed", got, "expected", l.Free,
+		"accountsAge", s.reporter.follower.Age().Round(time.Millisecond), "took", time.Since(began).Round(time.Millisecond))
 }
--- a/services/prepaid/prepaid_test.go
+++ b/services/prepaid/prepaid_test.go
@@ -80,7 +80,7 @@
 	var hold *prepaid.Hold
 	f.eventually(fmt.Sprintf("%d tokens are reserved", tokens), func() bool {
 		var err error
-		hold, err = s.Reserve(f.Context(), f.workspace, tokens)
+		hold, err = s.Reserve(f.Context(), f.workspace, "request", tokens)
 		return err == nil
 	})
 	return hold
@@ -101,7 +101,7 @@
 	for _, e := range entries {
 		done.Go(func() {
 			for misses := 0; misses < 12; {
-				hold, err := e.Reserve(f.Context(), f.workspace, request)
+				hold, err := e.Reserve(f.Context(), f.workspace, "request", request)
 				if err != nil {
 					misses++
 					time.Sleep(50 * time.Millisecond)
@@ -137,7 +137,7 @@
 	f.store.SetFault(site.Silent)
 	var used int64
 	for range 40 {
-		hold, err := e.Reserve(t.Context(), f.workspace, 1_000)
+		hold, err := e.Reserve(t.Context(), f.workspace, "request", 1_000)
 		if err != nil {
 			if r, ok := refusal.As(err); !ok || r.Outcome != refusal.NotRun || r.RetryAfter == 0 {
 				t.Fatalf("got %v, want a refusal with a time to come back", err)
@@ -166,13 +166,13 @@
 	const growing = 3300 * time.Millisecond // The terms' last growth has begun.
 	time.Sleep(growing)
 	began := time.Now()
-	if _, err := e.Reserve(t.Context(), f.workspace, 1_900_000); err == nil || time.Since(began) > 50*time.Millisecond {
+	if _, err := e.Reserve(t.Context(), f.workspace, "request", 1_900_000); err == nil || time.Since(began) > 50*time.Millisecond {
 		t.Errorf("got %v after %s, want a refusal at once", err, time.Since(began))
 	}
 	before := e.Balance(f.workspace).Free
 	time.Sleep(200 * time.Millisecond)
 	free := e.Balance(f.workspace).Free
-	hold, err := e.Reserve(t.Context(), f.workspace, free+4*(free-before))
+	hold, err := e.Reserve(t.Context(), f.workspace, "request", free+4*(free-before))
 	if err != nil {
 		t.Fatalf("not served though the terms allow it in 0.8 s: %v", err)
 	}
@@ -212,19 +212,19 @@
 	f.store.SetFault(site.Silent)
 	time.Sleep(3500 * time.Millisecond)
 	own := entries[0].Balance(f.workspace).Free
-	hold, err := entries[0].Reserve(t.Context(), f.workspace, own+150_000)
+	hold, err := entries[0].Reserve(t.Context(), f.workspace, "request", own+150_000)
 	if err != nil {
 		t.Fatalf("nothing was borrowed: %v", err)
 	}
 	hold.Settle(own + 150_000)
 	clear(reached)
 	began := time.Now()
-	_, err = entries[0].Reserve(t.Context(), f.workspace, 400_000)
+	_, err = entries[0].Reserve(t.Context(), f.workspace, "request", 400_000)
 	if took := time.Since(began); err == nil || took > time.Second {
 		t.Errorf("got %v after %s with no peer in reach, want a refusal", err, took)
 	}
 	expectBack(t, err, time.Second, 3*time.Second)
-	_, err = entries[0].Reserve(t.Context(), f.workspace, 1_900_000)
+	_, err = entries[0].Reserve(t.Context(), f.workspace, "request", 1_900_000)
 	expectBack(t, err, 4*time.Second, 5*time.Second)
 	f.store.SetFault(site.None)
 	for _, e := range entries {
@@ -272,7 +272,7 @@
 	second := f.start("entry-1")
 	var used int64
 	for range 60 {
-		if hold, err := second.Reserve(t.Context(), f.workspace, 2_000); err == nil {
+		if hold, err := second.Reserve(t.Context(), f.workspace, "request", 2_000); err == nil {
 			hold.Settle(2_000)
 			used += 2_000
 		}
@@ -299,7 +299,7 @@
 	f.store.SetFault(site.None)
 	f.reserve(e, 60_000).Settle(60_000)
 	f.reserve(e, 35_000).Settle(35_000)
-	if _, err := e.Reserve(t.Context(), f.workspace, 5_000); err == nil {
+	if _, err := e.Reserve(t.Context(), f.workspace, "request", 5_000); err == nil {
 		t.Error("more was reserved than is paid for")
 	}
 	if err := e.Close(); err != nil {
@@ -316,7 +316,7 @@
 		f.putUnreadable(part)
 	}
 	e := f.start("entry-1")
-	if _, err := e.Reserve(t.Context(), f.workspace, 1_000); err == nil {
+	if _, err := e.Reserve(t.Context(), f.workspace, "request", 1_000); err == nil {
 		t.Error("tokens were reserved")
 	}
 	if err := e.Close(); err != nil {
@@ -333,7 +333,7 @@
 func TestUnlimited(t *testing.T) {
 	f := newFleet(t, 1)
 	e := f.start("entry-1")
-	hold, err := e.Reserve(t.Context(), route.Workspace{Name: "stores"}, 1_000_000)
+	hold, err := e.Reserve(t.Context(), route.Workspace{Name: "stores"}, "request", 1_000_000)
 	if err != nil || hold != nil {
 		t.Errorf("got %v and %v", hold, err)
 	}
--- a/services/prepaid/reserve.go
+++ b/services/prepaid/reserve.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/crocusline/crocusline/models/prepaid"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/route"
@@ -49,14 +51,14 @@
 // for some exchanges with the store. What is still lacking is borrowed from other
 // entries; if they have too little, the request waits until the terms of this one
 // cover it.
-func (s *Service) Reserve(ctx context.Context, w route.Workspace, tokens int64) (*Hold, error) {
+func (s *Service) Reserve(ctx context.Context, w route.Workspace, requestID string, tokens int64) (*Hold, error) {
 	if !w.Limited || tokens == 0 {
 		return nil, nil
 	}
-	began := time.Now()
+	began, log := time.Now(), s.log.With("requestId", requestID, "workspace", w.Name)
 	s.asked(w, began, tokens)
 	t := s.tryGranted(ctx, w, tokens)
-	if t.lacking() && s.borrow(ctx, w, tokens) {
+	if t.lacking() && s.borrow(ctx, log, w, tokens) {
 		t = s.try(w, tokens, promptWait)
 	}
 	if t.lacking() {
@@ -64,7 +66,7 @@
 	}
 	switch {
 	case t.booking != nil:
-		return s.awaitBooking(ctx, w, t.booking, tokens)
+		return s.awaitBooking(ctx, log, w, t.booking, tokens)
 	case t.exhausted:
 		return nil, refusal.New(refusal.BudgetExhausted, 0, "the prepaid tokens do not cover the request: top up")
 	case !t.reserved:
@@ -126,10 +128,15 @@
 
 // awaitBooking waits until a booking is covered. A renewed report covers it sooner than
 // it is due.
-func (s *Service) awaitBooking(ctx context.Context, w route.Workspace, b *prepaid.Booking, tokens int64) (*Hold, error) {
+func (s *Service) awaitBooking(
+	ctx context.Context, log hclog.Logger, w route.Workspace, b *prepaid.Booking, tokens int64,
+) (*Hold, error) {
+	began := time.Now()
 	for {
 		hold, changed := s.begin(w, b)
 		if hold != nil {
+			log.Info("tokens awaited", "tokens", tokens, "due", b.Due().Sub(began).Round(time.Millisecond),
+				"took", time.Since(began).Round(time.Millisecond))
 			return hold, nil
 		}
 		wait := time.Until(b.Due())
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -100,7 +100,7 @@
 			return nil
 		case callerGone:
 			j.ran++
-			return errors.WithStack(&AbortedError{Reason: refusal.DeadlineExpired})
+			return errors.WithStack(&AbortedError{Reason: left(ctx)})
 		case failed:
 			j.ran++
 			fallback = o.resp
@@ -136,6 +136,15 @@
 	return e
 }
 
+// left is why the caller takes no more of an answer: its time is over, or nobody
+// knows.
+func left(ctx context.Context) refusal.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return refusal.DeadlineExpired
+	}
+	return refusal.OutcomeUnknown
+}
+
 // mayRepeat says whether the request may be sent once more.
 func (j *job) mayRepeat(sends int) bool {
 	switch {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -43,7 +43,7 @@
 
 // Budget reserves prepaid tokens.
 type Budget interface {
-	Reserve(ctx context.Context, w route.Workspace, tokens int64) (*prepaid.Hold, error)
+	Reserve(ctx context.Context, w route.Workspace, requestID string, tokens int64) (*prepaid.Hold, error)
 	Balance(w route.Workspace) prepaid.Balance
 }
 
@@ -158,7 +158,7 @@
 	if j.pool.Engine == nil {
 		return nil, nil
 	}
-	return s.budget.Reserve(ctx, j.workspace, j.request.MostTokens())
+	return s.budget.Reserve(ctx, j.workspace, j.request.ID, j.request.MostTokens())
 }
 
 func (s *Service) retriesOf(pool string) *retry.Window {
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -38,7 +38,7 @@
 // budget has tokens for everybody.
 type budget struct{ refuse error }
 
-func (b budget) Reserve(context.Context, route.Workspace, int64) (*prepaid.Hold, error) {
+func (b budget) Reserve(context.Context, route.Workspace, string, int64) (*prepaid.Hold, error) {
 	return nil, b.refuse
 }
 func (budget) Balance(route.Workspace) prepaid.Balance { return prepaid.Balance{} }
@@ -94,6 +94,12 @@
 
 // send relays one request and returns the answer.
 func (w *world) send(ctx context.Context, path string, header ...string) (*httptest.ResponseRecorder, error) {
+	w.Helper()
+	answer := httptest.NewRecorder()
+	return answer, w.sendTo(ctx, answer, path, header...)
+}
+
+func (w *world) sendTo(ctx context.Context, answer http.ResponseWriter, path string, header ...string) error {
 	w.Helper()
 	r := httptest.NewRequest(http.MethodPost, path, http.NoBody)
 	r.RequestURI = path
@@ -113,8 +119,7 @@
 		w.Fatal(err)
 	}
 	req.Body = []byte("body")
-	answer := httptest.NewRecorder()
-	return answer, w.relay.Relay(ctx, answer, req)
+	return w.relay.Relay(ctx, answer, req)
 }
 
 func (w *world) ran() int {
@@ -317,6 +322,22 @@
 	t.Error("the server still works")
 }
 
+// deaf is a caller that has closed its connection.
+type deaf struct{ *httptest.ResponseRecorder }
+
+func (deaf) Write([]byte) (int, error) { return 0, errors.New("closed") }
+
+// TestReasonOfCallerGone checks that a caller that leaves in the middle of an answer
+// is not reported as one whose time is over.
+func TestReasonOfCallerGone(t *testing.T) {
+	w := newWorld(t, nil, site.NewServer("s1", 10))
+	err := w.sendTo(t.Context(), deaf{httptest.NewRecorder()}, "/draft/a")
+	var aborted *relay.AbortedError
+	if !errors.As(err, &aborted) || aborted.Reason != refusal.OutcomeUnknown {
+		t.Errorf("got %v, want an answer broken off with an unknown outcome", err)
+	}
+}
+
 // TestRefusals checks what is refused before anything is sent.
 func TestRefusals(t *testing.T) {
 	w := newWorld(t, nil, site.NewServer("s1", 0))
