--- a/models/prepaid/booking.go
+++ b/models/prepaid/booking.go
@@ -77,8 +77,8 @@
 	return sum
 }
 
-// until returns the time, to a millisecond, until a condition holds that holds
-// after the limit and never ends.
+// until returns how long it takes, to a millisecond, until the condition holds. It
+// does so after the limit, and does not end.
 func (p *Purse) until(now time.Time, limit time.Duration, holds func(time.Time) bool) time.Duration {
 	low, high := time.Duration(0), limit
 	for high-low > time.Millisecond {
--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -38,8 +38,8 @@
 // hundredths is the unit of the number of requests in reports.
 const hundredths = 100
 
-// fewReports is the number of reports below which more entries are expected: the
-// fewest entries of the operators' deployments.
+// fewReports is the number of reports below which more entries are expected. The
+// operators' deployments have more than that.
 const fewReports = 4
 
 // renewAfter is the age at which terms are written anew though nothing else
--- a/services/prepaid/reserve.go
+++ b/services/prepaid/reserve.go
@@ -126,8 +126,8 @@
 	return min(longestWait, time.Duration(float64(deadline.Sub(now))*patientPart))
 }
 
-// awaitBooking waits until a booking is covered. A renewed report covers it sooner than
-// it is due.
+// awaitBooking waits until a booking is covered. A renewed report covers it sooner
+// than it is due.
 func (s *Service) awaitBooking(
 	ctx context.Context, log hclog.Logger, w route.Workspace, b *prepaid.Booking, tokens int64,
 ) (*Hold, error) {
