Count loans in the fault soak

Cause: a run did not show whether its gateways lent tokens at all, so that a pass said little of what lending promises.

--- a/tests/faults/faults_test.go
+++ b/tests/faults/faults_test.go
@@ -81,7 +81,7 @@
 	for _, problem := range c.check() {
 		t.Error(problem)
 	}
-	t.Logf("%d requests", len(c.seen))
+	t.Logf("%d requests, %d loans", len(c.seen), f.loans())
 }
 
 // disturb makes one thing fail, or heal.
--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -248,6 +248,21 @@
 	_ = g.log.Close()
 }
 
+// loans counts the loans between gateways so far, which shows whether the run tried
+// what lending promises.
+func (f *fleet) loans() int {
+	f.Helper()
+	sum := 0
+	for _, g := range f.gateways {
+		text, err := os.ReadFile(g.log.Name())
+		if err != nil {
+			f.Error(err)
+		}
+		sum += strings.Count(string(text), `event="tokens borrowed"`)
+	}
+	return sum
+}
+
 // keep writes a log where it stays after the run, if a place is named.
 func keep(t *testing.T, name string, text []byte) {
 	t.Helper()
