--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -15,10 +15,10 @@
 	DefaultSlack = 0.2
 	// handedOut is the part of what is left that entries hold. The rest is for
 	// requests that are larger than the usual.
-	handedOut = 0.95
-	// lump is the size of a usual request. An entry whose share is not much larger
+	handedOut = 0.9
+	// lump is the size of a usual large request. An entry whose share is not much larger
 	// holds less than its share, so that the rest can be granted for a request.
-	lump = 6_000
+	lump = 15_000
 	// windowPart of an entry's share of what is left may be spent at once beyond
 	// what was reported, and usualWindow, which is some requests of the usual size,
 	// where that is less. As much is lost of each entry that is killed.
