Use the field's terms for loans and collisions, and encode records once

Read as a newcomer: "dry", "meeting" and "question" stood where the field says avoided, collision and request; grants and reports built their records each by themselves; a logger was derived for every request, also for those that need no line. Log event `question for tokens not readable` is now `loan request not readable`.

--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -168,7 +168,7 @@
 
 // demand sums up the reports. Callers of some workspaces reach all entries alike,
 // so that what an entry saw in a few seconds tells little of the next ones; those
-// of others keep to one entry. How often two requests met at one entry tells which.
+// of others keep to one entry. How often two requests came to one entry tells which.
 func (p *Planner) demand(a Account, h Holder) demand {
 	all, spread := h.Demand, newSpread(h.Seen)
 	var d demand
--- a/models/prepaid/spread.go
+++ b/models/prepaid/spread.go
@@ -1,22 +1,22 @@
 package prepaid
 
 const (
-	// usualMeeting is the assumed probability that two requests of a workspace come
+	// usualCollision is the assumed probability that two requests of a workspace come
 	// to one entry, and usualPairs the number of pairs for which that counts: the
 	// operators have workspaces of both sorts, more of those that reach all entries.
-	usualMeeting = 0.15
-	usualPairs   = 3
-	// fewestMeetings keeps the estimate finite where requests meet less often than
-	// by chance.
-	fewestMeetings = 0.01
+	usualCollision = 0.15
+	usualPairs     = 3
+	// fewestCollisions keeps the estimate finite where requests collide less often
+	// than by chance.
+	fewestCollisions = 0.01
 )
 
 // spread tells how evenly the requests of a workspace reach the entries.
 type spread struct {
 	entries int
 	seen    float64
-	// meetings is the number of ordered pairs of requests at one entry.
-	meetings float64
+	// collisions is the number of ordered pairs of requests at one entry.
+	collisions float64
 }
 
 func newSpread(seen float64) *spread {
@@ -29,19 +29,19 @@
 func (s *spread) add(seen float64) {
 	s.entries++
 	s.seen += seen
-	s.meetings += max(0, seen*(seen-1))
+	s.collisions += max(0, seen*(seen-1))
 }
 
 // unseen returns the demand to expect of each entry beyond what it saw, for a
 // workspace with that demand. Entries are taken as drawn from a symmetric Dirichlet
-// distribution whose concentration gives the probability that requests meet.
+// distribution whose concentration gives the probability that two requests collide.
 func (s *spread) unseen(all float64) float64 {
 	if s.entries < 2 || s.seen == 0 {
 		return 0
 	}
 	pairs := max(0, s.seen*(s.seen-1))
-	meeting := (s.meetings + usualMeeting*usualPairs) / (pairs + usualPairs)
+	collision := (s.collisions + usualCollision*usualPairs) / (pairs + usualPairs)
 	even := 1 / float64(s.entries)
-	concentration := max(0, 1-meeting) / max(fewestMeetings, meeting-even)
+	concentration := max(0, 1-collision) / max(fewestCollisions, collision-even)
 	return all / s.seen * concentration / float64(s.entries)
 }
--- a/routers/front/peers.go
+++ b/routers/front/peers.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	// mostLoan bounds the question for tokens and its answer.
+	// mostLoan bounds a request for tokens and its answer.
 	mostLoan = 4 << 10
 	// mostSnapshot bounds what a peer may send.
 	mostSnapshot = 16 << 20
@@ -40,7 +40,7 @@
 	Lend(workspace string, tokens int64) int64
 }
 
-// loan is the question for tokens, and its answer.
+// loan is a request for tokens, and its answer.
 type loan struct {
 	Workspace string `json:"workspace"`
 	Tokens    int64  `json:"tokens"`
@@ -58,7 +58,7 @@
 	mux.HandleFunc("POST "+tokensPath, func(w http.ResponseWriter, r *http.Request) {
 		var l loan
 		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, mostLoan)).Decode(&l); err != nil {
-			log.Warn("question for tokens not readable", "from", r.RemoteAddr, "error", err)
+			log.Warn("loan request not readable", "from", r.RemoteAddr, "error", err)
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
@@ -92,7 +92,7 @@
 	return snapshot, err
 }
 
-// Borrow implements prepaid.Peers. A question that is sent twice costs tokens, but
+// Borrow implements prepaid.Peers. A request that is sent twice costs tokens, but
 // spends none that are not paid for.
 func (c *PeerClient) Borrow(ctx context.Context, peer netip.AddrPort, workspace string, tokens int64) (int64, error) {
 	body, err := json.Marshal(loan{Workspace: workspace, Tokens: tokens})
@@ -104,7 +104,7 @@
 	return answer.Tokens, err
 }
 
-// do sends a question to a peer and decodes its answer.
+// do sends a request to a peer and decodes its answer.
 func (c *PeerClient) do(
 	ctx context.Context, method string, peer netip.AddrPort, path string, body []byte, most int64, answer any,
 ) error {
--- a/services/prepaid/grant.go
+++ b/services/prepaid/grant.go
@@ -102,17 +102,26 @@
 		if !changed {
 			continue
 		}
-		value, err := grant.Encode()
+		rec, err := s.record(w, grant)
 		if err != nil {
 			s.log.Error("grant not encoded", "workspace", w.Name, "error", err)
 			continue
 		}
 		s.purse(w, now).SentGrant(grant.Sequence, g.next, grant.Total)
-		records = append(records, record.Record{Key: recordKey(w.Name, s.instance), Value: value})
+		records = append(records, rec)
 	}
 	return records, g.next
 }
 
+// encoder is a grant or a report.
+type encoder interface{ Encode() ([]byte, error) }
+
+// record returns this entry's record of the workspace.
+func (s *Service) record(w route.Workspace, e encoder) (record.Record, error) {
+	value, err := e.Encode()
+	return record.Record{Key: recordKey(w.Name, s.instance), Value: value}, err
+}
+
 // workspaces returns those of the partition that have a prepaid total, by name.
 func (g *granter) workspaces(t *route.Table) []route.Workspace {
 	var all []route.Workspace
--- a/services/prepaid/lending.go
+++ b/services/prepaid/lending.go
@@ -18,15 +18,15 @@
 	// promptWait is how long a request rather waits for its own entry's terms than
 	// asks other entries: a part of the most urgent goal.
 	promptWait = 150 * time.Millisecond
-	// borrowTimeout bounds one question to a peer: many times an exchange between
+	// borrowTimeout bounds one request to a peer: many times an exchange between
 	// two failure domains.
 	borrowTimeout = 60 * time.Millisecond
 	// mostAsked is how many peers are asked for one request, and longestBorrow for
 	// how long: a quarter of the most urgent goal.
 	mostAsked     = 8
 	longestBorrow = 250 * time.Millisecond
-	// dryTime is how long a peer that gave too little or no answer is not asked.
-	dryTime = 500 * time.Millisecond
+	// avoidTime is how long a peer that gave too little or no answer is not asked.
+	avoidTime = 500 * time.Millisecond
 )
 
 // Counters of tokens that went between entries.
@@ -90,7 +90,7 @@
 	lack := s.purse(w, now).Lack(now, tokens)
 	lenders := s.accounts[w.Name].Lenders(s.instance, s.reporter.follower.Age())
 	lenders = slices.DeleteFunc(lenders, func(l prepaid.Lender) bool {
-		return now.Before(s.dry[l.Instance]) || now.Before(s.dry[recordKey(w.Name, l.Instance)])
+		return now.Before(s.avoided[l.Instance]) || now.Before(s.avoided[recordKey(w.Name, l.Instance)])
 	})
 	if lenders = prepaid.Willing(lenders, lack, most); len(lenders) == 0 {
 		return nil, lack
@@ -108,12 +108,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
-		s.dry[l.Instance] = time.Now().Add(dryTime)
+		s.avoided[l.Instance] = time.Now().Add(avoidTime)
 		log.Info("peer did not answer", "peer", l.Instance, "address", l.Peer, "error", err)
 		return
 	}
 	if got < lack {
-		s.dry[recordKey(w.Name, l.Instance)] = time.Now().Add(dryTime)
+		s.avoided[recordKey(w.Name, l.Instance)] = time.Now().Add(avoidTime)
 	}
 	// A peer can't make this entry spend more than it asked for.
 	got = max(0, min(got, lack))
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -95,8 +95,8 @@
 	// broken are the workspaces with a grant that can't be decoded.
 	broken map[string]bool
 	purses map[string]*purse
-	// dry says until when peers are not asked, by instance and by key of record.
-	dry map[string]time.Time
+	// avoided says until when peers are not asked, by instance and by key of record.
+	avoided map[string]time.Time
 	// started is when the entry took its first request.
 	started time.Time
 	changed chan struct{}
@@ -117,7 +117,7 @@
 		log: log.Named(Name), store: store, topics: topics, tables: tables,
 		instance: instance, planner: prepaid.NewPlanner(), wall: uptime.NewWall(),
 		accounts: map[string]prepaid.Account{}, broken: map[string]bool{}, purses: map[string]*purse{},
-		changed: make(chan struct{}), dry: map[string]time.Time{}, metrics: metric.New(),
+		changed: make(chan struct{}), avoided: map[string]time.Time{}, metrics: metric.New(),
 	}
 	for _, opt := range opts {
 		opt(s)
--- a/services/prepaid/report.go
+++ b/services/prepaid/report.go
@@ -96,13 +96,13 @@
 		if !changed {
 			continue
 		}
-		value, err := report.Encode()
+		rec, err := s.record(w, report)
 		if err != nil {
 			s.log.Error("report not encoded", "workspace", w.Name, "error", err)
 			continue
 		}
 		b.reports[w.Name] = report
-		b.write.Records = append(b.write.Records, record.Record{Key: recordKey(w.Name, s.instance), Value: value})
+		b.write.Records = append(b.write.Records, rec)
 		s.purse(w, now).SentReport(now, report.Terms)
 	}
 	if len(b.reports) == 0 {
--- a/services/prepaid/reserve.go
+++ b/services/prepaid/reserve.go
@@ -55,9 +55,13 @@
 	if !w.Limited || tokens == 0 {
 		return nil, nil
 	}
-	began, log := time.Now(), s.log.With("requestId", requestID, "workspace", w.Name)
+	began := time.Now()
 	s.asked(w, began, tokens)
 	t := s.tryGranted(ctx, w, tokens)
+	if t.reserved {
+		return s.hold(w, t.part), nil
+	}
+	log := s.log.With("requestId", requestID, "workspace", w.Name)
 	if t.lacking() && s.borrow(ctx, log, w, tokens) {
 		t = s.try(w, tokens, promptWait)
 	}
@@ -72,7 +76,11 @@
 	case !t.reserved:
 		return nil, s.unreachable(w, tokens)
 	}
-	return &Hold{service: s, workspace: w.Name, part: t.part}, nil
+	return s.hold(w, t.part), nil
+}
+
+func (s *Service) hold(w route.Workspace, part prepaid.Part) *Hold {
+	return &Hold{service: s, workspace: w.Name, part: part}
 }
 
 // unreachable refuses a request whose tokens neither this entry nor its peers have.
@@ -162,7 +170,7 @@
 	if !begun {
 		return nil, s.changed
 	}
-	return &Hold{service: s, workspace: w.Name, part: part}, nil
+	return s.hold(w, part), nil
 }
 
 // await waits for a change or the time, and reports whether to try again.
