Handle hang-up signals until the process has ended

The handler was taken off when the drain began, and by default the signal ends a Go process.

Change: the signal is caught from the start of the gateway to its end, by a goroutine of its own. The fault soak sends it to each process that drains.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -190,6 +191,7 @@
 }
 
 func (g *gateway) run(ctx context.Context) error {
+	defer g.reloadOnHangup()()
 	k := kernel.New(g.log)
 	if err := k.Add(g.services()...); err != nil {
 		return err
@@ -199,7 +201,7 @@
 	}
 	g.log.Info("process started", "incarnation", g.incarnation, "role", "gateway",
 		"failureDomain", g.settings.FailureDomain, "memory", g.settings.Memory)
-	g.serve(ctx)
+	g.prune(ctx)
 	started := time.Now()
 	g.log.Info("process draining", "open", g.handler.Open())
 	err := k.Close()
@@ -210,11 +212,32 @@
 	return err
 }
 
-// serve runs until the context ends.
-func (g *gateway) serve(ctx context.Context) {
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
+// reloadOnHangup reads the settings again at each hang-up signal until it is
+// stopped. The signal stays caught after that: by default it ends the process, also
+// one that starts or drains.
+func (g *gateway) reloadOnHangup() (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	ended := make(chan struct{})
+	var done sync.WaitGroup
+	done.Go(func() {
+		for {
+			select {
+			case <-ended:
+				return
+			case <-hangups:
+				g.reload()
+			}
+		}
+	})
+	return func() {
+		close(ended)
+		done.Wait()
+	}
+}
+
+// prune looks for unused connections until the context ends.
+func (g *gateway) prune(ctx context.Context) {
 	prune := time.NewTicker(pruneInterval)
 	defer prune.Stop()
 	for {
@@ -223,8 +246,6 @@
 			return
 		case now := <-prune.C:
 			g.client.Prune(now)
-		case <-reload:
-			g.reload()
 		}
 	}
 }
--- a/tests/faults/faults_test.go
+++ b/tests/faults/faults_test.go
@@ -33,6 +33,9 @@
 	clientCount = 8
 	// pauseOf bounds the time between two faults; series and overlaps come of it.
 	pauseOf = 300 * time.Millisecond
+	// hangupPause is between two hang-up signals of a process that drains: several
+	// fit into the shortest drain.
+	hangupPause = 200 * time.Millisecond
 	// topUp is added to the prepaid total by a top-up.
 	topUp = 10_000
 	// healTimeout is within what the fleet serves again once nothing fails.
@@ -47,13 +50,38 @@
 	{11, "a check: SIGTERM reached a process that had not begun to handle signals"},
 }
 
-func TestFaults(t *testing.T) {
+func build(t *testing.T) string {
+	t.Helper()
 	binary := filepath.Join(t.TempDir(), "crocusline")
 	build := exec.Command("go", "build", "-o", binary, "../..")
 	build.Stderr = os.Stderr
 	if err := build.Run(); err != nil {
 		t.Fatal(err)
 	}
+	return binary
+}
+
+// TestHangupWhileDraining checks that a hang-up signal between SIGTERM and the end
+// does not end the process sooner.
+func TestHangupWhileDraining(t *testing.T) {
+	f := newFleet(t, build(t), 1, servers)
+	serve(t, f, "before the stop")
+	g := f.gateways[0]
+	g.signal(syscall.SIGTERM)
+	for range 4 {
+		time.Sleep(hangupPause)
+		g.signal(syscall.SIGHUP)
+	}
+	if g.wait(hangupPause) {
+		t.Errorf("the process ended with code %d soon after a hang-up signal", g.code())
+	}
+	if !g.wait(exitTimeout) || g.code() != 0 {
+		t.Errorf("the process did not end in order within %s", exitTimeout)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	binary := build(t)
 	for _, f := range failed {
 		t.Run(fmt.Sprintf("failed-%d", f.seed), func(t *testing.T) { play(t, binary, f.seed) })
 	}
@@ -123,6 +151,10 @@
 	defer g.restarting.Unlock()
 	young := g.young()
 	g.signal(s)
+	if s == syscall.SIGTERM && !young {
+		// Planned work overlaps: the settings are read again while the process drains.
+		time.AfterFunc(hangupPause, func() { g.signal(syscall.SIGHUP) })
+	}
 	if !g.wait(exitTimeout) {
 		// A paused process takes the signal only when it goes on.
 		g.signal(syscall.SIGCONT)
