Refuse what a thin gateway can't carry, and send new callers elsewhere

Change. models/intake decides, before a body is read, whether link and processor carry it in a part of the shortest goal; the rest is refused at once with a time to come back, in order of priority, small calls last. While callers send about what the link carries, the gateway is not ready and closes kept connections after their response, so that callers come back at another one. modules/schedlag measures how late timers fire. A send that did not reach its server needs no retry budget. The balancer passes over servers to which this gateway's share of connections is in use.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/crocusline/crocusline/modules/exchange"
 	"github.com/crocusline/crocusline/modules/log"
 	"github.com/crocusline/crocusline/modules/metric"
+	"github.com/crocusline/crocusline/modules/schedlag"
 	"github.com/crocusline/crocusline/modules/web"
 	"github.com/crocusline/crocusline/platform"
 	"github.com/crocusline/crocusline/routers/front"
@@ -105,6 +106,7 @@
 	directory    *directory.Service
 	catalog      *catalog.Service
 	prepaid      *prepaid.Service
+	lag          *schedlag.Meter
 	handler      *front.Handler
 	readiness    *front.Readiness
 }
@@ -127,7 +129,9 @@
 		prepaid.WithDirectory(g.directory), prepaid.WithPeers(g.peers, s.Listen.Peers), prepaid.WithMetrics(g.metrics))
 	r := relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
 		append(retryOptions(s), relay.WithFleet(g.directory), relay.WithMetrics(g.metrics))...)
-	g.handler = front.New(logger, platform.HeaderCodec{}, r, g.catalog)
+	g.lag = schedlag.New()
+	g.handler = front.New(logger, platform.HeaderCodec{}, r, g.catalog,
+		front.WithBandwidth(s.Bandwidth), front.WithProcessorDelay(g.lag.Delay))
 	g.readiness = front.NewReadiness(g.handler, g.catalog.Ready, g.prepaid.Ready)
 	g.metrics.Gauge("crocusline_log_lines_dropped", func() float64 { return float64(logWriter.Dropped()) })
 	g.metrics.Gauge("crocusline_requests_open", func() float64 { return float64(g.handler.OpenRequests()) })
@@ -212,6 +216,7 @@
 	drainStart := time.Now()
 	g.log.Info("process draining", "open", g.handler.OpenRequests())
 	err := k.Close()
+	_ = g.lag.Close()
 	_ = g.client.Close()
 	_ = g.peers.Close()
 	_ = g.store.Close()
--- a/models/balance/balance.go
+++ b/models/balance/balance.go
@@ -134,6 +134,9 @@
 	Goal time.Duration
 	// Idempotent requests may be used to test a server that was unreachable.
 	Idempotent bool
+	// MaxRunning is the number of this gateway's requests that a server can run, or 0 if
+	// it is not limited.
+	MaxRunning int
 }
 
 // Choice is the server selected for a request.
@@ -157,7 +160,7 @@
 	var choice Choice
 	bestCost := time.Duration(math.MaxInt64)
 	for _, s := range b.sortedServers() {
-		if slices.Contains(r.Exclude, s.ID) {
+		if slices.Contains(r.Exclude, s.ID) || (r.MaxRunning > 0 && s.running >= r.MaxRunning) {
 			continue
 		}
 		predicted, cached := b.predict(now, s, r, s == preferred)
--- a/models/balance/balance_test.go
+++ b/models/balance/balance_test.go
@@ -153,3 +153,26 @@
 	b.RecordSuccess("s0")
 	b.RecordUnreachable(start, "s0")
 }
+
+// TestMaxRunning checks that a server with as many requests as this gateway has connections
+// to it is not chosen, although it has the prompt cached.
+func TestMaxRunning(t *testing.T) {
+	b := newBalancer(3, cacheTokens)
+	r := prompt("hot")
+	r.MaxRunning = 4
+	running := map[string]int{}
+	for i := range 3 * r.MaxRunning {
+		r.ID = fmt.Sprint(i)
+		c := choose(t, b, start, r)
+		b.RecordSent(start, c.Server.ID, r, c)
+		running[c.Server.ID]++
+	}
+	for id, n := range running {
+		if n != r.MaxRunning {
+			t.Errorf("%d requests at %s, want %d", n, id, r.MaxRunning)
+		}
+	}
+	if _, ok := b.Choose(start, r); ok {
+		t.Error("a server was chosen beyond the connections to it")
+	}
+}
--- a/models/refusal/reason.go
+++ b/models/refusal/reason.go
@@ -37,13 +37,14 @@
 	ServerRejected                      // serverRejected
 	OutcomeUnknown                      // outcomeUnknown
 	ShuttingDown                        // shuttingDown
+	Overloaded                          // overloaded
 )
 
 // Reasons returns all reasons, so that counters can be created before their first
 // use.
 func Reasons() []Reason {
-	all := make([]Reason, 0, int(ShuttingDown)+1)
-	for r := Unspecified; r <= ShuttingDown; r++ {
+	all := make([]Reason, 0, int(Overloaded)+1)
+	for r := Unspecified; r <= Overloaded; r++ {
 		all = append(all, r)
 	}
 	return all
--- a/models/refusal/reason_string.go
+++ b/models/refusal/reason_string.go
@@ -35,11 +35,12 @@
 	_ = x[ServerRejected-24]
 	_ = x[OutcomeUnknown-25]
 	_ = x[ShuttingDown-26]
+	_ = x[Overloaded-27]
 }
 
-const _Reason_name = "unspecifiedinvalidRequestbodyTooLargeunauthenticatedunknownWorkspaceunknownKinddeadlineExpiredmissingIdempotencyKeykeyReusedbudgetExhaustedbudgetUnreachableregistryUnreachablequeueFulldeadlineUnreachableshareExceededtooManyStreamsnotReadynoServerdrainingfencedwrongIncarnationnotFoundretryBudgetserverFailedserverRejectedoutcomeUnknownshuttingDown"
+const _Reason_name = "unspecifiedinvalidRequestbodyTooLargeunauthenticatedunknownWorkspaceunknownKinddeadlineExpiredmissingIdempotencyKeykeyReusedbudgetExhaustedbudgetUnreachableregistryUnreachablequeueFulldeadlineUnreachableshareExceededtooManyStreamsnotReadynoServerdrainingfencedwrongIncarnationnotFoundretryBudgetserverFailedserverRejectedoutcomeUnknownshuttingDownoverloaded"
 
-var _Reason_index = [...]uint16{0, 11, 25, 37, 52, 68, 79, 94, 115, 124, 139, 156, 175, 184, 203, 216, 230, 238, 246, 254, 260, 276, 284, 295, 307, 321, 335, 347}
+var _Reason_index = [...]uint16{0, 11, 25, 37, 52, 68, 79, 94, 115, 124, 139, 156, 175, 184, 203, 216, 230, 238, 246, 254, 260, 276, 284, 295, 307, 321, 335, 347, 357}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/routers/front/front.go
+++ b/routers/front/front.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/models/call"
+	"github.com/crocusline/crocusline/models/intake"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/route"
 	"github.com/crocusline/crocusline/services/relay"
@@ -57,11 +59,37 @@
 	tables       TableSource
 	draining     atomic.Bool
 	openRequests atomic.Int64
+
+	intakeMu sync.Mutex
+	intake   *intake.Queue
+	// processorDelay returns how long requests wait for the processor.
+	processorDelay func() time.Duration
+}
+
+// Option configures a Handler.
+type Option func(*Handler)
+
+// WithBandwidth sets the bandwidth of the gateway's network link in bytes per second.
+// Without it, the link is not taken into account.
+func WithBandwidth(bytesPerSecond float64) Option {
+	return func(h *Handler) { h.intake = intake.New(bytesPerSecond) }
+}
+
+// WithProcessorDelay sets the source of how long requests wait for the processor now.
+func WithProcessorDelay(delay func() time.Duration) Option {
+	return func(h *Handler) { h.processorDelay = delay }
 }
 
 // New returns a handler that forwards requests through the relay.
-func New(log hclog.Logger, headers HeaderCodec, r Relay, tables TableSource) *Handler {
-	return &Handler{log: log.Named("front"), headers: headers, relay: r, tables: tables}
+func New(log hclog.Logger, headers HeaderCodec, r Relay, tables TableSource, opts ...Option) *Handler {
+	h := &Handler{
+		log: log.Named("front"), headers: headers, relay: r, tables: tables,
+		intake: intake.New(0), processorDelay: func() time.Duration { return 0 },
+	}
+	for _, opt := range opts {
+		opt(h)
+	}
+	return h
 }
 
 // Drain makes every later response close its connection, and the readiness check fail.
@@ -78,7 +106,7 @@
 	h.openRequests.Add(1)
 	defer h.openRequests.Add(-1)
 	arrivedAt := time.Now()
-	if h.Draining() {
+	if h.Draining() || h.recordReceived(arrivedAt, r) {
 		w.Header().Set("Connection", "close")
 	}
 	req, err := h.headers.Decode(r, arrivedAt)
@@ -86,6 +114,13 @@
 		h.refuse(w, &call.Request{}, refusal.New(refusal.InvalidRequest, 0, err.Error()))
 		return
 	}
+	if err := h.acceptBody(r, req); err != nil {
+		h.log.Info("request refused before its body", "requestId", req.ID, "bytes", r.ContentLength, "error", err)
+		// Without this the server reads the body before it sends the response.
+		w.Header().Set("Connection", "close")
+		h.refuse(w, req, err)
+		return
+	}
 	if req.Body, err = h.readBody(w, r); err != nil {
 		h.log.Info("request body not read", "requestId", req.ID, "error", err)
 		h.refuse(w, req, refusalForBody(err))
@@ -102,6 +137,42 @@
 	}
 }
 
+// headerBytes is the usual size of a request's header.
+const headerBytes = 600
+
+// recordReceived records the size of a request, and reports whether the gateway's link is
+// saturated.
+func (h *Handler) recordReceived(now time.Time, r *http.Request) bool {
+	h.intakeMu.Lock()
+	defer h.intakeMu.Unlock()
+	h.intake.RecordReceived(now, max(0, r.ContentLength)+headerBytes)
+	return h.intake.Saturated(now)
+}
+
+// Saturated reports whether callers send about as much as the gateway's link carries.
+func (h *Handler) Saturated() bool {
+	h.intakeMu.Lock()
+	defer h.intakeMu.Unlock()
+	return h.intake.Saturated(time.Now())
+}
+
+// acceptBody refuses a request that link and processor can't carry in time.
+func (h *Handler) acceptBody(r *http.Request, req *call.Request) error {
+	priority := 0
+	if t := h.tables.Table(); t != nil {
+		if found, err := t.Find(req.Host, req.Path); err == nil {
+			priority = found.Priority
+		}
+	}
+	delay := h.processorDelay()
+	h.intakeMu.Lock()
+	defer h.intakeMu.Unlock()
+	if wait, accepted := h.intake.Accept(time.Now(), r.ContentLength, priority, delay); !accepted {
+		return refusal.New(refusal.Overloaded, wait, "this entry carries all that it can: another one has room")
+	}
+	return nil
+}
+
 // readBody reads the whole request body.
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	if r.ContentLength == 0 {
--- a/routers/front/front_test.go
+++ b/routers/front/front_test.go
@@ -42,9 +42,9 @@
 	return f.err
 }
 
-func serve(t *testing.T, fake *fakeRelay) (*front.Handler, *httptest.Server) {
+func serve(t *testing.T, fake *fakeRelay, opts ...front.Option) (*front.Handler, *httptest.Server) {
 	t.Helper()
-	h := front.New(hclog.NewNullLogger(), platform.HeaderCodec{}, fake, noTables{})
+	h := front.New(hclog.NewNullLogger(), platform.HeaderCodec{}, fake, noTables{}, opts...)
 	server := httptest.NewServer(h)
 	t.Cleanup(server.Close)
 	return h, server
@@ -159,6 +159,48 @@
 	check(http.StatusServiceUnavailable)
 }
 
+// TestThinLink checks a gateway whose callers send more than its link carries: it refuses
+// long bodies at once and unread, takes no new connections and closes the old ones.
+func TestThinLink(t *testing.T) {
+	fake := &fakeRelay{response: "answer"}
+	h, server := serve(t, fake, front.WithBandwidth(100_000))
+	readiness := front.NewReadiness(h)
+	if !readiness.Ready() {
+		t.Error("not ready before the first request")
+	}
+	body := strings.Repeat("x", 60_000)
+	if resp, err := post(t, server, body); err != nil || resp.status != http.StatusOK {
+		t.Errorf("first body: got status %d and %v", resp.status, err)
+	}
+	fake.got = nil
+	resp, err := post(t, server, body)
+	if err != nil || resp.status != http.StatusServiceUnavailable || resp.header.Get("Retry-After") == "" || !resp.close {
+		t.Errorf("second body: got status %d with %v, closed %t, and %v", resp.status, resp.header, resp.close, err)
+	}
+	if fake.got != nil {
+		t.Error("the second request was relayed")
+	}
+	if readiness.Ready() {
+		t.Error("ready while the link is saturated")
+	}
+	if resp, err = post(t, server, "call"); err != nil || resp.status != http.StatusOK || !resp.close {
+		t.Errorf("small body: got status %d, closed %t, and %v", resp.status, resp.close, err)
+	}
+}
+
+// TestBusyProcessor checks that a request is refused while requests wait for the processor.
+func TestBusyProcessor(t *testing.T) {
+	delay := time.Second
+	_, server := serve(t, &fakeRelay{response: "answer"}, front.WithProcessorDelay(func() time.Duration { return delay }))
+	if resp, err := post(t, server, "call"); err != nil || resp.status != http.StatusServiceUnavailable {
+		t.Errorf("got status %d and %v", resp.status, err)
+	}
+	delay = 0
+	if resp, err := post(t, server, "call"); err != nil || resp.status != http.StatusOK {
+		t.Errorf("got status %d and %v", resp.status, err)
+	}
+}
+
 type fixedSnapshot struct{}
 
 func (fixedSnapshot) Snapshot() catalog.Snapshot { return catalog.Snapshot{NextOffset: 7} }
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -49,6 +49,8 @@
 	// sends after which a server may have run it.
 	tried        []string
 	possibleRuns int
+	// arrivals counts the sends that may have reached a server.
+	arrivals int
 	streamProgress
 	// lastRefusal is returned to the caller if no further server responds.
 	lastRefusal *refusal.Error
@@ -66,7 +68,11 @@
 type responseRelayed struct{}
 
 // notRun means that the server has not run the request and never will.
-type notRun struct{ reason refusal.Reason }
+type notRun struct {
+	reason refusal.Reason
+	// unsent is whether nothing of the request reached the server.
+	unsent bool
+}
 
 // unknownOutcome means that the request may have run, but the response is missing
 // or incomplete.
@@ -112,6 +118,9 @@
 			j.possibleRuns++
 			j.lastRefusal = unknownRefusal(result.reason)
 		case notRun:
+			if result.unsent {
+				j.arrivals--
+			}
 			if j.possibleRuns == 0 {
 				j.lastRefusal = refusal.New(result.reason, overloadRetryAfter, "the backend servers turned the request away")
 			}
@@ -150,14 +159,15 @@
 	return refusal.OutcomeUnknown
 }
 
-// mayRetry reports whether the request may be sent again.
+// mayRetry reports whether the request may be sent again. The retry budget limits the
+// requests that arrive at servers more than once.
 func (j *job) mayRetry(sends int) bool {
 	switch {
 	case j.possibleRuns > 0 && !j.route.Kind.Repeatable():
 		return false
 	case j.possibleRuns >= j.route.MaxAttempts, sends >= maxSends:
 		return false
-	case !j.retryBudget.Allow(time.Now()):
+	case j.arrivals > 0 && !j.retryBudget.Allow(time.Now()):
 		j.log.Info("retry budget exhausted", "sends", sends, "reason", j.lastRefusal.Reason)
 		return false
 	}
@@ -197,10 +207,13 @@
 func (j *job) balanceRequest() balance.Request {
 	return balance.Request{
 		ID: j.request.ID, Segments: j.request.Prefix, PromptTokens: j.request.PromptTokens, Exclude: j.tried,
-		Goal: j.route.Goal, Idempotent: j.route.Kind.Repeatable(),
+		Goal: j.route.Goal, Idempotent: j.route.Kind.Repeatable(), MaxRunning: j.maxConns(),
 	}
 }
 
+// maxConns returns this gateway's share of the connections to a server.
+func (j *job) maxConns() int { return max(1, j.service.share(j.pool.MaxConns)) }
+
 // routePriorities is the number of priorities of routes.
 const routePriorities = 3
 
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -41,6 +41,7 @@
 	id := choice.Server.ID
 	j.tried = append(j.tried, id)
 	j.server = id
+	j.arrivals++
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	prompt := &promptTracker{job: j, serverID: id, request: req, cachedTokens: choice.CachedTokens}
@@ -74,7 +75,7 @@
 			Server: choice.Server.ID, TimeLeft: time.Until(j.deadline), Workspace: j.workspace.Name,
 			Priority: j.priority(), LastEventID: lastEvent,
 		}),
-		MaxConns:  max(1, j.service.share(j.pool.MaxConns)),
+		MaxConns:  j.maxConns(),
 		IsForeign: func(h http.Header) bool { return j.service.codec.IsForeign(r, h) },
 	}
 }
@@ -102,13 +103,13 @@
 	var dial *exchange.DialError
 	if errors.As(err, &dial) {
 		if dial.PoolExhausted {
-			return notRun{reason: refusal.QueueFull}
+			return notRun{reason: refusal.QueueFull, unsent: true}
 		}
-		return notRun{reason: refusal.ServerFailed}
+		return notRun{reason: refusal.ServerFailed, unsent: true}
 	}
 	var noResponse *exchange.NoResponseError
 	if errors.As(err, &noResponse) && !noResponse.Written {
-		return notRun{reason: refusal.ServerFailed}
+		return notRun{reason: refusal.ServerFailed, unsent: true}
 	}
 	return unknownOutcome{reason: refusal.ServerFailed, err: err}
 }
