Bound what a server may send before and between responses

A gateway with 112 MB would have been killed with all its requests.

Change. 64 kB for the heads of one response, 512 kB for a skipped one; then the connection is closed and the request's outcome is unknown, as it may have run. Chunk lines, extensions and trailers are bounded by net/http.

--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -26,6 +26,12 @@
 	// maxForeignResponses is the number of responses to other requests that are
 	// skipped before the connection is closed.
 	maxForeignResponses = 2
+	// maxHeadBytes limits the status lines and headers before a response's body, including
+	// those of interim responses.
+	maxHeadBytes = 64 << 10
+	// maxSkippedBytes limits the body of a response to another request. A longer one closes
+	// the connection.
+	maxSkippedBytes = 512 << 10
 	// idleMargin is subtracted from the server's keep-alive timeout, so that the
 	// client stops using a connection before the server closes it.
 	idleMargin = 500 * time.Millisecond
@@ -36,6 +42,7 @@
 	client  *Client
 	address netip.AddrPort
 	netConn net.Conn
+	limit   *limitedReader
 	reader  *bufio.Reader
 	// idleSince is the time at which the last request ended.
 	idleSince time.Time
@@ -47,12 +54,36 @@
 }
 
 func newConn(c *Client, address netip.AddrPort, netConn net.Conn) *conn {
+	limit := &limitedReader{reader: netConn}
 	return &conn{
-		client: c, address: address, netConn: netConn,
-		reader: bufio.NewReaderSize(netConn, readBufferSize), idleTimeout: c.idleTimeout,
+		client: c, address: address, netConn: netConn, limit: limit,
+		reader: bufio.NewReaderSize(limit, readBufferSize), idleTimeout: c.idleTimeout,
 	}
 }
 
+// errHeadTooLong is returned for a response whose head is longer than maxHeadBytes.
+var errHeadTooLong = errors.Errorf("the response's head exceeds %d bytes", maxHeadBytes)
+
+// limitedReader limits the bytes that are read while it is enabled.
+type limitedReader struct {
+	reader  io.Reader
+	enabled bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if !l.enabled {
+		return l.reader.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 func (c *conn) close() {
 	c.closeOnce.Do(func() {
 		_ = c.netConn.Close()
@@ -159,8 +190,11 @@
 // readResponse reads the status line and header of the response to this request. It
 // skips interim (1xx) responses and a few responses to other requests.
 func (c *conn) readResponse(req *http.Request, r *Request) (*http.Response, error) {
+	c.limit.left = maxHeadBytes
 	for skipped := 0; ; {
+		c.limit.enabled = true
 		resp, err := http.ReadResponse(c.reader, req)
+		c.limit.enabled = false
 		if err != nil {
 			return nil, errors.WithStack(err)
 		}
@@ -173,8 +207,8 @@
 		if skipped++; skipped > maxForeignResponses || !allowsReuse(resp) {
 			return nil, errors.New("received the response to another request")
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, errors.Wrap(err, "skip the response to another request")
+		if _, err := io.CopyN(io.Discard, resp.Body, maxSkippedBytes); !errors.Is(err, io.EOF) {
+			return nil, errors.Errorf("skip the response to another request: %v after at most %d bytes", err, maxSkippedBytes)
 		}
 	}
 }
