--- a/models/gateway/gateway.go
+++ b/models/gateway/gateway.go
@@ -55,11 +55,8 @@
 	minCapacityRatio = 0.5
 )
 
-// Holders returns the instances that hold the workspace's tokens, in order of
-// preference. It is designed for fleets of unequal machines in which a share of the
-// tokens for each machine would be smaller than a request. Gateways that know the same
-// members choose the same holders, by rendezvous hashing.
-func Holders(workspace string, members map[string]Member) []string {
+// Able returns the instances that are strong enough to hold tokens.
+func Able(members map[string]Member) []string {
 	var largest int64
 	for _, m := range members {
 		largest = max(largest, m.Capacity)
@@ -70,6 +67,15 @@
 			able = append(able, instance)
 		}
 	}
+	return able
+}
+
+// Holders returns those of the able instances that hold the workspace's tokens, in order of
+// preference. It is designed for fleets of unequal machines in which a share of the
+// tokens for each machine would be smaller than a request. Gateways that know the same
+// members choose the same holders, by rendezvous hashing.
+func Holders(workspace string, able []string) []string {
+	able = slices.Clone(able)
 	slices.SortFunc(able, func(a, b string) int {
 		return cmp.Or(cmp.Compare(rank(workspace, b), rank(workspace, a)), cmp.Compare(a, b))
 	})
--- a/models/gateway/gateway_test.go
+++ b/models/gateway/gateway_test.go
@@ -28,7 +28,7 @@
 	held := map[string]int{}
 	for i := range 400 {
 		workspace := fmt.Sprintf("workspace-%d", i)
-		before := gateway.Holders(workspace, members)
+		before := gateway.Holders(workspace, gateway.Able(members))
 		if len(before) != 6 {
 			t.Fatalf("got %d holders, want 6", len(before))
 		}
@@ -37,7 +37,7 @@
 		}
 		remaining := maps.Clone(members)
 		delete(remaining, before[0])
-		if after := gateway.Holders(workspace, remaining); !slices.Equal(after[:5], before[1:]) {
+		if after := gateway.Holders(workspace, gateway.Able(remaining)); !slices.Equal(after[:5], before[1:]) {
 			t.Fatalf("holders %v without %s, want those of %v", after, before[0], before)
 		}
 	}
@@ -51,13 +51,13 @@
 // TestHoldersOfSmallFleet checks that all gateways of a small fleet of equal machines
 // hold tokens, and that weak ones do when no strong one is left.
 func TestHoldersOfSmallFleet(t *testing.T) {
-	if holders := gateway.Holders("clinics", fleet(4, 0)); len(holders) != 4 {
+	if holders := gateway.Holders("clinics", gateway.Able(fleet(4, 0))); len(holders) != 4 {
 		t.Errorf("got holders %v, want all 4", holders)
 	}
-	if holders := gateway.Holders("clinics", fleet(0, 20)); len(holders) != 6 {
+	if holders := gateway.Holders("clinics", gateway.Able(fleet(0, 20))); len(holders) != 6 {
 		t.Errorf("got holders %v, want 6", holders)
 	}
-	if holders := gateway.Holders("clinics", nil); len(holders) != 0 {
+	if holders := gateway.Holders("clinics", gateway.Able(nil)); len(holders) != 0 {
 		t.Errorf("got holders %v of no members", holders)
 	}
 }
--- a/services/prepaid/holder.go
+++ b/services/prepaid/holder.go
@@ -21,7 +21,7 @@
 	borrowerPollTimeout = 5 * time.Second
 )
 
-// selection holds the gateways that hold a workspace's tokens.
+// selection is a list of gateways, with the time of its selection.
 type selection struct {
 	instances  []string
 	selectedAt time.Time
@@ -34,14 +34,23 @@
 	if exists && (!s.reportWriter.reachable || now.Sub(last.selectedAt) < selectionTTL) {
 		return last.instances
 	}
+	if now.Sub(s.able.selectedAt) >= selectionTTL {
+		s.able = selection{instances: s.ableGateways(now), selectedAt: now}
+	}
+	instances := gateway.Holders(workspace, s.able.instances)
+	s.holders[workspace] = selection{instances: instances, selectedAt: now}
+	return instances
+}
+
+// ableGateways returns the gateways that are strong enough to hold tokens and have not
+// stopped reporting.
+func (s *Service) ableGateways(now time.Time) []string {
 	members := s.directory.Members()
 	maps.DeleteFunc(members, func(instance string, _ gateway.Member) bool {
 		reportedAt, reported := s.reportWriter.reportedAt[instance]
 		return instance != s.instance && reported && now.Sub(reportedAt) > holderTimeout
 	})
-	instances := gateway.Holders(workspace, members)
-	s.holders[workspace] = selection{instances: instances, selectedAt: now}
-	return instances
+	return gateway.Able(members)
 }
 
 // setRole sets the gateway's role for the workspace and the number of its holders.
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -36,8 +36,8 @@
 	// assumedSpendTime is the time in which a workspace is assumed to spend its prepaid
 	// total as long as no demand was observed.
 	assumedSpendTime = 45 * time.Second
-	// assumedGateways is the number of gateways assumed until more grants are known.
-	assumedGateways = 4
+	// assumedHolders is the number of holders assumed until more grants are known.
+	assumedHolders = 4
 	// minGrantReadInterval and minReportReadInterval are the shortest times between two
 	// reads while no request lacks tokens. Each read has a price, and grants change
 	// seldom.
@@ -141,6 +141,8 @@
 	withheld map[string]int64
 	// holders are the holders of workspaces' tokens as last selected.
 	holders map[string]selection
+	// able are the gateways among which the holders are selected.
+	able selection
 	// latestWallTime is the latest wall-clock time in all reports.
 	latestWallTime int64
 	// avoidedUntil is the time until which no tokens are borrowed from a peer, by instance
@@ -262,8 +264,8 @@
 func (s *Service) budget(w route.Workspace, now time.Time) *localBudget {
 	b, exists := s.budgets[w.Name]
 	if !exists {
-		gateways := max(len(s.accounts[w.Name].Grants), assumedGateways)
-		prior := float64(w.Prepaid) / assumedSpendTime.Seconds() / float64(gateways)
+		holders := max(len(s.accounts[w.Name].Grants), assumedHolders)
+		prior := float64(w.Prepaid) / assumedSpendTime.Seconds() / float64(holders)
 		b = &localBudget{LocalBudget: prepaid.NewLocalBudget(now, prior), observed: map[string]prepaid.Observation{}}
 		if !s.firstRequestAt.IsZero() {
 			b.MarkStarted(now)
