--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -108,7 +108,7 @@
 		peers := own[2]
 		seeds = append(seeds, peers.String())
 		g.settingsFile = filepath.Join(dir, g.name+".json")
-		writeSettings(t, g, peers, seeds)
+		writeSettings(t, g, peers, seeds, cpuShare(i, gateways))
 		f.gateways = append(f.gateways, g)
 	}
 	for _, g := range f.gateways {
@@ -118,12 +118,21 @@
 	return f
 }
 
-func writeSettings(t *testing.T, g *gateway, peers netip.AddrPort, seeds []string) {
+// cpuShare returns the processor share of a gateway. The last one of the fleet is too weak
+// to hold tokens for others, and borrows.
+func cpuShare(index, gateways int) float64 {
+	if index == gateways-1 {
+		return 0.144
+	}
+	return 0.8
+}
+
+func writeSettings(t *testing.T, g *gateway, peers netip.AddrPort, seeds []string, cpuShare float64) {
 	t.Helper()
 	data, err := json.Marshal(map[string]any{
 		"node_name": g.name, "zone": "z", "region": "r",
 		"bind":       map[string]string{"front": g.callerAddress.String(), "ready": g.readyAddress.String(), "control": peers.String()},
-		"seed_addrs": seeds, "limits": map[string]any{"memory_mb": 134, "max_fds": 4100},
+		"seed_addrs": seeds, "limits": map[string]any{"cpu_share": cpuShare, "memory_mb": 134, "max_fds": 4100},
 		"parameters": map[string]any{"grace_s": gracePeriodSeconds, "budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 60},
 		"platform":   map[string]any{"address": g.storeProxy.address().String(), "writes_per_s": 800, "reads_per_s": 2000},
 	})
@@ -178,7 +187,7 @@
 func (f *fleet) start(g *gateway) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	cmd := exec.Command(f.binary, "gateway", "--settings", g.settingsFile)
+	cmd := exec.Command(f.binary, "gateway", "--log-level", "debug", "--settings", g.settingsFile)
 	cmd.Stdout, cmd.Stderr = g.logFile, g.logFile
 	if err := cmd.Start(); err != nil {
 		f.Errorf("start %s: %v", g.name, err)
