Bound what a holder may spend at once by the time to its next report

A spend limit covered the demand of 0.7 s, though small fleets report every 0.25 s.

The limit covers the demand until the next report.

--- a/models/prepaid/fleet_test.go
+++ b/models/prepaid/fleet_test.go
@@ -307,7 +307,7 @@
 func (g *entry) holderState() prepaid.HolderState {
 	g.sequence++
 	h := g.budget.HolderState(g.fleet.time(), prepaid.HolderState{
-		Instance: g.name, PeerAddress: anyPeerAddress, Incarnation: g.incarnationID(), Sequence: g.sequence, StartedAt: g.startedAt, Now: g.clockReading(), LatestWallTime: g.account.LatestWallTime(),
+		Instance: g.name, ReportInterval: reportInterval, PeerAddress: anyPeerAddress, Incarnation: g.incarnationID(), Sequence: g.sequence, StartedAt: g.startedAt, Now: g.clockReading(), LatestWallTime: g.account.LatestWallTime(),
 	})
 	g.setRole(&h)
 	return h
--- a/models/prepaid/lender.go
+++ b/models/prepaid/lender.go
@@ -42,8 +42,9 @@
 }
 
 // Lenders returns the gateways that probably have tokens to lend to the instance, now
-// or once their spending limits permit, in descending order of their free tokens. age is the time since the account was
-// read, and observed holds what instances had left after loans since then.
+// or once their spending limits permit, in descending order of their free tokens. age is
+// the time since the account was read, and observed holds what instances had left after
+// loans since then.
 func (a Account) Lenders(instance string, age time.Duration, observed map[string]Observation) []Lender {
 	var lenders []Lender
 	for name, g := range a.Grants {
--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -120,6 +120,8 @@
 	// Unmet is the number of tokens that requests wait for, or the size of the largest
 	// request that was not covered recently.
 	Unmet int64
+	// ReportInterval is the time between two reports.
+	ReportInterval time.Duration
 	// Holders is the number of gateways that hold the workspace's tokens for all callers.
 	Holders int
 	// Era is the store's era, and Withheld the number of tokens paid in before it began, or
@@ -194,7 +196,7 @@
 	demand := h.Demand + d.loans
 	report := Report{
 		SpendLimit: SpendLimit{
-			Committed: h.committed(), Burst: burst(left, demand, h.Unmet),
+			Committed: h.committed(), Burst: burst(left, demand, h),
 			Rate:              int64(demand * rateFactor),
 			DisconnectedBurst: min(int64(left), max(minDisconnectedBurst, int64(demand*disconnectedBurstSpan.Seconds()))),
 			DisconnectedRate:  int64(demand * disconnectedRateFactor),
@@ -211,11 +213,12 @@
 }
 
 // burst returns what a holder with this share of the remaining tokens may spend at once:
-// enough for its demand until the next report, and for the requests that wait.
-func burst(left, demand float64, unmet int64) int64 {
+// enough for its demand until the next report, and for the requests that wait. It is lost
+// if the holder is killed.
+func burst(left, demand float64, h HolderState) int64 {
 	usual := min(maxBurst, burstFraction*left)
-	untilReport := min(left, demand*rateFactor*rateDelay.Seconds())
-	return max(unmet, int64(max(usual, untilReport)))
+	untilReport := min(left, demand*rateFactor*h.ReportInterval.Seconds())
+	return max(h.Unmet, int64(max(usual, untilReport)))
 }
 
 const (
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -325,7 +325,7 @@
 	h := s.budget(w, now).HolderState(now, prepaid.HolderState{
 		Instance: s.instance, PeerAddress: s.peerAddress, Incarnation: s.currentIncarnation(), Sequence: s.sequence,
 		StartedAt: s.startedAt, Now: clock, LatestWallTime: s.latestWallTime,
-		Era: s.era, Withheld: s.withheldTokens(w, now),
+		ReportInterval: s.reportWriter.currentInterval(), Era: s.era, Withheld: s.withheldTokens(w, now),
 	})
 	s.setRole(w.Name, &h, now)
 	return h
--- a/services/prepaid/report.go
+++ b/services/prepaid/report.go
@@ -73,6 +73,11 @@
 func (r *reportWriter) interval() time.Duration {
 	r.service.mu.Lock()
 	defer r.service.mu.Unlock()
+	return r.currentInterval()
+}
+
+// currentInterval returns the interval with the service locked.
+func (r *reportWriter) currentInterval() time.Duration {
 	gateways := len(r.reportedAt)
 	return min(max(reportInterval, reportInterval*time.Duration(gateways)/smallFleetSize), maxReportInterval)
 }
