Take no loans from a killed process in the fault tests

A killed process sends no response, so the stand-in was wrong, not the check.

Change: the peers of the test drop the response of a process that was killed meanwhile. The check is the same.

--- a/services/prepaid/fault_test.go
+++ b/services/prepaid/fault_test.go
@@ -188,7 +188,12 @@
 	if err != nil {
 		return model.Lent{}, err
 	}
-	return s.Lend(ctx, l), nil
+	lent := s.Lend(ctx, l)
+	// A process that was killed meanwhile sends no response.
+	if live, err := p.at(peer); err != nil || live != s {
+		return model.Lent{}, errors.Errorf("gateway at %s was killed", peer)
+	}
+	return lent, nil
 }
 
 // Return implements prepaid.Peers.
