Keep a closed grant when the store returns from an older copy

Cause: a process that has closed its predecessor's grant knows what the predecessor may have spent. When the store returned from a copy made before the closing, the process took the predecessor's grant from the copy for its own again, and closed that one as unknown: with nothing spent. It then stated its grants as known. Once all had done so, the predecessor's tokens were granted a second time.

Change: a record of a predecessor doesn't replace the grant of a process that has written its own; the known grant is written again in the new era.

--- a/services/prepaid/era.go
+++ b/services/prepaid/era.go
@@ -125,8 +125,10 @@
 // before: it was on its way when the store returned from the copy.
 func isVoid(era, known int64) bool { return era < known }
 
-// ownGrantOutdated reports whether a record of this process's own grant is older than what
-// the process knows: the store returned from a copy. It is written again.
-func (s *Service) ownGrantOutdated(instance string, g prepaid.Grant) bool {
-	return instance == s.instance && g.Incarnation == s.incarnation && s.incarnation != 0 && g.Era < s.era
+// ownGrantOutdated reports whether a record of this gateway's grant is older than the one
+// that this process knows to be its own: the store returned from a copy. The record may be
+// of a predecessor whose grant this process had closed. The known grant is written again.
+func (s *Service) ownGrantOutdated(instance string, g, known prepaid.Grant) bool {
+	return instance == s.instance && s.incarnation != 0 && g.Era < s.era &&
+		(g.Incarnation == s.incarnation || known.Incarnation == s.incarnation)
 }
--- a/services/prepaid/grant.go
+++ b/services/prepaid/grant.go
@@ -183,7 +183,7 @@
 	}
 	delete(s.undecodable, workspace)
 	known := s.accounts[workspace].Grants[instance]
-	if s.ownGrantOutdated(instance, grant) {
+	if s.ownGrantOutdated(instance, grant, known) {
 		known.Era = grant.Era
 		s.accounts[workspace] = s.accounts[workspace].WithGrant(instance, known)
 		return
