Keep a grant that a request waits for

Cause: a holder raised its grant for a large request, and lowered it again at its next write, 20 ms later, since the free tokens were more than its target: the request itself didn't count there. Until the report with the new limit was confirmed, the request saw the small grant again. Seen in the log of TestWriteAcrossEras: 185,000 granted, 58,053 written with the same request waiting.

Change: neither raising nor lowering leaves less free than what requests wait for. TestGrantKeptWhileRequestWaits fails without it (180,000 to 55,227).

--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -150,12 +150,14 @@
 		return h.grant(total, old), superseded || total != old.Total || (exists && old.Era != h.Era)
 	}
 	target := p.target(a, prepaid, h)
+	// What a request waits for stays until the spending limit covers it.
+	wanted := max(target, h.Unmet)
 	total := old.Total
 	switch free, margin := old.Total-h.committed(), p.margin(target); {
 	case free < target-margin || free < h.Unmet:
-		total = min(h.committed()+max(target, h.Unmet), old.Total+max(0, a.free(prepaid, h.Withheld, h.Era)))
-	case free > target+margin:
-		total = h.committed() + target
+		total = min(h.committed()+wanted, old.Total+max(0, a.free(prepaid, h.Withheld, h.Era)))
+	case free > wanted+margin:
+		total = h.committed() + wanted
 	}
 	grant := h.grant(total, old)
 	return grant, !exists || superseded || total != old.Total || grant.PeerAddress != old.PeerAddress || grant.Era != old.Era
