Pass on large error responses whole

Cause: an error response of a server was read up to 512 KiB and passed on with the length of what had been read, so a longer one reached the caller cut off and looked complete. Seen while reading.

Change: a longer one is streamed to the caller like a large success; if the request may be repeated, it counts as a failure with unknown outcome, and another server is tried.

TestLargeFailure fails before (524,288 of 614,400 bytes, with and without another try), passes after.

--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -189,7 +189,13 @@
 		return unknownOutcome{reason: refusal.ServerFailed, err: err}
 	}
 	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
-	if resp.StatusCode < http.StatusInternalServerError || !j.route.Kind.Repeatable() {
+	final := resp.StatusCode < http.StatusInternalServerError || !j.route.Kind.Repeatable()
+	switch large := len(body) == maxBufferedBytes; {
+	case large && final:
+		return j.relayLarge(w, resp, body)
+	case large:
+		return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("response of status %d has %d bytes or more", resp.StatusCode, maxBufferedBytes)}
+	case final:
 		j.writeResponse(w, buffered)
 		j.possibleRuns++
 		return responseRelayed{}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// LargeBodySize is the size in bytes of a response that is too large to be buffered.
+const LargeBodySize = 600 << 10
+
 // Behaviour selects how a Server responds to a request.
 type Behaviour int
 
@@ -25,6 +28,8 @@
 	Misdirect
 	// Fail executes the request and responds 500.
 	Fail
+	// FailLarge executes the request and responds 500 with a body of LargeBodySize.
+	FailLarge
 	// Unsigned responds 200 without the Response-Seal header.
 	Unsigned
 	// Hang executes the request and sends no response until the client
@@ -156,6 +161,10 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = w.Write([]byte("failed"))
 		return
+	case FailLarge:
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = w.Write(make([]byte, LargeBodySize))
+		return
 	case Hang:
 		<-r.Context().Done()
 		s.mu.Lock()
