Log why a request couldn't be sent

Cause: the line "send not run" of a request that never reached its server lacked the error of the connection, so an unreachable server and an exhausted pool read alike.

Change: the line has the error, if there is one. Only the log changes.

--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -70,8 +70,9 @@
 // notRun means that the server has not run the request and never will.
 type notRun struct {
 	reason refusal.Reason
-	// unsent is whether nothing of the request reached the server.
+	// unsent is whether nothing of the request reached the server, and err why not.
 	unsent bool
+	err    error
 }
 
 // unknownOutcome means that the request may have run, but the response is missing
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -103,13 +103,13 @@
 	var dial *exchange.DialError
 	if errors.As(err, &dial) {
 		if dial.PoolExhausted {
-			return notRun{reason: refusal.QueueFull, unsent: true}
+			return notRun{reason: refusal.QueueFull, unsent: true, err: err}
 		}
-		return notRun{reason: refusal.ServerFailed, unsent: true}
+		return notRun{reason: refusal.ServerFailed, unsent: true, err: err}
 	}
 	var noResponse *exchange.NoResponseError
 	if errors.As(err, &noResponse) && !noResponse.Written {
-		return notRun{reason: refusal.ServerFailed, unsent: true}
+		return notRun{reason: refusal.ServerFailed, unsent: true, err: err}
 	}
 	return unknownOutcome{reason: refusal.ServerFailed, err: err}
 }
@@ -254,6 +254,9 @@
 	}
 	switch result := result.(type) {
 	case notRun:
+		if result.err != nil {
+			pairs = append(pairs, "error", result.err)
+		}
 		j.log.Info("send not run", append(pairs, "reason", result.reason)...)
 	case unknownOutcome:
 		j.log.Info("send outcome unknown", append(pairs, "reason", result.reason, "error", result.err)...)
