--- a/crocusbench/main.go
+++ b/crocusbench/main.go
@@ -49,7 +49,7 @@
 	parser := flaggy.NewParser("crocusbench")
 	parser.Description = "Simulations of the systems around crocusline, and the load tool."
 	parser.DisableShowVersionWithVersion()
-	commands := []command{newPlatformCommand(), newEngineCommand(), newServiceCommand(), newDemoCommand(), newLoadCommand(), newCapacityCommand(), newCostCommand()}
+	commands := []command{newPlatformCommand(), newEngineCommand(), newServiceCommand(), newDemoCommand(), newLoadCommand(), newCostCommand()}
 	subcommands := make([]*flaggy.Subcommand, len(commands))
 	for i, c := range commands {
 		subcommands[i] = c.flags()
@@ -63,5 +63,5 @@
 			return commands[i], nil
 		}
 	}
-	return nil, errors.New("no command: use platform, engine, service, demo, load, capacity or cost, or --help")
+	return nil, errors.New("no command: use platform, engine, service, demo, load or cost, or --help")
 }
