Name dropped receipts in the log, and show that peer servers wait in Close

TestDroppedReceiptIsLogged fails before (empty log). - A peer server without a drain timeout was said not to wait in Close. It aborts the requests and waits for their handlers: TestCloseWaits passes on the code as it was. Only the comments were wrong.

A third is ruled out: queue.WithoutPreemption is documented to disable preemption by higher ranks only; WithoutFairPreemption is an option of its own.

--- a/modules/peer/peer_test.go
+++ b/modules/peer/peer_test.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,6 +99,39 @@
 	}
 }
 
+// TestCloseWaits checks that no handler runs any more once Close has returned, also without
+// a drain timeout.
+func TestCloseWaits(t *testing.T) {
+	_, dir := newAuthority(t)
+	id := newIdentity(t, dir)
+	started := make(chan struct{})
+	var ended atomic.Bool
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		time.Sleep(100 * time.Millisecond)
+		ended.Store(true)
+	})
+	server, err := peer.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), id, handler)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var caller sync.WaitGroup
+	caller.Go(func() {
+		if _, err := get(t, id, server); err == nil {
+			t.Error("the aborted request was answered")
+		}
+	})
+	<-started
+	if err := server.Close(); err != nil {
+		t.Error(err)
+	}
+	if !ended.Load() {
+		t.Error("the handler still runs after Close")
+	}
+	caller.Wait()
+}
+
 func TestServerRefusesOtherAuthority(t *testing.T) {
 	_, dir := newAuthority(t)
 	_, other := newAuthority(t)
--- a/modules/peer/server.go
+++ b/modules/peer/server.go
@@ -23,8 +23,8 @@
 // ServerOption configures a Server.
 type ServerOption func(*Server)
 
-// WithDrainTimeout sets how long Close waits for running requests. Without it, Close
-// does not wait.
+// WithDrainTimeout sets how long Close lets running requests go on before it aborts them.
+// Without it, Close aborts them at once.
 func WithDrainTimeout(d time.Duration) ServerOption {
 	return func(s *Server) { s.drainTimeout = d }
 }
@@ -73,8 +73,8 @@
 	return udp.AddrPort()
 }
 
-// Close refuses new requests, waits for running ones until the drain timeout, and
-// closes the socket.
+// Close refuses new requests, aborts those that still run after the drain timeout, waits for
+// their handlers, and closes the socket.
 func (s *Server) Close() error {
 	ctx, cancel := context.WithTimeout(context.Background(), s.drainTimeout)
 	defer cancel()
--- a/services/receipt/receipt.go
+++ b/services/receipt/receipt.go
@@ -139,11 +139,15 @@
 	select {
 	case s.queue <- p:
 	default:
-		s.counters.ReceiptDropped()
-		s.log.Error("receipt dropped", "requestId", p.Bill.RequestID)
+		s.drop(p)
 	}
 }
 
+func (s *Service) drop(p pending) {
+	s.counters.ReceiptDropped()
+	s.log.Error("receipt dropped", "requestId", p.Bill.RequestID)
+}
+
 func (s *Service) run(ctx context.Context) {
 	ticker := time.NewTicker(settleInterval)
 	defer ticker.Stop()
@@ -167,7 +171,7 @@
 		s.acknowledge(ctx, p)
 	}
 	if len(s.receipts) >= capacity {
-		s.counters.ReceiptDropped()
+		s.drop(p)
 		return
 	}
 	s.receipts = append(s.receipts, p)
--- a/services/receipt/receipt_test.go
+++ b/services/receipt/receipt_test.go
@@ -1,9 +1,11 @@
 package receipt
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -163,3 +165,19 @@
 		t.Fatalf("%d inquiries in two minutes, want at most 12", f.inquiries)
 	}
 }
+
+// TestDroppedReceiptIsLogged checks that a receipt that is dropped because too many are
+// unsettled is named in the log.
+func TestDroppedReceiptIsLogged(t *testing.T) {
+	_, s := newService(t)
+	var lines bytes.Buffer
+	s.log = hclog.New(&hclog.LoggerOptions{Output: &lines})
+	s.receipts = make([]pending, capacity)
+	dropped := receipt(7)
+	dropped.Bill.RequestID = "dropped-request"
+	s.Reconcile(dropped)
+	s.add(t.Context(), <-s.queue)
+	if len(s.receipts) != capacity || !strings.Contains(lines.String(), "dropped-request") {
+		t.Errorf("%d receipts, log %q", len(s.receipts), lines.String())
+	}
+}
