Expire runs under steady traffic, and keep runs without a deadline

The check is due at a time now. TestExpiryUnderSteadyTraffic fails before (the run goes on 1 s after the grace period). - A run without a deadline took over that of a retry which joined it, and one with a deadline kept it for a retry without. TestRetryExtendsDeadline fails before in these two of its five cases.

--- a/models/run/tracker.go
+++ b/models/run/tracker.go
@@ -208,13 +208,23 @@
 		return Admission{}, refusal.New(refusal.KeyReused, 0,
 			"The idempotency key was used with other content: use a new key.")
 	}
-	if req.Deadline.After(rec.deadline) {
-		rec.deadline = req.Deadline
-	}
+	rec.deadline = laterDeadline(rec.deadline, req.Deadline)
 	rec.unsubscribedAt = time.Time{}
 	return Admission{Run: rec.id, Subscription: t.openSubscription(rec, req)}, nil
 }
 
+// laterDeadline returns the later of two deadlines. The zero value is none.
+func laterDeadline(a, b time.Time) time.Time {
+	switch {
+	case a.IsZero() || b.IsZero():
+		return time.Time{}
+	case a.After(b):
+		return a
+	default:
+		return b
+	}
+}
+
 func (t *Tracker) openSubscription(rec *record, req Request) SubscriptionID {
 	t.lastSubscription++
 	sub := &subscription{id: t.lastSubscription, record: rec, requestID: req.ID, hold: req.Hold, replayed: rec.state == Ran}
--- a/models/run/tracker_test.go
+++ b/models/run/tracker_test.go
@@ -150,6 +150,34 @@
 	}
 }
 
+// TestRetryExtendsDeadline checks that a run lasts until the latest deadline of its requests,
+// and that one without a deadline has none.
+func TestRetryExtendsDeadline(t *testing.T) {
+	early, late := start.Add(time.Second), start.Add(3*time.Second)
+	for _, test := range []struct {
+		name          string
+		first, second time.Time
+		wantExpired   bool
+	}{
+		{"later", early, late, false},
+		{"earlier", late, early, false},
+		{"both passed", early, early, true},
+		{"first without", time.Time{}, early, false},
+		{"retry without", early, time.Time{}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tr := newTestTracker(DefaultLimits())
+			first, second := draft("r1", "k", "entry-1", 1), draft("r2", "k", "entry-2", 1)
+			first.Deadline, second.Deadline = test.first, test.second
+			submit(t, tr, first)
+			submit(t, tr, second)
+			if expired := len(tr.Expire(start.Add(2*time.Second))) > 0; expired != test.wantExpired {
+				t.Errorf("expired: %t, want %t", expired, test.wantExpired)
+			}
+		})
+	}
+}
+
 func TestRetryWithinGracePeriodKeepsRun(t *testing.T) {
 	limits := DefaultLimits()
 	tr := newTestTracker(limits)
--- a/services/runner/loop.go
+++ b/services/runner/loop.go
@@ -19,6 +19,8 @@
 	// ones.
 	activeJobs    int
 	subscriptions map[run.SubscriptionID]*Subscription
+	// nextExpiry is when to check for expired runs and answers next.
+	nextExpiry time.Time
 }
 
 func newLoop(r *Runner) *eventLoop {
@@ -36,6 +38,7 @@
 // run handles events until the runner is closed.
 func (l *eventLoop) run() {
 	defer close(l.runner.done)
+	l.nextExpiry = time.Now().Add(expiryInterval)
 	timer := time.NewTimer(expiryInterval)
 	defer timer.Stop()
 	for {
@@ -43,29 +46,37 @@
 		case e := <-l.runner.events:
 			l.handle(time.Now(), e)
 		case <-timer.C:
-			now := time.Now()
-			l.reportAllTokens()
-			l.applyTracker(now, l.tracker.Expire(now))
 		case <-l.runner.ctx.Done():
 			l.failAnswers()
 			return
 		}
 		now := time.Now()
+		l.expire(now)
 		l.dispatch(now)
 		l.publish(now)
 		timer.Reset(l.timerDelay(now))
 	}
 }
 
+// expire checks for expired runs and answers if that is due.
+func (l *eventLoop) expire(now time.Time) {
+	if now.Before(l.nextExpiry) {
+		return
+	}
+	l.nextExpiry = now.Add(expiryInterval)
+	l.reportAllTokens()
+	l.applyTracker(now, l.tracker.Expire(now))
+}
+
 // timerDelay returns the longest time to wait for the next event.
 func (l *eventLoop) timerDelay(now time.Time) time.Duration {
-	at, ok := l.queue.NextExpiry()
-	if !ok {
-		return expiryInterval
+	delay := l.nextExpiry.Sub(now)
+	if at, ok := l.queue.NextExpiry(); ok {
+		// The queue expires a request only after its time has passed, hence the
+		// additional millisecond.
+		delay = min(delay, at.Sub(now)+time.Millisecond)
 	}
-	// The queue expires a request only after its time has passed, hence the
-	// additional millisecond.
-	return max(0, min(expiryInterval, at.Sub(now)+time.Millisecond))
+	return max(0, delay)
 }
 
 // failAnswers ends all unfinished answers with a shutdown error.
--- a/services/runner/runner.go
+++ b/services/runner/runner.go
@@ -48,8 +48,7 @@
 	DefaultSlots = 16
 	// EventQueueSize is the capacity of the event loop's channel.
 	EventQueueSize = 1024
-	// expiryInterval is the time without events after which the event loop checks for
-	// expired runs and answers.
+	// expiryInterval is the time between two checks for expired runs and answers.
 	expiryInterval = 100 * time.Millisecond
 )
 
--- a/services/runner/runner_test.go
+++ b/services/runner/runner_test.go
@@ -386,6 +386,27 @@
 	})
 }
 
+// TestExpiryUnderSteadyTraffic checks that calls at shorter intervals than those between two
+// checks for expired runs don't postpone the checks.
+func TestExpiryUnderSteadyTraffic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := run.DefaultLimits()
+		r, _ := startRunner(t, &fakeBackend{}, WithLimits(limits))
+		defer closeRunner(t, r)
+		submit(t, r, draft("r1", "", 100_000)).Close(false)
+		const callInterval = 15 * time.Millisecond
+		for range (limits.GracePeriod + time.Second) / callInterval {
+			if _, err := r.FenceEntry(t.Context(), "another-entry"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(callInterval)
+		}
+		if got := r.WaitsFor(); got.Requests != 0 {
+			t.Errorf("%d requests run 1 s after the grace period", got.Requests)
+		}
+	})
+}
+
 func TestDrainWaitsForCancelledRequestToEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		limits := run.DefaultLimits()
