Return the store from copies in the process soak

The soak of real processes had no drills. Change: at random times the store is copied, or is away for up to 0.5 s and returns from a copy up to 3 s old, and the operator and the servers write theirs again.

--- a/tests/faults/faults_test.go
+++ b/tests/faults/faults_test.go
@@ -1,8 +1,8 @@
 // Package faults_test is a soak test under injected faults. It runs gateways as
 // separate processes. Loopback proxies in front of the store and of each server
 // delay or reset connections and block their traffic in one or both directions.
-// Signals pause, stop and kill processes, and the store refuses requests and drops
-// responses. The guarantees to callers are checked against the responses that the
+// Signals pause, stop and kill processes, and the store refuses requests, drops
+// responses and returns from older copies. The guarantees to callers are checked against the responses that the
 // clients received and the executions that the servers recorded.
 package faults_test
 
@@ -38,6 +38,12 @@
 	// hangupInterval is the time between two SIGHUPs to a draining process. Several fit
 	// into the shortest drain.
 	hangupInterval = 200 * time.Millisecond
+	// maxCopyAge is the greatest age of a copy from which the store returns, and
+	// maxUnavailable the longest time for which it is away before that.
+	maxCopyAge     = 3 * time.Second
+	maxUnavailable = 500 * time.Millisecond
+	// topUpDelay is longer than the time for which a process withholds top-ups.
+	topUpDelay = 9 * time.Second
 	// topUpTokens is the amount of one top-up of the prepaid budget.
 	topUpTokens = 10_000
 	// recoveryTimeout bounds the time from the end of all faults until each gateway
@@ -102,9 +108,10 @@
 	c := &loadGenerator{fleet: f}
 	ctx, cancel := context.WithCancel(t.Context())
 	c.start(ctx, clientCount, seed)
-	r := rand.New(rand.NewPCG(seed, 0))
+	r, drills := rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, 1))
 	for end := time.Now().Add(*faultDuration); time.Now().Before(end); {
 		injectFault(f, r)
+		injectDrill(f, drills)
 		time.Sleep(time.Duration(r.Int64N(int64(maxFaultInterval))))
 	}
 	clearFaults(f)
@@ -114,7 +121,7 @@
 	for _, problem := range c.violations() {
 		t.Error(problem)
 	}
-	t.Logf("%d requests, %d times tokens borrowed", len(c.outcomes), f.borrowCount())
+	t.Logf("%d requests, %d times tokens borrowed, %d returns of the store from a copy", len(c.outcomes), f.borrowCount(), f.eras)
 }
 
 // injectFault sets or clears one random fault, tops up the budget or changes the
@@ -151,6 +158,18 @@
 	}
 }
 
+// injectDrill copies the store at times, or returns it to the last copy.
+func injectDrill(f *fleet, r *rand.Rand) {
+	switch r.IntN(12) {
+	case 0, 1:
+		f.copyStore()
+	case 2:
+		if !f.copiedAt.IsZero() && time.Since(f.copiedAt) < maxCopyAge {
+			f.restoreStore(time.Duration(r.Int64N(int64(maxUnavailable))))
+		}
+	}
+}
+
 // restart terminates the process with the signal and starts a new one.
 func (f *fleet) restart(g *gateway, s syscall.Signal) {
 	g.restartMu.Lock()
@@ -178,7 +197,9 @@
 	f.start(g)
 }
 
-// clearFaults ends all faults and tops up the prepaid budget.
+// clearFaults ends all faults and tops up the prepaid budget. What is paid in soon after a
+// process saw the store return from a copy, or started later, may be a top-up that the store
+// had lost, and is withheld.
 func clearFaults(f *fleet) {
 	f.store.SetFault(site.NoFault)
 	for i, serverProxy := range f.serverProxies {
@@ -190,6 +211,9 @@
 		g.signal(syscall.SIGCONT)
 		g.awaitRestart()
 	}
+	if f.eras > 0 {
+		time.Sleep(topUpDelay)
+	}
 	f.prepaidTokens += topUpTokens
 	f.publish()
 }
--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
 	"net/netip"
@@ -55,15 +56,23 @@
 	serverProxies []*proxy
 	configVersion int
 	prepaidTokens int64
+	// serverStates are the states last written, by server.
+	serverStates []string
+	// copiedAt is when the store was copied last, or the zero value.
+	copiedAt time.Time
+	// eras is how often the store returned from a copy.
+	eras int
 }
 
-// freeAddresses returns n distinct addresses without a listener. All are bound
-// before the first is released, so that none is returned twice.
+// freeAddresses returns n distinct addresses without a listener. All are bound before the
+// first is released, so that none is returned twice. They are on a loopback address of
+// their own, so that no connection of another process gets one of the ports meanwhile.
 func freeAddresses(t *testing.T, n int) []netip.AddrPort {
 	t.Helper()
+	own := netip.AddrFrom4([4]byte{127, byte(1 + rand.IntN(250)), byte(1 + rand.IntN(250)), byte(1 + rand.IntN(250))})
 	addresses := make([]netip.AddrPort, n)
 	for i := range addresses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", netip.AddrPortFrom(own, 0).String())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -80,7 +89,7 @@
 // newFleet starts a fleet and stops it at the end of the test.
 func newFleet(t *testing.T, binary string, gateways, servers int) *fleet {
 	t.Helper()
-	f := &fleet{T: t, binary: binary, store: site.NewStore(), prepaidTokens: 40_000}
+	f := &fleet{T: t, binary: binary, store: site.NewStore(), prepaidTokens: 40_000, serverStates: make([]string, servers)}
 	web := httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		web.CloseClientConnections()
@@ -174,14 +183,39 @@
 
 // setServerState writes the registry entry of a server. An empty state removes it.
 func (f *fleet) setServerState(i int, state string) {
-	s := f.servers[i]
+	f.serverStates[i] = state
+	f.putServer(f.servers[i].ID, f.serverProxies[i].address(), state)
+}
+
+// putServer writes the registry entry of the server with the identifier, or removes it.
+func (f *fleet) putServer(id string, address netip.AddrPort, state string) {
 	if state == "" {
-		f.store.Put("keyed.servers", s.ID, nil)
+		f.store.Put("keyed.servers", id, nil)
 		return
 	}
-	f.store.Put("keyed.servers", s.ID, fmt.Appendf(nil,
+	f.store.Put("keyed.servers", id, fmt.Appendf(nil,
 		`{"service":"s","address":%q,"zone":"z","version":"v1","max_concurrency":64,"state":%q,"warmup_left_ms":0,"sequence":1}`,
-		f.serverProxies[i].address().String(), state))
+		address.String(), state))
+}
+
+// copyStore copies the store's contents.
+func (f *fleet) copyStore() {
+	f.store.Copy()
+	f.copiedAt = time.Now()
+}
+
+// restoreStore makes the store unavailable for the time and returns it to the last copy.
+// The operator and the servers write their records again.
+func (f *fleet) restoreStore(unavailable time.Duration) {
+	f.store.SetFault(site.Unavailable)
+	time.Sleep(unavailable)
+	f.store.Restore()
+	f.eras++
+	f.store.SetFault(site.NoFault)
+	f.publish()
+	for i, state := range f.serverStates {
+		f.setServerState(i, state)
+	}
 }
 
 func (f *fleet) start(g *gateway) {
