--- a/modules/exchange/exchange_test.go
+++ b/modules/exchange/exchange_test.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/modules/exchange"
+	"github.com/crocusline/crocusline/standin/site"
 )
 
 // scriptedServer is a TCP server whose connections are handled by a script.
@@ -319,6 +320,9 @@
 	f.Add([]byte(response("2", "foreign")))
 	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
 	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + response("1", "later")))
+	for _, r := range site.EndlessResponses() {
+		f.Add(r.Prefix(1 << 10))
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		s := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
 			_, _ = readRequestID(requests)
