Bound a predecessor's spending by the successor's start, not its first read

Cause: after a loss of power, the successor of a process took the wall clock of the moment at which it closed its predecessor's grant for the latest time at which that could have run.

Change: the time since the successor's start, by the uptime, is taken off. The wall clock is still read late, since one that was behind has often been corrected by then.

TestMaxTimeUntilExitReadLate fails before (6.5 s, want 2.5 s).

--- a/models/prepaid/account.go
+++ b/models/prepaid/account.go
@@ -133,15 +133,17 @@
 // maxTimeUntilExit bounds the time from sending a report until its writer exited.
 // The successor of the writer started at the reading started and reads the report
 // at the reading now. A wall clock that was behind when the successor started has
-// often been corrected since, so the wall-clock time is taken from now and only
-// the uptime from started. latestWall is the latest wall-clock time in all reports.
+// often been corrected since, so the wall-clock time of the start is derived from
+// now and the uptime since then. latestWall is the latest wall-clock time in all
+// reports.
 func maxTimeUntilExit(sent, started, now ClockReading, latestWall int64) time.Duration {
 	wall := time.Duration(started.Wall-sent.Wall) * time.Millisecond
 	up := time.Duration(started.Uptime-sent.Uptime) * time.Millisecond
 	if started.BootID == sent.BootID && up >= 0 && (up-wall).Abs() < maxClockStep {
 		return up
 	}
-	wall = time.Duration(max(now.Wall, latestWall)-sent.Wall) * time.Millisecond
+	sinceStart := max(0, now.Uptime-started.Uptime)
+	wall = time.Duration(max(now.Wall, latestWall)-sinceStart-sent.Wall) * time.Millisecond
 	return max(0, wall) + maxClockError
 }
 
--- a/models/prepaid/clock_test.go
+++ b/models/prepaid/clock_test.go
@@ -28,3 +28,19 @@
 		}
 	}
 }
+
+// TestMaxTimeUntilExitReadLate checks that the bound doesn't grow with the time from the start
+// of the successor until it reads the report.
+func TestMaxTimeUntilExitReadLate(t *testing.T) {
+	sent := ClockReading{Wall: 1_000_000, Uptime: 50_000, BootID: 1}
+	started := ClockReading{Wall: 1_002_000, Uptime: 500, BootID: 2}
+	now := ClockReading{Wall: 1_006_000, Uptime: 4_500, BootID: 2}
+	if got, want := maxTimeUntilExit(sent, started, now, 0), 2*time.Second+maxClockError; got != want {
+		t.Errorf("got %s, want %s", got, want)
+	}
+	// The wall clock was 1 s behind at the start and has been corrected since.
+	started.Wall -= 1_000
+	if got, want := maxTimeUntilExit(sent, started, now, 0), 2*time.Second+maxClockError; got != want {
+		t.Errorf("after a correction of the clock: got %s, want %s", got, want)
+	}
+}
