Write a grant again right after the read that follows a conflict

Cause: a gateway whose write conflicted read the partition at once, but wrote only at its next tick, 400 ms later, with a view as old as that. With more than two other writers in that time it conflicted again, each time.

Change: after a conflict, the next attempt follows the read.

TestClosesAfterKillOfAll fails before.

--- a/services/prepaid/fault_test.go
+++ b/services/prepaid/fault_test.go
@@ -352,3 +352,48 @@
 		f.startProcess(p)
 	}
 }
+
+// TestClosesAfterKillOfAll checks that the successors of processes that were all killed at
+// once close the grants of their predecessors soon, although their writes conflict.
+func TestClosesAfterKillOfAll(t *testing.T) {
+	const gateways = 16
+	run(t, 4_000_000, func(f *fleet) {
+		var transports []*unreliableTransport
+		startAll := func() {
+			for i := range gateways {
+				transport := &unreliableTransport{inner: site.NewTransport(f.store, storeLatency), rand: rand.New(rand.NewPCG(uint64(i), 0))}
+				table := route.New(route.Contents{Workspaces: map[string]route.Workspace{"clinics": f.workspace}})
+				f.newService(fmt.Sprintf("entry-%d", i), transport, tables{table})
+				transports = append(transports, transport)
+				time.Sleep(startInterval)
+			}
+		}
+		// written returns the number of gateways that have written a grant since a time.
+		written := func(since time.Time) (count int) {
+			for i := range gateways {
+				for number := range grantPartitions {
+					value := f.store.LatestValue(topics.Grants, number, fmt.Sprintf("clinics\x1fentry-%d", i))
+					if grant, err := model.ParseGrant(value); err == nil && grant.Incarnation >= since.UnixMilli() {
+						count++
+					}
+				}
+			}
+			return count
+		}
+		start := time.Now()
+		startAll()
+		f.eventually("all gateways have grants", func() bool { return written(start) == gateways })
+		for _, transport := range transports {
+			transport.kill()
+		}
+		restart := time.Now()
+		startAll()
+		time.Sleep(time.Second)
+		if n := written(restart); n != gateways {
+			f.Errorf("%d of %d grants closed 1 s after the last start", n, gateways)
+		}
+	})
+}
+
+// startInterval is the time between the starts of two processes.
+const startInterval = 17 * time.Millisecond
--- a/services/prepaid/grant.go
+++ b/services/prepaid/grant.go
@@ -37,6 +37,9 @@
 	loaded bool
 	// era is the store's era of next. The service's lock guards it.
 	era int64
+	// conflicted is whether the last write conflicted with that of another gateway. The
+	// service's lock guards it.
+	conflicted bool
 }
 
 func newGrantWriter(s *Service, number int) *grantWriter {
@@ -76,6 +79,9 @@
 	case errors.As(err, &conflict):
 		// Another gateway wrote first. Its records are read before the next attempt.
 		log.Debug("grant conflicted", "partition", g.number, "at", at, "end", conflict.End)
+		g.service.mu.Lock()
+		g.conflicted = true
+		g.service.mu.Unlock()
 		g.follower.TriggerRead()
 	case errors.As(err, &refused):
 		log.Warn("grant refused", "partition", g.number, "at", at, "error", err)
@@ -168,6 +174,11 @@
 			b.DropGrantWritesBefore(next)
 		}
 	}
+	if g.conflicted {
+		// The next attempt follows the read at once, before others write again.
+		g.conflicted = false
+		g.pacer.trigger()
+	}
 	g.service.notify()
 }
 
