--- a/services/prepaid/era_test.go
+++ b/services/prepaid/era_test.go
@@ -286,6 +286,26 @@
 	})
 }
 
+// TestSecondCopy checks that a process which had to do without the grant of its predecessor,
+// as the store had lost it, doesn't state that all its grants are known in the next era.
+func TestSecondCopy(t *testing.T) {
+	run(t, eraTotal, func(f *fleet) {
+		e := &eraFleet{fleet: f}
+		_, services := e.startPair()
+		e.spend(services[0], largeSpend)
+		e.stop(0, true)
+		f.store.Restore()
+		successor := e.start("entry-0", e.newTransport())
+		time.Sleep(3 * time.Second)
+		f.store.Copy()
+		f.store.Restore()
+		time.Sleep(5 * time.Second)
+		e.spend(services[1], eraTotal)
+		e.spend(successor, eraTotal)
+		e.checkSpent()
+	})
+}
+
 // TestRestartsAfterCopy checks that processes which start after all grants were known again
 // use the tokens that their predecessors left, however these ended.
 func TestRestartsAfterCopy(t *testing.T) {
