--- a/standin/site/endless.go
+++ b/standin/site/endless.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"strings"
@@ -49,7 +50,8 @@
 
 // NewEndlessServer starts a server on loopback.
 func NewEndlessServer(r EndlessResponse) (*EndlessServer, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
