Ask for the release only when the store has returned from a copy

Cause: since the release can be read from the directory, each reservation and each planned record copied the list of members to see whether all had stated their grants, also when the store never returned from a copy. Seen while reading the change.

Change: the question is asked only if an era began, or grants of an earlier one are read. Behaviour is the same.

--- a/services/prepaid/era.go
+++ b/services/prepaid/era.go
@@ -60,16 +60,13 @@
 // withheldTokens returns how many of the workspace's tokens were paid in before the store's
 // era began, or 0 if no era began since the first grant.
 func (s *Service) withheldTokens(w route.Workspace, now time.Time) int64 {
-	if s.released() {
-		return 0
-	}
 	s.markLoaded()
 	began := s.eraBeganAt
 	if began.IsZero() && (s.accounts[w.Name].Restored(s.era) || (s.directory != nil && s.directory.Restored())) {
 		// This process started in an era in which others state their grants again.
 		began = s.loadedAt
 	}
-	if began.IsZero() {
+	if began.IsZero() || s.released() {
 		return 0
 	}
 	withheld, exists := s.withheld[w.Name]
