--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -155,8 +155,8 @@
 	s.checkEntry()
 }
 
-// checkEntry requests that the entry of this gateway and the release are written if they
-// are missing or differ.
+// checkEntry updates the entry of this gateway, and requests that it and the release are
+// written if they are missing in the store or differ.
 func (s *Service) checkEntry() {
 	if s.era == s.stated && len(s.lost) == 0 {
 		s.self.StatedEra = s.stated
