--- a/tests/faults/faults_test.go
+++ b/tests/faults/faults_test.go
@@ -2,8 +2,9 @@
 // separate processes. Loopback proxies in front of the store and of each server
 // delay or reset connections and block their traffic in one or both directions.
 // Signals pause, stop and kill processes, and the store refuses requests, drops
-// responses and returns from older copies. The guarantees to callers are checked against the responses that the
-// clients received and the executions that the servers recorded.
+// responses and returns from older copies. The guarantees to callers are checked
+// against the responses that the clients received and the executions that the
+// servers recorded.
 package faults_test
 
 import (
