--- a/models/prepaid/fleet_test.go
+++ b/models/prepaid/fleet_test.go
@@ -20,8 +20,8 @@
 	staleAfter = 600 * time.Millisecond
 	// unmetTTL is how long the size of an unmet request is kept.
 	unmetTTL = time.Second
-	// assumedGateways is the number of gateways assumed before any grant is known.
-	assumedGateways = 4
+	// assumedHolders is the number of gateways assumed before any grant is known.
+	assumedHolders = 4
 	requestDuration = 600 * time.Millisecond
 	// grantWait is how long a request waits for a larger grant, and maxLimitWait how
 	// long it waits until the spending limit covers it.
@@ -202,7 +202,7 @@
 // start starts a new incarnation.
 func (g *entry) start() {
 	g.incarnation++
-	g.budget = prepaid.NewLocalBudget(g.fleet.time(), float64(g.fleet.prepaid)/45/assumedGateways)
+	g.budget = prepaid.NewLocalBudget(g.fleet.time(), float64(g.fleet.prepaid)/45/assumedHolders)
 	g.budget.MarkStarted(g.fleet.time())
 	g.account, g.next, g.loaded, g.unconfirmedReport = prepaid.Account{}, 0, false, nil
 	for _, l := range g.lending {
