--- a/models/prepaid/fleet_test.go
+++ b/models/prepaid/fleet_test.go
@@ -21,7 +21,7 @@
 	// unmetTTL is how long the size of an unmet request is kept.
 	unmetTTL = time.Second
 	// assumedHolders is the number of gateways assumed before any grant is known.
-	assumedHolders = 4
+	assumedHolders  = 4
 	requestDuration = 600 * time.Millisecond
 	// grantWait is how long a request waits for a larger grant, and maxLimitWait how
 	// long it waits until the spending limit covers it.
