Bound what a gateway spent whose newest record is one of an earlier era

Cause: a grant decided before the store returned from a copy may be executed after its holder stated a later one. If the holder was killed before it wrote again, its successor found only the late record, took its predecessor's grant for lost and stated nothing as spent; the others, which knew all grants, granted the tokens a second time.

Change: if the predecessor's report is of the present era, the spending limit bounds what it spent, whatever its grant was.

TestKillAfterGrantOfEarlierEra fails before (485,000 of 300,000 spent).

--- a/models/prepaid/account.go
+++ b/models/prepaid/account.go
@@ -286,6 +286,11 @@
 	r := a.report(h.Instance, g)
 	closed := Grant{PriorSpent: g.PriorSpent, Era: g.Era, Base: g.Base, Restored: g.Restored}
 	switch {
+	case g.Era < h.Era && r.Era == h.Era:
+		// The predecessor wrote in this era, and the record of its grant is a late one of the
+		// era before. Its spending limit bounds what it spent of any grant.
+		spent := g.PriorSpent + r.tokensAfter(maxTimeUntilExit(r.SentAt, h.StartedAt, h.Now, h.LatestWallTime))
+		return Grant{PriorSpent: spent, Base: spent, Era: h.Era}
 	case g.Era < h.Era:
 		// The predecessor may have had a larger grant that the store lost. What it had is
 		// not free.
--- a/services/prepaid/era_test.go
+++ b/services/prepaid/era_test.go
@@ -263,6 +263,37 @@
 	})
 }
 
+// TestKillAfterGrantOfEarlierEra does the same with a gateway that is killed before it can
+// write its grant again, and whose successor finds only the late record in the store.
+func TestKillAfterGrantOfEarlierEra(t *testing.T) {
+	run(t, eraTotal, func(f *fleet) {
+		e := &eraFleet{fleet: f}
+		_, services := e.startPair()
+		const key = "clinics\x1fentry-0"
+		late := map[int][]byte{}
+		for number := range grantPartitions {
+			if value := f.store.LatestValue(topics.Grants, number, key); value != nil {
+				late[number] = value
+			}
+		}
+		f.store.Restore()
+		time.Sleep(5 * time.Second)
+		if !e.spendAtOnce(services[0], largeSpend) {
+			e.Fatal("the tokens were not granted after the store had returned")
+		}
+		time.Sleep(time.Second)
+		e.stop(0, true)
+		for number, value := range late {
+			f.store.PutInPartition(topics.Grants, number, key, value)
+		}
+		successor := e.start("entry-0", e.newTransport())
+		time.Sleep(2 * time.Second)
+		e.spend(services[1], eraTotal)
+		e.spend(successor, eraTotal)
+		e.checkSpent()
+	})
+}
+
 // TestRestoreAfterRestart checks that a process which had closed its predecessor's grant
 // keeps to that when the store returns from a copy made before: what the predecessor spent
 // is not free.
