--- a/services/prepaid/era_test.go
+++ b/services/prepaid/era_test.go
@@ -235,28 +235,39 @@
 	})
 }
 
+// spendInNextEra returns the store from the copy and lets the first gateway spend most of the
+// tokens of a new grant. The function that it returns writes the gateway's grant of the era
+// before once more, as if that was executed late.
+func (e *eraFleet) spendInNextEra(first *prepaid.Service) (writeLate func()) {
+	e.Helper()
+	const key = "clinics\x1fentry-0"
+	late := map[int][]byte{}
+	for number := range grantPartitions {
+		if value := e.store.LatestValue(topics.Grants, number, key); value != nil {
+			late[number] = value
+		}
+	}
+	e.store.Restore()
+	time.Sleep(5 * time.Second)
+	if !e.spendAtOnce(first, largeSpend) {
+		e.Fatal("the tokens were not granted after the store had returned")
+	}
+	return func() {
+		for number, value := range late {
+			e.store.PutInPartition(topics.Grants, number, key, value)
+		}
+	}
+}
+
 // TestGrantOfEarlierEra checks that a grant of an earlier era, written late, has no effect
 // behind a later one of the same gateway.
 func TestGrantOfEarlierEra(t *testing.T) {
 	run(t, eraTotal, func(f *fleet) {
 		e := &eraFleet{fleet: f}
 		gates, services := e.startPair()
-		const key = "clinics\x1fentry-0"
-		late := map[int][]byte{}
-		for number := range grantPartitions {
-			if value := f.store.LatestValue(topics.Grants, number, key); value != nil {
-				late[number] = value
-			}
-		}
-		f.store.Restore()
-		time.Sleep(5 * time.Second)
-		if !e.spendAtOnce(services[0], largeSpend) {
-			e.Fatal("the tokens were not granted after the store had returned")
-		}
+		writeLate := e.spendInNextEra(services[0])
 		gates[0].hold("")
-		for number, value := range late {
-			f.store.PutInPartition(topics.Grants, number, key, value)
-		}
+		writeLate()
 		e.spend(services[1], eraTotal)
 		e.checkSpent()
 		gates[0].open()
@@ -269,23 +280,10 @@
 	run(t, eraTotal, func(f *fleet) {
 		e := &eraFleet{fleet: f}
 		_, services := e.startPair()
-		const key = "clinics\x1fentry-0"
-		late := map[int][]byte{}
-		for number := range grantPartitions {
-			if value := f.store.LatestValue(topics.Grants, number, key); value != nil {
-				late[number] = value
-			}
-		}
-		f.store.Restore()
-		time.Sleep(5 * time.Second)
-		if !e.spendAtOnce(services[0], largeSpend) {
-			e.Fatal("the tokens were not granted after the store had returned")
-		}
+		writeLate := e.spendInNextEra(services[0])
 		time.Sleep(time.Second)
 		e.stop(0, true)
-		for number, value := range late {
-			f.store.PutInPartition(topics.Grants, number, key, value)
-		}
+		writeLate()
 		successor := e.start("entry-0", e.newTransport())
 		time.Sleep(2 * time.Second)
 		e.spend(services[1], eraTotal)
