--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -202,13 +202,20 @@
 		return
 	}
 	s.metrics.CountRefusal(e.Reason.String())
+	var version int64
+	if t := s.catalog.Table(); t != nil {
+		version = t.Version
+	}
+	if j != nil {
+		version = j.tableVersion
+	}
 	pairs := []any{
 		"requestId", r.ID, "reason", e.Reason, "outcome", e.Outcome, "retryAfter", e.RetryAfter,
-		"host", r.Host, "path", r.Path, "tablesAge", s.catalog.Age().Round(time.Millisecond),
+		"host", r.Host, "path", r.Path, "tablesVersion", version, "tablesAge", s.catalog.Age().Round(time.Millisecond),
 	}
 	if j != nil {
 		b := s.budget.Balance(j.workspace)
-		pairs = append(pairs, "route", j.route.Name, "workspace", j.workspace.Name, "tablesVersion", j.tableVersion,
+		pairs = append(pairs, "route", j.route.Name, "workspace", j.workspace.Name,
 			"tokens", r.MaxTotalTokens(), "free", b.Free, "granted", b.Granted, "demand", int64(b.Demand), "unspent", b.Unspent, "accountsAge", b.Age.Round(time.Millisecond))
 	}
 	s.log.Info("request refused", pairs...)
