Ask no peer for tables while the store's response arrives

Cause: a gateway took the time since the last read that had ended for the silence of the store. A read that waits 0.9 s for a change and then transfers 0.8 MB over a 10 Mbit/s link lasts 1.6 s, beyond the 1.2 s after which peers are asked.

Change: follower.Silence is 0 while a response arrives. Age counts from the beginning of the response, as the state lacks what was written since.

--- a/routers/front/peers.go
+++ b/routers/front/peers.go
@@ -108,9 +108,21 @@
 	peers []netip.AddrPort
 }
 
+// PeerOption configures a PeerClient.
+type PeerOption func(*PeerClient)
+
+// WithTransport sets the transport of the requests.
+func WithTransport(t http.RoundTripper) PeerOption {
+	return func(c *PeerClient) { c.http.Transport = t }
+}
+
 // NewPeerClient returns a client of the gateways at these addresses.
-func NewPeerClient(peers []netip.AddrPort) *PeerClient {
-	return &PeerClient{http: &http.Client{Transport: &http.Transport{IdleConnTimeout: peerIdleTimeout}}, peers: peers}
+func NewPeerClient(peers []netip.AddrPort, opts ...PeerOption) *PeerClient {
+	c := &PeerClient{http: &http.Client{Transport: &http.Transport{IdleConnTimeout: peerIdleTimeout}}, peers: peers}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
 }
 
 // Snapshot implements catalog.Peers.
--- a/services/catalog/peers.go
+++ b/services/catalog/peers.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// maxStoreAge is how long a topic may go without a successful read before snapshots
-	// are requested from peers.
-	maxStoreAge      = 1200 * time.Millisecond
+	// maxStoreSilence is how long the store may not respond to the reads of a topic before
+	// snapshots are requested from peers.
+	maxStoreSilence  = 1200 * time.Millisecond
 	peerPollInterval = time.Second
 	peerTimeout      = 500 * time.Millisecond
 )
@@ -53,7 +53,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if s.tables.Age() < maxStoreAge && s.servers.Age() < maxStoreAge {
+		if s.tables.Silence() < maxStoreSilence && s.servers.Silence() < maxStoreSilence {
 			continue
 		}
 		requestCtx, cancel := context.WithTimeout(ctx, peerTimeout)
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -91,11 +92,15 @@
 	trigger chan struct{}
 	// reachable is whether the last read succeeded.
 	reachable atomic.Bool
-	// lastRead is the time of the last successful read, in ns after created.
-	lastRead atomic.Int64
-	created  time.Time
-	cancel   context.CancelFunc
-	running  sync.WaitGroup
+	// response is the one that is being read, or nil.
+	response atomic.Pointer[response]
+	// currentAt is the time at which the state was that of the store, in ns after created.
+	currentAt atomic.Int64
+	// contactAt is the time of the last successful read, in ns after created.
+	contactAt atomic.Int64
+	created   time.Time
+	cancel    context.CancelFunc
+	running   sync.WaitGroup
 }
 
 // New returns a follower of the partition.
@@ -133,10 +138,42 @@
 // Era returns the store's era of the last snapshot.
 func (f *Follower) Era() int64 { return f.era.Load() }
 
-// Age returns the time since the last successful read, or since the follower was
-// created if there was none.
+// Age returns the time since the response to the last successful read began, or since the
+// follower was created if there was none. The state lacks what was written since.
 func (f *Follower) Age() time.Duration {
-	return time.Since(f.created) - time.Duration(f.lastRead.Load())
+	return time.Since(f.created) - time.Duration(f.currentAt.Load())
+}
+
+// Silence returns the time since the last successful read, or since the follower was created
+// if there was none. It is 0 while a response arrives, which may take long over a thin link.
+func (f *Follower) Silence() time.Duration {
+	if r := f.response.Load(); r != nil && r.began.Load() != nil {
+		return 0
+	}
+	return time.Since(f.created) - time.Duration(f.contactAt.Load())
+}
+
+// response is a response of the store that is being read.
+type response struct {
+	// began is when its first byte arrived, or nil.
+	began atomic.Pointer[time.Time]
+}
+
+// trace returns a context that records the beginning of the response. A snapshot may have
+// several pages; its state is that of the first.
+func (r *response) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		now := time.Now()
+		r.began.CompareAndSwap(nil, &now)
+	}})
+}
+
+// beganAt returns when the response began, or the present time if that was not recorded.
+func (r *response) beganAt() time.Time {
+	if began := r.began.Load(); began != nil {
+		return *began
+	}
+	return time.Now()
 }
 
 func (f *Follower) run(ctx context.Context) {
@@ -146,12 +183,14 @@
 	}
 	retryDelays.Reset()
 	for ctx.Err() == nil {
-		readStart := time.Now()
-		err := f.read(ctx)
+		readStart, r := time.Now(), &response{}
+		f.response.Store(r)
+		err := f.read(r.trace(ctx))
 		if ctx.Err() != nil {
 			return
 		}
-		f.recordResult(err)
+		f.recordResult(r.beganAt(), err)
+		f.response.Store(nil)
 		if err != nil {
 			if !delay.Wait(ctx, retryDelays.NextBackOff()) {
 				return
@@ -191,9 +230,9 @@
 	return true
 }
 
-// recordResult logs a change of the store's reachability and passes it to the handler.
-// Expired records are no failure of the store.
-func (f *Follower) recordResult(err error) {
+// recordResult logs a change of the store's reachability and passes it to the handler. The
+// response to the read began at respondedAt. Expired records are no failure of the store.
+func (f *Follower) recordResult(respondedAt time.Time, err error) {
 	var expired *record.ExpiredError
 	if errors.As(err, &expired) {
 		f.log.Warn("records expired", "error", err)
@@ -210,7 +249,8 @@
 		f.log.Debug("store still unreachable", "error", err)
 	}
 	if ok {
-		f.lastRead.Store(int64(time.Since(f.created)))
+		f.currentAt.Store(int64(respondedAt.Sub(f.created)))
+		f.contactAt.Store(int64(time.Since(f.created)))
 	}
 	f.handler.SetReachable(ok)
 }
