Refuse a request for good only by tables that are current

Clients take 404 and 401 as final and don't try another gateway.

Cause: a gateway that had not been able to read the tables for seconds knew that (its log had the age), and still gave final answers by them. Whatever delays the tables, that turns a delay into refused callers.

Change: if the tables were last known to be the newest ones longer ago than three quarters of the operators' bound, a request without a route or with an unknown key gets 503 and Retry-After, with reason notReady. A peer tells how old its tables are, so a gateway that lost the store alone stays current by its peers.

--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -33,6 +33,9 @@
 const (
 	tablePollShare  = 0.3
 	serverReadShare = 0.15
+	// currentShare is the part of the bound of the tables in which they count as current
+	// without a further read.
+	currentShare = 0.75
 )
 
 // Codec decodes the records of the store.
@@ -81,6 +84,8 @@
 	serversLoaded bool
 	serverRecords map[string]record.Record
 	tableRecord   record.Record
+	// currentAt is when the tables were those of a peer that knew them to be current.
+	currentAt time.Time
 	// nextOffset is the offset up to which the servers' topic was read.
 	nextOffset int64
 	balancers  map[string]*balance.Balancer
@@ -142,8 +147,18 @@
 // Table returns the current routing tables, or nil if none have been loaded.
 func (s *Service) Table() *route.Table { return s.table.Load() }
 
-// Age returns the time since the topic of the routing tables was last read.
-func (s *Service) Age() time.Duration { return s.tables.Age() }
+// Age returns the time since the routing tables were known to be the newest ones.
+func (s *Service) Age() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return min(s.tables.Age(), time.Since(s.currentAt))
+}
+
+// Current reports whether the routing tables hold all that the operators' bound requires.
+// Tables that are not current may lack routes and API keys.
+func (s *Service) Current() bool {
+	return s.tableBound == 0 || s.Age() < time.Duration(currentShare*float64(s.tableBound))
+}
 
 // Ready reports whether routing tables and servers have been loaded.
 func (s *Service) Ready() bool {
--- a/services/catalog/catalog_test.go
+++ b/services/catalog/catalog_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -153,3 +154,42 @@
 	f.store.SetFault(site.Unavailable)
 	f.eventually("the tables and the server were loaded from the peer", func() bool { return f.version() == 4 && f.available() == 1 && f.catalog.Ready() })
 }
+
+// TestNewRouteUnknownForGoodToOutdatedTables guards against tables that count as current
+// though the store could not be read for longer than the operators' bound.
+func TestNewRouteUnknownForGoodToOutdatedTables(t *testing.T) {
+	for name, tt := range map[string]struct {
+		peerAge time.Duration
+		current bool
+	}{
+		"peer is current":  {time.Second, true},
+		"peer is outdated": {time.Minute, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := site.NewStore()
+				store.Put(operatorTopic, "config", config(1))
+				client := platform.NewStore(netip.MustParseAddrPort("10.0.0.1:80"), metric.New(),
+					platform.WithTransport(site.NewTransport(store, time.Millisecond)))
+				c := catalog.New(hclog.NewNullLogger(), client, platform.Codec{}, catalog.WithBounds(3*time.Second, 3*time.Second),
+					catalog.WithPeers(fixedPeers{catalog.Snapshot{TablesAge: &tt.peerAge}}))
+				if err := c.Start(t.Context(), nil); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(20 * time.Second)
+				if !c.Current() {
+					t.Errorf("not current %s after the last read", c.Age())
+				}
+				store.SetFault(site.Unavailable)
+				time.Sleep(10 * time.Second)
+				if c.Current() != tt.current {
+					t.Errorf("current %t though the tables' age is %s", c.Current(), c.Age())
+				}
+				if err := c.Close(); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
--- a/services/catalog/peers.go
+++ b/services/catalog/peers.go
@@ -34,6 +34,9 @@
 	// NextOffset is the offset up to which the servers' topic was read; 0 if it has not
 	// been read.
 	NextOffset int64 `json:"next"`
+	// TablesAge is the time since the sender's tables were known to be the newest ones, or
+	// nil if the sender doesn't tell.
+	TablesAge *time.Duration `json:"tablesAgeNs,omitempty"`
 }
 
 // Peers requests snapshots from other gateways.
@@ -45,9 +48,10 @@
 
 // Snapshot returns what this catalog has beyond the known state.
 func (s *Service) Snapshot(known Known) Snapshot {
+	age := s.Age()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	snapshot := Snapshot{NextOffset: s.nextOffset}
+	snapshot := Snapshot{NextOffset: s.nextOffset, TablesAge: &age}
 	if t := s.table.Load(); t != nil && t.Version > known.TablesVersion {
 		snapshot.Tables = s.tableRecord
 	}
@@ -84,23 +88,29 @@
 		if s.tables.Silence() < maxStoreSilence && s.servers.Silence() < maxStoreSilence {
 			continue
 		}
+		requestedAt := time.Now()
 		snapshot, err := s.peers.Snapshot(ctx, attempt, s.known())
 		if err != nil {
 			s.log.Debug("peer snapshot not available", "turn", attempt, "error", err)
 			continue
 		}
-		s.mergeSnapshot(snapshot)
+		s.mergeSnapshot(snapshot, requestedAt)
 	}
 }
 
-// mergeSnapshot applies the parts of a peer's snapshot that are newer than this
-// catalog.
-func (s *Service) mergeSnapshot(snapshot Snapshot) {
+// mergeSnapshot applies the parts of a peer's snapshot, requested at a time, that are newer
+// than this catalog.
+func (s *Service) mergeSnapshot(snapshot Snapshot, requestedAt time.Time) {
 	if snapshot.Tables.Value != nil {
 		s.applyTable(snapshot.Tables, "peer")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if age := snapshot.TablesAge; age != nil && s.table.Load() != nil {
+		if at := requestedAt.Add(-*age); at.After(s.currentAt) {
+			s.currentAt = at
+		}
+	}
 	if snapshot.NextOffset <= s.nextOffset {
 		return
 	}
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -39,7 +39,10 @@
 // Catalog provides the routing tables and the balancers of the server pools.
 type Catalog interface {
 	Table() *route.Table
+	// Age returns the time since the tables were known to be the newest ones.
 	Age() time.Duration
+	// Current reports whether the tables can lack no route or API key.
+	Current() bool
 	WithBalancer(pool string, f func(*balance.Balancer))
 }
 
@@ -149,11 +152,11 @@
 	}
 	rt, err := table.Find(r.Host, r.Path)
 	if err != nil {
-		return nil, refusal.New(refusal.UnknownKind, 0, err.Error())
+		return nil, s.refuseUnknown(refusal.UnknownKind, err)
 	}
 	workspace, err := table.Authorize(rt, r.APIKey)
 	if err != nil {
-		return nil, refusal.New(refusal.Unauthenticated, 0, err.Error())
+		return nil, s.refuseUnknown(refusal.Unauthenticated, err)
 	}
 	timeout := rt.Timeout
 	if r.Timeout > 0 && (timeout == 0 || r.Timeout < timeout) {
@@ -167,6 +170,15 @@
 	}, nil
 }
 
+// refuseUnknown refuses a request whose route or API key the tables lack. Callers take the
+// reason as final, so it is given only if the tables are current.
+func (s *Service) refuseUnknown(reason refusal.Reason, err error) error {
+	if !s.catalog.Current() {
+		return refusal.New(refusal.NotReady, notReadyRetryAfter, err.Error()+", by tables that may be outdated: try another entry")
+	}
+	return refusal.New(reason, 0, err.Error())
+}
+
 // reserve reserves the tokens of requests to model engines.
 func (s *Service) reserve(ctx context.Context, j *job) (*prepaid.Hold, error) {
 	if j.pool.Engine == nil {
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -26,11 +26,13 @@
 // fakeCatalog has one pool of plain services and one of model engines.
 type fakeCatalog struct {
 	table     *route.Table
+	outdated  bool
 	balancers map[string]*balance.Balancer
 }
 
 func (c *fakeCatalog) Table() *route.Table { return c.table }
 func (c *fakeCatalog) Age() time.Duration  { return 0 }
+func (c *fakeCatalog) Current() bool       { return !c.outdated }
 func (c *fakeCatalog) WithBalancer(pool string, f func(*balance.Balancer)) {
 	f(c.balancers[pool])
 }
@@ -78,6 +80,7 @@
 type testEnv struct {
 	*testing.T
 	servers []*site.Server
+	catalog *fakeCatalog
 	relay   *relay.Service
 }
 
@@ -88,8 +91,9 @@
 	for _, s := range servers {
 		t.Cleanup(s.Close)
 	}
-	r := relay.New(hclog.NewNullLogger(), platform.HeaderCodec{}, newCatalog(servers...), fakeBudget{}, client, opts...)
-	return &testEnv{T: t, servers: servers, relay: r}
+	c := newCatalog(servers...)
+	r := relay.New(hclog.NewNullLogger(), platform.HeaderCodec{}, c, fakeBudget{}, client, opts...)
+	return &testEnv{T: t, servers: servers, catalog: c, relay: r}
 }
 
 // send relays one request and returns the response.
@@ -374,20 +378,26 @@
 	}
 }
 
-// TestRefusals checks the refusals that precede any send.
+// TestRefusals checks the refusals that precede any send. Outdated tables must not have a
+// request refused for good.
 func TestRefusals(t *testing.T) {
 	env := newTestEnv(t, nil, site.NewServer("s1", 0))
 	for _, tt := range []struct {
-		path   string
-		key    string
-		reason refusal.Reason
+		path     string
+		key      string
+		outdated bool
+		reason   refusal.Reason
+		retry    bool
 	}{
-		{"/nowhere/", "secret", refusal.UnknownKind},
-		{"/once/a", "wrong", refusal.Unauthenticated},
+		{"/nowhere/", "secret", false, refusal.UnknownKind, false},
+		{"/once/a", "wrong", false, refusal.Unauthenticated, false},
+		{"/nowhere/", "secret", true, refusal.NotReady, true},
+		{"/once/a", "wrong", true, refusal.NotReady, true},
 	} {
+		env.catalog.outdated = tt.outdated
 		_, err := env.send(t.Context(), tt.path, "Authorization", "Token "+tt.key)
-		if e, ok := refusal.As(err); !ok || e.Reason != tt.reason || env.arrived() != 0 {
-			t.Errorf("%s: got %v, want %s", tt.path, err, tt.reason)
+		if e, ok := refusal.As(err); !ok || e.Reason != tt.reason || (e.RetryAfter > 0) != tt.retry || env.arrived() != 0 {
+			t.Errorf("%s with outdated %t: got %v, want %s", tt.path, tt.outdated, err, tt.reason)
 		}
 	}
 }
