Log the segments of a request whose server broke off

Servers ended one after the other under requests of one kind.

Cause: the event names neither the prompt's segments nor the workspace, nor whether an event had been passed on, so the logs can't tell the hypotheses apart.

Change: it has all three. No decision changes.

--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -259,10 +259,21 @@
 		}
 		j.log.Info("send not run", append(pairs, "reason", result.reason)...)
 	case unknownOutcome:
-		j.log.Info("send outcome unknown", append(pairs, "reason", result.reason, "error", result.err)...)
+		j.log.Info("send outcome unknown", append(pairs, "workspace", j.workspace.Name, "segments", sharedSegments(j.request.Prefix),
+			"first", j.timeToFirstEvent.Round(time.Millisecond), "reason", result.reason, "error", result.err)...)
 	case callerDisconnected:
 		j.log.Info("caller disconnected", append(pairs, "error", result.err)...)
 	case serverError:
 		j.log.Info("send failed", append(pairs, "status", result.resp.status)...)
 	}
 }
+
+// sharedSegments returns the ids of the prompt's segments but the last, which is specific to
+// the request.
+func sharedSegments(prefix []call.PrefixSegment) []string {
+	var ids []string
+	for i := 0; i+1 < len(prefix); i++ {
+		ids = append(ids, prefix[i].ID)
+	}
+	return ids
+}
