Show that gateways send a prompt that ends servers to one after the other

The test runs three gateways as processes before 12 stand-ins that end when they begin to answer a prompt with one segment, and come back after 1.5 s.

--- /dev/null
+++ b/standin/site/crash.go
@@ -0,0 +1,132 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// CrashingServer is a model server that ends when it begins to write the response to a
+// prompt with a certain segment. It starts again at the same address under another id.
+type CrashingServer struct {
+	name     string
+	segment  string
+	downtime time.Duration
+	address  netip.AddrPort
+	listener net.Listener
+	started  func(id, before string)
+
+	mu       sync.Mutex
+	server   *Server
+	http     *http.Server
+	ends     []time.Time
+	received []time.Time
+	closed   bool
+	running  sync.WaitGroup
+}
+
+// NewCrashingServer returns a server whose streamed responses have the number of events, and
+// that ends under prompts with the segment for the downtime. It listens, and serves after
+// Start.
+func NewCrashingServer(name string, events int, segment string, downtime time.Duration) (*CrashingServer, error) {
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return &CrashingServer{
+		name: name, segment: segment, downtime: downtime, listener: listener,
+		address: listener.Addr().(*net.TCPAddr).AddrPort(),
+		server:  &Server{events: events, executions: map[string]int{}},
+	}, nil
+}
+
+// Start starts the server. The function is called with the id of each start, and with that
+// of the one before.
+func (s *CrashingServer) Start(started func(id, before string)) {
+	s.started = started
+	s.serve(s.listener)
+}
+
+// serve starts the server under the next id.
+func (s *CrashingServer) serve(listener net.Listener) {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		_ = listener.Close()
+		return
+	}
+	before := s.server.ID
+	s.server.ID = fmt.Sprintf("%s-%d", s.name, len(s.ends))
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
+	id, server := s.server.ID, s.http
+	s.mu.Unlock()
+	s.running.Go(func() { _ = server.Serve(listener) })
+	s.started(id, before)
+}
+
+// Address returns the server's listen address.
+func (s *CrashingServer) Address() netip.AddrPort { return s.address }
+
+// Ends returns when the server ended, and Received when prompts with the segment arrived.
+func (s *CrashingServer) Ends() (ends, received []time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append(ends, s.ends...), append(received, s.received...)
+}
+
+// Close ends the server for good.
+func (s *CrashingServer) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	err := s.http.Close()
+	s.mu.Unlock()
+	s.running.Wait()
+	return err
+}
+
+// ServeHTTP implements http.Handler.
+func (s *CrashingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !strings.Contains(r.Header.Get("Prompt-Prefix"), s.segment+":") {
+		s.server.ServeHTTP(w, r)
+		return
+	}
+	s.mu.Lock()
+	s.received = append(s.received, time.Now())
+	misdirected := r.Header.Get("Expect-Instance") != s.server.ID
+	s.mu.Unlock()
+	if misdirected {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+	w.Header().Set("Response-Seal", "seal-of-"+s.name)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	s.crash()
+}
+
+// crash closes the listener and all connections, and starts the server again later.
+func (s *CrashingServer) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	s.ends = append(s.ends, time.Now())
+	ended := s.http
+	s.running.Go(func() {
+		_ = ended.Close()
+		time.Sleep(s.downtime)
+		if listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", s.address.String()); err == nil {
+			s.serve(listener)
+		}
+	})
+}
--- /dev/null
+++ b/tests/faults/crash_test.go
@@ -0,0 +1,163 @@
+package faults_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/crocusline/crocusline/modules/exchange"
+	"github.com/crocusline/crocusline/standin/site"
+	"github.com/crocusline/crocusline/tests/knownred"
+)
+
+const (
+	crashingServers = 12
+	crashDowntime   = 1500 * time.Millisecond
+	crashSegment    = "c0ffee"
+	// knownCrashes is the number of ends after which the segment must be known, and
+	// crashBound the time until no gateway sends prompts with it, but for a few.
+	knownCrashes    = 5
+	crashBound      = 3 * time.Second
+	maxCrashPrompts = 3
+	crashTestLength = 9 * time.Second
+	// minSoundShare is the share of the other requests that must be answered at the first
+	// attempt after the bound.
+	minSoundShare = 0.8
+)
+
+// sentPrompt is a request with a prompt and its status.
+type sentPrompt struct {
+	at     time.Time
+	crash  bool
+	status int
+}
+
+// sendPrompts sends requests with prompts at a constant rate, each third of them with the
+// segment that ends servers. No two are alike.
+func sendPrompts(ctx context.Context, g *gateway) []sentPrompt {
+	var mu sync.Mutex
+	var sent []sentPrompt
+	var senders sync.WaitGroup
+	client := exchange.New()
+	defer func() { _ = client.Close() }()
+	ticker := time.NewTicker(100 * time.Millisecond)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			senders.Wait()
+			return sent
+		}
+		p := sentPrompt{at: time.Now(), crash: n%3 == 2}
+		segment := fmt.Sprintf("b%d", n%7)
+		if p.crash {
+			segment = crashSegment
+		}
+		senders.Go(func() {
+			p.status = sendPrompt(client, g, fmt.Sprintf("%s-%d", g.name, n), fmt.Sprintf("aa:60,%s:30,%x:10", segment, n))
+			mu.Lock()
+			defer mu.Unlock()
+			sent = append(sent, p)
+		})
+	}
+}
+
+func sendPrompt(client *exchange.Client, g *gateway, id, prefix string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	header := http.Header{
+		"Request-Id": {id}, "Authorization": {"Token " + apiKey}, "Deadline-Ms": {"2000"}, "Model": {"m"},
+		"Token-Usage": {fmt.Sprintf("%d,%d", promptTokens, outputTokens)}, "Prompt-Prefix": {prefix},
+	}
+	resp, err := client.Do(ctx, &exchange.Request{
+		Address: g.callerAddress, Method: http.MethodPost, Target: "/draft/x", Host: host, Header: header, Body: []byte("body"),
+	})
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// TestPromptEndsServersOneAfterTheOther guards against prompts that end each server that
+// begins to answer them, and that gateways send to one server after the other. Requests
+// that share other segments and the API key must be served.
+func TestPromptEndsServersOneAfterTheOther(t *testing.T) {
+	f := newFleet(t, buildBinary(t), 3, 0)
+	f.prepaidTokens = 1_000_000
+	f.publish()
+	var servers []*site.CrashingServer
+	for i := range crashingServers {
+		s, err := site.NewCrashingServer(fmt.Sprintf("m%d", i), eventsPerStream, crashSegment, crashDowntime)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Start(func(id, before string) {
+			f.putServer(id, s.Address(), "ready")
+			if before != "" {
+				f.putServer(before, s.Address(), "")
+			}
+		})
+		t.Cleanup(func() { _ = s.Close() })
+		servers = append(servers, s)
+	}
+	requireService(t, f, "before the crashes")
+	ctx, cancel := context.WithTimeout(t.Context(), crashTestLength)
+	defer cancel()
+	var sent []sentPrompt
+	var mu sync.Mutex
+	var clients sync.WaitGroup
+	for _, g := range f.gateways {
+		clients.Go(func() {
+			own := sendPrompts(ctx, g)
+			mu.Lock()
+			defer mu.Unlock()
+			sent = append(sent, own...)
+		})
+	}
+	clients.Wait()
+	knownred.Report(t, crashProblem(servers, sent))
+}
+
+// crashProblem compares what reached the servers with the bounds. It returns "" if all hold.
+func crashProblem(servers []*site.CrashingServer, sent []sentPrompt) string {
+	var ends, received []time.Time
+	for _, s := range servers {
+		e, r := s.Ends()
+		ends, received = append(ends, e...), append(received, r...)
+	}
+	if len(ends) < knownCrashes {
+		return fmt.Sprintf("%d servers ended, the test needs %d", len(ends), knownCrashes)
+	}
+	slices.SortFunc(ends, time.Time.Compare)
+	bound := ends[knownCrashes-1].Add(crashBound)
+	late := 0
+	for _, at := range received {
+		if at.After(bound) {
+			late++
+		}
+	}
+	sound, answered := 0, 0
+	for _, p := range sent {
+		if p.at.After(bound) && !p.crash {
+			sound++
+			if p.status == http.StatusOK {
+				answered++
+			}
+		}
+	}
+	if late > maxCrashPrompts || float64(answered) < minSoundShare*float64(sound) {
+		return fmt.Sprintf("%s after %d servers had ended, %d prompts that end servers were sent, %d ended in all; %d of %d others were answered",
+			crashBound, knownCrashes, late, len(ends), answered, sound)
+	}
+	return ""
+}
