Quarantine prompt segments that end each server that begins to answer them

Cause: a gateway remembers nothing of a request beyond its own sends. A prompt that ends a server is sent to a second one, again when its caller retries, and again with every further request that has the segment.

Change: gateways share through the store which servers ended under which segments, and which of these were answered (models/quarantine, services/quarantine). A segment under which four servers ended, that nothing answered, and that explains more ends than any other is refused with 503 for an hour. An end counts only if the server accepts no connection, and not if more than two end together.

Why this works: the bad segment is never answered and is in every one of its ends; others that share its prompts, caller or server are answered elsewhere.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/crocusline/crocusline/services/catalog"
 	"github.com/crocusline/crocusline/services/directory"
 	"github.com/crocusline/crocusline/services/prepaid"
+	"github.com/crocusline/crocusline/services/quarantine"
 	"github.com/crocusline/crocusline/services/relay"
 )
 
@@ -106,6 +107,7 @@
 	directory    *directory.Service
 	catalog      *catalog.Service
 	prepaid      *prepaid.Service
+	quarantine   *quarantine.Service
 	lag          *schedlag.Meter
 	handler      *front.Handler
 	readiness    *front.Readiness
@@ -127,8 +129,9 @@
 	grants, reports := platform.Codec{}.BudgetTopics()
 	g.prepaid = prepaid.New(logger, g.store, prepaid.Topics{Grants: grants, Reports: reports}, g.catalog, s.Instance,
 		prepaid.WithDirectory(g.directory), prepaid.WithPeers(g.peers, s.Listen.Peers), prepaid.WithMetrics(g.metrics))
+	g.quarantine = quarantine.New(logger, g.store, platform.Codec{}.QuarantineTopic(), s.Instance, g.client)
 	r := relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
-		append(retryOptions(s), relay.WithFleet(g.directory), relay.WithMetrics(g.metrics))...)
+		append(retryOptions(s), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine), relay.WithMetrics(g.metrics))...)
 	g.lag = schedlag.New()
 	g.handler = front.New(logger, platform.HeaderCodec{}, r, g.catalog,
 		front.WithBandwidth(s.Bandwidth), front.WithProcessorDelay(g.lag.Delay))
@@ -166,6 +169,7 @@
 		g.directory,
 		g.catalog,
 		g.prepaid,
+		g.quarantine,
 		&listener{name: "readinessListener", listen: g.listenReadiness},
 	}
 	if g.settings.Listen.Peers.IsValid() {
--- /dev/null
+++ b/models/quarantine/quarantine.go
@@ -0,0 +1,198 @@
+// Package quarantine finds segments of prompts that end each server that begins to answer
+// them, so that they are no longer sent. It is designed for such prompts among many others
+// that share their other segments, workspaces and servers: a server that ends breaks off all
+// its responses, so that other segments seem to end servers too. What tells them apart is
+// that they are answered elsewhere, and that they explain fewer ends.
+package quarantine
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// minCrashes is the number of servers that must have ended under a segment that was
+	// not answered since the first of them.
+	minCrashes = 4
+	// watchedCrashes is the number from which on gateways tell each other that a segment was
+	// answered.
+	watchedCrashes = minCrashes - 1
+	// settleTime is how long a segment must have been the best explanation. Answers that
+	// other gateways received become known within it.
+	settleTime = time.Second
+	// priorAnswer is how long before the first crash an answer clears a segment too: servers
+	// that end together end under all segments that are common.
+	priorAnswer = 2 * time.Second
+	// MaxCrashesTogether is the largest number of servers that a gateway reports if they end
+	// together. More end for another reason than a prompt.
+	MaxCrashesTogether = 2
+	// EvidenceLifetime is how long a crash counts.
+	EvidenceLifetime = time.Minute
+	// Duration is how long a segment stays in quarantine.
+	Duration = time.Hour
+)
+
+// Entry is a quarantine of all prompts that have each of its segments.
+type Entry struct {
+	Segments []string
+	Until    time.Time
+}
+
+// matches reports whether the entry applies to a prompt with the segments.
+func (e Entry) matches(segments []string) bool {
+	for _, id := range e.Segments {
+		if !slices.Contains(segments, id) {
+			return false
+		}
+	}
+	return true
+}
+
+// suspect is a segment under which servers ended.
+type suspect struct {
+	// crashes holds when servers ended, by the identity of their start.
+	crashes map[string]time.Time
+	// convictedAt is when minCrashes was reached, or the zero value.
+	convictedAt time.Time
+}
+
+// Tracker collects which servers ended under which segments. The order of its events
+// matters, their times only for the lifetime of evidence.
+type Tracker struct {
+	suspects map[string]*suspect
+	entries  map[string]Entry
+}
+
+// NewTracker returns a tracker without evidence.
+func NewTracker() *Tracker {
+	return &Tracker{suspects: map[string]*suspect{}, entries: map[string]Entry{}}
+}
+
+// RecordCrash records that a server ended while it was about to answer prompts with these
+// segments. The server is identified by its start. Evidence that is recorded again has no
+// effect.
+func (t *Tracker) RecordCrash(now time.Time, server string, segments []string) {
+	if _, explained := t.Find(now, segments); explained {
+		return
+	}
+	for _, id := range segments {
+		s, exists := t.suspects[id]
+		if !exists {
+			s = &suspect{crashes: map[string]time.Time{}}
+			t.suspects[id] = s
+		}
+		if _, known := s.crashes[server]; known {
+			continue
+		}
+		s.crashes[server] = now
+		if len(s.crashes) == minCrashes {
+			s.convictedAt = now
+		}
+	}
+}
+
+// RecordAnswer records that a server answered a prompt with the segment.
+func (t *Tracker) RecordAnswer(segment string) { delete(t.suspects, segment) }
+
+// Watched returns the segments whose answers should be recorded, with the time from which on
+// an answer clears each.
+func (t *Tracker) Watched() map[string]time.Time {
+	watched := map[string]time.Time{}
+	for id, s := range t.suspects {
+		if len(s.crashes) >= watchedCrashes {
+			first := slices.MinFunc(slices.Collect(maps.Values(s.crashes)), time.Time.Compare)
+			watched[id] = first.Add(-priorAnswer)
+		}
+	}
+	return watched
+}
+
+// Expire forgets crashes and entries whose time has passed, and reports whether there are any
+// suspects.
+func (t *Tracker) Expire(now time.Time) bool {
+	for id, s := range t.suspects {
+		maps.DeleteFunc(s.crashes, func(_ string, at time.Time) bool { return now.Sub(at) > EvidenceLifetime })
+		if len(s.crashes) < minCrashes {
+			s.convictedAt = time.Time{}
+		}
+		if len(s.crashes) == 0 {
+			delete(t.suspects, id)
+		}
+	}
+	maps.DeleteFunc(t.entries, func(_ string, e Entry) bool { return !now.Before(e.Until) })
+	return len(t.suspects) > 0
+}
+
+// Conclude adds an entry for each segment that explains at least minCrashes crashes, and more
+// than any other segment explains of them. Segments that explain the same crashes form one
+// entry, which applies to prompts with all of them.
+func (t *Tracker) Conclude(now time.Time) []Entry {
+	var concluded []Entry
+	for _, id := range slices.Sorted(maps.Keys(t.suspects)) {
+		s, exists := t.suspects[id]
+		if !exists || s.convictedAt.IsZero() || now.Sub(s.convictedAt) < settleTime {
+			continue
+		}
+		if same, best := t.explainsMost(s); best {
+			e := Entry{Segments: same, Until: now.Add(Duration)}
+			t.Add(e)
+			t.explain(maps.Clone(s.crashes))
+			concluded = append(concluded, e)
+		}
+	}
+	return concluded
+}
+
+// explainsMost returns the segments with the same crashes as the suspect, and whether all
+// others that have one of these crashes have fewer.
+func (t *Tracker) explainsMost(s *suspect) (same []string, best bool) {
+	for id, other := range t.suspects {
+		common := 0
+		for server := range s.crashes {
+			if _, exists := other.crashes[server]; exists {
+				common++
+			}
+		}
+		switch {
+		case common == len(s.crashes) && len(other.crashes) == common:
+			same = append(same, id)
+		case common > 0 && len(other.crashes) >= len(s.crashes):
+			return nil, false
+		}
+	}
+	slices.Sort(same)
+	return same, true
+}
+
+// explain removes crashes whose cause is known from all suspects.
+func (t *Tracker) explain(crashes map[string]time.Time) {
+	for id, s := range t.suspects {
+		maps.DeleteFunc(s.crashes, func(server string, _ time.Time) bool { _, known := crashes[server]; return known })
+		if len(s.crashes) < minCrashes {
+			s.convictedAt = time.Time{}
+		}
+		if len(s.crashes) == 0 {
+			delete(t.suspects, id)
+		}
+	}
+}
+
+// Add adds an entry.
+func (t *Tracker) Add(e Entry) { t.entries[e.Key()] = e }
+
+// Remove removes the entry with the key.
+func (t *Tracker) Remove(key string) { delete(t.entries, key) }
+
+// Entries returns all entries.
+func (t *Tracker) Entries() []Entry { return slices.Collect(maps.Values(t.entries)) }
+
+// Find returns the entry that applies to a prompt with the segments, if there is one.
+func (t *Tracker) Find(now time.Time, segments []string) (Entry, bool) {
+	for _, e := range t.entries {
+		if now.Before(e.Until) && e.matches(segments) {
+			return e, true
+		}
+	}
+	return Entry{}, false
+}
--- a/models/refusal/reason.go
+++ b/models/refusal/reason.go
@@ -38,13 +38,14 @@
 	OutcomeUnknown                      // outcomeUnknown
 	ShuttingDown                        // shuttingDown
 	Overloaded                          // overloaded
+	Quarantined                         // quarantined
 )
 
 // Reasons returns all reasons, so that counters can be created before their first
 // use.
 func Reasons() []Reason {
-	all := make([]Reason, 0, int(Overloaded)+1)
-	for r := Unspecified; r <= Overloaded; r++ {
+	all := make([]Reason, 0, int(Quarantined)+1)
+	for r := Unspecified; r <= Quarantined; r++ {
 		all = append(all, r)
 	}
 	return all
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -149,12 +149,28 @@
 	return conn.roundTrip(ctx, r)
 }
 
+// Connect establishes a connection and keeps it for the next request. It returns a DialError
+// if the server accepts none.
+func (c *Client) Connect(ctx context.Context, address netip.AddrPort) error {
+	conn, err := c.dial(ctx, &Request{Address: address})
+	if err != nil {
+		return err
+	}
+	c.putIdle(conn)
+	return nil
+}
+
 // acquire returns an idle connection or establishes a new one.
 func (c *Client) acquire(ctx context.Context, r *Request) (*conn, error) {
 	if idle := c.takeIdle(r.Address); idle != nil {
 		c.reused.Add(1)
 		return idle, nil
 	}
+	return c.dial(ctx, r)
+}
+
+// dial establishes a connection.
+func (c *Client) dial(ctx context.Context, r *Request) (*conn, error) {
 	if !c.reserve(r) {
 		return nil, &DialError{Address: r.Address, PoolExhausted: true}
 	}
--- /dev/null
+++ b/services/quarantine/quarantine.go
@@ -0,0 +1,413 @@
+// Package quarantine keeps prompts from servers that end each server that begins to answer
+// them. The gateways share what they observe through the platform's store: servers that
+// ended, with the segments of the prompts that they were about to answer, and answers to
+// segments under which servers ended. Each gateway concludes from the same observations.
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/crocusline/crocusline/kernel"
+	"github.com/crocusline/crocusline/models/quarantine"
+	"github.com/crocusline/crocusline/models/record"
+	"github.com/crocusline/crocusline/modules/delay"
+	"github.com/crocusline/crocusline/services/follower"
+)
+
+// Name is the service's name.
+const Name = "quarantine"
+
+const (
+	// pollTimeout is how long the store may hold a read open.
+	pollTimeout = 2 * time.Second
+	// gatherTime is how long broken responses of a server are gathered before the server is
+	// called. Servers that end within it end together.
+	gatherTime = 100 * time.Millisecond
+	// stepInterval is the time between two steps while there are suspects.
+	stepInterval = 100 * time.Millisecond
+	// retryInterval is the time between two attempts to write.
+	retryInterval = 500 * time.Millisecond
+	// slots is the number of observations that each gateway keeps in the store.
+	slots = 64
+	// maxSegments and maxSegmentBytes limit the segments of a prompt, and their ids.
+	maxSegments     = 32
+	maxSegmentBytes = 64
+)
+
+// Store is the platform's store of records.
+type Store interface {
+	follower.Log
+	// Append performs a write if its condition holds.
+	Append(ctx context.Context, w record.Write) error
+}
+
+// Dialer establishes connections to servers.
+type Dialer interface {
+	// Connect returns an error if the server accepts no connection.
+	Connect(ctx context.Context, address netip.AddrPort) error
+}
+
+// Server identifies the start of a server.
+type Server struct {
+	ID      string
+	Address netip.AddrPort
+	// Started is in ms since 1970, by the server's clock, or 0 if unknown.
+	Started int64
+}
+
+func (s Server) start() string { return fmt.Sprintf("%s/%d", s.ID, s.Started) }
+
+// Service is the quarantine.
+type Service struct {
+	log      hclog.Logger
+	store    Store
+	topic    string
+	instance string
+	dialer   Dialer
+	follower *follower.Follower
+
+	mu      sync.Mutex
+	tracker *quarantine.Tracker
+	// broken holds the servers whose responses broke off and that are to be called, with the
+	// segments of the prompts.
+	broken map[Server][]string
+	// crashed holds the starts of servers whose end this gateway observed.
+	crashed map[string]time.Time
+	// answered holds when segments were last answered, and answeredBefore those of the time
+	// before prunedAt.
+	answered, answeredBefore map[string]time.Time
+	prunedAt                 time.Time
+	// unwritten are the records to be written, slot is that of the next observation.
+	unwritten []record.Record
+	slot      int
+
+	wake    chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// New returns the quarantine of a gateway.
+func New(log hclog.Logger, store Store, topic, instance string, dialer Dialer) *Service {
+	s := &Service{
+		log: log.Named(Name), store: store, topic: topic, instance: instance, dialer: dialer,
+		tracker: quarantine.NewTracker(), broken: map[Server][]string{}, crashed: map[string]time.Time{},
+		answered: map[string]time.Time{}, answeredBefore: map[string]time.Time{},
+		wake: make(chan struct{}, 1),
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.follower = follower.New(s.log, store, s.partition(), s, follower.WithPace(func() follower.Pace {
+		return follower.Pace{MinInterval: stepInterval, PollTimeout: pollTimeout}
+	}))
+	return s
+}
+
+func (s *Service) partition() record.Partition { return record.Partition{Topic: s.topic} }
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Start implements kernel.Service.
+func (s *Service) Start(context.Context, *kernel.Kernel) error {
+	s.follower.Start(s.ctx)
+	s.running.Go(s.run)
+	return nil
+}
+
+// Close implements kernel.Service.
+func (s *Service) Close() error {
+	s.cancel()
+	s.running.Wait()
+	return s.follower.Close()
+}
+
+// Blocked returns for how long prompts with the segments are in quarantine, and whether they
+// are.
+func (s *Service) Blocked(segments []string) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	e, blocked := s.tracker.Find(now, considered(segments))
+	return e.Until.Sub(now), blocked
+}
+
+// RecordAnswer records that a server answered a prompt with the segments.
+func (s *Service) RecordAnswer(segments []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if now.Sub(s.prunedAt) > quarantine.EvidenceLifetime {
+		s.answered, s.answeredBefore, s.prunedAt = map[string]time.Time{}, s.answered, now
+	}
+	for _, id := range considered(segments) {
+		s.answered[id] = now
+	}
+	s.publishAnswers()
+}
+
+// RecordBroken records that a server broke off the response to a prompt with the segments
+// that it was about to answer. The server is called to find out whether it has ended.
+func (s *Service) RecordBroken(server Server, segments []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil || len(segments) == 0 {
+		return
+	}
+	gathered, pending := s.broken[server]
+	s.broken[server] = union(gathered, considered(segments))
+	if !pending {
+		s.running.Go(func() { s.call(server) })
+	}
+}
+
+// call reports the end of a server that accepts no connection.
+func (s *Service) call(server Server) {
+	if !delay.Wait(s.ctx, gatherTime) {
+		return
+	}
+	err := s.dialer.Connect(s.ctx, server.Address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	segments := s.broken[server]
+	delete(s.broken, server)
+	now := time.Now()
+	if err == nil || s.ctx.Err() != nil {
+		return
+	}
+	s.crashed[server.start()] = now
+	together := 0
+	for _, at := range s.crashed {
+		if now.Sub(at) <= gatherTime {
+			together++
+		}
+	}
+	s.log.Info("server ended under prompts", "server", server.ID, "segments", segments, "together", together+len(s.broken), "error", err)
+	if together+len(s.broken) > quarantine.MaxCrashesTogether {
+		return
+	}
+	s.tracker.RecordCrash(now, server.start(), segments)
+	s.publish(quarantine.Observation{Server: server.start(), Segments: segments})
+	s.publishAnswers()
+}
+
+// publishAnswers publishes the answers to segments that are watched.
+func (s *Service) publishAnswers() {
+	var cleared []string
+	for id, since := range s.tracker.Watched() {
+		if s.answered[id].After(since) || s.answeredBefore[id].After(since) {
+			cleared = append(cleared, id)
+		}
+	}
+	if len(cleared) == 0 {
+		return
+	}
+	slices.Sort(cleared)
+	for _, id := range cleared {
+		s.tracker.RecordAnswer(id)
+	}
+	s.publish(quarantine.Observation{Segments: cleared})
+}
+
+// publish queues an observation for writing.
+func (s *Service) publish(o quarantine.Observation) {
+	o.At = time.Now().UnixMilli()
+	data, err := o.Encode()
+	if err != nil {
+		s.log.Error("cannot encode observation", "error", err)
+		return
+	}
+	s.write(record.Record{Key: fmt.Sprintf("%s/%d", s.instance, s.slot%slots), Value: data})
+	s.slot++
+}
+
+// write queues a record for writing.
+func (s *Service) write(r record.Record) {
+	s.unwritten = append(s.unwritten, r)
+	s.wakeUp()
+}
+
+func (s *Service) wakeUp() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run writes what is queued, and draws conclusions while there are suspects.
+func (s *Service) run() {
+	for {
+		select {
+		case <-s.wake:
+		case <-s.ctx.Done():
+			return
+		}
+		for busy := true; busy; {
+			var wait time.Duration
+			if wait, busy = s.step(); !delay.Wait(s.ctx, wait) {
+				return
+			}
+		}
+	}
+}
+
+// step draws conclusions and writes what is queued. It returns when the next step may follow,
+// and whether one is due.
+func (s *Service) step() (time.Duration, bool) {
+	s.mu.Lock()
+	s.conclude(time.Now())
+	queued := s.unwritten
+	s.unwritten = nil
+	s.mu.Unlock()
+	err := s.append(queued)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	suspected := s.tracker.Expire(time.Now())
+	if err != nil {
+		s.log.Debug("observations not written", "records", len(queued), "error", err)
+		// Evidence that is written twice has no further effect.
+		queued = append(queued, s.unwritten...)
+		s.unwritten = queued[max(0, len(queued)-slots):]
+		return retryInterval, true
+	}
+	return stepInterval, suspected || len(s.unwritten) > 0
+}
+
+func (s *Service) append(records []record.Record) error {
+	if len(records) == 0 {
+		return nil
+	}
+	return s.store.Append(s.ctx, record.Write{Partition: s.partition(), Records: records})
+}
+
+// conclude puts segments in quarantine. The gateways that observed one of the crashes record
+// it for those that start later.
+func (s *Service) conclude(now time.Time) {
+	for _, e := range s.tracker.Conclude(now) {
+		s.log.Warn("prompt segments quarantined", "segments", e.Segments, "until", e.Until)
+		if len(s.crashed) > 0 {
+			s.writeEntry(e)
+		}
+	}
+	for start, at := range s.crashed {
+		if now.Sub(at) > quarantine.EvidenceLifetime {
+			delete(s.crashed, start)
+		}
+	}
+}
+
+func (s *Service) writeEntry(e quarantine.Entry) {
+	data, err := e.Encode()
+	if err != nil {
+		s.log.Error("cannot encode quarantine", "segments", e.Segments, "error", err)
+		return
+	}
+	s.write(record.Record{Key: e.Key(), Value: data})
+}
+
+// considered returns the ids of the first segments, as they are stored. Long ids are replaced
+// by their hash.
+func considered(segments []string) []string {
+	ids := slices.Clone(segments[:min(len(segments), maxSegments)])
+	for i, id := range ids {
+		if len(id) > maxSegmentBytes {
+			ids[i] = strconv.FormatUint(xxhash.Sum64String(id), 16)
+		}
+	}
+	return ids
+}
+
+// union returns the segments of both lists, each once.
+func union(a, b []string) []string {
+	for _, id := range b {
+		if !slices.Contains(a, id) {
+			a = append(a, id)
+		}
+	}
+	return a
+}
+
+// Reset implements follower.Handler.
+func (s *Service) Reset(records []record.Record, _ int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.tracker.Entries()
+	records = slices.Clone(records)
+	slices.SortFunc(records, func(a, b record.Record) int { return int(a.Offset - b.Offset) })
+	listed := map[string]bool{}
+	for _, r := range records {
+		listed[r.Key] = true
+		s.apply(r)
+	}
+	for _, e := range known {
+		if !listed[e.Key()] {
+			// The store may have returned from an older copy.
+			s.writeEntry(e)
+		}
+	}
+	s.publishAnswers()
+	s.wakeUp()
+}
+
+// Apply implements follower.Handler.
+func (s *Service) Apply(records []record.Record, _ int64) {
+	if len(records) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range records {
+		s.apply(r)
+	}
+	s.publishAnswers()
+	s.wakeUp()
+}
+
+func (s *Service) apply(r record.Record) {
+	if quarantine.IsEntryKey(r.Key) {
+		s.applyEntry(r)
+		return
+	}
+	if r.Value == nil {
+		return
+	}
+	o, err := quarantine.ParseObservation(r.Value)
+	if err != nil {
+		s.log.Error("cannot decode observation", "key", r.Key, "offset", r.Offset, "error", err)
+		return
+	}
+	now := time.Now()
+	switch age := now.Sub(time.UnixMilli(o.At)); {
+	case age > quarantine.EvidenceLifetime:
+	case o.Server != "":
+		s.tracker.RecordCrash(now, o.Server, o.Segments)
+	default:
+		for _, id := range o.Segments {
+			s.tracker.RecordAnswer(id)
+		}
+	}
+}
+
+func (s *Service) applyEntry(r record.Record) {
+	if r.Value == nil {
+		s.tracker.Remove(r.Key)
+		return
+	}
+	e, err := quarantine.ParseEntry(r.Value)
+	if err != nil {
+		s.log.Error("cannot decode quarantine", "key", r.Key, "offset", r.Offset, "error", err)
+		return
+	}
+	s.tracker.Add(e)
+}
+
+// SetReachable implements follower.Handler.
+func (s *Service) SetReachable(bool) {}
--- /dev/null
+++ b/services/quarantine/quarantine_test.go
@@ -0,0 +1,128 @@
+package quarantine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/crocusline/crocusline/modules/metric"
+	"github.com/crocusline/crocusline/platform"
+	"github.com/crocusline/crocusline/services/quarantine"
+	"github.com/crocusline/crocusline/standin/site"
+)
+
+// servers accepts connections for those servers that have not ended.
+type servers map[netip.AddrPort]bool
+
+func (s servers) Connect(_ context.Context, address netip.AddrPort) error {
+	if s[address] {
+		return errors.New("connection refused")
+	}
+	return nil
+}
+
+// fixture is a store and the servers, which all gateways share.
+type fixture struct {
+	*testing.T
+	store *site.Store
+	ended servers
+}
+
+func run(t *testing.T, test func(f *fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { test(&fixture{T: t, store: site.NewStore(), ended: servers{}}) })
+}
+
+func (f *fixture) start(instance string) *quarantine.Service {
+	f.Helper()
+	client := platform.NewStore(netip.MustParseAddrPort("10.0.0.1:80"), metric.New(),
+		platform.WithTransport(site.NewTransport(f.store, time.Millisecond)))
+	s := quarantine.New(hclog.NewNullLogger(), client, platform.Codec{}.QuarantineTopic(), instance, f.ended)
+	if err := s.Start(f.Context(), nil); err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() {
+		if err := s.Close(); err != nil {
+			f.Error(err)
+		}
+		time.Sleep(time.Second)
+	})
+	time.Sleep(100 * time.Millisecond)
+	return s
+}
+
+// end ends the n-th server under prompts with the segments, as the gateway observes it.
+func (f *fixture) end(s *quarantine.Service, n int, segments ...string) {
+	server := quarantine.Server{ID: fmt.Sprintf("s%d", n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(n)}), 80)}
+	f.ended[server.Address] = true
+	s.RecordBroken(server, segments)
+	time.Sleep(200 * time.Millisecond)
+}
+
+func (f *fixture) expect(who string, s *quarantine.Service, blocked bool, segments ...string) {
+	f.Helper()
+	if wait, got := s.Blocked(segments); got != blocked || (blocked && wait <= 0) {
+		f.Errorf("%s: prompts with %v blocked %t for %s, want %t", who, segments, got, wait, blocked)
+	}
+}
+
+// TestQuarantineUnknownToOthers guards against a quarantine that only the gateways know that
+// observed the ends, or that a restart of all loses.
+func TestQuarantineUnknownToOthers(t *testing.T) {
+	run(t, func(f *fixture) {
+		a, b, c := f.start("a"), f.start("b"), f.start("c")
+		for n := range 4 {
+			f.end([]*quarantine.Service{a, b}[n%2], n, "common", fmt.Sprintf("own-%d", n), "bad")
+			c.RecordAnswer([]string{"common"})
+		}
+		time.Sleep(2 * time.Second)
+		for who, s := range map[string]*quarantine.Service{"observer": a, "other": c, "started later": f.start("d")} {
+			f.expect(who, s, true, "common", "bad")
+			f.expect(who, s, false, "common", "own-1")
+		}
+	})
+}
+
+// TestServersThatEndForOtherReasons guards against prompts that are blocked though a server
+// answered them elsewhere, though the servers still accept connections, or though they
+// ended together.
+func TestServersThatEndForOtherReasons(t *testing.T) {
+	for name, observe := range map[string]func(f *fixture, a, b *quarantine.Service){
+		"answered elsewhere": func(f *fixture, a, b *quarantine.Service) {
+			for n := range 3 {
+				f.end(a, n, "sound")
+			}
+			b.RecordAnswer([]string{"sound"})
+			f.end(a, 3, "sound")
+		},
+		"responses are cut": func(_ *fixture, a, _ *quarantine.Service) {
+			for n := range 6 {
+				a.RecordBroken(quarantine.Server{ID: fmt.Sprintf("s%d", n)}, []string{"sound"})
+				time.Sleep(200 * time.Millisecond)
+			}
+		},
+		"servers end together": func(f *fixture, a, _ *quarantine.Service) {
+			for n := range 6 {
+				server := quarantine.Server{ID: fmt.Sprintf("s%d", n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(n)}), 80)}
+				f.ended[server.Address] = true
+				a.RecordBroken(server, []string{"sound"})
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(f *fixture) {
+				a, b := f.start("a"), f.start("b")
+				observe(f, a, b)
+				time.Sleep(3 * time.Second)
+				f.expect("a", a, false, "sound")
+				f.expect("b", b, false, "sound")
+			})
+		})
+	}
+}
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -44,6 +44,9 @@
 	deadline     time.Time
 	retryBudget  *retry.WindowBudget
 	hold         *prepaid.Hold
+	// segments are those of the prompt that other requests may have too. Calls to plain
+	// services have none.
+	segments []string
 
 	// tried lists the servers that the request was sent to, possibleRuns counts the
 	// sends after which a server may have run it.
@@ -98,6 +101,9 @@
 func (j *job) run(ctx context.Context, w http.ResponseWriter) error {
 	var fallback *bufferedResponse
 	for sends := 1; ; sends++ {
+		if err := j.checkQuarantine(); err != nil {
+			return j.fail(w, fallback, err)
+		}
 		choice, ok := j.chooseServer()
 		if !ok {
 			if j.lastRefusal == nil {
@@ -136,6 +142,14 @@
 	}
 }
 
+// checkQuarantine returns a refusal if the prompt must not be sent.
+func (j *job) checkQuarantine() *refusal.Error {
+	if wait, blocked := j.service.quarantine.Blocked(j.segments); blocked {
+		return refusal.New(refusal.Quarantined, wait, "backend servers end when they begin to answer prompts with a segment of this one")
+	}
+	return nil
+}
+
 // unknownRefusal returns a refusal of a request that may have run.
 func unknownRefusal(reason refusal.Reason) *refusal.Error {
 	return &refusal.Error{Reason: reason, Outcome: refusal.Unknown, Advice: "the request may have run"}
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -21,6 +21,7 @@
 	"github.com/crocusline/crocusline/modules/exchange"
 	"github.com/crocusline/crocusline/modules/metric"
 	"github.com/crocusline/crocusline/services/prepaid"
+	"github.com/crocusline/crocusline/services/quarantine"
 )
 
 // HeaderCodec translates between requests and the headers used by servers.
@@ -52,6 +53,25 @@
 	Balance(w route.Workspace) prepaid.Balance
 }
 
+// Quarantine keeps prompts from servers that end each server that begins to answer them.
+type Quarantine interface {
+	// Blocked returns for how long prompts with the segments must not be sent, and whether
+	// that is so.
+	Blocked(segments []string) (time.Duration, bool)
+	// RecordAnswer records that a server answered a prompt with the segments.
+	RecordAnswer(segments []string)
+	// RecordBroken records that a server broke off the response to a prompt with the segments
+	// that it was about to answer.
+	RecordBroken(server quarantine.Server, segments []string)
+}
+
+// noQuarantine is the Quarantine of a service without one.
+type noQuarantine struct{}
+
+func (noQuarantine) Blocked([]string) (time.Duration, bool)   { return 0, false }
+func (noQuarantine) RecordAnswer([]string)                    {}
+func (noQuarantine) RecordBroken(quarantine.Server, []string) {}
+
 // Defaults of the options.
 const (
 	// DefaultRetryWindow, DefaultRetryRatio and DefaultRetryExtra limit the retries of
@@ -79,6 +99,9 @@
 	return func(s *Service) { s.retryWindow, s.retryRatio, s.retryExtra = window, ratio, extra }
 }
 
+// WithQuarantine sets the quarantine of prompts. Without one, all are sent.
+func WithQuarantine(q Quarantine) Option { return func(s *Service) { s.quarantine = q } }
+
 // WithMetrics sets the metrics that the service updates.
 func WithMetrics(set *metric.Set) Option { return func(s *Service) { s.metrics = set } }
 
@@ -94,6 +117,7 @@
 	retryRatio  float64
 	retryExtra  int
 	fleet       Fleet
+	quarantine  Quarantine
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.WindowBudget
@@ -104,7 +128,7 @@
 	s := &Service{
 		log: log.Named("relay"), codec: codec, catalog: catalog, budget: budget, client: client,
 		metrics: metric.New(), retryWindow: DefaultRetryWindow, retryRatio: DefaultRetryRatio, retryExtra: DefaultRetryExtra,
-		retryBudgets: map[string]*retry.WindowBudget{},
+		retryBudgets: map[string]*retry.WindowBudget{}, quarantine: noQuarantine{},
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -130,6 +154,10 @@
 		s.recordRefusal(r, nil, err)
 		return err
 	}
+	if err := j.checkQuarantine(); err != nil {
+		s.recordRefusal(r, j, err)
+		return err
+	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
 	j.retryBudget.RecordRequest(time.Now())
@@ -163,8 +191,12 @@
 		timeout = r.Timeout
 	}
 	pool := table.PoolFor(rt, r.ID)
+	var segments []string
+	if pool.Engine != nil {
+		segments = sharedSegments(r.Prefix)
+	}
 	return &job{
-		service: s, request: r, route: rt, pool: pool, workspace: workspace, tableVersion: table.Version,
+		service: s, request: r, route: rt, pool: pool, workspace: workspace, tableVersion: table.Version, segments: segments,
 		deadline: r.ArrivedAt.Add(timeout), retryBudget: s.retryBudgetFor(pool.Name),
 		log: s.log.With("requestId", r.ID),
 	}, nil
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -14,7 +14,9 @@
 	"github.com/crocusline/crocusline/models/balance"
 	"github.com/crocusline/crocusline/models/call"
 	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/roster"
 	"github.com/crocusline/crocusline/modules/exchange"
+	"github.com/crocusline/crocusline/services/quarantine"
 )
 
 const (
@@ -58,6 +60,7 @@
 		_ = resp.Body.Close()
 	}
 	j.reportToBalancer(ctx, id, prompt, result)
+	j.reportToQuarantine(ctx, choice.Server, prompt, result)
 	j.logSend(choice, sends, time.Since(start), result)
 	return result
 }
@@ -246,6 +249,23 @@
 	})
 }
 
+// reportToQuarantine reports the result of a send to the quarantine of prompts.
+func (j *job) reportToQuarantine(ctx context.Context, server roster.Server, prompt *promptTracker, result sendResult) {
+	if len(j.segments) == 0 {
+		return
+	}
+	switch result.(type) {
+	case responseRelayed:
+		if j.status < http.StatusMultipleChoices {
+			prompt.reportAnswer()
+		}
+	case unknownOutcome:
+		if ctx.Err() == nil && !prompt.answered(time.Now()) {
+			j.service.quarantine.RecordBroken(quarantine.Server{ID: server.ID, Address: server.Address, Started: server.Started}, j.segments)
+		}
+	}
+}
+
 // logSend logs a send without a response for the caller.
 func (j *job) logSend(choice balance.Choice, sends int, elapsed time.Duration, result sendResult) {
 	pairs := []any{
@@ -259,7 +279,7 @@
 		}
 		j.log.Info("send not run", append(pairs, "reason", result.reason)...)
 	case unknownOutcome:
-		j.log.Info("send outcome unknown", append(pairs, "workspace", j.workspace.Name, "segments", sharedSegments(j.request.Prefix),
+		j.log.Info("send outcome unknown", append(pairs, "workspace", j.workspace.Name, "segments", j.segments,
 			"first", j.timeToFirstEvent.Round(time.Millisecond), "reason", result.reason, "error", result.err)...)
 	case callerDisconnected:
 		j.log.Info("caller disconnected", append(pairs, "error", result.err)...)
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -38,6 +38,19 @@
 	// silenceTimer cancels the send if the server does not respond, or is nil.
 	silenceTimer *time.Timer
 	promptRead   bool
+	// firstEventAt is when the server sent its first event or the response body.
+	firstEventAt time.Time
+	// answerReported is set once the quarantine was told of the answer.
+	answerReported bool
+}
+
+// answerTime is how long a server must have sent events until it counts as having answered
+// the prompt.
+const answerTime = time.Second
+
+// answered reports whether the server had begun to answer a while ago.
+func (p *promptTracker) answered(now time.Time) bool {
+	return p.promptRead && now.Sub(p.firstEventAt) >= answerTime
 }
 
 // markPromptRead is called for each event or response body and handles the first.
@@ -50,6 +63,7 @@
 		p.silenceTimer.Stop()
 	}
 	now := time.Now()
+	p.firstEventAt = now
 	j := p.job
 	if j.timeToFirstEvent == 0 {
 		j.timeToFirstEvent = now.Sub(j.request.ArrivedAt)
@@ -58,6 +72,14 @@
 	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) { b.RecordFirstEvent(now, p.serverID, p.request, p.cachedTokens) })
 }
 
+// reportAnswer tells the quarantine that the server answers the prompt.
+func (p *promptTracker) reportAnswer() {
+	if !p.answerReported && len(p.job.segments) > 0 {
+		p.answerReported = true
+		p.job.service.quarantine.RecordAnswer(p.job.segments)
+	}
+}
+
 // relayEvents passes on events as they arrive, each only when it is complete.
 func (j *job) relayEvents(w http.ResponseWriter, resp *http.Response, prompt *promptTracker) sendResult {
 	reader := bufio.NewReader(resp.Body)
@@ -84,6 +106,9 @@
 			return callerDisconnected{err: errors.WithStack(err)}
 		}
 		j.eventsSent++
+		if prompt.answered(time.Now()) {
+			prompt.reportAnswer()
+		}
 		if id := eventID(event); id != "" {
 			j.lastEventID = id
 		}
--- a/standin/site/crash.go
+++ b/standin/site/crash.go
@@ -111,6 +111,7 @@
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush()
 	s.crash()
+	panic(http.ErrAbortHandler)
 }
 
 // crash closes the listener and all connections, and starts the server again later.
