Take a response that keeps arriving for no silence

What callers would see: a repeatable request with a large response over a slow path is cut after half of its goal and begun again at another server, and may get none.

The time until the complete response was bounded as if it were the silence of the server.

Change: the timer restarts with each part of the response; the deadline of the request and the timeout of its route bound the whole, as before.

Tests: TestSlowResponseCut gets its response after two runs before, and after one now.

--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -53,6 +53,7 @@
 		Routes: []route.Route{
 			{Name: "once", Host: "a.example", Prefix: "/once/", Kind: route.Once, Timeout: time.Second, Goal: goal, MaxAttempts: 3, Pools: []route.WeightedPool{{Pool: "plain", Weight: 1}}},
 			{Name: "lookup", Host: "a.example", Prefix: "/lookup/", Kind: route.Idempotent, Timeout: time.Second, Goal: goal, MaxAttempts: 2, Pools: []route.WeightedPool{{Pool: "plain", Weight: 1}}},
+			{Name: "report", Host: "a.example", Prefix: "/report/", Kind: route.Idempotent, Timeout: 10 * time.Second, Goal: 2 * time.Second, MaxAttempts: 2, Pools: []route.WeightedPool{{Pool: "plain", Weight: 1}}},
 			{Name: "draft", Host: "a.example", Prefix: "/draft/", Kind: route.ResumableStream, Timeout: time.Second, Goal: goal, MaxAttempts: 2, Pools: []route.WeightedPool{{Pool: "models", Weight: 1}}},
 			{Name: "plan", Host: "a.example", Prefix: "/plan/", Kind: route.Stream, Timeout: time.Second, Goal: goal, MaxAttempts: 3, Pools: []route.WeightedPool{{Pool: "models", Weight: 1}}},
 		},
@@ -378,6 +379,16 @@
 	}
 }
 
+// TestSlowResponseCut guards against a response that keeps arriving, but takes longer than a
+// server may be silent, and is cut and begun again at another server.
+func TestSlowResponseCut(t *testing.T) {
+	env := newTestEnv(t, nil, site.NewServer("s1", 0, site.SlowResponse), site.NewServer("s2", 0, site.SlowResponse))
+	resp, err := env.send(t.Context(), "/report/a", "Deadline-Ms", "10000")
+	if err != nil || resp.Code != http.StatusOK || env.ran() != 1 {
+		t.Errorf("got status %d and %v after %d runs, want 200 after one", resp.Code, err, env.ran())
+	}
+}
+
 // TestRefusals checks the refusals that precede any send. Outdated tables must not have a
 // request refused for good.
 func TestRefusals(t *testing.T) {
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -48,6 +48,7 @@
 	defer cancel(nil)
 	prompt := &promptTracker{job: j, serverID: id, request: req, cachedTokens: choice.CachedTokens}
 	if d, limited := j.silenceTimeout(choice, sends); limited {
+		prompt.silenceTimeout = d
 		prompt.silenceTimer = time.AfterFunc(d, func() { cancel(errSilenceTimeout) })
 		defer prompt.silenceTimer.Stop()
 	}
@@ -56,7 +57,7 @@
 	if err != nil {
 		result = j.classifyError(err)
 	} else {
-		result = j.handleResponse(w, resp, prompt)
+		result = j.handleResponse(w, prompt.watchBody(resp), prompt)
 		_ = resp.Body.Close()
 	}
 	j.reportToBalancer(ctx, id, prompt, result)
@@ -83,10 +84,10 @@
 	}
 }
 
-// silenceTimeout returns how long to wait for the first event or the complete
-// response before the request is sent to another server, and whether there is such
-// a limit. It leaves enough time to reach the latency goal there. Only repeatable
-// requests have a limit.
+// silenceTimeout returns how long to wait for the next part of a response, until its first
+// event or all of it has arrived, before the request is sent to another server, and whether
+// there is such a limit. It leaves enough time to reach the latency goal there. Only
+// repeatable requests have a limit.
 func (j *job) silenceTimeout(choice balance.Choice, sends int) (time.Duration, bool) {
 	if !j.route.Kind.Repeatable() || j.possibleRuns+1 >= j.route.MaxAttempts || sends >= maxSends {
 		return 0, false
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -35,9 +35,11 @@
 	serverID     string
 	request      balance.Request
 	cachedTokens int64
-	// silenceTimer cancels the send if the server does not respond, or is nil.
-	silenceTimer *time.Timer
-	promptRead   bool
+	// silenceTimer cancels the send if the server does not respond, or is nil. It restarts with
+	// each part of the response.
+	silenceTimer   *time.Timer
+	silenceTimeout time.Duration
+	promptRead     bool
 	// firstEventAt is when the server sent its first event or the response body.
 	firstEventAt time.Time
 	// answerReported is set once the quarantine was told of the answer.
@@ -72,6 +74,36 @@
 	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) { b.RecordFirstEvent(now, p.serverID, p.request, p.cachedTokens) })
 }
 
+// watchBody restarts the silence timer whenever a part of the response arrives.
+func (p *promptTracker) watchBody(resp *http.Response) *http.Response {
+	if p.silenceTimer != nil {
+		p.restartSilence()
+		resp.Body = &watchedBody{ReadCloser: resp.Body, prompt: p}
+	}
+	return resp
+}
+
+func (p *promptTracker) restartSilence() {
+	if !p.promptRead {
+		p.silenceTimer.Reset(p.silenceTimeout)
+	}
+}
+
+// watchedBody is the body of a response whose parts restart the silence timer.
+type watchedBody struct {
+	io.ReadCloser
+	prompt *promptTracker
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.prompt.restartSilence()
+	}
+	return n, err
+}
+
 // reportAnswer tells the quarantine that the server answers the prompt.
 func (p *promptTracker) reportAnswer() {
 	if !p.answerReported && len(p.job.segments) > 0 {
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -11,6 +11,12 @@
 	"time"
 )
 
+// SlowPause is the pause between two of the slowPieces pieces of a slow response.
+const (
+	SlowPause  = 250 * time.Millisecond
+	slowPieces = 6
+)
+
 // LargeBodySize is the size in bytes of a response that is too large to be buffered.
 const LargeBodySize = 600 << 10
 
@@ -39,6 +45,9 @@
 	Reset
 	// AbortResponse closes the connection in the middle of the response body.
 	AbortResponse
+	// SlowResponse executes the request and sends the response in pieces, with a pause of
+	// SlowPause before each.
+	SlowResponse
 	// WrongRequestID responds with the Request-Id of another request.
 	WrongRequestID
 )
@@ -189,6 +198,14 @@
 func (s *Server) respondPlain(w http.ResponseWriter, b Behaviour) {
 	body := "answer of " + s.ID
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if b == SlowResponse {
+		for i := range slowPieces {
+			time.Sleep(SlowPause)
+			_, _ = w.Write([]byte(body[i*len(body)/slowPieces : (i+1)*len(body)/slowPieces]))
+			_ = http.NewResponseController(w).Flush()
+		}
+		return
+	}
 	if b == AbortResponse {
 		_, _ = w.Write([]byte(body[:4]))
 		_ = http.NewResponseController(w).Flush()
