--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -57,7 +57,8 @@
 	if err != nil {
 		result = j.classifyError(err)
 	} else {
-		result = j.handleResponse(w, prompt.watchBody(resp), prompt)
+		resp.Body = prompt.watch(resp.Body)
+		result = j.handleResponse(w, resp, prompt)
 		_ = resp.Body.Close()
 	}
 	j.reportToBalancer(ctx, id, prompt, result)
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -74,13 +74,13 @@
 	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) { b.RecordFirstEvent(now, p.serverID, p.request, p.cachedTokens) })
 }
 
-// watchBody restarts the silence timer whenever a part of the response arrives.
-func (p *promptTracker) watchBody(resp *http.Response) *http.Response {
-	if p.silenceTimer != nil {
-		p.restartSilence()
-		resp.Body = &watchedBody{ReadCloser: resp.Body, prompt: p}
+// watch restarts the silence timer now and whenever a part of the body arrives.
+func (p *promptTracker) watch(body io.ReadCloser) io.ReadCloser {
+	if p.silenceTimer == nil {
+		return body
 	}
-	return resp
+	p.restartSilence()
+	return &watchedBody{ReadCloser: body, prompt: p}
 }
 
 func (p *promptTracker) restartSilence() {
