Take a stream that ends with its connection before an event for broken off

What callers would see: 200 and an empty stream that looks complete, from a server that ended before it wrote its first event.

Cause: a response without length or chunks ends where its connection ends. The end of such a stream between two events counted as its end also before the first one. It also counted as an answer to a prompt that ends servers, which would clear the segment.

Change: such a stream counts as complete only after an event.

Tests: TestUnframedStreamWithoutEventsComplete: an empty response with 200 before, for a stream that may be resumed and for one that may not.

--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -379,6 +379,21 @@
 	}
 }
 
+// TestUnframedStreamWithoutEventsComplete guards against a stream that ends with its connection
+// before its first event and is passed on as complete.
+func TestUnframedStreamWithoutEventsComplete(t *testing.T) {
+	env := newTestEnv(t, nil, site.NewServer("s1", 3, site.EndUnframed), site.NewServer("s2", 3))
+	resp, err := env.send(t.Context(), "/draft/a")
+	if want := site.Event(1) + site.Event(2) + site.Event(3); err != nil || resp.Body.String() != want {
+		t.Errorf("got %q and %v, want three events of the second server", resp.Body, err)
+	}
+	env = newTestEnv(t, nil, site.NewServer("s1", 3, site.EndUnframed), site.NewServer("s2", 3))
+	_, err = env.send(t.Context(), "/plan/a")
+	if e, ok := refusal.As(err); !ok || e.Outcome != refusal.Unknown || env.ran() != 1 {
+		t.Errorf("got %v after %d runs, want an unknown outcome after one", err, env.ran())
+	}
+}
+
 // TestSlowResponseCut guards against a response that keeps arriving, but takes longer than a
 // server may be silent, and is cut and begun again at another server.
 func TestSlowResponseCut(t *testing.T) {
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -115,9 +115,11 @@
 // relayEvents passes on events as they arrive, each only when it is complete.
 func (j *job) relayEvents(w http.ResponseWriter, resp *http.Response, prompt *promptTracker) sendResult {
 	reader := bufio.NewReader(resp.Body)
+	// A stream that ends with its connection must have an event to count as complete.
+	complete := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	for {
 		event, err := readEvent(reader)
-		if errors.Is(err, io.EOF) && len(event) == 0 {
+		if errors.Is(err, io.EOF) && len(event) == 0 && complete {
 			j.writeHeader(w, resp)
 			j.complete = true
 			j.possibleRuns++
@@ -126,6 +128,7 @@
 		if err != nil {
 			return unknownOutcome{reason: refusal.ServerFailed, err: err}
 		}
+		complete = true
 		prompt.markPromptRead()
 		if j.alreadySent(event) {
 			continue
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -45,6 +45,9 @@
 	Reset
 	// AbortResponse closes the connection in the middle of the response body.
 	AbortResponse
+	// EndUnframed executes the request and sends the header of a response without length or
+	// chunks, then closes the connection.
+	EndUnframed
 	// SlowResponse executes the request and sends the response in pieces, with a pause of
 	// SlowPause before each.
 	SlowResponse
@@ -182,6 +185,9 @@
 		return
 	case Reset:
 		panic(http.ErrAbortHandler)
+	case EndUnframed:
+		endUnframed(w)
+		return
 	case Unsigned:
 		w.Header().Del("Response-Seal")
 	case WrongRequestID:
@@ -195,6 +201,18 @@
 	s.respondEvents(w, r, b)
 }
 
+// endUnframed sends the header of a stream that ends with its connection, and closes that.
+func endUnframed(w http.ResponseWriter) {
+	netConn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = netConn.Close() }()
+	_, _ = netConn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"))
+	_ = w.Header().Write(netConn)
+	_, _ = netConn.Write([]byte("\r\n"))
+}
+
 func (s *Server) respondPlain(w http.ResponseWriter, b Behaviour) {
 	body := "answer of " + s.ID
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
