--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -29,8 +29,7 @@
 const (
 	// pollTimeout is how long the store may hold a read open.
 	pollTimeout = 2 * time.Second
-	// gatherTime is how long broken responses of a server are gathered before the server is
-	// called. Servers that end within it end together.
+	// gatherTime is how long broken responses are gathered before the servers are called.
 	gatherTime = 100 * time.Millisecond
 	// stepInterval is the time between two steps while there are suspects.
 	stepInterval = 100 * time.Millisecond
@@ -77,8 +76,8 @@
 
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
-	// broken holds the servers whose responses broke off and that are to be called, with the
-	// segments of the prompts.
+	// broken holds the servers that broke off responses and are to be called, with the segments
+	// of the prompts.
 	broken map[Server][]string
 	// crashed holds the starts of servers whose end this gateway observed.
 	crashed map[string]time.Time
@@ -162,43 +161,55 @@
 	if s.ctx.Err() != nil || len(segments) == 0 {
 		return
 	}
-	gathered, pending := s.broken[server]
-	s.broken[server] = union(gathered, considered(segments))
-	if !pending {
-		s.running.Go(func() { s.call(server) })
+	if len(s.broken) == 0 {
+		s.running.Go(s.callBroken)
 	}
+	s.broken[server] = union(s.broken[server], considered(segments))
 }
 
-// call reports the end of a server that accepts no connection.
-func (s *Service) call(server Server) {
+// callBroken gathers servers that break off responses, calls them, and publishes the ends of
+// those that accept no connection.
+func (s *Service) callBroken() {
 	if !delay.Wait(s.ctx, gatherTime) {
 		return
 	}
-	err := s.dialer.Connect(s.ctx, server.Address)
+	s.mu.Lock()
+	broken := s.broken
+	s.broken = map[Server][]string{}
+	s.mu.Unlock()
+	ended := s.call(broken)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	segments := s.broken[server]
-	delete(s.broken, server)
 	now := time.Now()
-	if err == nil || s.ctx.Err() != nil {
-		return
+	for _, c := range ended {
+		s.crashed[c.Server] = now
+		s.tracker.RecordCrash(now, c)
+		s.publish(quarantine.Observation{Server: c.Server, Segments: c.Segments})
 	}
-	s.crashed[server.start()] = now
-	together := 0
-	for _, at := range s.crashed {
-		if now.Sub(at) <= gatherTime {
-			together++
-		}
-	}
-	s.log.Info("server ended under prompts", "server", server.ID, "segments", segments, "together", together+len(s.broken), "error", err)
-	if together+len(s.broken) > quarantine.MaxCrashesTogether {
-		return
-	}
-	s.tracker.RecordCrash(now, server.start(), segments)
-	s.publish(quarantine.Observation{Server: server.start(), Segments: segments})
 	s.publishAnswers()
 }
 
+// call calls the servers and returns those that accept no connection.
+func (s *Service) call(broken map[Server][]string) []quarantine.Crash {
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	var ended []quarantine.Crash
+	for server, segments := range broken {
+		calls.Go(func() {
+			err := s.dialer.Connect(s.ctx, server.Address)
+			if err == nil || s.ctx.Err() != nil {
+				return
+			}
+			s.log.Info("server ended under prompts", "server", server.ID, "segments", segments, "error", err)
+			mu.Lock()
+			defer mu.Unlock()
+			ended = append(ended, quarantine.Crash{Server: server.start(), Segments: segments})
+		})
+	}
+	calls.Wait()
+	return ended
+}
+
 // publishAnswers publishes the answers to segments that are watched.
 func (s *Service) publishAnswers() {
 	var cleared []string
@@ -388,7 +399,7 @@
 	switch age := now.Sub(time.UnixMilli(o.At)); {
 	case age > quarantine.EvidenceLifetime:
 	case o.Server != "":
-		s.tracker.RecordCrash(now, o.Server, o.Segments)
+		s.tracker.RecordCrash(now, quarantine.Crash{Server: o.Server, Segments: o.Segments})
 	default:
 		for _, id := range o.Segments {
 			s.tracker.RecordAnswer(id)
