Read fewer records of a stream after a read that took too long

What callers would see: an entry or sidecar that starts over a slow link never becomes ready, or keeps old tables.

Change: a read that exceeded its time halves the number of records of the next, and one that took less than a quarter of it doubles it. Doubling after each success was tried: the scan for checkpoints then fails at every second read and begins anew.

--- a/services/stream/read.go
+++ b/services/stream/read.go
@@ -107,7 +107,7 @@
 func (s *Stream) scanCheckpoints(ctx context.Context, oldest int64) (*fence.CheckpointScanner, error) {
 	scanner := fence.NewCheckpointScanner(oldest)
 	for next := oldest; ; {
-		batch, err := s.read(ctx, next, readLimit, 0)
+		batch, err := s.readBatch(ctx, next, 0)
 		if err != nil {
 			return nil, err
 		}
@@ -148,6 +148,21 @@
 	return s.log.Read(ctx, s.name, from, limit, wait)
 }
 
+// readBatch reads records as far as they arrive within the timeout: fewer after each read
+// that took longer.
+func (s *Stream) readBatch(ctx context.Context, from int64, wait time.Duration) (platform.Batch, error) {
+	start := time.Now()
+	batch, err := s.read(ctx, from, s.limit, wait)
+	took := time.Since(start)
+	switch {
+	case err == nil && took < readTimeout/4:
+		s.limit = min(2*s.limit, readLimit)
+	case err != nil && ctx.Err() == nil && took >= wait+readTimeout:
+		s.limit = max(s.limit/2, 1)
+	}
+	return batch, err
+}
+
 // readNext reads and applies the next records.
 func (s *Stream) readNext(ctx context.Context) error {
 	s.mu.Lock()
@@ -157,7 +172,7 @@
 		wait = 0
 	}
 	s.mu.Unlock()
-	batch, err := s.read(ctx, next, readLimit, wait)
+	batch, err := s.readBatch(ctx, next, wait)
 	if err != nil {
 		return err
 	}
--- a/services/stream/stream.go
+++ b/services/stream/stream.go
@@ -94,6 +94,10 @@
 	// or at which the stream was started.
 	checkpointReadAt time.Time
 
+	// limit is the maximum number of records of the next read. It is used only by the goroutine
+	// of readLoop.
+	limit int
+
 	// sequence and lastAppendAt are used only by the goroutine of writeLoop.
 	sequence     uint64
 	lastAppendAt time.Time
@@ -137,6 +141,7 @@
 		logger:         hclog.NewNullLogger(),
 		appendInterval: DefaultAppendInterval,
 		limiter:        rate.NewLimiter(rate.Inf, 1),
+		limit:          readLimit,
 		readWait:       DefaultReadWait,
 		schedule:       DefaultSchedule,
 		queue:          make(chan *pendingAppend, DefaultQueueSize),
--- a/services/stream/stream_test.go
+++ b/services/stream/stream_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/crocusline/crocusline/coordination/fence"
 	"github.com/crocusline/crocusline/kernel"
+	"github.com/crocusline/crocusline/modules/delay"
+	"github.com/crocusline/crocusline/modules/platform"
 	"github.com/crocusline/crocusline/modules/platform/platformtest"
 	"github.com/crocusline/crocusline/services/stream"
 )
@@ -269,3 +271,41 @@
 		expectBodies(t, s, machine, "[1 2]")
 	})
 }
+
+// slowLog is a log whose records arrive over a link that carries perSecond of them.
+type slowLog struct {
+	*platformtest.Log
+	perSecond int
+}
+
+func (l *slowLog) Read(ctx context.Context, name string, from int64, limit int, wait time.Duration) (platform.Batch, error) {
+	batch, err := l.Log.Read(ctx, name, from, limit, wait)
+	if err != nil || delay.Wait(ctx, time.Duration(len(batch.Records))*time.Second/time.Duration(l.perSecond)) {
+		return batch, err
+	}
+	return platform.Batch{}, &platform.UnavailableError{Stream: name, Cause: ctx.Err()}
+}
+
+// TestStreamNeverReadOverSlowLink guards against a read of more records than arrive within
+// its timeout, which is repeated for ever.
+func TestStreamNeverReadOverSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := platformtest.New()
+		writer, _ := start(t, "a", log)
+		for i := range 400 {
+			appendAll(t, writer, fmt.Sprint(i))
+		}
+		machine := &bodyList{}
+		reader := stream.New("s", "b", &slowLog{Log: log, perSecond: 50}, machine)
+		reader.Run(t.Context())
+		time.Sleep(time.Minute)
+		reader.View(func(stream.Status) {
+			if len(machine.bodies) != 400 {
+				t.Errorf("%d of 400 records were read within a minute", len(machine.bodies))
+			}
+		})
+		if err := reader.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
