Take a server whose connections are all in use for one that runs

Cause: the quarantine calls a server that broke off a response. If this gateway has as many connections to it as it may, no further one is established, and the server counted as ended.

Change: Connect returns no error then. Blocked returns no time for prompts that are not in quarantine, and a quarantine that is read from the store is logged.

Tests: TestFullPoolNoEnd fails before.

--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -150,9 +150,13 @@
 }
 
 // Connect establishes a connection and keeps it for the next request. It returns a DialError
-// if the server accepts none.
+// if the server accepts none. If all connections to it are in use, none is established.
 func (c *Client) Connect(ctx context.Context, address netip.AddrPort) error {
 	conn, err := c.dial(ctx, &Request{Address: address})
+	var failed *DialError
+	if errors.As(err, &failed) && failed.PoolExhausted {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/modules/exchange/exchange_test.go
+++ b/modules/exchange/exchange_test.go
@@ -262,6 +262,25 @@
 	}
 }
 
+// TestFullPoolNoEnd guards against a server whose connections are all in use and that counts
+// as one that accepts none.
+func TestFullPoolNoEnd(t *testing.T) {
+	s := newScriptedServer(t, func(_ net.Conn, requests *bufio.Reader) { _, _ = readRequestID(requests) })
+	c := exchange.New()
+	for range exchange.DefaultMaxConns + 1 {
+		if err := c.Connect(t.Context(), s.address()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = c.Close()
+	closed := exchange.New()
+	defer func() { _ = closed.Close() }()
+	var dial *exchange.DialError
+	if err := closed.Connect(t.Context(), netip.MustParseAddrPort("127.0.0.1:1")); !errors.As(err, &dial) {
+		t.Errorf("got %v, want a DialError of an address without a listener", err)
+	}
+}
+
 // TestMaxConns checks the limit of connections to one server.
 func TestMaxConns(t *testing.T) {
 	release := make(chan struct{})
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -141,7 +141,10 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	e, blocked := s.tracker.Find(now, considered(segments))
-	return e.Until.Sub(now), blocked
+	if !blocked {
+		return 0, false
+	}
+	return e.Until.Sub(now), true
 }
 
 // RecordAnswer records that a server answered a prompt with the segments.
@@ -422,6 +425,7 @@
 		s.log.Error("cannot decode quarantine", "key", r.Key, "offset", r.Offset, "error", err)
 		return
 	}
+	s.log.Info("quarantine read", "segments", e.Segments, "until", e.Until)
 	s.tracker.Add(e)
 }
 
