Let few gateways publish that a suspected segment was answered

Cause: all gateways that had answered a common segment said so at once when servers ended under it, and all read what the others wrote: records with the square of the fleet.

Change: a gateway waits up to 0.3 s, mostly nearly as long, and leaves out what another one has published. Its own conclusions use its answers at once.

--- a/models/quarantine/quarantine.go
+++ b/models/quarantine/quarantine.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -27,6 +28,12 @@
 	// priorAnswer is how long before the first crash an answer clears a segment too: servers
 	// that end together end under all segments that are common.
 	priorAnswer = 2 * time.Second
+	// maxPublicationDelay is the longest time until an answer is published. With the time that
+	// it takes to reach all gateways it is shorter than settleTime.
+	maxPublicationDelay = 300 * time.Millisecond
+	// publicationSkew makes short delays rare, so that most gateways of a large fleet learn of
+	// an answer before they would publish theirs.
+	publicationSkew = 8
 	// EvidenceLifetime is how long a crash counts.
 	EvidenceLifetime = time.Minute
 	// Duration is how long a segment stays in quarantine.
@@ -41,6 +48,13 @@
 	Segments []string
 }
 
+// PublicationDelay returns how long a gateway waits before it publishes an answer, by a random
+// number from 0 to 1. If all did so at once, the records that are read would grow with the
+// square of the fleet.
+func PublicationDelay(random float64) time.Duration {
+	return time.Duration(float64(maxPublicationDelay) * math.Pow(random, 1.0/publicationSkew))
+}
+
 // Entry is a quarantine of all prompts that have each of its segments.
 type Entry struct {
 	Segments []string
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -7,6 +7,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -88,6 +90,10 @@
 	// before prunedAt.
 	answered, answeredBefore map[string]time.Time
 	prunedAt                 time.Time
+	// unpublished are the segments whose answer this gateway is to publish at publishAt,
+	// unless another one does so before.
+	unpublished map[string]bool
+	publishAt   time.Time
 	// unwritten are the records to be written, slot is that of the next observation.
 	unwritten []record.Record
 	slot      int
@@ -103,7 +109,7 @@
 	s := &Service{
 		log: log.Named(Name), store: store, topic: topic, instance: instance, dialer: dialer,
 		tracker: quarantine.NewTracker(), broken: map[Server][]string{}, crashed: map[string]time.Time{},
-		answered: map[string]time.Time{}, answeredBefore: map[string]time.Time{},
+		answered: map[string]time.Time{}, answeredBefore: map[string]time.Time{}, unpublished: map[string]bool{},
 		wake: make(chan struct{}, 1),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -158,7 +164,7 @@
 	for _, id := range considered(segments) {
 		s.answered[id] = now
 	}
-	s.publishAnswers()
+	s.clearAnswered()
 }
 
 // RecordBroken records that a server broke off the response to a prompt with the segments
@@ -194,7 +200,7 @@
 		s.tracker.RecordCrash(now, c)
 		s.publish(quarantine.Observation{Server: c.Server, Segments: c.Segments})
 	}
-	s.publishAnswers()
+	s.clearAnswered()
 }
 
 // call calls the servers and returns those that accept no connection.
@@ -218,22 +224,28 @@
 	return ended
 }
 
-// publishAnswers publishes the answers to segments that are watched.
-func (s *Service) publishAnswers() {
-	var cleared []string
+// clearAnswered clears the watched segments that were answered here, which is published after
+// a delay.
+func (s *Service) clearAnswered() {
 	for id, since := range s.tracker.Watched() {
-		if s.answered[id].After(since) || s.answeredBefore[id].After(since) {
-			cleared = append(cleared, id)
+		if !s.answered[id].After(since) && !s.answeredBefore[id].After(since) {
+			continue
 		}
-	}
-	if len(cleared) == 0 {
-		return
-	}
-	slices.Sort(cleared)
-	for _, id := range cleared {
 		s.tracker.RecordAnswer(id)
+		if len(s.unpublished) == 0 {
+			s.publishAt = time.Now().Add(quarantine.PublicationDelay(rand.Float64()))
+		}
+		s.unpublished[id] = true
+		s.wakeUp()
+	}
+}
+
+// publishAnswers publishes the answers that are due.
+func (s *Service) publishAnswers(now time.Time) {
+	if len(s.unpublished) > 0 && !now.Before(s.publishAt) {
+		s.publish(quarantine.Observation{Segments: slices.Sorted(maps.Keys(s.unpublished))})
+		clear(s.unpublished)
 	}
-	s.publish(quarantine.Observation{Segments: cleared})
 }
 
 // publish queues an observation for writing.
@@ -282,7 +294,9 @@
 // and whether one is due.
 func (s *Service) step() (time.Duration, bool) {
 	s.mu.Lock()
-	s.conclude(time.Now())
+	now := time.Now()
+	s.conclude(now)
+	s.publishAnswers(now)
 	queued := s.unwritten
 	s.unwritten = nil
 	s.mu.Unlock()
@@ -297,6 +311,9 @@
 		s.unwritten = queued[max(0, len(queued)-maxUnwritten):]
 		return retryInterval, true
 	}
+	if len(s.unpublished) > 0 {
+		return min(stepInterval, time.Until(s.publishAt)), true
+	}
 	return stepInterval, suspected || len(s.unwritten) > 0
 }
 
@@ -372,7 +389,7 @@
 			s.writeEntry(e)
 		}
 	}
-	s.publishAnswers()
+	s.clearAnswered()
 	s.wakeUp()
 }
 
@@ -386,7 +403,7 @@
 	for _, r := range records {
 		s.apply(r)
 	}
-	s.publishAnswers()
+	s.clearAnswered()
 	s.wakeUp()
 }
 
@@ -411,6 +428,7 @@
 	default:
 		for _, id := range o.Segments {
 			s.tracker.RecordAnswer(id)
+			delete(s.unpublished, id)
 		}
 	}
 }
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -118,3 +118,30 @@
 		})
 	}
 }
+
+// TestAnswersPublishedByAll guards against answers to a common segment that each gateway
+// publishes and each other one reads.
+func TestAnswersPublishedByAll(t *testing.T) {
+	run(t, func(f *fixture) {
+		const gateways = 60
+		a := f.start("a")
+		var others []string
+		for i := range gateways {
+			others = append(others, fmt.Sprintf("g%d", i))
+			f.start(others[i]).RecordAnswer([]string{"common"})
+		}
+		for n := range 3 {
+			f.end(a, n, "common")
+		}
+		time.Sleep(time.Second)
+		published := 0
+		for _, instance := range others {
+			if f.store.LatestValue(platform.Codec{}.QuarantineTopic(), 0, instance+"/0") != nil {
+				published++
+			}
+		}
+		if published == 0 || published > gateways/2 {
+			t.Errorf("%d of %d gateways published that a segment was answered, want one or a few", published, gateways)
+		}
+	})
+}
