Say crash where a server crashes

The field that held when a suspect had enough crashes is named so. No behaviour changes but texts: the event is `server crashed under prompts`, and the test of the processes TestPromptCrashesServersOneAfterTheOther.

--- a/models/quarantine/quarantine.go
+++ b/models/quarantine/quarantine.go
@@ -1,8 +1,8 @@
-// Package quarantine finds segments of prompts that end each server that begins to answer
+// Package quarantine finds segments of prompts that crash each server that begins to answer
 // them, so that they are no longer sent. It is designed for such prompts among many others
-// that share their other segments, workspaces and servers: a server that ends breaks off all
-// its responses, so that other segments seem to end servers too. What tells them apart is
-// that they are answered elsewhere, and that they explain fewer ends.
+// that share their other segments, workspaces and servers: a server that crashes breaks off all
+// its responses, so that other segments seem to crash servers too. What tells them apart is
+// that they are answered elsewhere, and that they explain fewer crashes.
 package quarantine
 
 import (
@@ -13,20 +13,20 @@
 )
 
 const (
-	// minCrashes is the number of servers that must have ended under a segment that was
+	// minCrashes is the number of servers that must have crashed under a segment that was
 	// not answered since the first of them.
 	minCrashes = 4
 	// watchedCrashes is the number from which on gateways tell each other that a segment was
 	// answered.
 	watchedCrashes = minCrashes - 1
-	// minShare is the part of all ends since the first one under a segment that it must
-	// explain. Pools that end as a whole end under many segments.
+	// minShare is the part of all crashes since the first one under a segment that it must
+	// explain. Pools that crash as a whole crash under many segments.
 	minShare = 0.25
 	// settleTime is how long a segment must have been the best explanation. Answers that
 	// other gateways received become known within it.
 	settleTime = time.Second
 	// priorAnswer is how long before the first crash an answer clears a segment too: servers
-	// that end together end under all segments that are common.
+	// that crash together crash under all segments that are common.
 	priorAnswer = 2 * time.Second
 	// maxPublicationDelay is the longest time until an answer is published. With the time that
 	// it takes to reach all gateways it is shorter than settleTime.
@@ -40,7 +40,7 @@
 	Duration = time.Hour
 )
 
-// Crash is a server that ended while it was about to answer prompts of a gateway.
+// Crash is a server that crashed while it was about to answer prompts of a gateway.
 type Crash struct {
 	// Server identifies the server's start.
 	Server string
@@ -71,35 +71,35 @@
 	return true
 }
 
-// suspect is a segment under which servers ended.
+// suspect is a segment under which servers crashed.
 type suspect struct {
-	// crashes holds when servers ended, by the identity of their start.
+	// crashes holds when servers crashed, by the identity of their start.
 	crashes map[string]time.Time
-	// convictedAt is when minCrashes was reached, or the zero value.
-	convictedAt time.Time
+	// reachedAt is when the number of crashes reached minCrashes, or the zero value.
+	reachedAt time.Time
 }
 
-// Tracker collects which servers ended under which segments. The order of its events
+// Tracker collects which servers crashed under which segments. The order of its events
 // matters, their times only for the lifetime of evidence.
 type Tracker struct {
-	// ends holds when servers ended, by the identity of their start, if no entry explains it.
-	ends     map[string]time.Time
+	// crashed holds when servers crashed, by the identity of their start, if no entry explains it.
+	crashed  map[string]time.Time
 	suspects map[string]*suspect
 	entries  map[string]Entry
 }
 
 // NewTracker returns a tracker without evidence.
 func NewTracker() *Tracker {
-	return &Tracker{ends: map[string]time.Time{}, suspects: map[string]*suspect{}, entries: map[string]Entry{}}
+	return &Tracker{crashed: map[string]time.Time{}, suspects: map[string]*suspect{}, entries: map[string]Entry{}}
 }
 
-// RecordCrash records that a server ended. Evidence that is recorded again has no effect.
+// RecordCrash records that a server crashed. Evidence that is recorded again has no effect.
 func (t *Tracker) RecordCrash(now time.Time, c Crash) {
 	if _, explained := t.Find(now, c.Segments); explained {
 		return
 	}
-	if _, known := t.ends[c.Server]; !known {
-		t.ends[c.Server] = now
+	if _, known := t.crashed[c.Server]; !known {
+		t.crashed[c.Server] = now
 	}
 	for _, id := range c.Segments {
 		s, exists := t.suspects[id]
@@ -112,7 +112,7 @@
 		}
 		s.crashes[c.Server] = now
 		if len(s.crashes) == minCrashes {
-			s.convictedAt = now
+			s.reachedAt = now
 		}
 	}
 }
@@ -139,25 +139,25 @@
 	for id, s := range t.suspects {
 		maps.DeleteFunc(s.crashes, func(_ string, at time.Time) bool { return now.Sub(at) > EvidenceLifetime })
 		if len(s.crashes) < minCrashes {
-			s.convictedAt = time.Time{}
+			s.reachedAt = time.Time{}
 		}
 		if len(s.crashes) == 0 {
 			delete(t.suspects, id)
 		}
 	}
-	maps.DeleteFunc(t.ends, func(_ string, at time.Time) bool { return now.Sub(at) > EvidenceLifetime })
+	maps.DeleteFunc(t.crashed, func(_ string, at time.Time) bool { return now.Sub(at) > EvidenceLifetime })
 	maps.DeleteFunc(t.entries, func(_ string, e Entry) bool { return !now.Before(e.Until) })
 	return len(t.suspects) > 0
 }
 
-// Conclude adds an entry for each segment that explains at least minCrashes ends and minShare
+// Conclude adds an entry for each segment that explains at least minCrashes crashes and minShare
 // of all since, and more than any other segment explains of these. Segments that explain the same crashes form one
 // entry, which applies to prompts with all of them.
 func (t *Tracker) Conclude(now time.Time) []Entry {
 	var concluded []Entry
 	for _, id := range slices.Sorted(maps.Keys(t.suspects)) {
 		s, exists := t.suspects[id]
-		if !exists || s.convictedAt.IsZero() || now.Sub(s.convictedAt) < settleTime {
+		if !exists || s.reachedAt.IsZero() || now.Sub(s.reachedAt) < settleTime {
 			continue
 		}
 		if same, best := t.explainsMost(s); best && t.share(s) >= minShare {
@@ -191,11 +191,11 @@
 	return same, true
 }
 
-// share returns the part of all ends since the first one of the suspect that it explains.
+// share returns the part of all crashes since the first one of the suspect that it explains.
 func (t *Tracker) share(s *suspect) float64 {
 	first := slices.MinFunc(slices.Collect(maps.Values(s.crashes)), time.Time.Compare)
 	all := 0
-	for _, at := range t.ends {
+	for _, at := range t.crashed {
 		if !at.Before(first) {
 			all++
 		}
@@ -205,11 +205,11 @@
 
 // explain removes crashes whose cause is known from all suspects.
 func (t *Tracker) explain(crashes map[string]time.Time) {
-	maps.DeleteFunc(t.ends, func(server string, _ time.Time) bool { _, known := crashes[server]; return known })
+	maps.DeleteFunc(t.crashed, func(server string, _ time.Time) bool { _, known := crashes[server]; return known })
 	for id, s := range t.suspects {
 		maps.DeleteFunc(s.crashes, func(server string, _ time.Time) bool { _, known := crashes[server]; return known })
 		if len(s.crashes) < minCrashes {
-			s.convictedAt = time.Time{}
+			s.reachedAt = time.Time{}
 		}
 		if len(s.crashes) == 0 {
 			delete(t.suspects, id)
--- a/models/quarantine/quarantine_test.go
+++ b/models/quarantine/quarantine_test.go
@@ -16,15 +16,15 @@
 	tick = 20 * time.Millisecond
 	// shareDelay is how long an observation takes to reach all gateways.
 	shareDelay = 400 * time.Millisecond
-	// crashTime is how long a server works on a prompt that ends it.
+	// crashTime is how long a server works on a prompt that crashes it.
 	crashTime = 120 * time.Millisecond
 	downtime  = 3 * time.Second
 	window    = time.Second
-	// gatherTime is how long a gateway gathers ends.
+	// gatherTime is how long a gateway gathers crashes.
 	gatherTime = 100 * time.Millisecond
 	badID      = "bad"
 	seeds      = 12
-	// bound is the time after the fifth end from which on maxLateSends bad prompts may be
+	// bound is the time after the fifth crash from which on maxLateSends bad prompts may be
 	// sent.
 	bound        = 3 * time.Second
 	maxLateSends = 3
@@ -37,10 +37,10 @@
 	gateways, servers, segments int
 	// requestRate and badRate are requests per second, in all and with the bad segment.
 	requestRate, badRate float64
-	// massCrash is the share of the servers that end together every 5 s without a cause in
+	// massCrash is the share of the servers that crash together every 5 s without a cause in
 	// a prompt.
 	massCrash float64
-	// crashRate is how many servers end per second, one by one, without a cause in a prompt.
+	// crashRate is how many servers crash per second, one by one, without a cause in a prompt.
 	crashRate float64
 }
 
@@ -54,10 +54,10 @@
 	sends    int
 }
 
-// observed are the ends that a gateway gathers.
+// observed are the crashes that a gateway gathers.
 type observed struct {
-	since time.Duration
-	ends  []quarantine.Crash
+	since   time.Duration
+	crashes []quarantine.Crash
 }
 
 // fleet simulates the servers and what the gateways observe, and one tracker, whose events
@@ -77,9 +77,9 @@
 	delayed  []func()
 	dueAt    []time.Duration
 
-	badEnds, badSends int
-	fifthEnd          time.Duration
-	lateSends         int
+	badCrashes, badSends int
+	fifthCrash           time.Duration
+	lateSends            int
 	// sound counts the other requests.
 	sound, soundRefused int
 }
@@ -115,15 +115,15 @@
 	if r.bad {
 		r.ends = f.now + crashTime
 		f.badSends++
-		if f.fifthEnd > 0 && f.now > f.fifthEnd+bound {
+		if f.fifthCrash > 0 && f.now > f.fifthCrash+bound {
 			f.lateSends++
 		}
 	}
 	f.running = append(f.running, r)
 }
 
-// end ends a server: all its responses break off and are sent once more.
-func (f *fleet) end(server int) {
+// crash crashes a server: all its responses break off and are sent once more.
+func (f *fleet) crash(server int) {
 	start := fmt.Sprintf("%d/%d", server, f.starts[server])
 	f.starts[server]++
 	f.upAt[server] = f.now + downtime
@@ -142,25 +142,25 @@
 		return true
 	})
 	for g, ids := range segments {
-		if len(f.observed[g].ends) == 0 {
+		if len(f.observed[g].crashes) == 0 {
 			f.observed[g].since = f.now
 		}
-		f.observed[g].ends = append(f.observed[g].ends, quarantine.Crash{Server: start, Segments: ids})
+		f.observed[g].crashes = append(f.observed[g].crashes, quarantine.Crash{Server: start, Segments: ids})
 	}
 	for _, r := range again {
 		f.send(r)
 	}
 }
 
-// publish publishes the ends that gateways have gathered for a while.
+// publish publishes the crashes that gateways have gathered for a while.
 func (f *fleet) publish() {
 	for g, o := range f.observed {
-		if len(o.ends) == 0 || f.now-o.since < gatherTime {
+		if len(o.crashes) == 0 || f.now-o.since < gatherTime {
 			continue
 		}
 		f.observed[g] = observed{}
 		f.later(shareDelay, func() {
-			for _, c := range o.ends {
+			for _, c := range o.crashes {
 				f.tracker.RecordCrash(f.time(), c)
 			}
 			f.clearAnswered()
@@ -185,10 +185,10 @@
 		f.send(f.request(badID, true))
 	}
 	if f.massCrash > 0 && f.now%(5*time.Second) == 0 && f.now > 0 {
-		f.endTogether()
+		f.crashTogether()
 	}
 	if i := f.rand.IntN(f.servers); f.rand.Float64() < f.crashRate*tick.Seconds() && f.upAt[i] <= f.now {
-		f.end(i)
+		f.crash(i)
 	}
 	f.finish()
 	f.publish()
@@ -199,16 +199,16 @@
 	return request{segments: []string{fmt.Sprintf("a%d", f.rand.IntN(4)), segment}, gateway: f.rand.IntN(f.gateways), bad: bad}
 }
 
-// endTogether ends a share of the servers.
-func (f *fleet) endTogether() {
+// crashTogether crashes a share of the servers.
+func (f *fleet) crashTogether() {
 	for i := range f.servers {
 		if f.rand.Float64() < f.massCrash && f.upAt[i] <= f.now {
-			f.end(i)
+			f.crash(i)
 		}
 	}
 }
 
-// finish ends the responses that are complete, and the servers under bad prompts.
+// finish completes responses, and crashes the servers under bad prompts.
 func (f *fleet) finish() {
 	for i := 0; i < len(f.running); i++ {
 		r := f.running[i]
@@ -216,10 +216,10 @@
 			continue
 		}
 		if r.bad {
-			if f.badEnds++; f.badEnds == 5 {
-				f.fifthEnd = f.now
+			if f.badCrashes++; f.badCrashes == 5 {
+				f.fifthCrash = f.now
 			}
-			f.end(r.server)
+			f.crash(r.server)
 			i = -1
 			continue
 		}
@@ -252,20 +252,20 @@
 	return f
 }
 
-// TestPatterns replays prompts that end servers, beside others that share their segments and
-// servers, and servers that end for other reasons.
+// TestPatterns replays prompts that crash servers, beside others that share their segments and
+// servers, and servers that crash for other reasons.
 func TestPatterns(t *testing.T) {
 	for name, l := range map[string]load{
-		"bad prompts at a small pool":                {4, 18, 434, 46, 2.5, 0, 0},
-		"bad prompts at a large pool":                {28, 50, 434, 120, 4, 0, 0},
-		"bad prompts at a large fleet":               {103, 160, 900, 240, 6, 0, 0},
-		"few bad prompts":                            {4, 18, 175, 20, 0.4, 0, 0},
-		"a flood of bad prompts":                     {4, 18, 434, 46, 30, 0, 0},
-		"bad prompts, a fifth of the servers ends":   {4, 18, 434, 46, 2.5, 0.2, 0},
-		"no bad prompts, a third of the servers end": {4, 18, 175, 46, 0, 0.33, 0},
-		"no bad prompts, the whole pool ends":        {4, 18, 434, 46, 0, 1, 0},
-		"no bad prompts, a tenth of a large pool":    {28, 50, 434, 120, 0, 0.1, 0},
-		"no bad prompts, servers end one by one":     {4, 18, 175, 46, 0, 0, 1.5},
+		"bad prompts at a small pool":                  {4, 18, 434, 46, 2.5, 0, 0},
+		"bad prompts at a large pool":                  {28, 50, 434, 120, 4, 0, 0},
+		"bad prompts at a large fleet":                 {103, 160, 900, 240, 6, 0, 0},
+		"few bad prompts":                              {4, 18, 175, 20, 0.4, 0, 0},
+		"a flood of bad prompts":                       {4, 18, 434, 46, 30, 0, 0},
+		"bad prompts, a fifth of the servers crashes":  {4, 18, 434, 46, 2.5, 0.2, 0},
+		"no bad prompts, a third of the servers crash": {4, 18, 175, 46, 0, 0.33, 0},
+		"no bad prompts, the whole pool crashes":       {4, 18, 434, 46, 0, 1, 0},
+		"no bad prompts, a tenth of a large pool":      {28, 50, 434, 120, 0, 0.1, 0},
+		"no bad prompts, servers crash one by one":     {4, 18, 175, 46, 0, 0, 1.5},
 	} {
 		t.Run(name, func(t *testing.T) {
 			refused, sound, bad := 0, 0, 0
@@ -273,7 +273,7 @@
 				f := play(l, seed)
 				refused, sound, bad = refused+f.soundRefused, sound+f.sound, bad+f.badSends
 				if f.lateSends > maxLateSends {
-					t.Errorf("seed %d: %d bad prompts were sent later than %s after the fifth end", seed, f.lateSends, bound)
+					t.Errorf("seed %d: %d bad prompts were sent later than %s after the fifth crash", seed, f.lateSends, bound)
 				}
 			}
 			t.Logf("%.1f bad prompts sent a seed, %d of %d others refused", float64(bad)/seeds, refused, sound)
@@ -284,19 +284,19 @@
 	}
 }
 
-// TestConclude checks which segments are quarantined after ends under several ones, and after
-// further ends.
+// TestConclude checks which segments are quarantined after crashes under several ones, and after
+// further crashes.
 func TestConclude(t *testing.T) {
 	for name, tt := range map[string]struct {
-		ends    [][]string
+		crashes [][]string
 		further [][]string
 		want    string
 	}{
-		"three ends":                      {[][]string{{"a"}, {"a"}, {"a"}}, nil, "[]"},
+		"three crashes":                   {[][]string{{"a"}, {"a"}, {"a"}}, nil, "[]"},
 		"another segment shares most":     {[][]string{{"a", "b"}, {"a", "b"}, {"a", "b"}, {"a", "b"}, {"b"}}, nil, "[[b]]"},
 		"another segment shares as many":  {[][]string{{"a", "b"}, {"a", "b"}, {"a", "b"}, {"a"}, {"b"}}, nil, "[]"},
 		"retries of one prompt":           {[][]string{{"a", "b"}, {"a", "b"}, {"a", "b"}, {"a", "b"}}, nil, "[[a b]]"},
-		"two segments that end servers":   {[][]string{{"a"}, {"b"}, {"a"}, {"b"}, {"a"}, {"b"}, {"a"}, {"b"}}, nil, "[[a] [b]]"},
+		"two segments that crash servers": {[][]string{{"a"}, {"b"}, {"a"}, {"b"}, {"a"}, {"b"}, {"a"}, {"b"}}, nil, "[[a] [b]]"},
 		"the quarantine explains earlier": {[][]string{{"b"}, {"a", "b"}, {"a", "b"}, {"a", "b"}}, [][]string{{"a"}}, "[[b]]"},
 		"the quarantine explains later":   {[][]string{{"b"}, {"b"}, {"b"}, {"b"}}, [][]string{{"a", "b"}, {"a", "b"}, {"a", "b"}, {"a", "b"}}, "[[b]]"},
 	} {
@@ -304,8 +304,8 @@
 			tracker := quarantine.NewTracker()
 			now, n := epoch, 0
 			got := [][]string{}
-			for _, ends := range [][][]string{tt.ends, tt.further} {
-				for _, segments := range ends {
+			for _, crashes := range [][][]string{tt.crashes, tt.further} {
+				for _, segments := range crashes {
 					tracker.RecordCrash(now, quarantine.Crash{Server: fmt.Sprintf("s%d", n), Segments: segments})
 					n++
 				}
--- a/models/quarantine/record.go
+++ b/models/quarantine/record.go
@@ -10,12 +10,12 @@
 	"github.com/pkg/errors"
 )
 
-// Observation is a record of what one gateway observed: a server that ended, or segments that
+// Observation is a record of what one gateway observed: a server that crashed, or segments that
 // were answered.
 type Observation struct {
 	// At is the time of day of the writer, in ms since 1970.
 	At int64 `cbor:"1,keyasint"`
-	// Server identifies the start of the server that ended.
+	// Server identifies the start of the server that crashed.
 	Server string `cbor:"2,keyasint,omitempty"`
 	// Segments are those of the prompts that the server was about to answer or, without a
 	// server, those that were answered.
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -1,7 +1,7 @@
-// Package quarantine keeps prompts from servers that end each server that begins to answer
+// Package quarantine keeps prompts from servers that crash each server that begins to answer
 // them. The gateways share what they observe through the platform's store: servers that
-// ended, with the segments of the prompts that they were about to answer, and answers to
-// segments under which servers ended. Each gateway concludes from the same observations.
+// crashed, with the segments of the prompts that they were about to answer, and answers to
+// segments under which servers crashed. Each gateway concludes from the same observations.
 package quarantine
 
 import (
@@ -84,7 +84,7 @@
 	// broken holds the servers that broke off responses and are to be called, with the segments
 	// of the prompts.
 	broken map[Server][]string
-	// crashed holds the starts of servers whose end this gateway observed.
+	// crashed holds the starts of servers that crashed, as this gateway observed.
 	crashed map[string]time.Time
 	// answered holds when segments were last answered, and answeredBefore those of the time
 	// before prunedAt.
@@ -168,7 +168,7 @@
 }
 
 // RecordBroken records that a server broke off the response to a prompt with the segments
-// that it was about to answer. The server is called to find out whether it has ended.
+// that it was about to answer. The server is called to find out whether it has crashed.
 func (s *Service) RecordBroken(server Server, segments []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -181,7 +181,7 @@
 	s.broken[server] = union(s.broken[server], considered(segments))
 }
 
-// callBroken gathers servers that break off responses, calls them, and publishes the ends of
+// callBroken gathers servers that break off responses, calls them, and publishes the crashes of
 // those that accept no connection.
 func (s *Service) callBroken() {
 	if !delay.Wait(s.ctx, gatherTime) {
@@ -191,11 +191,11 @@
 	broken := s.broken
 	s.broken = map[Server][]string{}
 	s.mu.Unlock()
-	ended := s.call(broken)
+	crashed := s.call(broken)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	for _, c := range ended {
+	for _, c := range crashed {
 		s.crashed[c.Server] = now
 		s.tracker.RecordCrash(now, c)
 		s.publish(quarantine.Observation{Server: c.Server, Segments: c.Segments})
@@ -207,21 +207,21 @@
 func (s *Service) call(broken map[Server][]string) []quarantine.Crash {
 	var mu sync.Mutex
 	var calls sync.WaitGroup
-	var ended []quarantine.Crash
+	var crashed []quarantine.Crash
 	for server, segments := range broken {
 		calls.Go(func() {
 			err := s.dialer.Connect(s.ctx, server.Address)
 			if err == nil || s.ctx.Err() != nil {
 				return
 			}
-			s.log.Info("server ended under prompts", "server", server.ID, "segments", segments, "error", err)
+			s.log.Info("server crashed under prompts", "server", server.ID, "segments", segments, "error", err)
 			mu.Lock()
 			defer mu.Unlock()
-			ended = append(ended, quarantine.Crash{Server: server.start(), Segments: segments})
+			crashed = append(crashed, quarantine.Crash{Server: server.start(), Segments: segments})
 		})
 	}
 	calls.Wait()
-	return ended
+	return crashed
 }
 
 // clearAnswered clears the watched segments that were answered here, which is published after
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -17,7 +17,7 @@
 	"github.com/crocusline/crocusline/standin/site"
 )
 
-// servers accepts connections for those servers that have not ended.
+// servers accepts connections for those servers that have not crashed.
 type servers map[netip.AddrPort]bool
 
 func (s servers) Connect(_ context.Context, address netip.AddrPort) error {
@@ -30,20 +30,20 @@
 // fixture is a store and the servers, which all gateways share.
 type fixture struct {
 	*testing.T
-	store *site.Store
-	ended servers
+	store   *site.Store
+	crashed servers
 }
 
 func run(t *testing.T, test func(f *fixture)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) { test(&fixture{T: t, store: site.NewStore(), ended: servers{}}) })
+	synctest.Test(t, func(t *testing.T) { test(&fixture{T: t, store: site.NewStore(), crashed: servers{}}) })
 }
 
 func (f *fixture) start(instance string) *quarantine.Service {
 	f.Helper()
 	client := platform.NewStore(netip.MustParseAddrPort("10.0.0.1:80"), metric.New(),
 		platform.WithTransport(site.NewTransport(f.store, time.Millisecond)))
-	s := quarantine.New(hclog.NewNullLogger(), client, platform.Codec{}.QuarantineTopic(), instance, f.ended)
+	s := quarantine.New(hclog.NewNullLogger(), client, platform.Codec{}.QuarantineTopic(), instance, f.crashed)
 	if err := s.Start(f.Context(), nil); err != nil {
 		f.Fatal(err)
 	}
@@ -57,10 +57,10 @@
 	return s
 }
 
-// end ends the n-th server under prompts with the segments, as the gateway observes it.
-func (f *fixture) end(s *quarantine.Service, n int, segments ...string) {
+// crash crashes the n-th server under prompts with the segments, as the gateway observes it.
+func (f *fixture) crash(s *quarantine.Service, n int, segments ...string) {
 	server := quarantine.Server{ID: fmt.Sprintf("s%d", n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(n)}), 80)}
-	f.ended[server.Address] = true
+	f.crashed[server.Address] = true
 	s.RecordBroken(server, segments)
 	time.Sleep(200 * time.Millisecond)
 }
@@ -73,12 +73,12 @@
 }
 
 // TestQuarantineUnknownToOthers guards against a quarantine that only the gateways know that
-// observed the ends, or that a restart of all loses.
+// observed the crashes, or that a restart of all loses.
 func TestQuarantineUnknownToOthers(t *testing.T) {
 	run(t, func(f *fixture) {
 		a, b, c := f.start("a"), f.start("b"), f.start("c")
 		for n := range 4 {
-			f.end([]*quarantine.Service{a, b}[n%2], n, "common", fmt.Sprintf("own-%d", n), "bad")
+			f.crash([]*quarantine.Service{a, b}[n%2], n, "common", fmt.Sprintf("own-%d", n), "bad")
 			c.RecordAnswer([]string{"common"})
 		}
 		time.Sleep(2 * time.Second)
@@ -89,16 +89,16 @@
 	})
 }
 
-// TestServersThatEndForOtherReasons guards against prompts that are blocked though a server
+// TestServersThatCrashForOtherReasons guards against prompts that are blocked though a server
 // answered them elsewhere, or though the servers still accept connections.
-func TestServersThatEndForOtherReasons(t *testing.T) {
+func TestServersThatCrashForOtherReasons(t *testing.T) {
 	for name, observe := range map[string]func(f *fixture, a, b *quarantine.Service){
 		"answered elsewhere": func(f *fixture, a, b *quarantine.Service) {
 			for n := range 3 {
-				f.end(a, n, "sound")
+				f.crash(a, n, "sound")
 			}
 			b.RecordAnswer([]string{"sound"})
-			f.end(a, 3, "sound")
+			f.crash(a, 3, "sound")
 		},
 		"responses are cut": func(_ *fixture, a, _ *quarantine.Service) {
 			for n := range 6 {
@@ -131,7 +131,7 @@
 			f.start(others[i]).RecordAnswer([]string{"common"})
 		}
 		for n := range 3 {
-			f.end(a, n, "common")
+			f.crash(a, n, "common")
 		}
 		time.Sleep(time.Second)
 		published := 0
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -145,7 +145,7 @@
 // checkQuarantine returns a refusal if the prompt must not be sent.
 func (j *job) checkQuarantine() *refusal.Error {
 	if wait, blocked := j.service.quarantine.Blocked(j.segments); blocked {
-		return refusal.New(refusal.Quarantined, wait, "backend servers end when they begin to answer prompts with a segment of this one")
+		return refusal.New(refusal.Quarantined, wait, "backend servers crash when they begin to answer prompts with a segment of this one")
 	}
 	return nil
 }
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -53,7 +53,7 @@
 	Balance(w route.Workspace) prepaid.Balance
 }
 
-// Quarantine keeps prompts from servers that end each server that begins to answer them.
+// Quarantine keeps prompts from servers that crash each server that begins to answer them.
 type Quarantine interface {
 	// Blocked returns for how long prompts with the segments must not be sent, and whether
 	// that is so.
--- a/standin/site/crash.go
+++ b/standin/site/crash.go
@@ -13,7 +13,7 @@
 	"github.com/pkg/errors"
 )
 
-// CrashingServer is a model server that ends when it begins to write the response to a
+// CrashingServer is a model server that crashes when it begins to write the response to a
 // prompt with a certain segment. It starts again at the same address under another id.
 type CrashingServer struct {
 	name     string
@@ -26,14 +26,14 @@
 	mu       sync.Mutex
 	server   *Server
 	http     *http.Server
-	ends     []time.Time
+	crashes  []time.Time
 	received []time.Time
 	closed   bool
 	running  sync.WaitGroup
 }
 
 // NewCrashingServer returns a server whose streamed responses have the number of events, and
-// that ends under prompts with the segment for the downtime. It listens, and serves after
+// that crashes under prompts with the segment for the downtime. It listens, and serves after
 // Start.
 func NewCrashingServer(name string, events int, segment string, downtime time.Duration) (*CrashingServer, error) {
 	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
@@ -63,7 +63,7 @@
 		return
 	}
 	before := s.server.ID
-	s.server.ID = fmt.Sprintf("%s-%d", s.name, len(s.ends))
+	s.server.ID = fmt.Sprintf("%s-%d", s.name, len(s.crashes))
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
 	id, server := s.server.ID, s.http
 	s.mu.Unlock()
@@ -74,14 +74,14 @@
 // Address returns the server's listen address.
 func (s *CrashingServer) Address() netip.AddrPort { return s.address }
 
-// Ends returns when the server ended, and Received when prompts with the segment arrived.
-func (s *CrashingServer) Ends() (ends, received []time.Time) {
+// Crashes returns when the server crashed, and Received when prompts with the segment arrived.
+func (s *CrashingServer) Crashes() (crashes, received []time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append(ends, s.ends...), append(received, s.received...)
+	return append(crashes, s.crashes...), append(received, s.received...)
 }
 
-// Close ends the server for good.
+// Close stops the server for good.
 func (s *CrashingServer) Close() error {
 	s.mu.Lock()
 	s.closed = true
@@ -121,10 +121,10 @@
 	if s.closed {
 		return
 	}
-	s.ends = append(s.ends, time.Now())
-	ended := s.http
+	s.crashes = append(s.crashes, time.Now())
+	crashed := s.http
 	s.running.Go(func() {
-		_ = ended.Close()
+		_ = crashed.Close()
 		time.Sleep(s.downtime)
 		if listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", s.address.String()); err == nil {
 			s.serve(listener)
--- a/tests/faults/crash_test.go
+++ b/tests/faults/crash_test.go
@@ -21,7 +21,7 @@
 	crashSegment              = "c0ffee"
 	// promptInterval is the time between two requests at all gateways together.
 	promptInterval = 33 * time.Millisecond
-	// knownCrashes is the number of ends after which the segment must be known, and
+	// knownCrashes is the number of crashes after which the segment must be known, and
 	// crashBound the time until no gateway sends prompts with it, but for a few.
 	knownCrashes    = 5
 	crashBound      = 3 * time.Second
@@ -40,7 +40,7 @@
 }
 
 // sendPrompts sends requests with prompts at the interval, each third of them with the
-// segment that ends servers. No two are alike.
+// segment that crashes servers. No two are alike.
 func sendPrompts(ctx context.Context, g *gateway, interval time.Duration) []sentPrompt {
 	var mu sync.Mutex
 	var sent []sentPrompt
@@ -90,10 +90,10 @@
 	return resp.StatusCode
 }
 
-// TestPromptEndsServersOneAfterTheOther guards against prompts that end each server that
+// TestPromptCrashesServersOneAfterTheOther guards against prompts that crash each server that
 // begins to answer them, and that gateways send to one server after the other. Requests
 // that share other segments and the API key must be served.
-func TestPromptEndsServersOneAfterTheOther(t *testing.T) {
+func TestPromptCrashesServersOneAfterTheOther(t *testing.T) {
 	f := newFleet(t, buildBinary(t), *gatewayCount, 0)
 	f.prepaidTokens = 1_000_000
 	f.publish()
@@ -134,16 +134,16 @@
 
 // crashProblem compares what reached the servers with the bounds. It returns "" if all hold.
 func crashProblem(servers []*site.CrashingServer, sent []sentPrompt) string {
-	var ends, received []time.Time
+	var crashes, received []time.Time
 	for _, s := range servers {
-		e, r := s.Ends()
-		ends, received = append(ends, e...), append(received, r...)
+		e, r := s.Crashes()
+		crashes, received = append(crashes, e...), append(received, r...)
 	}
-	if len(ends) < knownCrashes {
-		return fmt.Sprintf("%d servers ended, the test needs %d", len(ends), knownCrashes)
+	if len(crashes) < knownCrashes {
+		return fmt.Sprintf("%d servers crashed, the test needs %d", len(crashes), knownCrashes)
 	}
-	slices.SortFunc(ends, time.Time.Compare)
-	bound := ends[knownCrashes-1].Add(crashBound)
+	slices.SortFunc(crashes, time.Time.Compare)
+	bound := crashes[knownCrashes-1].Add(crashBound)
 	late := 0
 	for _, at := range received {
 		if at.After(bound) {
@@ -160,8 +160,8 @@
 		}
 	}
 	if late > maxCrashPrompts || float64(answered) < minSoundShare*float64(sound) {
-		return fmt.Sprintf("%s after %d servers had ended, %d prompts that end servers were sent, %d ended in all; %d of %d others were answered",
-			crashBound, knownCrashes, late, len(ends), answered, sound)
+		return fmt.Sprintf("%s after %d servers had crashed, %d prompts that crash servers were sent, %d crashed in all; %d of %d others were answered",
+			crashBound, knownCrashes, late, len(crashes), answered, sound)
 	}
 	return ""
 }
