Pay in enough for all gateways of the soak

Cause: a soak with 40 gateways failed after the faults, as gateways refused requests that the check requires: 80 streams of 140 tokens are 11,200, and 10,000 were paid in, whatever the number of gateways.

Change: the last top-up grows with the number of gateways; for three it is what it was. No check or bound changes.

--- a/tests/faults/faults_test.go
+++ b/tests/faults/faults_test.go
@@ -45,8 +45,10 @@
 	maxUnavailable = 500 * time.Millisecond
 	// topUpDelay is longer than the time for which a process withholds top-ups.
 	topUpDelay = 9 * time.Second
-	// topUpTokens is the amount of one top-up of the prepaid budget.
-	topUpTokens = 10_000
+	// topUpTokens is the amount of one top-up of the prepaid budget, and toppedUpGateways the
+	// number of gateways for which one is enough.
+	topUpTokens      = 10_000
+	toppedUpGateways = 3
 	// recoveryTimeout bounds the time from the end of all faults until each gateway
 	// serves each kind of request.
 	recoveryTimeout = 15 * time.Second
@@ -215,7 +217,8 @@
 	if f.eras > 0 {
 		time.Sleep(topUpDelay)
 	}
-	f.prepaidTokens += topUpTokens
+	// Each gateway must then serve a request of each kind.
+	f.prepaidTokens += topUpTokens * int64(max(1, len(f.gateways)/toppedUpGateways))
 	f.publish()
 }
 
