Require other requests in the test of prompts that crash servers

Cause: read as a newcomer, the test passed if the fifth crash came so late that no other request was sent after the bound: the share that must be answered was 0 of 0.

Comments: settleTime runs from the crash that reaches minCrashes, which its comment did not say; four everyday verbs became the terms of the field.

Tests: TestPromptCrashesServersOneAfterTheOther twice (3 gateways), models/quarantine, services/relay, services/stream, routers/front; lint.

--- a/models/quarantine/quarantine.go
+++ b/models/quarantine/quarantine.go
@@ -16,14 +16,13 @@
 	// minCrashes is the number of servers that must have crashed under a segment that was
 	// not answered since the first of them.
 	minCrashes = 4
-	// watchedCrashes is the number from which on gateways tell each other that a segment was
-	// answered.
+	// watchedCrashes is the number from which on gateways publish that a segment was answered.
 	watchedCrashes = minCrashes - 1
 	// minShare is the part of all crashes since the first one under a segment that it must
 	// explain. Pools that crash as a whole crash under many segments.
 	minShare = 0.25
-	// settleTime is how long a segment must have been the best explanation. Answers that
-	// other gateways received become known within it.
+	// settleTime is the time from the crash that reaches minCrashes to a conclusion. Answers
+	// that other gateways received become known within it.
 	settleTime = time.Second
 	// priorAnswer is how long before the first crash an answer clears a segment too: servers
 	// that crash together crash under all segments that are common.
--- a/routers/front/thin_link_test.go
+++ b/routers/front/thin_link_test.go
@@ -58,7 +58,7 @@
 }
 
 // TestLargeTablesNeverInForceOverThinLink guards against tables whose transfer is given up
-// and begun again for ever, while callers leave a thin link little bandwidth.
+// and begun again without end, while callers leave a thin link little bandwidth.
 func TestLargeTablesNeverInForceOverThinLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := site.NewStore()
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -203,7 +203,7 @@
 	}, nil
 }
 
-// refuseUnknown refuses a request whose route or API key the tables lack. Callers take the
+// refuseUnknown refuses a request whose route or API key the tables lack. Callers treat the
 // reason as final, so it is given only if the tables are current.
 func (s *Service) refuseUnknown(reason refusal.Reason, err error) error {
 	if !s.catalog.Current() {
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -42,7 +42,7 @@
 	promptRead     bool
 	// firstEventAt is when the server sent its first event or the response body.
 	firstEventAt time.Time
-	// answerReported is set once the quarantine was told of the answer.
+	// answerReported is set once the answer was reported to the quarantine.
 	answerReported bool
 }
 
@@ -104,7 +104,7 @@
 	return n, err
 }
 
-// reportAnswer tells the quarantine that the server answers the prompt.
+// reportAnswer reports to the quarantine that the server answers the prompt.
 func (p *promptTracker) reportAnswer() {
 	if !p.answerReported && len(p.job.segments) > 0 {
 		p.answerReported = true
--- a/services/stream/stream_test.go
+++ b/services/stream/stream_test.go
@@ -287,7 +287,7 @@
 }
 
 // TestStreamNeverReadOverSlowLink guards against a read of more records than arrive within
-// its timeout, which is repeated for ever.
+// its timeout, which is repeated without end.
 func TestStreamNeverReadOverSlowLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		log := platformtest.New()
--- a/tests/faults/crash_test.go
+++ b/tests/faults/crash_test.go
@@ -30,6 +30,8 @@
 	// minSoundShare is the share of the other requests that must be answered at the first
 	// attempt after the bound.
 	minSoundShare = 0.8
+	// minSound is the number of these requests without which the test shows nothing.
+	minSound = 20
 )
 
 // sentPrompt is a request with a prompt and its status.
@@ -159,6 +161,9 @@
 			}
 		}
 	}
+	if sound < minSound {
+		return fmt.Sprintf("%d other requests were sent later than %s after the fifth crash, the test needs %d", sound, crashBound, minSound)
+	}
 	if late > maxCrashPrompts || float64(answered) < minSoundShare*float64(sound) {
 		return fmt.Sprintf("%s after %d servers had crashed, %d prompts that crash servers were sent, %d crashed in all; %d of %d others were answered",
 			crashBound, knownCrashes, late, len(crashes), answered, sound)
