Review case 1: BUDGET, a planned restart after a drill of the store

Shown as a script: a gateway restarts in a planned way while the store returns from a copy that is 3.5 s old, and restarts once more some seconds later. What it had spent before is granted again: the tenant gets 9.8 million tokens of 9.0 million paid for.

--- a/review/2/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/crocusline ] && [ -x target/review-harness ] || exit 2
-exec target/review-harness resume review/2/record.txt
+exec target/review-harness rolling review/1/record.txt
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/crocusline ] && [ -x target/review-harness ] || exit 2
-exec target/review-harness drain review/3/record.txt
+exec target/review-harness resume review/3/record.txt
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -16,20 +16,31 @@
 	notRun     = 2
 )
 
-// cases maps the names of the cases to their play. A play returns what broke the rule.
-var cases = map[string]func(w *world) ([]string, error){
-	"resume": playResume,
-	"drain":  playDrain,
+// play is a case: prepare changes the world before its parts start, and run returns what broke
+// the rule.
+type play struct {
+	prepare func(w *world)
+	run     func(w *world) ([]string, error)
+}
+
+func unprepared(*world) {}
+
+// cases are the plays by name.
+var cases = map[string]play{
+	"resume":  {unprepared, playResume},
+	"rolling": {prepareRolling, playRolling},
+	"drain":   {unprepared, playDrain},
+	"slashes": {unprepared, playSlashes},
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+	if len(os.Args) != 3 || cases[os.Args[1]].run == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD")
 		return notRun
 	}
-	w, err := newWorld(os.Args[2])
+	w, err := newWorld(os.Args[2], cases[os.Args[1]].prepare)
 	defer w.close()
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
@@ -40,7 +51,7 @@
 	}()
 	var broken []string
 	if err == nil {
-		broken, err = cases[os.Args[1]](w)
+		broken, err = cases[os.Args[1]].run(w)
 	}
 	if err != nil {
 		fmt.Println("not run:", err)
--- a/review/harness/server.go
+++ b/review/harness/server.go
@@ -40,6 +40,8 @@
 	server string
 	id     string
 	ran    bool
+	// line is the method and the target of the request.
+	line string
 }
 
 // server plays a model server.
@@ -126,14 +128,14 @@
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	id := r.Header.Get("Request-Id")
+	id, line := r.Header.Get("Request-Id"), r.Method+" "+r.RequestURI
 	if r.Header.Get("Expect-Instance") != s.id {
 		w.Header().Set("Instance-Id", s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
-		s.world.arrived(arrival{time.Now(), s.id, id, false})
+		s.world.arrived(arrival{time.Now(), s.id, id, false, line})
 		return
 	}
-	s.world.arrived(arrival{time.Now(), s.id, id, true})
+	s.world.arrived(arrival{time.Now(), s.id, id, true, line})
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Response-Seal", "seal-of-"+s.id)
 	first := 1
@@ -147,6 +149,10 @@
 		_, _ = w.Write([]byte(`{"error":"the model is not loaded"}`))
 		return
 	}
+	if r.Header.Get("Model") == "" {
+		_, _ = w.Write([]byte("answer to " + id))
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := first; i <= eventCount; i++ {
 		select {
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -50,7 +50,10 @@
 }
 
 func newStore() *store {
-	return &store{partitions: map[string]*partition{}, changed: make(chan struct{}), era: 1, serversRead: func(string, int) {}}
+	return &store{
+		partitions: map[string]*partition{}, changed: make(chan struct{}), era: 1,
+		serversRead: func(string, int) {},
+	}
 }
 
 // listen returns an address at which the gateway with the name reaches the store.
@@ -149,6 +152,8 @@
 func (s *store) setEra(w http.ResponseWriter) { w.Header().Set("Store-Era", strconv.Itoa(s.era)) }
 
 func (s *store) serve(w http.ResponseWriter, r *http.Request, gateway string) {
+	query := r.URL.Query()
+	name := query.Get("topic") + "/" + query.Get("part")
 	s.mu.Lock()
 	away := s.away
 	s.setEra(w)
@@ -157,8 +162,6 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	query := r.URL.Query()
-	name := query.Get("topic") + "/" + query.Get("part")
 	switch r.Method + " " + r.URL.Path {
 	case "POST /api/log-append":
 		s.serveAppend(w, r, name)
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -26,8 +27,11 @@
 	pool         = "crocus-pool"
 	apiKey       = "n2ctnfzs989anu6wsjnb"
 	gatewayCount = 4
+	seedCount    = 3
 	serverCount  = 18
-	startTimeout = 15 * time.Second
+	// tokensPerEvent is the number of output tokens of an event.
+	tokensPerEvent = 4
+	startTimeout   = 15 * time.Second
 )
 
 // errNotRun means that the case couldn't run.
@@ -37,7 +41,12 @@
 type gateway struct {
 	name         string
 	front, ready string
-	cmd          *exec.Cmd
+	control      string
+	settings     string
+	log          *os.File
+	// out is whether the platform sends the gateway no new connections.
+	out atomic.Bool
+	cmd *exec.Cmd
 }
 
 // outcome is a request as its client saw it.
@@ -63,6 +72,9 @@
 	stopped  context.Context
 	stop     context.CancelFunc
 	sequence atomic.Int64
+	// prepaid is the tenant's total, promptTokens the prompt of each request.
+	prepaid      int64
+	promptTokens int64
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -84,8 +96,9 @@
 }
 
 // newWorld starts store, servers and gateways.
-func newWorld(recordFile string) (*world, error) {
-	w := &world{start: time.Now(), trouble: os.Getenv("TROUBLE") != "0", store: newStore()}
+func newWorld(recordFile string, prepare func(*world)) (*world, error) {
+	w := &world{start: time.Now(), trouble: os.Getenv("TROUBLE") != "0", store: newStore(), prepaid: 500_000_000, promptTokens: 1460}
+	prepare(w)
 	w.stopped, w.stop = context.WithCancel(context.Background())
 	var err error
 	if w.record, err = os.Create(recordFile); err != nil {
@@ -121,24 +134,30 @@
 			"resumable": resumable, "gap_goal_ms": 500,
 		}
 	}
+	root := map[string]any{
+		"name": "r-root", "host": host, "path_prefix": "/", "type": "non_idempotent", "timeout_ms": 1500, "goal_ms": 100,
+		"priority": 2, "service": pool, "max_attempts": 1, "public": false,
+	}
 	data, _ := json.Marshal(map[string]any{
 		"version": 7,
-		"routes":  []any{route("dossier", 2, true), route("quote", 1, false), route("phototag", 2, true)},
+		"routes":  []any{route("dossier", 2, true), route("quote", 1, false), route("phototag", 2, true), root},
 		"services": []any{map[string]any{
 			"name": pool, "health_path": "/health", "max_conns": 360, "protocol": "h1", "tls": false,
-			"engine": map[string]any{"max_concurrency": 64, "kv_tokens": 440787, "stride": 4},
+			"engine": map[string]any{"max_concurrency": 64, "kv_tokens": 440787, "stride": tokensPerEvent},
 		}},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 5000, "idle_timeout_ms": 30000},
-		"tenants": []any{map[string]any{"name": "hule930", "api_keys": []string{apiKey}, "prepaid": 500_000_000}},
+		"tenants": []any{map[string]any{"name": "hule930", "api_keys": []string{apiKey}, "prepaid": w.prepaid}},
 	})
 	w.store.put("keyed.op", "config", data)
 }
 
-// freeAddresses returns addresses of free ports. All are bound before the first is released.
+// freeAddresses returns addresses of free ports. All are bound before the first is released, on
+// a loopback address of their own, so that nothing else gets one of the ports meanwhile.
 func freeAddresses(n int) ([]string, error) {
+	own := fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250))
 	var addresses []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", own)
 		if err != nil {
 			return nil, err
 		}
@@ -148,55 +167,69 @@
 	return addresses, nil
 }
 
+// startGateways starts all gateways.
 func (w *world) startGateways() error {
 	free, err := freeAddresses(3 * gatewayCount)
 	if err != nil {
 		return err
 	}
 	var seeds []string
-	for i := range gatewayCount {
-		if i < 3 {
-			seeds = append(seeds, free[3*i+2])
-		}
+	for i := range seedCount {
+		seeds = append(seeds, free[3*i+2])
 	}
 	for i := range gatewayCount {
-		g := &gateway{name: fmt.Sprintf("front-%d", i), front: free[3*i], ready: free[3*i+1]}
-		address, err := w.store.listen(g.name)
-		if err != nil {
-			return err
-		}
-		settings, _ := json.Marshal(map[string]any{
-			"node_name": g.name, "role": "entry", "machine_class": "front", "serves": []string{"front", "control"},
-			"ip": "127.0.0.1", "zone": "za-a", "region": "sk-central", "zones": map[string]string{"za-a": "sk-central"},
-			"bind":       map[string]string{"front": g.front, "ready": g.ready, "control": free[3*i+2]},
-			"seed_addrs": seeds, "bootstrap": true, "heartbeat_ms": 1200,
-			"limits": map[string]any{"cpu_share": 0.304, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
-			"parameters": map[string]any{
-				"reuse_after_s": 2, "stable_window_ms": 3000, "ack_ms": 4000, "drain_ms": 2000, "grace_s": 8, "config_ms": 2000,
-				"downgrade_ms": 250, "budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 54, "recover_s": 12,
-			},
-			"platform": map[string]any{"address": address, "form": "log", "writes_per_s": 800, "reads_per_s": 2000},
-		})
-		file := filepath.Join(w.dir, g.name+".json")
-		if err := os.WriteFile(file, settings, 0o600); err != nil {
-			return err
-		}
-		log, err := os.Create(filepath.Join(w.dir, g.name+".log"))
-		if err != nil {
-			return err
-		}
-		g.cmd = exec.Command(program, "gateway")
-		g.cmd.Env = []string{"CROCUSLINE_BOOT=" + file, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
-		g.cmd.Stdout, g.cmd.Stderr = log, log
-		g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if err := g.cmd.Start(); err != nil {
+		g := &gateway{name: fmt.Sprintf("front-%d", i), front: free[3*i], ready: free[3*i+1], control: free[3*i+2]}
+		if err := w.startGateway(g, seeds); err != nil {
 			return err
 		}
-		w.gateways = append(w.gateways, g)
 	}
 	return nil
 }
 
+// startGateway starts a gateway with the settings of a small deployment.
+func (w *world) startGateway(g *gateway, seeds []string) error {
+	address, err := w.store.listen(g.name)
+	if err != nil {
+		return err
+	}
+	settings, _ := json.Marshal(map[string]any{
+		"node_name": g.name, "role": "entry", "machine_class": "front", "serves": []string{"front", "control"},
+		"ip": "127.0.0.1", "zone": "za-a", "region": "sk-central", "zones": map[string]string{"za-a": "sk-central"},
+		"bind":       map[string]string{"front": g.front, "ready": g.ready, "control": g.control},
+		"seed_addrs": seeds, "bootstrap": true, "heartbeat_ms": 1200,
+		"limits": map[string]any{"cpu_share": 0.304, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
+		"parameters": map[string]any{
+			"reuse_after_s": 2, "stable_window_ms": 3000, "ack_ms": 4000, "drain_ms": 2000, "grace_s": 8, "config_ms": 2000,
+			"downgrade_ms": 250, "budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 54, "recover_s": 12,
+		},
+		"platform": map[string]any{"address": address, "form": "log", "writes_per_s": 800, "reads_per_s": 2000},
+	})
+	file := filepath.Join(w.dir, g.name+".json")
+	if err := os.WriteFile(file, settings, 0o600); err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(w.dir, g.name+".log"))
+	if err != nil {
+		return err
+	}
+	g.settings, g.log = file, log
+	if err := w.run(g); err != nil {
+		return err
+	}
+	w.gateways = append(w.gateways, g)
+	return nil
+}
+
+// run starts the gateway's process.
+func (w *world) run(g *gateway) error {
+	g.cmd = exec.Command(program, "gateway")
+	g.cmd.Env = []string{"CROCUSLINE_BOOT=" + g.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	g.cmd.Stdout, g.cmd.Stderr = g.log, g.log
+	g.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	w.note("%s is started", g.name)
+	return g.cmd.Start()
+}
+
 // awaitReady waits until all gateways are ready.
 func (w *world) awaitReady() error {
 	deadline := time.Now().Add(startTimeout)
@@ -261,8 +294,8 @@
 	req.Header.Set("Authorization", "Token "+apiKey)
 	req.Header.Set("Deadline-Ms", "10000")
 	req.Header.Set("Model", "m")
-	req.Header.Set("Token-Usage", fmt.Sprintf("1460,%d", 4*eventCount))
-	req.Header.Set("Prompt-Prefix", fmt.Sprintf("5c1e%04x:800,91bd%04x:410,%x:250", n%40, n%40, n))
+	req.Header.Set("Token-Usage", fmt.Sprintf("%d,%d", w.promptTokens, tokensPerEvent*eventCount))
+	req.Header.Set("Prompt-Prefix", fmt.Sprintf("5c1e%04x:800,91bd%04x:410,%x:%d", n%40, n%40, n, w.promptTokens-1210))
 	resp, err := client.Do(req)
 	if err == nil {
 		body, readErr := io.ReadAll(resp.Body)
