--- a/review/harness/resume.go
+++ b/review/harness/resume.go
@@ -10,7 +10,7 @@
 
 // Disruptions of the case, with the site's doses.
 const (
-	resumeLength = 50 * time.Second
+	resumeLength = 80 * time.Second
 	// crashShare of the servers crash for crashDowntime (kolplat.toml: 0.25, 2 s).
 	crashCount    = serverCount / 4
 	crashDowntime = 2 * time.Second
