--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -90,6 +90,8 @@
 	// nextOffset is the offset up to which the servers' topic was read.
 	nextOffset int64
 	balancers  map[string]*balance.Balancer
+	// limits holds the limits that servers named last, by id.
+	limits map[string]float64
 
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -99,7 +101,7 @@
 func New(log hclog.Logger, store follower.Log, codec Codec, opts ...Option) *Service {
 	s := &Service{
 		log: log.Named(Name), codec: codec, roster: roster.New(),
-		serverRecords: map[string]record.Record{}, balancers: map[string]*balance.Balancer{},
+		serverRecords: map[string]record.Record{}, balancers: map[string]*balance.Balancer{}, limits: map[string]float64{},
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -195,7 +197,9 @@
 		s.refresh(now)
 	}
 	backsOff := n.Backoff > 0 && s.balancer(server.Pool).RecordBackoff(now, server, n.Backoff)
-	return drains || backsOff
+	limits := n.Limit != s.limits[server.ID]
+	s.limits[server.ID] = n.Limit
+	return drains || backsOff || limits
 }
 
 // applyTable replaces the routing tables unless the version of the current ones is the
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -44,7 +44,9 @@
 
 // RecordNotice implements relay.Catalog. A draining server gets a backoff that outlasts the test.
 func (c *fakeCatalog) RecordNotice(s roster.Server, n call.Notice) bool {
-	c.notices++
+	if n != (call.Notice{}) {
+		c.notices++
+	}
 	if n.Draining {
 		n.Backoff = time.Hour
 	}
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -139,9 +139,10 @@
 
 const (
 	// serversDraining counts the servers that announced that they drain, serverBackoffs the backoffs
-	// that servers asked for.
+	// that servers asked for, and serverLimits the limits that they named.
 	serversDraining = "crocusline_servers_draining_total"
 	serverBackoffs  = "crocusline_server_backoffs_total"
+	serverLimits    = "crocusline_server_limits_total"
 )
 
 // recordNotice records what the server announces about itself. Another request's response, or that
@@ -155,7 +156,7 @@
 	if err != nil {
 		j.log.Warn("cannot decode server notice", "server", server.ID, "status", resp.StatusCode, "error", err)
 	}
-	if notice == (call.Notice{}) || !j.service.catalog.RecordNotice(server, notice) {
+	if !j.service.catalog.RecordNotice(server, notice) {
 		return
 	}
 	if notice.Draining {
@@ -164,8 +165,11 @@
 	if notice.Backoff > 0 {
 		j.service.metrics.Counter(serverBackoffs).Inc()
 	}
+	if notice.Limit > 0 {
+		j.service.metrics.Counter(serverLimits).Inc()
+	}
 	j.log.Info("server notice received", "server", server.ID, "pool", server.Pool, "status", resp.StatusCode,
-		"draining", notice.Draining, "backoff", notice.Backoff)
+		"draining", notice.Draining, "backoff", notice.Backoff, "limit", notice.Limit)
 }
 
 // relayResponse passes on a signed response, unless it can't follow what the caller has
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -89,10 +89,12 @@
 	executions map[string]int
 	cancelled  int
 	// leaving is the value of Server-Leaving in all responses, and retryAfter that of Retry-After
-	// in the rejections of a server that turns all requests away. Empty values are not sent.
+	// in the rejections of a server that turns all requests away. Empty values aren't sent.
 	leaving    string
 	rejectsAll bool
 	retryAfter string
+	// limit is the value of Server-Limit in all responses.
+	limit string
 }
 
 // NewServer starts a server whose streamed responses have the given number of
@@ -120,6 +122,13 @@
 	s.leaving = value
 }
 
+// SetLimit makes all responses name this limit of requests per second.
+func (s *Server) SetLimit(value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = value
+}
+
 // RejectAll makes the server reject all requests with 503 and this Retry-After, or accept them
 // again.
 func (s *Server) RejectAll(on bool, retryAfter string) {
@@ -136,6 +145,9 @@
 	if s.leaving != "" {
 		h.Set("Server-Leaving", s.leaving)
 	}
+	if s.limit != "" {
+		h.Set("Server-Limit", s.limit)
+	}
 	if s.rejectsAll && s.retryAfter != "" {
 		h.Set("Retry-After", s.retryAfter)
 	}
--- a/tests/faults/client_test.go
+++ b/tests/faults/client_test.go
@@ -39,6 +39,9 @@
 	body   string
 	// complete reports whether the body was read to its end without an error.
 	complete bool
+	// took is the time until the header of the response, and retryAfter its Retry-After.
+	took       time.Duration
+	retryAfter string
 }
 
 // eventCount returns the number of events that the client received.
@@ -91,6 +94,7 @@
 		header.Set("Token-Usage", fmt.Sprintf("%d,%d", promptTokens, outputTokens))
 	}
 	o := outcome{id: id, kind: kind}
+	start := time.Now()
 	resp, err := client.Do(ctx, &exchange.Request{
 		Address: g.callerAddress, Method: http.MethodPost, Target: "/" + kind + "/x", Host: host, Header: header, Body: []byte("body"),
 	})
@@ -98,6 +102,7 @@
 		return o
 	}
 	defer func() { _ = resp.Body.Close() }()
+	o.took, o.retryAfter = time.Since(start), resp.Header.Get("Retry-After")
 	body, err := io.ReadAll(resp.Body)
 	o.status, o.seal, o.body, o.complete = resp.StatusCode, resp.Header.Get("Response-Seal"), string(body), err == nil
 	return o
--- a/tests/faults/notice_test.go
+++ b/tests/faults/notice_test.go
@@ -43,11 +43,11 @@
 	senders.Wait()
 }
 
-// newLoadedFleet starts two gateways with many prepaid tokens, and load that ends with the function
+// newLoadedFleet starts gateways with many prepaid tokens, and load that ends with the function
 // that it returns.
-func newLoadedFleet(t *testing.T) (f *fleet, stop func()) {
+func newLoadedFleet(t *testing.T, gateways int) (f *fleet, stop func()) {
 	t.Helper()
-	f = newFleet(t, buildBinary(t), 2, serverCount)
+	f = newFleet(t, buildBinary(t), gateways, serverCount)
 	f.prepaidTokens = 1_000_000
 	f.publish()
 	requireService(t, f, "before the load")
@@ -87,7 +87,7 @@
 // TestDrainNoticeWithReadyEntry guards against requests to servers that say in their responses
 // that they leave, while their entries stay ready and the store can't be read.
 func TestDrainNoticeWithReadyEntry(t *testing.T) {
-	f, stop := newLoadedFleet(t)
+	f, stop := newLoadedFleet(t, 2)
 	start := time.Now()
 	f.servers[0].SetDraining("1")
 	time.Sleep(drainBound)
@@ -107,7 +107,7 @@
 // TestServerAsksForBackoff guards against requests to servers that have turned one away and said for
 // how long they want none, with values that can be read and with others.
 func TestServerAsksForBackoff(t *testing.T) {
-	f, stop := newLoadedFleet(t)
+	f, stop := newLoadedFleet(t, 2)
 	start := time.Now()
 	f.servers[0].RejectAll(true, fmt.Sprintf("%.1f", pauseLength.Seconds()))
 	for _, odd := range []string{"1e300", "-1", "soon", "NaN", ""} {
