--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -48,6 +48,8 @@
 	// segments are those of the prompt that other requests may have too. Calls to plain
 	// services have none.
 	segments []string
+	// fingerprint identifies the requests of the caller that ask for the same.
+	fingerprint string
 
 	// tried lists the servers that the request was sent to, possibleRuns counts the
 	// sends after which a server may have run it.
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -4,6 +4,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -205,7 +206,8 @@
 	}
 	return &job{
 		service: s, request: r, route: rt, pool: pool, workspace: workspace, tableVersion: table.Version, segments: segments,
-		deadline: r.ArrivedAt.Add(timeout), retryBudget: s.retryBudgetFor(pool.Name),
+		fingerprint: r.Fingerprint(cmp.Or(workspace.Name, r.APIKey)),
+		deadline:    r.ArrivedAt.Add(timeout), retryBudget: s.retryBudgetFor(pool.Name),
 		log: s.log.With("requestId", r.ID),
 	}, nil
 }
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -333,7 +333,7 @@
 		}
 		j.log.Info("send not run", append(pairs, "reason", result.reason)...)
 	case unknownOutcome:
-		j.log.Info("send outcome unknown", append(pairs, "workspace", j.workspace.Name, "segments", j.segments,
+		j.log.Info("send outcome unknown", append(pairs, "workspace", j.workspace.Name, "segments", j.segments, "fingerprint", j.fingerprint,
 			"first", j.timeToFirstEvent.Round(time.Millisecond), "reason", result.reason, "error", result.err)...)
 	case callerDisconnected:
 		j.log.Info("caller disconnected", append(pairs, "error", result.err)...)
--- a/standin/site/crash.go
+++ b/standin/site/crash.go
@@ -1,8 +1,10 @@
 package site
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,11 +15,13 @@
 	"github.com/pkg/errors"
 )
 
-// CrashingServer is a model server that crashes when it begins to write the response to a
-// prompt with a certain segment. It starts again at the same address under another id.
+// CrashingServer is a server that crashes when it begins to write the response to a prompt with a
+// certain segment, or to a request with a certain body. It starts again at the same address under
+// another id.
 type CrashingServer struct {
 	name     string
 	segment  string
+	body     string
 	downtime time.Duration
 	address  netip.AddrPort
 	listener net.Listener
@@ -47,6 +51,9 @@
 	}, nil
 }
 
+// CrashUnder makes the server crash under requests with the body too.
+func (s *CrashingServer) CrashUnder(body string) { s.body = body }
+
 // Start starts the server. The function is called with the id of each start, and with that
 // of the one before.
 func (s *CrashingServer) Start(started func(id, before string)) {
@@ -93,7 +100,12 @@
 
 // ServeHTTP implements http.Handler.
 func (s *CrashingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !strings.Contains(r.Header.Get("Prompt-Prefix"), s.segment+":") {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if !strings.Contains(r.Header.Get("Prompt-Prefix"), s.segment+":") && (s.body == "" || string(body) != s.body) {
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		s.server.ServeHTTP(w, r)
 		return
 	}
@@ -106,10 +118,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	w.Header().Set("Response-Seal", "seal-of-"+s.name)
-	w.Header().Set("Content-Type", "text/event-stream")
-	w.WriteHeader(http.StatusOK)
-	_ = http.NewResponseController(w).Flush()
+	if r.Header.Get("Model") != "" {
+		w.Header().Set("Response-Seal", "seal-of-"+s.name)
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+	}
 	s.crash()
 	panic(http.ErrAbortHandler)
 }
--- a/tests/faults/client_test.go
+++ b/tests/faults/client_test.go
@@ -86,6 +86,11 @@
 
 // send sends one request without retries.
 func send(client *exchange.Client, g *gateway, id, kind string) outcome {
+	return sendBody(client, g, id, kind, "body")
+}
+
+// sendBody sends one request with the body without retries.
+func sendBody(client *exchange.Client, g *gateway, id, kind, body string) outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	header := http.Header{"Request-Id": {id}, "Authorization": {"Token " + apiKey}, "Deadline-Ms": {"2000"}}
@@ -96,15 +101,15 @@
 	o := outcome{id: id, kind: kind}
 	start := time.Now()
 	resp, err := client.Do(ctx, &exchange.Request{
-		Address: g.callerAddress, Method: http.MethodPost, Target: "/" + kind + "/x", Host: host, Header: header, Body: []byte("body"),
+		Address: g.callerAddress, Method: http.MethodPost, Target: "/" + kind + "/x", Host: host, Header: header, Body: []byte(body),
 	})
 	if err != nil {
 		return o
 	}
 	defer func() { _ = resp.Body.Close() }()
 	o.took, o.retryAfter = time.Since(start), resp.Header.Get("Retry-After")
-	body, err := io.ReadAll(resp.Body)
-	o.status, o.seal, o.body, o.complete = resp.StatusCode, resp.Header.Get("Response-Seal"), string(body), err == nil
+	data, err := io.ReadAll(resp.Body)
+	o.status, o.seal, o.body, o.complete = resp.StatusCode, resp.Header.Get("Response-Seal"), string(data), err == nil
 	return o
 }
 
--- a/tests/faults/crash_test.go
+++ b/tests/faults/crash_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/crocusline/crocusline/modules/exchange"
 	"github.com/crocusline/crocusline/standin/site"
+	"github.com/crocusline/crocusline/tests/knownred"
 )
 
 const (
@@ -19,6 +20,7 @@
 	crashingServersPerGateway = 4
 	crashDowntime             = 1500 * time.Millisecond
 	crashSegment              = "c0ffee"
+	crashBody                 = "crash"
 	// promptInterval is the time between two requests at all gateways together.
 	promptInterval = 33 * time.Millisecond
 	// knownCrashes is the number of crashes after which the segment must be known, and
@@ -92,19 +94,16 @@
 	return resp.StatusCode
 }
 
-// TestPromptCrashesServersOneAfterTheOther guards against prompts that crash each server that
-// begins to answer them, and that gateways send to one server after the other. Requests
-// that share other segments and the API key must be served.
-func TestPromptCrashesServersOneAfterTheOther(t *testing.T) {
-	f := newFleet(t, buildBinary(t), *gatewayCount, 0)
-	f.prepaidTokens = 1_000_000
-	f.publish()
+// newCrashingServers starts servers that crash under crashSegment and crashBody.
+func newCrashingServers(t *testing.T, f *fleet, n int) []*site.CrashingServer {
+	t.Helper()
 	var servers []*site.CrashingServer
-	for i := range crashingServersPerGateway * len(f.gateways) {
+	for i := range n {
 		s, err := site.NewCrashingServer(fmt.Sprintf("m%d", i), eventsPerStream, crashSegment, crashDowntime)
 		if err != nil {
 			t.Fatal(err)
 		}
+		s.CrashUnder(crashBody)
 		s.Start(func(id, before string) {
 			f.putServer(id, s.Address(), "ready")
 			if before != "" {
@@ -114,6 +113,17 @@
 		t.Cleanup(func() { _ = s.Close() })
 		servers = append(servers, s)
 	}
+	return servers
+}
+
+// TestPromptCrashesServersOneAfterTheOther guards against prompts that crash each server that
+// begins to answer them, and that gateways send to one server after the other. Requests
+// that share other segments and the API key must be served.
+func TestPromptCrashesServersOneAfterTheOther(t *testing.T) {
+	f := newFleet(t, buildBinary(t), *gatewayCount, 0)
+	f.prepaidTokens = 1_000_000
+	f.publish()
+	servers := newCrashingServers(t, f, crashingServersPerGateway*len(f.gateways))
 	requireService(t, f, "before the crashes")
 	ctx, cancel := context.WithTimeout(t.Context(), crashTestLength)
 	defer cancel()
@@ -129,23 +139,24 @@
 		})
 	}
 	clients.Wait()
-	if problem := crashProblem(servers, sent); problem != "" {
+	if problem := crashProblem(servers, sent, knownCrashes); problem != "" {
 		t.Error(problem)
 	}
 }
 
-// crashProblem compares what reached the servers with the bounds. It returns "" if all hold.
-func crashProblem(servers []*site.CrashingServer, sent []sentPrompt) string {
+// crashProblem compares what reached the servers with the bounds, which hold after a number of
+// crashes. It returns "" if all hold.
+func crashProblem(servers []*site.CrashingServer, sent []sentPrompt, known int) string {
 	var crashes, received []time.Time
 	for _, s := range servers {
 		e, r := s.Crashes()
 		crashes, received = append(crashes, e...), append(received, r...)
 	}
-	if len(crashes) < knownCrashes {
-		return fmt.Sprintf("%d servers crashed, the test needs %d", len(crashes), knownCrashes)
+	if len(crashes) < known {
+		return fmt.Sprintf("%d servers crashed, the test needs %d", len(crashes), known)
 	}
 	slices.SortFunc(crashes, time.Time.Compare)
-	bound := crashes[knownCrashes-1].Add(crashBound)
+	bound := crashes[known-1].Add(crashBound)
 	late := 0
 	for _, at := range received {
 		if at.After(bound) {
@@ -162,11 +173,72 @@
 		}
 	}
 	if sound < minSound {
-		return fmt.Sprintf("%d other requests were sent later than %s after the fifth crash, the test needs %d", sound, crashBound, minSound)
+		return fmt.Sprintf("%d other requests were sent later than %s after crash %d, the test needs %d", sound, crashBound, known, minSound)
 	}
 	if late > maxCrashPrompts || float64(answered) < minSoundShare*float64(sound) {
-		return fmt.Sprintf("%s after %d servers had crashed, %d prompts that crash servers were sent, %d crashed in all; %d of %d others were answered",
-			crashBound, knownCrashes, late, len(crashes), answered, sound)
+		return fmt.Sprintf("%s after %d servers had crashed, %d requests that crash servers were sent, %d crashed in all; %d of %d others were answered",
+			crashBound, known, late, len(crashes), answered, sound)
 	}
 	return ""
 }
+
+const (
+	// crashRequestInterval is the time between two requests that crash servers, at all gateways
+	// together, and popularInterval that between two others. Each second one of these is popular.
+	crashRequestInterval = 150 * time.Millisecond
+	popularInterval      = 10 * time.Millisecond
+	// requestCrashes is the number of crashes after which a request must be known.
+	requestCrashes = 3
+)
+
+// TestPlainRequestCrashesServersOneAfterTheOther guards against a request that crashes each server
+// that runs it, and that gateways send to one server after the other whenever its caller sends it
+// again. Other requests of the same path and caller must be served, also one that is sent often.
+func TestPlainRequestCrashesServersOneAfterTheOther(t *testing.T) {
+	f := newFleet(t, buildBinary(t), *gatewayCount, 0)
+	servers := newCrashingServers(t, f, serverCount)
+	requireService(t, f, "before the crashes")
+	ctx, cancel := context.WithTimeout(t.Context(), crashTestLength)
+	defer cancel()
+	var mu sync.Mutex
+	var sent []sentPrompt
+	var clients sync.WaitGroup
+	clients.Go(func() {
+		sendEach(ctx, crashRequestInterval, func(client *exchange.Client, n int) {
+			sendBody(client, f.gateways[n%len(f.gateways)], fmt.Sprintf("crash-%d", n), "lookup", crashBody)
+		})
+	})
+	clients.Go(func() {
+		sendEach(ctx, popularInterval, func(client *exchange.Client, n int) {
+			body := "popular"
+			if n%2 == 0 {
+				body = fmt.Sprint(n)
+			}
+			at := time.Now()
+			o := sendBody(client, f.gateways[n%len(f.gateways)], fmt.Sprintf("sound-%d", n), "lookup", body)
+			mu.Lock()
+			defer mu.Unlock()
+			sent = append(sent, sentPrompt{at: at, status: o.status})
+		})
+	})
+	clients.Wait()
+	knownred.Report(t, crashProblem(servers, sent, requestCrashes))
+}
+
+// sendEach calls f at the interval until the context ends, and waits for the calls.
+func sendEach(ctx context.Context, interval time.Duration, f func(client *exchange.Client, n int)) {
+	client := exchange.New()
+	defer func() { _ = client.Close() }()
+	var senders sync.WaitGroup
+	defer senders.Wait()
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ticker.C:
+			senders.Go(func() { f(client, n) })
+		case <-ctx.Done():
+			return
+		}
+	}
+}
