Answer the requests that a planned stop gives up, and refuse late ones

Reported by operators of similar systems, and shown here: a request under way at the end of the grace period was cut without an answer (after 2.8 of 4 s); one that came late on an open connection was read and dropped.

Cause: only the end of the process was planned. It closed all connections, and kept 1.2 s of any grace period for itself.

Change: intake.PlanStop. Requests are taken for 2.3 s, later ones get 503 at once; those still open are given up 0.2 s before the connections close, with an answer that says whether they may have run; at most 15% of the grace period are reserved.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/crocusline/crocusline/kernel"
+	"github.com/crocusline/crocusline/models/intake"
 	"github.com/crocusline/crocusline/modules/exchange"
 	"github.com/crocusline/crocusline/modules/log"
 	"github.com/crocusline/crocusline/modules/metric"
@@ -36,13 +37,8 @@
 	// memory limit. The rest is for stacks, sockets and memory that the runtime has not
 	// returned to the system.
 	memoryLimitRatio = 0.7
-	// drainDelay is how long the gateway still accepts connections after it has reported
-	// not to be ready. The platform stops sending connections after two failed readiness
-	// checks that are a second apart.
-	drainDelay = 2300 * time.Millisecond
-	// graceReserve is the part of the grace period that is left for returning tokens and
-	// stopping after the requests have ended.
-	graceReserve = 1200 * time.Millisecond
+	// drainPollInterval is how often a planned stop looks for open requests.
+	drainPollInterval = 20 * time.Millisecond
 	// writeTimeout is how long a caller may take to read a part of a response.
 	writeTimeout = 5 * time.Second
 	// pruneInterval is how often expired idle connections are closed.
@@ -184,12 +180,20 @@
 }
 
 // drain fails the readiness check and waits until the platform has stopped sending new
-// connections to this gateway.
+// connections to this gateway and all requests have ended or were given up. Callers that come later
+// are told to go elsewhere, which they would not be once the server shuts down.
 func (g *gateway) drain() {
-	g.handler.Drain()
-	time.Sleep(drainDelay)
+	start := time.Now()
+	plan := g.stopPlan()
+	g.handler.Drain(plan)
+	time.Sleep(plan.AcceptFor)
+	for g.handler.OpenRequests() > 0 && time.Since(start) < plan.GiveUpAfter {
+		time.Sleep(drainPollInterval)
+	}
 }
 
+func (g *gateway) stopPlan() intake.Stop { return intake.PlanStop(g.settings.Parameters.GracePeriod) }
+
 func (g *gateway) listenReadiness() (closer, error) {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+platform.ReadinessPath, g.readiness)
@@ -204,9 +208,10 @@
 }
 
 func (g *gateway) listenCallers() (closer, error) {
+	plan := g.stopPlan()
 	return web.NewServer(g.settings.Listen.Callers, g.handler,
 		web.WithMaxHeaderBytes(maxHeaderBytes),
-		web.WithDrainTimeout(g.settings.Parameters.GracePeriod-drainDelay-graceReserve),
+		web.WithDrainTimeout(plan.CloseAfter-plan.GiveUpAfter),
 		web.WithWriteTimeout(writeTimeout))
 }
 
--- a/routers/front/front.go
+++ b/routers/front/front.go
@@ -24,6 +24,8 @@
 	// bodyTimeout is how long a caller may take to send a request body. Callers cancel a
 	// request that the gateway has not read after a second, but slow links take longer.
 	bodyTimeout = 5 * time.Second
+	// stopRetryAfter is about the time that a caller takes to reach another gateway.
+	stopRetryAfter = 100 * time.Millisecond
 	// defaultMaxBodyBytes limits a request body if the routing tables set no limit.
 	defaultMaxBodyBytes = 4 << 20
 )
@@ -53,11 +55,15 @@
 
 // Handler serves callers.
 type Handler struct {
-	log          hclog.Logger
-	headers      HeaderCodec
-	relay        Relay
-	tables       TableSource
-	draining     atomic.Bool
+	log     hclog.Logger
+	headers HeaderCodec
+	relay   Relay
+	tables  TableSource
+	// drainingSince is when a planned stop began, with its plan, or nil.
+	drainingSince atomic.Pointer[drain]
+	// givenUp ends when open requests are given up.
+	givenUp      context.Context
+	giveUp       context.CancelCauseFunc
 	openRequests atomic.Int64
 
 	intakeMu sync.Mutex
@@ -66,6 +72,15 @@
 	processorDelay func() time.Duration
 }
 
+// drain is a planned stop in progress.
+type drain struct {
+	intake.Stop
+	begunAt time.Time
+}
+
+// errStopping is the cause of the end of requests that a planned stop gives up.
+var errStopping = errors.New("this entry ends before the backend server has answered")
+
 // Option configures a Handler.
 type Option func(*Handler)
 
@@ -86,17 +101,29 @@
 		log: log.Named("front"), headers: headers, relay: r, tables: tables,
 		intake: intake.New(0), processorDelay: func() time.Duration { return 0 },
 	}
+	h.givenUp, h.giveUp = context.WithCancelCause(context.Background())
 	for _, opt := range opts {
 		opt(h)
 	}
 	return h
 }
 
-// Drain makes every later response close its connection, and the readiness check fail.
-func (h *Handler) Drain() { h.draining.Store(true) }
+// Drain begins a planned stop: every later response closes its connection, and the readiness check
+// fails. By the plan, requests are refused from a time on, and given up at another.
+func (h *Handler) Drain(plan intake.Stop) {
+	if h.drainingSince.CompareAndSwap(nil, &drain{Stop: plan, begunAt: time.Now()}) {
+		time.AfterFunc(plan.GiveUpAfter, func() { h.giveUp(errStopping) })
+	}
+}
 
 // Draining reports whether Drain was called.
-func (h *Handler) Draining() bool { return h.draining.Load() }
+func (h *Handler) Draining() bool { return h.drainingSince.Load() != nil }
+
+// refusesAll reports whether a planned stop has come so far that requests are no longer taken.
+func (h *Handler) refusesAll(now time.Time) bool {
+	d := h.drainingSince.Load()
+	return d != nil && now.Sub(d.begunAt) >= d.AcceptFor
+}
 
 // OpenRequests returns the number of requests in flight.
 func (h *Handler) OpenRequests() int64 { return h.openRequests.Load() }
@@ -114,6 +141,11 @@
 		h.refuse(w, &call.Request{}, refusal.New(refusal.InvalidRequest, 0, err.Error()))
 		return
 	}
+	if h.refusesAll(arrivedAt) {
+		h.log.Info("request refused by a planned stop", "requestId", req.ID)
+		h.refuse(w, req, refusal.New(refusal.ShuttingDown, stopRetryAfter, "this entry stops: another one takes the request"))
+		return
+	}
 	if err := h.acceptBody(r, req); err != nil {
 		h.log.Info("request refused before its body", "requestId", req.ID, "bytes", r.ContentLength, "error", err)
 		// Without this the server reads the body before it sends the response.
@@ -126,7 +158,10 @@
 		h.refuse(w, req, refusalForBody(err))
 		return
 	}
-	err = h.relay.Relay(r.Context(), w, req)
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(h.givenUp, func() { cancel(context.Cause(h.givenUp)) })()
+	err = h.relay.Relay(ctx, w, req)
 	var aborted *relay.AbortedError
 	switch {
 	case err == nil:
--- a/routers/front/front_test.go
+++ b/routers/front/front_test.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/crocusline/crocusline/models/call"
+	"github.com/crocusline/crocusline/models/intake"
 	"github.com/crocusline/crocusline/models/prepaid"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/route"
@@ -114,7 +115,7 @@
 	if string(fake.got.Body) != "the body" || fake.got.Target != "/a%2Fb?c" || fake.got.Path != "/a%2Fb" {
 		t.Errorf("got %+v", fake.got)
 	}
-	h.Drain()
+	h.Drain(intake.PlanStop(time.Minute))
 	if resp, err = post(t, server, ""); err != nil || !resp.close {
 		t.Errorf("a draining gateway keeps the connection open: %v", err)
 	}
@@ -155,7 +156,7 @@
 	check(http.StatusServiceUnavailable)
 	ready = true
 	check(http.StatusOK)
-	h.Drain()
+	h.Drain(intake.PlanStop(time.Minute))
 	check(http.StatusServiceUnavailable)
 }
 
