Take a response with neither framing nor a body for unknown

Reported by operators of similar systems: a server stopped in the head of its response, and callers got 200 with an empty body, framed as whole.

Cause: the orderly end of a connection was taken for evidence that all bytes had arrived. Change: call.Whole, one rule for plain responses and streams: without framing a part of the body must have arrived, otherwise the outcome is unknown.

--- /dev/null
+++ b/models/call/framing.go
@@ -0,0 +1,7 @@
+package call
+
+// Whole reports whether a response whose body ended without an error has arrived whole. Its framing
+// says so, by a length or chunks. A body that ends with its connection also ends there if the server
+// stops: of the bytes that were to come nothing is known then, so that some must have arrived.
+// The load that it answers are servers that stop between the head and the body of a response.
+func Whole(framed bool, received int) bool { return framed || received > 0 }
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -193,6 +193,9 @@
 	}
 }
 
+// framed reports whether the response says where its body ends.
+func framed(resp *http.Response) bool { return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 }
+
 // drainBody reads a short body to its end, so that the connection can be reused.
 func drainBody(resp *http.Response) {
 	// After an error the connection is closed, which needs no handling here.
@@ -209,6 +212,9 @@
 	if err != nil {
 		return unknownOutcome{reason: refusal.ServerFailed, err: err}
 	}
+	if !call.Whole(framed(resp), len(body)) {
+		return unknownOutcome{reason: refusal.ServerFailed, err: errors.New("the response has neither framing nor a body")}
+	}
 	prompt.markPromptRead()
 	if len(body) == maxBufferedBytes {
 		return j.relayLarge(w, resp, body)
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -111,11 +111,10 @@
 // relayEvents passes on events as they arrive, each only when it is complete.
 func (j *job) relayEvents(w http.ResponseWriter, resp *http.Response, prompt *promptTracker) sendResult {
 	reader := bufio.NewReader(resp.Body)
-	// A stream that ends with its connection must have a new event to count as complete.
-	complete := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	events := 0
 	for {
 		event, err := readEvent(reader)
-		if errors.Is(err, io.EOF) && len(event) == 0 && complete {
+		if errors.Is(err, io.EOF) && len(event) == 0 && call.Whole(framed(resp), events) {
 			j.writeHeader(w, resp)
 			j.complete = true
 			j.possibleRuns++
@@ -129,7 +128,7 @@
 		if j.Includes(id) {
 			continue
 		}
-		complete = true
+		events++
 		j.writeHeader(w, resp)
 		if _, err := w.Write(event); err != nil {
 			return callerDisconnected{err: errors.WithStack(err)}
