Ask for the rest of streams whose end isn't proven

Cause, by inference: a process that is killed closes its connections in order, and the end of a stream without length or chunks was taken for its completeness.

Change: call.EndProven. A stream has ended if its framing says so or all tokens that were asked for were sent. Another server is asked for what follows the last event of any other stream that can be resumed; if that isn't possible, the caller's connection is closed, so that the caller can resume.

TestUnframedStreamEndsBetweenEvents failed before in 3 of 5 cases (two of four events with an orderly end) and passes.

--- a/services/relay/cut_test.go
+++ b/services/relay/cut_test.go
@@ -47,3 +47,39 @@
 		}
 	}
 }
+
+// TestUnframedStreamEndsBetweenEvents guards against streams without framing whose server ended between
+// two events, and that callers get as complete.
+func TestUnframedStreamEndsBetweenEvents(t *testing.T) {
+	const events = 4
+	tests := []struct {
+		name, path    string
+		first, second site.Behaviour
+		usage         string
+		complete      bool
+		events, sends int
+	}{
+		{"stopped, resumed", "/draft/a", site.StopUnframed, site.Serve, "100,40", true, events, 2},
+		{"complete, confirmed", "/draft/a", site.ServeUnframed, site.Serve, "100,40", true, events, 2},
+		{"complete by its tokens", "/draft/a", site.ServeUnframed, site.Serve, "100,4", true, events, 1},
+		{"stopped, no server for the rest", "/draft/a", site.StopUnframed, site.Shed, "100,40", false, events / 2, 2},
+		{"can't be resumed", "/plan/a", site.ServeUnframed, site.Serve, "100,40", true, events, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			env := newTestEnv(t, nil, site.NewServer("s1", events, tt.first), site.NewServer("s2", events, tt.second))
+			var want strings.Builder
+			for id := range tt.events {
+				want.WriteString(site.Event(id + 1))
+			}
+			env.usage = tt.usage
+			status, body, err := env.sendOverConnection(tt.path)
+			if status != http.StatusOK || body != want.String() || (err == nil) != tt.complete {
+				t.Errorf("got status %d, %q and %v, want %d events", status, body, err, tt.events)
+			}
+			if n := env.arrived(); n != tt.sends {
+				t.Errorf("%d requests reached servers, want %d", n, tt.sends)
+			}
+		})
+	}
+}
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -90,6 +90,10 @@
 	err    error
 }
 
+// endUnproven means that a stream which can be resumed ended in order, and that it isn't known to be
+// complete.
+type endUnproven struct{}
+
 // serverError means that the server responded with an error that was not passed on.
 type serverError struct{ resp *bufferedResponse }
 
@@ -99,6 +103,7 @@
 func (responseRelayed) isSendResult()    {}
 func (notRun) isSendResult()             {}
 func (unknownOutcome) isSendResult()     {}
+func (endUnproven) isSendResult()        {}
 func (serverError) isSendResult()        {}
 func (callerDisconnected) isSendResult() {}
 
@@ -126,6 +131,9 @@
 		case unknownOutcome:
 			j.possibleRuns++
 			j.lastRefusal = unknownRefusal(result.reason)
+		case endUnproven:
+			j.possibleRuns++
+			j.lastRefusal = unknownRefusal(refusal.OutcomeUnknown)
 		case notRun:
 			if result.unsent {
 				j.arrivals--
@@ -286,11 +294,22 @@
 	if !j.complete {
 		events += uncountedEvents
 	}
-	perEvent := int64(1)
-	if j.pool.Engine != nil {
-		perEvent = j.pool.Engine.TokensPerEvent
+	return j.request.PromptTokens + min(j.request.OutputTokens, j.tokensOf(events))
+}
+
+// tokensOf returns the number of output tokens in events.
+func (j *job) tokensOf(events int64) int64 {
+	if j.pool.Engine == nil {
+		return events
 	}
-	return j.request.PromptTokens + min(j.request.OutputTokens, events*perEvent)
+	return events * j.pool.Engine.TokensPerEvent
+}
+
+// endUnproven reports whether a stream that ended in order must be resumed to learn whether it is
+// complete. One that can't be resumed ends with its connection, as servers may do.
+func (j *job) endUnproven(resp *http.Response) bool {
+	return j.route.Kind == route.ResumableStream && j.Resumable() &&
+		!call.EndProven(framed(resp), j.tokensOf(j.Events), j.request.OutputTokens)
 }
 
 // recordResult logs and counts the result of the request.
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -105,6 +105,8 @@
 	servers []*site.Server
 	catalog *fakeCatalog
 	relay   *relay.Service
+	// usage is the Token-Usage of prompts.
+	usage string
 }
 
 func newTestEnv(t *testing.T, opts []relay.Option, servers ...*site.Server) *testEnv {
@@ -116,7 +118,7 @@
 	}
 	c := newCatalog(servers...)
 	r := relay.New(hclog.NewNullLogger(), platform.HeaderCodec{}, c, fakeBudget{}, client, opts...)
-	return &testEnv{T: t, servers: servers, catalog: c, relay: r}
+	return &testEnv{T: t, servers: servers, catalog: c, relay: r, usage: "100,40"}
 }
 
 // send relays one request and returns the response.
@@ -136,7 +138,7 @@
 	r.Header.Set("Deadline-Ms", "800")
 	if strings.HasPrefix(path, "/draft/") || strings.HasPrefix(path, "/plan/") {
 		r.Header.Set("Model", "m")
-		r.Header.Set("Token-Usage", "100,40")
+		r.Header.Set("Token-Usage", env.usage)
 	}
 	for i := 0; i+1 < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -194,7 +194,9 @@
 }
 
 // framed reports whether the response says where its body ends.
-func framed(resp *http.Response) bool { return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 }
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
 
 // drainBody reads a short body to its end, so that the connection can be reused.
 func drainBody(resp *http.Response) {
@@ -295,6 +297,8 @@
 				return
 			}
 			b.RecordSuccess(id)
+		case endUnproven:
+			b.RecordSuccess(id)
 		case serverError:
 			b.RecordFailure(id)
 		case notRun:
@@ -345,6 +349,8 @@
 	case unknownOutcome:
 		j.log.Info("send outcome unknown", append(pairs, "workspace", j.workspace.Name, "segments", j.segments, "fingerprint", j.fingerprint,
 			"first", j.timeToFirstEvent.Round(time.Millisecond), "reason", result.reason, "error", result.err)...)
+	case endUnproven:
+		j.log.Info("end of stream not proven", append(pairs, "lastEvent", j.LastEventID, "tokens", j.tokensOf(j.Events), "outputTokens", j.request.OutputTokens)...)
 	case callerDisconnected:
 		j.log.Info("caller disconnected", append(pairs, "error", result.err)...)
 	case serverError:
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -115,6 +115,9 @@
 	for {
 		event, err := readEvent(reader)
 		if errors.Is(err, io.EOF) && len(event) == 0 && call.Whole(framed(resp), events) {
+			if j.endUnproven(resp) {
+				return endUnproven{}
+			}
 			j.writeHeader(w, resp)
 			j.complete = true
 			j.possibleRuns++
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -43,6 +43,11 @@
 	// RestartUnframed executes the request from its first event on and closes the connection
 	// after it, in a response without length or chunks.
 	RestartUnframed
+	// StopUnframed executes the request, sends the first half of its events, and closes the
+	// connection, in a response without length or chunks.
+	StopUnframed
+	// ServeUnframed sends all events in such a response.
+	ServeUnframed
 	// AbortUnnumbered sends events without ids and closes the connection in the middle of the
 	// response body.
 	AbortUnnumbered
@@ -253,6 +258,9 @@
 	case RestartUnframed:
 		endUnframed(w, Event(1))
 		return
+	case StopUnframed, ServeUnframed:
+		s.respondUnframed(w, b)
+		return
 	case Hang:
 		<-r.Context().Done()
 		s.mu.Lock()
@@ -280,6 +288,19 @@
 // rejectBody is the body of a response to a request that the server rejects.
 const rejectBody = `{"error":"no such document"}`
 
+// respondUnframed sends half of the events or all of them, and closes the connection.
+func (s *Server) respondUnframed(w http.ResponseWriter, b Behaviour) {
+	last := s.events
+	if b == StopUnframed {
+		last /= 2
+	}
+	var events strings.Builder
+	for id := range last {
+		events.WriteString(Event(id + 1))
+	}
+	endUnframed(w, events.String())
+}
+
 // endUnframed sends the header of a stream that ends with its connection and the events, and
 // closes the connection.
 func endUnframed(w http.ResponseWriter, events string) {
