Take a server that can't be reached for no crashed one

Found while a whole request became a subject of quarantine: a gateway that is cut off from the servers of a pool sees broken sends, and connections that time out. Each counted as a crash, for all gateways, so that a request which was retried at three servers would have been refused for an hour.

Cause: missing evidence, no connection, taken for a yes. Change: a crash is a connection that is refused, as no process listens any more; a timeout proves nothing.

TestServersCutOffAreNoCrashes failed before (blocked for an hour at both gateways) and passes; both tests of prompts and requests that crash servers pass with processes.

--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -13,10 +13,12 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/kernel"
 	"github.com/crocusline/crocusline/models/quarantine"
@@ -58,7 +60,8 @@
 
 // Dialer establishes connections to servers.
 type Dialer interface {
-	// Connect returns an error if the server accepts no connection.
+	// Connect returns an error if the server accepts no connection, of the kind
+	// syscall.ECONNREFUSED if it refuses one.
 	Connect(ctx context.Context, address netip.AddrPort) error
 }
 
@@ -205,7 +208,8 @@
 	s.clearAnswered()
 }
 
-// call calls the servers and returns those that accept no connection.
+// call calls the servers and returns those that refuse the connection: no process listens there any
+// more. A server that merely can't be reached may be cut off from this gateway.
 func (s *Service) call(broken map[Server][]string) []quarantine.Crash {
 	var mu sync.Mutex
 	var calls sync.WaitGroup
@@ -216,6 +220,10 @@
 			if err == nil || s.ctx.Err() != nil {
 				return
 			}
+			if !errors.Is(err, syscall.ECONNREFUSED) {
+				s.log.Debug("server not reachable", "server", server.ID, "segments", segments, "error", err)
+				return
+			}
 			s.log.Info("server crashed under prompts", "server", server.ID, "segments", segments, "error", err)
 			mu.Lock()
 			defer mu.Unlock()
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/netip"
+	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,15 +18,15 @@
 	"github.com/crocusline/crocusline/standin/site"
 )
 
-// servers accepts connections for those servers that have not crashed.
-type servers map[netip.AddrPort]bool
+// servers holds the errors of connections to servers. It has none for those that accept them.
+type servers map[netip.AddrPort]error
 
-func (s servers) Connect(_ context.Context, address netip.AddrPort) error {
-	if s[address] {
-		return errors.New("connection refused")
-	}
-	return nil
-}
+func (s servers) Connect(_ context.Context, address netip.AddrPort) error { return s[address] }
+
+var (
+	errRefused  = fmt.Errorf("connect: %w", syscall.ECONNREFUSED)
+	errTimedOut = fmt.Errorf("connect: %w", os.ErrDeadlineExceeded)
+)
 
 // fixture is a store and the servers, which all gateways share.
 type fixture struct {
@@ -59,8 +60,13 @@
 
 // crash crashes the n-th server under prompts with the segments, as the gateway observes it.
 func (f *fixture) crash(s *quarantine.Service, n int, segments ...string) {
+	f.breakOff(s, n, errRefused, segments...)
+}
+
+// breakOff makes the n-th server break off responses, and end connections with the error.
+func (f *fixture) breakOff(s *quarantine.Service, n int, err error, segments ...string) {
 	server := quarantine.Server{ID: fmt.Sprintf("s%d", n), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(n)}), 80)}
-	f.crashed[server.Address] = true
+	f.crashed[server.Address] = err
 	s.RecordBroken(server, segments)
 	time.Sleep(200 * time.Millisecond)
 }
@@ -145,3 +151,18 @@
 		}
 	})
 }
+
+// TestServersCutOffAreNoCrashes guards against requests in quarantine because a gateway was cut off
+// from servers while they were under way there.
+func TestServersCutOffAreNoCrashes(t *testing.T) {
+	run(t, func(f *fixture) {
+		a, b := f.start("a"), f.start("b")
+		for n := range 6 {
+			f.breakOff(a, n, errTimedOut, "segment")
+		}
+		time.Sleep(2 * time.Second)
+		for who, s := range map[string]*quarantine.Service{"observer": a, "other": b} {
+			f.expect(who, s, false, "segment")
+		}
+	})
+}
