--- a/tests/faults/faults_test.go
+++ b/tests/faults/faults_test.go
@@ -187,6 +187,8 @@
 		entries := site.InvalidEntries("s", f.serverProxies[i].address().String())
 		invalid := entries[r.IntN(len(entries))]
 		f.store.Put("keyed.servers", invalid.Key, invalid.Value)
+	case 6:
+		f.servers[i].SetLimit(noticeValues[r.IntN(len(noticeValues))])
 	}
 }
 
--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -200,6 +200,7 @@
 func (f *fleet) restartServer(i int) {
 	f.servers[i].SetDraining("")
 	f.servers[i].RejectAll(false, "")
+	f.servers[i].SetLimit("")
 	f.servers[i].Behave()
 	f.serverStarts[i]++
 	f.setServerState(i, "ready")
