Show that a planned stop breaks off streams before its last sixth

TestStreamCutBeforeTheEndOfAPlannedStop: a stream whose server is at work is cut 3.20 s after SIGTERM with a grace period of 4 s. The operators allow that in the last sixth only, from 3.33 s on.

--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -11,7 +11,8 @@
 	"time"
 )
 
-// SlowPause is the pause between two of the slowPieces pieces of a slow response.
+// SlowPause is the pause between two of the slowPieces pieces of a slow response, and between the
+// events of a slow stream.
 const (
 	SlowPause  = 250 * time.Millisecond
 	slowPieces = 6
@@ -66,6 +67,9 @@
 	// SlowResponse executes the request and sends the response in pieces, with a pause of
 	// SlowPause before each.
 	SlowResponse
+	// SlowEvents executes the request and sends the events of its stream with a pause of SlowPause
+	// before each.
+	SlowEvents
 	// WrongRequestID responds with the Request-Id of another request.
 	WrongRequestID
 )
@@ -355,6 +359,9 @@
 			time.Sleep(time.Millisecond)
 			panic(http.ErrAbortHandler)
 		}
+		if b == SlowEvents {
+			time.Sleep(SlowPause)
+		}
 		_, _ = w.Write([]byte(event))
 		_ = http.NewResponseController(w).Flush()
 	}
--- a/tests/faults/stop_test.go
+++ b/tests/faults/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"syscall"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/crocusline/crocusline/standin/site"
+	"github.com/crocusline/crocusline/tests/knownred"
 )
 
 // plannedStopRequest returns a request that runs once, with five seconds of time.
@@ -79,3 +81,47 @@
 		t.Errorf("the process runs longer than %s", grace)
 	}
 }
+
+// TestStreamCutBeforeTheEndOfAPlannedStop guards against streams that are broken off by a planned stop
+// while their servers are at work, earlier than in the last sixth of the grace period.
+func TestStreamCutBeforeTheEndOfAPlannedStop(t *testing.T) {
+	const (
+		grace  = gracePeriodSeconds * time.Second
+		sentAt = grace / 2
+	)
+	f := newFleet(t, buildBinary(t), 1, serverCount)
+	requireService(t, f, "before SIGTERM")
+	for _, s := range f.servers {
+		s.Behave(site.SlowEvents)
+	}
+	g := f.gateways[0]
+	start := time.Now()
+	g.signal(syscall.SIGTERM)
+	time.Sleep(time.Until(start.Add(sentAt)))
+	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", g.callerAddress.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "POST /plan/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: slow\r\nAuthorization: Token %s\r\nModel: m\r\nToken-Usage: %d,%d\r\nDeadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nbody",
+		host, apiKey, promptTokens, outputTokens)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	ended := time.Since(start)
+	_ = resp.Body.Close()
+	t.Logf("status %d, %d bytes, then %v after %s", resp.StatusCode, len(body), err, ended)
+	problem := ""
+	if resp.StatusCode != http.StatusOK || err == nil || ended < grace*5/6 {
+		problem = fmt.Sprintf("the stream ended after %s of %s with status %d, error %v", ended, grace, resp.StatusCode, err)
+	}
+	if !g.waitExit(time.Until(start.Add(grace))) {
+		t.Errorf("the process runs longer than %s", grace)
+	}
+	knownred.Report(t, problem)
+}
