Keep streams until the last sixth of a planned stop

Callers saw streams end without their last event during planned stops, with nothing else wrong: a gateway kept 1.2 s of 8 s for its own end, and gave open requests up 0.2 s before that, 6.6 s after SIGTERM. The operators allow to break off a server that is at work in the last sixth only, from 6.67 s on.

PlanStop starts from what is promised: requests are kept for 5/6 of the grace period and a tenth of the rest, then have up to 0.2 s for their answers; what is left is for the end of the process (0.4 of 4 s, 1.0 of 8 s).

--- a/models/intake/stop.go
+++ b/models/intake/stop.go
@@ -1,6 +1,9 @@
 package intake
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// acceptTime is how long new requests are taken after a planned stop began. The platform stops
@@ -8,12 +11,17 @@
 	acceptTime = 2300 * time.Millisecond
 	// maxAcceptRatio is the largest part of the grace period in which requests are taken.
 	maxAcceptRatio = 0.6
-	// stopReserve is the time, and maxReserveRatio the largest part of the grace period, that is left
-	// for returning tokens and ending the process once all requests have ended.
-	stopReserve     = 1200 * time.Millisecond
-	maxReserveRatio = 0.15
-	// answerTime is how long requests that are given up have to answer their callers.
-	answerTime = 200 * time.Millisecond
+	// minServeRatio is the part of the grace period in which servers may be at work on requests. The
+	// platform's operators allow to break them off after that.
+	minServeRatio = 5.0 / 6
+	// giveUpMargin is the part of the rest that passes before requests are given up, as clocks and
+	// the signal's arrival differ.
+	giveUpMargin = 0.1
+	// answerTime is how long requests that are given up have to answer their callers, and
+	// maxAnswerRatio the largest part of the rest. What is left is for returning tokens and ending
+	// the process.
+	answerTime     = 200 * time.Millisecond
+	maxAnswerRatio = 0.3
 )
 
 // Stop is the plan of a planned stop, as times after its beginning. The loads that it answers are
@@ -30,10 +38,12 @@
 
 // PlanStop returns the plan for the time between the signal to stop and the end of the process.
 func PlanStop(grace time.Duration) Stop {
-	reserve := min(stopReserve, time.Duration(maxReserveRatio*float64(grace)))
+	serve := time.Duration(math.Ceil(minServeRatio * float64(grace)))
+	rest := grace - serve
+	giveUp := serve + time.Duration(giveUpMargin*float64(rest))
 	return Stop{
 		AcceptFor:   min(acceptTime, time.Duration(maxAcceptRatio*float64(grace))),
-		GiveUpAfter: max(0, grace-reserve-answerTime),
-		CloseAfter:  grace - reserve,
+		GiveUpAfter: giveUp,
+		CloseAfter:  giveUp + min(answerTime, time.Duration(maxAnswerRatio*float64(rest))),
 	}
 }
