--- a/models/call/call.go
+++ b/models/call/call.go
@@ -40,6 +40,9 @@
 	// LastEventID is the id of the last event that the caller has received. It is empty
 	// if there is none.
 	LastEventID string
+	// Resumes is the id of the caller's request that brought the first event of the stream that this
+	// one continues, or empty if unspecified.
+	Resumes string
 	// Header holds the header fields to forward.
 	Header http.Header
 	Body   []byte
@@ -47,6 +50,9 @@
 	ArrivedAt time.Time
 }
 
+// ContinuesStream reports whether the caller has received events of the stream before.
+func (r *Request) ContinuesStream() bool { return r.LastEventID != "" }
+
 // MaxTotalTokens returns the maximum number of tokens that the request can cost.
 func (r *Request) MaxTotalTokens() int64 { return r.PromptTokens + r.OutputTokens }
 
--- a/models/roster/roster.go
+++ b/models/roster/roster.go
@@ -21,7 +21,10 @@
 	Pool          string
 	Address       netip.AddrPort
 	FailureDomain string
-	Slots         int
+	// Version is the version of the server's software, or empty if unknown. Streams of different
+	// versions can't be joined.
+	Version string
+	Slots   int
 	// Draining servers accept no new requests.
 	Draining bool
 	// WarmUp is the remaining time of the server's slow warm-up phase, at the time when
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -302,8 +302,8 @@
 		return
 	}
 	if _, listed := s.serverRecords[r.Key]; !listed {
-		s.log.Info("server listed", "server", server.ID, "pool", server.Pool, "address", server.Address,
-			"draining", server.Draining, "offset", r.Offset)
+		s.log.Info("server listed", "server", server.ID, "pool", server.Pool, "address", server.Address, "version", server.Version,
+			"started", server.Started, "draining", server.Draining, "offset", r.Offset)
 	}
 	s.serverRecords[r.Key] = r
 	s.roster.Put(server, now)
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -65,8 +65,9 @@
 	// status is the status code sent to the caller, or 0.
 	status           int
 	timeToFirstEvent time.Duration
-	// server is the id of the server that the request was last sent to.
-	server string
+	// server is the id of the server that the request was last sent to, and version that of its software.
+	server  string
+	version string
 }
 
 // sendResult is the result of sending the request to one server.
@@ -321,6 +322,9 @@
 // recordResult logs and counts the result of the request.
 func (j *job) recordResult(err error) {
 	elapsed := time.Since(j.request.ArrivedAt)
+	if j.request.ContinuesStream() {
+		j.log.Info("stream taken up", "resumes", j.request.Resumes, "lastEvent", j.request.LastEventID, "server", j.server, "version", j.version, "ran", j.possibleRuns, "events", j.Events)
+	}
 	pairs := []any{
 		"route", j.route.Name, "workspace", j.workspace.Name, "tablesVersion", j.tableVersion, "server", j.server,
 		"sends", len(j.tried), "ran", j.possibleRuns, "events", j.Events, "tokens", j.usedTokens(), "first", j.timeToFirstEvent.Round(time.Millisecond),
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -43,7 +43,7 @@
 	req := j.balanceRequest()
 	id := choice.Server.ID
 	j.tried = append(j.tried, id)
-	j.server = id
+	j.server, j.version = id, choice.Server.Version
 	j.arrivals++
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -337,7 +337,7 @@
 // logSend logs a send without a response for the caller.
 func (j *job) logSend(choice balance.Choice, sends int, elapsed time.Duration, result sendResult) {
 	pairs := []any{
-		"server", choice.Server.ID, "send", sends, "took", elapsed.Round(time.Millisecond),
+		"server", choice.Server.ID, "version", choice.Server.Version, "send", sends, "took", elapsed.Round(time.Millisecond),
 		"predicted", choice.PredictedLatency.Round(time.Millisecond), "trial", choice.Trial, "events", j.Events,
 	}
 	switch result := result.(type) {
