Let servers of the stand-in name their software version in each event

Streams that are joined from two versions can then be seen from what the client got. Without a version the events and the entries are as before. Two behaviours pace the events of a stream, so that gateways can be killed, or the stream be broken off, while it runs.

--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -9,12 +9,15 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/crocusline/crocusline/modules/delay"
 )
 
 // SlowPause is the pause between two of the slowPieces pieces of a slow response, and between the
-// events of a slow stream.
+// events of a slow stream. PacedPause is that between the events of a paced stream.
 const (
 	SlowPause  = 250 * time.Millisecond
+	PacedPause = 100 * time.Millisecond
 	slowPieces = 6
 )
 
@@ -70,6 +73,11 @@
 	// SlowEvents executes the request and sends the events of its stream with a pause of SlowPause
 	// before each.
 	SlowEvents
+	// PacedEvents executes the request and sends the events of its stream with a pause of PacedPause
+	// before each, until the client disconnects.
+	PacedEvents
+	// PacedAbort does so and closes the connection in the middle of the response body.
+	PacedAbort
 	// WrongRequestID responds with the Request-Id of another request.
 	WrongRequestID
 )
@@ -104,6 +112,8 @@
 	retryAfter string
 	// limit is the value of Server-Limit in all responses.
 	limit string
+	// version is named by the events of streams, unless it is empty.
+	version string
 }
 
 // NewServer starts a server whose streamed responses have the given number of
@@ -260,7 +270,7 @@
 		s.respondPlain(w, b)
 		return
 	case RestartUnframed:
-		endUnframed(w, Event(1))
+		endUnframed(w, VersionedEvent(1, s.Version()))
 		return
 	case StopUnframed, ServeUnframed:
 		s.respondUnframed(w, b)
@@ -294,13 +304,14 @@
 
 // respondUnframed sends half of the events or all of them, and closes the connection.
 func (s *Server) respondUnframed(w http.ResponseWriter, b Behaviour) {
+	version := s.Version()
 	last := s.events
 	if b == StopUnframed {
 		last /= 2
 	}
 	var events strings.Builder
 	for id := range last {
-		events.WriteString(Event(id + 1))
+		events.WriteString(VersionedEvent(id+1, version))
 	}
 	endUnframed(w, events.String())
 }
@@ -341,17 +352,18 @@
 func Event(id int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id) }
 
 func (s *Server) respondEvents(w http.ResponseWriter, r *http.Request, b Behaviour) {
+	version := s.Version()
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for id := first; id <= s.events; id++ {
-		event := Event(id)
+		event := VersionedEvent(id, version)
 		if b == AbortUnnumbered {
 			event = fmt.Sprintf("data: token %d\n\n", id)
 		}
-		if (b == AbortResponse || b == AbortUnnumbered) && id == first+s.events/2 {
+		if (b == AbortResponse || b == AbortUnnumbered || b == PacedAbort) && id == first+s.events/2 {
 			_, _ = w.Write([]byte(event[:len(event)/2]))
 			_ = http.NewResponseController(w).Flush()
 			// Gives the partial event time to reach the client before the
@@ -359,8 +371,11 @@
 			time.Sleep(time.Millisecond)
 			panic(http.ErrAbortHandler)
 		}
-		if b == SlowEvents {
+		switch {
+		case b == SlowEvents:
 			time.Sleep(SlowPause)
+		case (b == PacedEvents || b == PacedAbort) && !delay.Wait(r.Context(), PacedPause):
+			return
 		}
 		_, _ = w.Write([]byte(event))
 		_ = http.NewResponseController(w).Flush()
--- a/tests/faults/client_test.go
+++ b/tests/faults/client_test.go
@@ -93,11 +93,7 @@
 func sendBody(client *exchange.Client, g *gateway, id, kind, body string) outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	header := http.Header{"Request-Id": {id}, "Authorization": {"Token " + apiKey}, "Deadline-Ms": {"2000"}}
-	if kind == "draft" || kind == "plan" {
-		header.Set("Model", "m")
-		header.Set("Token-Usage", fmt.Sprintf("%d,%d", promptTokens, outputTokens))
-	}
+	header := requestHeader(id, kind)
 	o := outcome{id: id, kind: kind}
 	start := time.Now()
 	resp, err := client.Do(ctx, &exchange.Request{
@@ -113,6 +109,16 @@
 	return o
 }
 
+// requestHeader returns the header of a request.
+func requestHeader(id, kind string) http.Header {
+	header := http.Header{"Request-Id": {id}, "Authorization": {"Token " + apiKey}, "Deadline-Ms": {"2000"}}
+	if kind == "draft" || kind == "plan" {
+		header.Set("Model", "m")
+		header.Set("Token-Usage", fmt.Sprintf("%d,%d", promptTokens, outputTokens))
+	}
+	return header
+}
+
 // violations compares the clients' outcomes with the executions at the servers. It
 // returns a description of each broken guarantee.
 func (c *loadGenerator) violations() []string {
--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -27,6 +27,8 @@
 	startupTime = 200 * time.Millisecond
 	// exitTimeout bounds the time from SIGTERM until a process exits.
 	exitTimeout = (gracePeriodSeconds + 2) * time.Second
+	// defaultVersion is the version in the entry of a server whose events name none.
+	defaultVersion = "v1"
 )
 
 // gateway is a gateway process that reaches the store through its own proxy.
@@ -93,14 +95,23 @@
 // newFleet starts a fleet and stops it at the end of the test.
 func newFleet(t *testing.T, binary string, gateways, servers int) *fleet {
 	t.Helper()
-	f := &fleet{T: t, binary: binary, store: site.NewStore(), prepaidTokens: 40_000, serverStates: make([]string, servers), serverStarts: make([]int, servers)}
+	return newFleetOfVersions(t, binary, gateways, make([]string, servers), 40_000)
+}
+
+// newFleetOfVersions starts a fleet with a server of each version. Without prepaid tokens, no budget
+// limits the requests.
+func newFleetOfVersions(t *testing.T, binary string, gateways int, versions []string, prepaidTokens int64) *fleet {
+	t.Helper()
+	servers := len(versions)
+	f := &fleet{T: t, binary: binary, store: site.NewStore(), prepaidTokens: prepaidTokens, serverStates: make([]string, servers), serverStarts: make([]int, servers)}
 	web := httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		web.CloseClientConnections()
 		web.Close()
 	})
-	for i := range servers {
+	for i, version := range versions {
 		s := site.NewServer(fmt.Sprintf("s%d", i), eventsPerStream)
+		s.SetVersion(version)
 		t.Cleanup(s.Close)
 		f.servers = append(f.servers, s)
 		f.serverProxies = append(f.serverProxies, newProxy(t, s.Address()))
@@ -173,6 +184,10 @@
 	// It has all paths that no other route has.
 	rootRoute := route("root", "non_idempotent", "s", 2, false)
 	rootRoute["path_prefix"] = "/"
+	tenant := map[string]any{"name": "clinics", "api_keys": []string{apiKey}}
+	if f.prepaidTokens > 0 {
+		tenant["prepaid"] = f.prepaidTokens
+	}
 	data, err := json.Marshal(map[string]any{
 		"version": f.configVersion,
 		"routes": []any{
@@ -181,7 +196,7 @@
 			rootRoute,
 		},
 		"services": []any{map[string]any{"name": "s", "max_conns": 400, "engine": map[string]any{"max_concurrency": 64, "kv_tokens": 100_000, "stride": tokensPerEvent}}},
-		"tenants":  []any{map[string]any{"name": "clinics", "api_keys": []string{apiKey}, "prepaid": f.prepaidTokens}},
+		"tenants":  []any{tenant},
 	})
 	if err != nil {
 		f.Fatal(err)
@@ -192,7 +207,11 @@
 // setServerState writes the registry entry of a server. An empty state removes it.
 func (f *fleet) setServerState(i int, state string) {
 	f.serverStates[i] = state
-	f.putServerStart(f.servers[i].ID, f.serverProxies[i].address(), state, f.serverStarts[i])
+	version := f.servers[i].Version()
+	if version == "" {
+		version = defaultVersion
+	}
+	f.putServerStart(f.servers[i].ID, f.serverProxies[i].address(), state, version, f.serverStarts[i])
 }
 
 // restartServer makes a server ready, as another incarnation without anything that it said of
@@ -209,17 +228,17 @@
 // putServer writes the registry entry of the first start of the server with the identifier, or
 // removes it.
 func (f *fleet) putServer(id string, address netip.AddrPort, state string) {
-	f.putServerStart(id, address, state, 0)
+	f.putServerStart(id, address, state, defaultVersion, 0)
 }
 
-func (f *fleet) putServerStart(id string, address netip.AddrPort, state string, start int) {
+func (f *fleet) putServerStart(id string, address netip.AddrPort, state, version string, start int) {
 	if state == "" {
 		f.store.Put("keyed.servers", id, nil)
 		return
 	}
 	f.store.Put("keyed.servers", id, fmt.Appendf(nil,
-		`{"service":"s","address":%q,"zone":"z","version":"v1","max_concurrency":64,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":%d}`,
-		address.String(), state, f.serverSequence.Add(1), start))
+		`{"service":"s","address":%q,"zone":"z","version":%q,"max_concurrency":64,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":%d}`,
+		address.String(), version, state, f.serverSequence.Add(1), start))
 }
 
 // copyStore copies the store's contents.
