--- /dev/null
+++ b/tests/faults/takeup_test.go
@@ -0,0 +1,254 @@
+package faults_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/crocusline/crocusline/modules/exchange"
+	"github.com/crocusline/crocusline/standin/site"
+)
+
+// retryPause is the time between two attempts of a client.
+const retryPause = 100 * time.Millisecond
+
+// clientStream is a stream as its client sees it over several attempts.
+type clientStream struct {
+	name string
+
+	mu sync.Mutex
+	// first is the id of the attempt that brought the first event.
+	first string
+	// attempts counts the attempts, and outcomes holds those that have ended.
+	attempts int
+	outcomes []outcome
+	// received are the events that arrived whole, and partial is the rest of this attempt's body.
+	received string
+	partial  string
+}
+
+func newClientStreams(name string, n int) []*clientStream {
+	streams := make([]*clientStream, n)
+	for i := range streams {
+		streams[i] = &clientStream{name: fmt.Sprintf("%s-%d", name, i)}
+	}
+	return streams
+}
+
+// events returns the number of events that arrived.
+func (s *clientStream) events() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Count(s.received, "\n\n")
+}
+
+// complete reports whether all events arrived.
+func (s *clientStream) complete() bool { return s.events() >= eventsPerStream }
+
+// firstVersion returns the version that the first event of a stream names, or "".
+func firstVersion(events string) string {
+	first, _, _ := strings.Cut(events, "\n\n")
+	_, version, _ := strings.Cut(first, " of ")
+	return version
+}
+
+// last returns the outcome of the last attempt.
+func (s *clientStream) last() outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.outcomes) == 0 {
+		return outcome{}
+	}
+	return s.outcomes[len(s.outcomes)-1]
+}
+
+// violation describes an event that is missing, comes twice or is of another version than the
+// first, or returns "".
+func (s *clientStream) violation() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var want strings.Builder
+	for id := range eventsPerStream {
+		want.WriteString(site.VersionedEvent(id+1, firstVersion(s.received)))
+	}
+	if strings.HasPrefix(want.String(), s.received) {
+		return ""
+	}
+	return fmt.Sprintf("%s has events that don't fit together: %q", s.name, s.received)
+}
+
+// next returns the id and header of the next attempt.
+func (s *clientStream) next() (string, http.Header) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempts++
+	id := fmt.Sprintf("%s-try%d", s.name, s.attempts)
+	header := requestHeader(id, "draft")
+	if n := strings.Count(s.received, "\n\n"); n > 0 {
+		header.Set("Last-Event-Id", fmt.Sprint(n))
+		header.Set("Resumes", s.first)
+	}
+	s.partial = ""
+	return id, header
+}
+
+// read adds bytes of the body of an attempt.
+func (s *clientStream) read(id, text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.partial += text
+	last := strings.LastIndex(s.partial, "\n\n")
+	if last < 0 {
+		return
+	}
+	end := last + len("\n\n")
+	if s.received == "" {
+		s.first = id
+	}
+	s.received += s.partial[:end]
+	s.partial = s.partial[end:]
+}
+
+// send begins the stream at the gateway, or takes it up there, and reads until the response ends.
+// The changes are made to the header.
+func (s *clientStream) send(ctx context.Context, g *gateway, changes ...func(http.Header)) outcome {
+	id, header := s.next()
+	for _, change := range changes {
+		change(header)
+	}
+	o := s.exchange(ctx, g, id, header)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outcomes = append(s.outcomes, o)
+	return o
+}
+
+func (s *clientStream) exchange(ctx context.Context, g *gateway, id string, header http.Header) outcome {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	// Clients try again on new connections.
+	client := exchange.New()
+	defer func() { _ = client.Close() }()
+	o := outcome{id: id, kind: "draft"}
+	resp, err := client.Do(ctx, &exchange.Request{
+		Address: g.callerAddress, Method: http.MethodPost, Target: "/draft/x", Host: host, Header: header, Body: []byte("body"),
+	})
+	if err != nil {
+		return o
+	}
+	defer func() { _ = resp.Body.Close() }()
+	o.status, o.seal = resp.StatusCode, resp.Header.Get("Response-Seal")
+	o.retryAfter = resp.Header.Get("Retry-After")
+	buffer := make([]byte, 4<<10)
+	for {
+		n, err := resp.Body.Read(buffer)
+		o.body += string(buffer[:n])
+		if o.status == http.StatusOK {
+			s.read(id, string(buffer[:n]))
+		}
+		if err != nil {
+			o.complete = errors.Is(err, io.EOF)
+			return o
+		}
+	}
+}
+
+// begin begins the streams, spread over the gateways, and returns once each has the number of
+// events or has ended. The function that it returns waits for their ends.
+func begin(ctx context.Context, streams []*clientStream, gateways []*gateway, events int) (wait func()) {
+	return run(streams, events, func(i int, s *clientStream) { s.send(ctx, gateways[i%len(gateways)]) })
+}
+
+// run calls f for each stream, and returns once each has the number of events or f has returned.
+func run(streams []*clientStream, events int, f func(i int, s *clientStream)) (wait func()) {
+	var running, begun sync.WaitGroup
+	for i, s := range streams {
+		ended := make(chan struct{})
+		running.Go(func() {
+			defer close(ended)
+			f(i, s)
+		})
+		begun.Go(func() {
+			for s.events() < events {
+				select {
+				case <-ended:
+					return
+				case <-time.After(time.Millisecond):
+				}
+			}
+		})
+	}
+	begun.Wait()
+	return running.Wait
+}
+
+// takeUp takes the streams up, in at most the number of attempts, each at another gateway than the
+// one before. Without an event they begin. The changes are made to the header.
+func takeUp(ctx context.Context, streams []*clientStream, gateways []*gateway, attempts int, changes ...func(http.Header)) {
+	run(streams, 0, func(i int, s *clientStream) {
+		for n := 0; n < attempts && !s.complete(); n++ {
+			if n > 0 {
+				time.Sleep(retryPause)
+			}
+			s.send(ctx, gateways[(i+n+1)%len(gateways)], changes...)
+		}
+	})()
+}
+
+// begun returns the streams that have events and aren't complete.
+func begun(streams []*clientStream) []*clientStream {
+	return slices.DeleteFunc(slices.Clone(streams), func(s *clientStream) bool { return s.events() == 0 || s.complete() })
+}
+
+// completed returns the number of streams of which all events arrived.
+func completed(streams []*clientStream) int {
+	n := 0
+	for _, s := range streams {
+		if s.complete() {
+			n++
+		}
+	}
+	return n
+}
+
+// accepted describes the streams whose last attempt wasn't refused with a status that guarantees
+// that it didn't run, or ran nevertheless.
+func (f *fleet) accepted(streams []*clientStream) string {
+	n, example := 0, ""
+	for _, s := range streams {
+		o, ran := s.last(), 0
+		for _, server := range f.servers {
+			ran += server.ExecutionCount(o.id)
+		}
+		if (o.status == http.StatusServiceUnavailable || o.status == http.StatusTooManyRequests) && o.seal == "" && ran == 0 {
+			continue
+		}
+		n++
+		example = fmt.Sprintf("%s got status %d and %d events, and was executed %d times", o.id, o.status, o.eventCount(), ran)
+	}
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d of %d were not refused, such as %s", n, len(streams), example)
+}
+
+// joined describes the streams with events of two versions.
+func joined(streams []*clientStream) string {
+	n, example := 0, ""
+	for _, s := range streams {
+		if problem := s.violation(); problem != "" {
+			n++
+			example = problem
+		}
+	}
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%d of %d streams are joined, such as %s", n, len(streams), example)
+}
