Resume a stream within a response only at the version that began it

Callers got streams with events of two software versions in one answer: when a server broke off, the gateway chose the next one without regard to its version. The class: a continuation takes any server for the same one.

The origin of a stream, the pool and the version of the server that sent its first event, is kept with the request (models/lineage), and a server of another version, or of an unknown one, is never chosen to continue it. If none is left, the connection is closed, as before when there was no server at all.

The servers of the older tests of this package get a version, since streams of servers without one are no longer resumed; no expectation changed.

--- a/models/balance/balance.go
+++ b/models/balance/balance.go
@@ -138,6 +138,8 @@
 	PromptTokens int64
 	// Exclude lists the servers that have already been tried.
 	Exclude []string
+	// Version is the software version that a server must have, or empty if any will do.
+	Version string
 	// Goal is the target for the time to the first event.
 	Goal time.Duration
 	// Idempotent requests may be used to test a server that was unreachable.
@@ -168,7 +170,7 @@
 	var choice Choice
 	bestCost := time.Duration(math.MaxInt64)
 	for _, s := range b.sortedServers() {
-		if slices.Contains(r.Exclude, s.ID) || !b.board.Admits(now, s.Server) || (r.MaxRunning > 0 && s.running >= r.MaxRunning) {
+		if slices.Contains(r.Exclude, s.ID) || (r.Version != "" && s.Version != r.Version) || !b.board.Admits(now, s.Server) || (r.MaxRunning > 0 && s.running >= r.MaxRunning) {
 			continue
 		}
 		predicted, cached := b.predict(now, s, r, s == preferred)
@@ -379,6 +381,16 @@
 	return shortest
 }
 
+// Serves reports whether a server has the software version.
+func (b *Balancer) Serves(version string) bool {
+	for _, s := range b.servers {
+		if s.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
 // Available returns the number of servers that are not suspended.
 func (b *Balancer) Available(now time.Time) int {
 	n := 0
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -11,6 +11,8 @@
 
 	"github.com/crocusline/crocusline/models/balance"
 	"github.com/crocusline/crocusline/models/call"
+	"github.com/crocusline/crocusline/models/lineage"
+	suspects "github.com/crocusline/crocusline/models/quarantine"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/retry"
 	"github.com/crocusline/crocusline/models/route"
@@ -35,16 +37,16 @@
 
 // job is the state of one request while it is relayed.
 type job struct {
-	service      *Service
-	log          hclog.Logger
-	request      *call.Request
-	route        route.Route
-	pool         route.Pool
-	workspace    route.Workspace
-	tableVersion int64
-	deadline     time.Time
-	retryBudget  *retry.WindowBudget
-	hold         *prepaid.Hold
+	service     *Service
+	log         hclog.Logger
+	request     *call.Request
+	table       *route.Table
+	route       route.Route
+	pool        route.Pool
+	workspace   route.Workspace
+	deadline    time.Time
+	retryBudget *retry.WindowBudget
+	hold        *prepaid.Hold
 	// segments are those of the prompt that other requests may have too. Calls to plain
 	// services have none.
 	segments []string
@@ -65,6 +67,9 @@
 	// status is the status code sent to the caller, or 0.
 	status           int
 	timeToFirstEvent time.Duration
+	// origin is where the stream began, in this request or in the one that it continues. It is unknown
+	// until then.
+	origin lineage.Origin
 	// server is the id of the server that the request was last sent to, and version that of its software.
 	server  string
 	version string
@@ -108,6 +113,15 @@
 func (serverError) isSendResult()        {}
 func (callerDisconnected) isSendResult() {}
 
+// usePool sets the pool whose servers get the request.
+func (j *job) usePool(pool route.Pool) {
+	j.pool, j.retryBudget, j.segments = pool, j.service.retryBudgetFor(pool.Name), nil
+	if pool.Engine != nil {
+		j.segments = sharedSegments(j.request.Prefix)
+	}
+	j.subjects = append([]string{suspects.RequestID(j.fingerprint)}, j.segments...)
+}
+
 // run sends the request until it is answered or must not be sent again.
 func (j *job) run(ctx context.Context, w http.ResponseWriter) error {
 	var fallback *bufferedResponse
@@ -227,7 +241,7 @@
 // requests that arrive at servers more than once.
 func (j *job) mayRetry(sends int) bool {
 	switch {
-	case j.possibleRuns > 0 && !j.route.Kind.Repeatable(), !j.Resumable():
+	case j.possibleRuns > 0 && !j.route.Kind.Repeatable(), !j.Resumable(), j.Begun && !j.origin.Known():
 		return false
 	case j.possibleRuns >= j.route.MaxAttempts, sends >= maxSends:
 		return false
@@ -271,7 +285,7 @@
 func (j *job) balanceRequest() balance.Request {
 	return balance.Request{
 		ID: j.request.ID, Segments: j.request.Prefix, PromptTokens: j.request.PromptTokens, Exclude: j.tried,
-		Goal: j.route.Goal, Idempotent: j.route.Kind.Repeatable(), MaxRunning: j.maxConns(),
+		Version: j.origin.Version, Goal: j.route.Goal, Idempotent: j.route.Kind.Repeatable(), MaxRunning: j.maxConns(),
 	}
 }
 
@@ -326,7 +340,7 @@
 		j.log.Info("stream taken up", "resumes", j.request.Resumes, "lastEvent", j.request.LastEventID, "server", j.server, "version", j.version, "ran", j.possibleRuns, "events", j.Events)
 	}
 	pairs := []any{
-		"route", j.route.Name, "workspace", j.workspace.Name, "tablesVersion", j.tableVersion, "server", j.server,
+		"route", j.route.Name, "workspace", j.workspace.Name, "tablesVersion", j.table.Version, "server", j.server,
 		"sends", len(j.tried), "ran", j.possibleRuns, "events", j.Events, "tokens", j.usedTokens(), "first", j.timeToFirstEvent.Round(time.Millisecond),
 		"took", elapsed.Round(time.Millisecond), "left", time.Until(j.deadline).Round(time.Millisecond),
 	}
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -17,7 +17,6 @@
 	"github.com/crocusline/crocusline/models/call"
 	"github.com/crocusline/crocusline/models/gateway"
 	"github.com/crocusline/crocusline/models/notice"
-	suspects "github.com/crocusline/crocusline/models/quarantine"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/retry"
 	"github.com/crocusline/crocusline/models/roster"
@@ -201,18 +200,14 @@
 	if r.Timeout > 0 && (timeout == 0 || r.Timeout < timeout) {
 		timeout = r.Timeout
 	}
-	pool := table.PoolFor(rt, r.ID)
-	var segments []string
-	if pool.Engine != nil {
-		segments = sharedSegments(r.Prefix)
-	}
 	fingerprint := r.Fingerprint(cmp.Or(workspace.Name, r.APIKey))
-	return &job{
-		service: s, request: r, route: rt, pool: pool, workspace: workspace, tableVersion: table.Version, segments: segments,
-		fingerprint: fingerprint, subjects: append([]string{suspects.RequestID(fingerprint)}, segments...),
-		deadline: r.ArrivedAt.Add(timeout), retryBudget: s.retryBudgetFor(pool.Name),
+	j := &job{
+		service: s, request: r, table: table, route: rt, workspace: workspace,
+		fingerprint: fingerprint, deadline: r.ArrivedAt.Add(timeout),
 		log: s.log.With("requestId", r.ID),
-	}, nil
+	}
+	j.usePool(table.PoolFor(rt, r.ID))
+	return j, nil
 }
 
 // refuseUnknown refuses a request whose route or API key the tables lack. Callers treat the
@@ -264,7 +259,7 @@
 		version = t.Version
 	}
 	if j != nil {
-		version = j.tableVersion
+		version = j.table.Version
 	}
 	pairs := []any{
 		"requestId", r.ID, "reason", e.Reason, "outcome", e.Outcome, "retryAfter", e.RetryAfter,
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -84,7 +84,7 @@
 	})
 	list := make([]roster.Server, len(servers))
 	for i, s := range servers {
-		list[i] = roster.Server{ID: s.ID, Address: s.Address(), Slots: 8, FailureDomain: "far"}
+		list[i] = roster.Server{ID: s.ID, Address: s.Address(), Slots: 8, FailureDomain: "far", Version: "v1"}
 	}
 	// The first server is in the near failure domain, so that it is chosen first.
 	list[0].FailureDomain = "near"
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -60,7 +60,7 @@
 	} else {
 		j.recordNotice(choice.Server, resp, start)
 		resp.Body = prompt.watch(resp.Body)
-		result = j.handleResponse(w, resp, prompt)
+		result = j.handleResponse(ctx, w, resp, prompt)
 		_ = resp.Body.Close()
 	}
 	j.reportToBalancer(ctx, id, prompt, result)
@@ -123,7 +123,7 @@
 
 // handleResponse classifies a response by its status line and header, and passes it
 // on if it is meant for the caller.
-func (j *job) handleResponse(w http.ResponseWriter, resp *http.Response, prompt *promptTracker) sendResult {
+func (j *job) handleResponse(ctx context.Context, w http.ResponseWriter, resp *http.Response, prompt *promptTracker) sendResult {
 	switch class := j.service.codec.ClassifyResponse(j.request, resp); class {
 	case call.NotRun:
 		drainBody(resp)
@@ -132,7 +132,7 @@
 		drainBody(resp)
 		return notRun{reason: refusal.WrongIncarnation}
 	case call.Succeeded, call.Failed:
-		return j.relayResponse(w, resp, class, prompt)
+		return j.relayResponse(ctx, w, resp, class, prompt)
 	default:
 		return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("status %d proves nothing: the response is %s, without a signature or without the request's id", resp.StatusCode, class)}
 	}
@@ -176,7 +176,7 @@
 
 // relayResponse passes on a signed response, unless it can't follow what the caller has
 // received.
-func (j *job) relayResponse(w http.ResponseWriter, resp *http.Response, class call.ResponseClass, prompt *promptTracker) sendResult {
+func (j *job) relayResponse(ctx context.Context, w http.ResponseWriter, resp *http.Response, class call.ResponseClass, prompt *promptTracker) sendResult {
 	events := isEventStream(resp)
 	switch {
 	case !j.Accepts(class, events):
@@ -187,7 +187,7 @@
 	case class == call.Failed:
 		return j.relayServerError(w, resp)
 	case events:
-		return j.relayEvents(w, resp, prompt)
+		return j.relayEvents(ctx, w, resp, prompt)
 	default:
 		return j.relayBuffered(w, resp, prompt)
 	}
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -109,7 +110,7 @@
 }
 
 // relayEvents passes on events as they arrive, each only when it is complete.
-func (j *job) relayEvents(w http.ResponseWriter, resp *http.Response, prompt *promptTracker) sendResult {
+func (j *job) relayEvents(ctx context.Context, w http.ResponseWriter, resp *http.Response, prompt *promptTracker) sendResult {
 	reader := bufio.NewReader(resp.Body)
 	events := 0
 	for {
@@ -132,6 +133,7 @@
 			continue
 		}
 		events++
+		j.recordOrigin()
 		j.writeHeader(w, resp)
 		if _, err := w.Write(event); err != nil {
 			return callerDisconnected{err: errors.WithStack(err)}
