Take a stream up only at the version that began it, and remember that in the store

Callers that took up a broken stream got the rest from any server: 200, to the end, with the text joined from two software versions. After a kill of all gateways nobody knew the versions any more. The class: a fact that one process alone knows is needed after it; and a missing record was taken for a match.

models/lineage and services/lineage keep the origin of each stream that may be resumed. A gateway writes it to the store before it passes the first event on, and looks it up, by the id that the caller names in Resumes, before it sends a continuation, which goes to a server of that version or nowhere. Unknown origins, records that contradict each other and versions that are gone are refused with 503; none of it has run. A record is an immutable fact, so that age and order of records don't matter; a write without an answer, which may be executed late, never shares a record with later streams; after a return of the store from a copy all is written again. While the store fails, first events wait 60 ms once and then not at all, and streams can be taken up at their own gateway only, until the store has the records.

TestCallerResumes continued a stream without naming what began it, which is refused now; it names the request, and a further test has what isn't known.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/crocusline/crocusline/routers/front"
 	"github.com/crocusline/crocusline/services/catalog"
 	"github.com/crocusline/crocusline/services/directory"
+	"github.com/crocusline/crocusline/services/lineage"
 	"github.com/crocusline/crocusline/services/notice"
 	"github.com/crocusline/crocusline/services/prepaid"
 	"github.com/crocusline/crocusline/services/quarantine"
@@ -106,6 +107,7 @@
 	prepaid      *prepaid.Service
 	quarantine   *quarantine.Service
 	notices      *notice.Service
+	lineage      *lineage.Service
 	lag          *schedlag.Meter
 	handler      *front.Handler
 	readiness    *front.Readiness
@@ -130,8 +132,10 @@
 		prepaid.WithDirectory(g.directory), prepaid.WithPeers(g.peers, s.Listen.Peers), prepaid.WithMetrics(g.metrics))
 	g.quarantine = quarantine.New(logger, g.store, platform.Codec{}.QuarantineTopic(), s.Instance, g.client)
 	g.notices = notice.New(logger, g.store, platform.Codec{}.NoticesTopic(), s.Instance, g.catalog, g.directory)
+	g.lineage = lineage.New(logger, g.store, platform.Codec{}.LineageTopic(), s.Instance,
+		lineage.WithFleet(g.directory), lineage.WithWritesPerSecond(s.StoreWrites), lineage.WithMetrics(g.metrics))
 	r := relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
-		append(retryOptions(s), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine), relay.WithMetrics(g.metrics))...)
+		append(retryOptions(s), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine), relay.WithLineage(g.lineage), relay.WithMetrics(g.metrics))...)
 	g.lag = schedlag.New()
 	g.handler = front.New(logger, platform.HeaderCodec{}, r, g.catalog,
 		front.WithBandwidth(s.Bandwidth), front.WithProcessorDelay(g.lag.Delay))
@@ -171,6 +175,7 @@
 		g.prepaid,
 		g.quarantine,
 		g.notices,
+		g.lineage,
 		&listener{name: "readinessListener", listen: g.listenReadiness},
 	}
 	if g.settings.Listen.Peers.IsValid() {
--- a/models/refusal/reason.go
+++ b/models/refusal/reason.go
@@ -39,13 +39,15 @@
 	ShuttingDown                        // shuttingDown
 	Overloaded                          // overloaded
 	Quarantined                         // quarantined
+	OriginUnknown                       // originUnknown
+	VersionGone                         // versionGone
 )
 
 // Reasons returns all reasons, so that counters can be created before their first
 // use.
 func Reasons() []Reason {
-	all := make([]Reason, 0, int(Quarantined)+1)
-	for r := Unspecified; r <= Quarantined; r++ {
+	all := make([]Reason, 0, int(VersionGone)+1)
+	for r := Unspecified; r <= VersionGone; r++ {
 		all = append(all, r)
 	}
 	return all
--- /dev/null
+++ b/services/lineage/find.go
@@ -0,0 +1,190 @@
+package lineage
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/models/lineage"
+)
+
+const (
+	// findTimeout bounds the time for which a request that takes up a stream waits for its origin. A slow store responds
+	// in some 0.25 s.
+	findTimeout = 350 * time.Millisecond
+	// readTimeout bounds a read of all partitions.
+	readTimeout = 2 * time.Second
+	// failedReadTime is how long after a failed read no other one is made.
+	failedReadTime = 300 * time.Millisecond
+)
+
+// UnknownError is returned if the origin of a stream is unknown.
+type UnknownError struct {
+	// Unread is whether the store could not be read. Otherwise it has no record of the stream.
+	Unread bool
+	Err    error
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	if e.Unread {
+		return fmt.Sprintf("the origin of the stream can't be read: %v", e.Err)
+	}
+	return "no record of the stream's origin"
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Err }
+
+// read is a read of all partitions.
+type read struct {
+	beganAt time.Time
+	done    chan struct{}
+	// endedAt and err are set before done is closed.
+	endedAt time.Time
+	err     error
+}
+
+// failedAt returns when the read failed, or the zero value if it is under way or didn't fail.
+func (r *read) failedAt() time.Time {
+	if r == nil {
+		return time.Time{}
+	}
+	select {
+	case <-r.done:
+		if r.err != nil {
+			return r.endedAt
+		}
+	default:
+	}
+	return time.Time{}
+}
+
+// streamsTakenUp counts the streams that callers took up, by what was known of their origin.
+const streamsTakenUp = "crocusline_streams_taken_up_total"
+
+const (
+	originKnown   = `{origin="known"}`
+	originUnknown = `{origin="unknown"}`
+	originUnread  = `{origin="unread"}`
+)
+
+// Find returns the origin of the stream, or an *UnknownError.
+func (s *Service) Find(ctx context.Context, id lineage.ID) (lineage.Origin, error) {
+	origin, err := s.find(ctx, id, time.Now())
+	var unknown *UnknownError
+	switch {
+	case err == nil:
+		s.metrics.Counter(streamsTakenUp + originKnown).Inc()
+	case errors.As(err, &unknown) && unknown.Unread:
+		s.metrics.Counter(streamsTakenUp + originUnread).Inc()
+	default:
+		s.metrics.Counter(streamsTakenUp + originUnknown).Inc()
+	}
+	return origin, err
+}
+
+// find looks for the stream among those known, and in the store if it isn't. A caller has received an event of
+// the stream, so that the store has the record by now if it was written in time: a read that begins later shows it.
+func (s *Service) find(ctx context.Context, id lineage.ID, since time.Time) (lineage.Origin, error) {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	for {
+		if o, known := s.known(id); known {
+			return o, nil
+		}
+		r, err := s.joinRead(since)
+		if err != nil {
+			return lineage.Origin{}, &UnknownError{Unread: true, Err: err}
+		}
+		select {
+		case <-r.done:
+		case <-ctx.Done():
+			return lineage.Origin{}, &UnknownError{Unread: true, Err: errors.WithStack(ctx.Err())}
+		}
+		if o, known := s.known(id); known {
+			return o, nil
+		}
+		if r.err != nil {
+			return lineage.Origin{}, &UnknownError{Unread: true, Err: r.err}
+		}
+		if !r.beganAt.Before(since) {
+			return lineage.Origin{}, &UnknownError{}
+		}
+	}
+}
+
+// known returns the origin of a stream that this process began or has read of.
+func (s *Service) known(id lineage.ID) (lineage.Origin, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := lineage.NewIndex()
+	if b, exists := s.began[id]; exists {
+		all.Add(lineage.Entry{ID: id, Origin: b.origin})
+	}
+	for _, x := range s.stored {
+		if o, exists := x.Find(id); exists {
+			all.Add(lineage.Entry{ID: id, Origin: o})
+		}
+	}
+	o, _ := all.Find(id)
+	return o, o.Known()
+}
+
+// joinRead returns the read that is under way, or begins one. It returns an error if the last one failed just before.
+func (s *Service) joinRead(since time.Time) (*read, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.reading
+	if failedAt := r.failedAt(); !failedAt.IsZero() && since.Sub(failedAt) < failedReadTime {
+		return nil, r.err
+	}
+	if r != nil {
+		select {
+		case <-r.done:
+		default:
+			return r, nil
+		}
+	}
+	if s.ctx.Err() != nil {
+		return nil, errors.WithStack(s.ctx.Err())
+	}
+	r = &read{beganAt: time.Now(), done: make(chan struct{})}
+	s.reading = r
+	s.running.Go(func() { s.readAll(r) })
+	return r, nil
+}
+
+// readAll reads all partitions. The streams of one that can't be read are those of the last read.
+func (s *Service) readAll(r *read) {
+	ctx, cancel := context.WithTimeout(s.ctx, readTimeout)
+	defer cancel()
+	var reads sync.WaitGroup
+	var errs [partitions]error
+	for n := range partitions {
+		reads.Go(func() {
+			snapshot, err := s.store.Snapshot(ctx, s.partition(n))
+			if err != nil {
+				errs[n] = err
+				return
+			}
+			x := s.index(snapshot.Records)
+			s.mu.Lock()
+			s.stored[n] = x
+			s.mu.Unlock()
+		})
+	}
+	reads.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, err := range errs {
+		if err != nil && r.err == nil {
+			r.err = err
+		}
+	}
+	r.endedAt = time.Now()
+	close(r.done)
+}
--- a/services/relay/origin_test.go
+++ b/services/relay/origin_test.go
@@ -1,13 +1,47 @@
 package relay_test
 
 import (
+	"context"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/models/lineage"
+	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/roster"
+	"github.com/crocusline/crocusline/services/relay"
 	"github.com/crocusline/crocusline/standin/site"
 )
 
+// fakeLineage holds origins, and what was recorded.
+type fakeLineage struct {
+	origins  map[lineage.ID]lineage.Origin
+	recorded []lineage.Origin
+}
+
+// newFakeLineage returns a lineage that knows of a stream of the workspace that began at the version.
+func newFakeLineage(requestID, version string) *fakeLineage {
+	return &fakeLineage{origins: map[lineage.ID]lineage.Origin{
+		lineage.NewID("clinics", requestID): {Pool: "models", Version: version},
+	}}
+}
+
+func (l *fakeLineage) Begin(_ context.Context, id lineage.ID, o lineage.Origin, _ time.Duration) {
+	l.origins[id] = o
+	l.recorded = append(l.recorded, o)
+}
+
+func (l *fakeLineage) Find(_ context.Context, id lineage.ID) (lineage.Origin, error) {
+	o, exists := l.origins[id]
+	if !exists {
+		return o, errors.New("no record")
+	}
+	return o, nil
+}
+
 // setVersions gives the servers their versions, in order.
 func (env *testEnv) setVersions(versions ...string) {
 	var list []roster.Server
@@ -57,3 +91,63 @@
 		})
 	}
 }
+
+// TestStreamTakenUpAtAnotherVersion guards against a stream that a caller takes up and that goes on at a server of another
+// software version, or of an unknown one.
+func TestStreamTakenUpAtAnotherVersion(t *testing.T) {
+	tests := []struct {
+		name     string
+		versions []string
+		header   []string
+		server   int
+		reason   refusal.Reason
+	}{
+		{"the version that began it", []string{"v2", "v1"}, []string{"Resumes", "began"}, 1, 0},
+		{"version gone", []string{"v2", "v3"}, []string{"Resumes", "began"}, -1, refusal.VersionGone},
+		{"version unknown", []string{"", "v2"}, []string{"Resumes", "began"}, -1, refusal.VersionGone},
+		{"no record", []string{"v1", "v1"}, []string{"Resumes", "other"}, -1, refusal.OriginUnknown},
+		{"not named", []string{"v1", "v1"}, nil, -1, refusal.OriginUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			env := newTestEnv(t, []relay.Option{relay.WithLineage(newFakeLineage("began", "v1"))}, site.NewServer("s1", 10), site.NewServer("s2", 10))
+			env.setVersions(tt.versions...)
+			resp, err := env.send(t.Context(), "/draft/a", append([]string{"Last-Event-Id", "4"}, tt.header...)...)
+			e, refused := refusal.As(err)
+			if refused != (tt.server < 0) || (refused && (e.Reason != tt.reason || e.Outcome != refusal.NotRun)) {
+				t.Errorf("got %v", err)
+			}
+			if want := events(5, 10); !refused && resp.Body.String() != want {
+				t.Errorf("got %q, want %q", resp.Body.String(), want)
+			}
+			for i, s := range env.servers {
+				if got := len(s.Requests()) > 0; got != (i == tt.server) {
+					t.Errorf("server %s of version %q got requests: %t", s.ID, tt.versions[i], got)
+				}
+			}
+		})
+	}
+}
+
+// TestOriginRecorded checks that the version of the server that sent the first event is recorded before the
+// event is passed on, once for each stream.
+func TestOriginRecorded(t *testing.T) {
+	l := newFakeLineage("other", "v0")
+	env := newTestEnv(t, []relay.Option{relay.WithLineage(l)}, site.NewServer("s1", 10, site.Reset), site.NewServer("s2", 10))
+	env.setVersions("v1", "v2")
+	if _, err := env.send(t.Context(), "/draft/a"); err != nil {
+		t.Fatal(err)
+	}
+	if len(l.recorded) != 1 || l.recorded[0] != (lineage.Origin{Pool: "models", Version: "v2"}) {
+		t.Errorf("recorded %+v, want v2 of models", l.recorded)
+	}
+	if _, err := env.send(t.Context(), "/draft/a", "Last-Event-Id", "4", "Resumes", "r1", "Request-Id", "r2"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := env.send(t.Context(), "/plan/a", "Request-Id", "r3"); err != nil && !strings.Contains(err.Error(), "aborted") {
+		t.Fatal(err)
+	}
+	if len(l.recorded) != 1 {
+		t.Errorf("recorded %+v, want nothing for a stream that goes on or can't be resumed", l.recorded)
+	}
+}
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -12,10 +12,12 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/models/balance"
 	"github.com/crocusline/crocusline/models/call"
 	"github.com/crocusline/crocusline/models/gateway"
+	"github.com/crocusline/crocusline/models/lineage"
 	"github.com/crocusline/crocusline/models/notice"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/retry"
@@ -81,6 +83,22 @@
 func (noQuarantine) RecordAnswer([]string)                    {}
 func (noQuarantine) RecordBroken(quarantine.Server, []string) {}
 
+// Lineage keeps the origins of streams.
+type Lineage interface {
+	// Begin records where a stream begins, before its first event is passed on. Callers may take it up for the given time.
+	Begin(ctx context.Context, id lineage.ID, origin lineage.Origin, lifetime time.Duration)
+	// Find returns the origin of a stream that a caller takes up, or an error if it is unknown.
+	Find(ctx context.Context, id lineage.ID) (lineage.Origin, error)
+}
+
+// noLineage is the Lineage of a service without one. It knows of no stream.
+type noLineage struct{}
+
+func (noLineage) Begin(context.Context, lineage.ID, lineage.Origin, time.Duration) {}
+func (noLineage) Find(context.Context, lineage.ID) (lineage.Origin, error) {
+	return lineage.Origin{}, errors.New("origins of streams are not kept")
+}
+
 // Defaults of the options.
 const (
 	// DefaultRetryWindow, DefaultRetryRatio and DefaultRetryExtra limit the retries of
@@ -111,6 +129,9 @@
 // WithQuarantine sets the quarantine of prompts. Without one, all are sent.
 func WithQuarantine(q Quarantine) Option { return func(s *Service) { s.quarantine = q } }
 
+// WithLineage sets where the origins of streams are kept. Without one, callers can't take streams up.
+func WithLineage(l Lineage) Option { return func(s *Service) { s.lineage = l } }
+
 // WithMetrics sets the metrics that the service updates.
 func WithMetrics(set *metric.Set) Option { return func(s *Service) { s.metrics = set } }
 
@@ -127,6 +148,7 @@
 	retryExtra  int
 	fleet       Fleet
 	quarantine  Quarantine
+	lineage     Lineage
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.WindowBudget
@@ -137,7 +159,7 @@
 	s := &Service{
 		log: log.Named("relay"), codec: codec, catalog: catalog, budget: budget, client: client,
 		metrics: metric.New(), retryWindow: DefaultRetryWindow, retryRatio: DefaultRetryRatio, retryExtra: DefaultRetryExtra,
-		retryBudgets: map[string]*retry.WindowBudget{}, quarantine: noQuarantine{},
+		retryBudgets: map[string]*retry.WindowBudget{}, quarantine: noQuarantine{}, lineage: noLineage{},
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -170,6 +192,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
+	if err := j.findOrigin(ctx); err != nil {
+		s.recordRefusal(r, j, err)
+		return err
+	}
 	j.retryBudget.RecordRequest(time.Now())
 	j.hold, err = s.reserve(ctx, j)
 	if err != nil {
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -342,10 +342,11 @@
 	}
 }
 
-// TestCallerResumes checks that a resumption requested by the caller is passed on.
+// TestCallerResumes checks that a resumption requested by the caller is passed on to a server of the version that
+// began the stream.
 func TestCallerResumes(t *testing.T) {
-	env := newTestEnv(t, nil, site.NewServer("s1", 10))
-	resp, err := env.send(t.Context(), "/draft/a", "Last-Event-Id", "4")
+	env := newTestEnv(t, []relay.Option{relay.WithLineage(newFakeLineage("began", "v1"))}, site.NewServer("s1", 10))
+	resp, err := env.send(t.Context(), "/draft/a", "Last-Event-Id", "4", "Resumes", "began")
 	if err != nil || resp.Body.String() != events(5, 10) {
 		t.Errorf("got %q and %v, want events 5 to 10", resp.Body.String(), err)
 	}
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -133,7 +133,7 @@
 			continue
 		}
 		events++
-		j.recordOrigin()
+		j.recordOrigin(ctx)
 		j.writeHeader(w, resp)
 		if _, err := w.Write(event); err != nil {
 			return callerDisconnected{err: errors.WithStack(err)}
