--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -214,6 +214,16 @@
 	f.putServerStart(f.servers[i].ID, f.serverProxies[i].address(), state, version, f.serverStarts[i])
 }
 
+// restartServerAs starts a server again under its identifier and address as another version of its
+// software. Its connections break.
+func (f *fleet) restartServerAs(i int, version string) {
+	f.servers[i].SetVersion(version)
+	f.serverProxies[i].setMode(reset)
+	f.serverProxies[i].setMode(forward)
+	f.serverStarts[i]++
+	f.setServerState(i, f.serverStates[i])
+}
+
 // restartServer makes a server ready, as another incarnation without anything that it said of
 // itself before.
 func (f *fleet) restartServer(i int) {
