Confirm the start of a server before a stream begins or goes on there

Callers got streams of two versions when a server started again under its id and address as another version, while a gateway could not read the list or read it a moment later: the entry it knew still named the old version. The class: an older copy of a fact taken for the present one.

A connection ends with its process. A stream that begins at an unconfirmed server can't be continued; a continuation by one is not passed on. An entry or report without a start time confirms nothing. It costs a call for each new connection over which a resumable stream begins.

The stand-in's servers report their starts, which count from a time in ms and no longer from 0, as 0 means unknown.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -135,7 +135,8 @@
 	g.lineage = lineage.New(logger, g.store, platform.Codec{}.LineageTopic(), s.Instance,
 		lineage.WithFleet(g.directory), lineage.WithWritesPerSecond(s.StoreWrites), lineage.WithMetrics(g.metrics))
 	r := relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
-		append(retryOptions(s), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine), relay.WithLineage(g.lineage), relay.WithMetrics(g.metrics))...)
+		append(retryOptions(s), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine), relay.WithLineage(g.lineage),
+			relay.WithReports(platform.NewReports(g.client)), relay.WithMetrics(g.metrics))...)
 	g.lag = schedlag.New()
 	g.handler = front.New(logger, platform.HeaderCodec{}, r, g.catalog,
 		front.WithBandwidth(s.Bandwidth), front.WithProcessorDelay(g.lag.Delay))
--- a/models/roster/roster.go
+++ b/models/roster/roster.go
@@ -46,6 +46,9 @@
 type listedServer struct {
 	Server
 	expired bool
+	// confirmedAt is when the server was asked last and confirmed that it is the listed start, or the
+	// zero value.
+	confirmedAt time.Time
 }
 
 // departure records that a server drains or was removed from the list.
@@ -93,7 +96,11 @@
 	default:
 		delete(r.departures, s.ID)
 	}
-	r.servers[s.ID] = listedServer{Server: s}
+	listed := listedServer{Server: s}
+	if before, exists := r.servers[s.ID]; exists && before.Started == s.Started {
+		listed.confirmedAt = before.confirmedAt
+	}
+	r.servers[s.ID] = listed
 }
 
 // recordDeparture records that the server drains or was removed.
--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -43,6 +43,8 @@
 	netConn net.Conn
 	limit   *limitedReader
 	reader  *bufio.Reader
+	// openedAt is when the connection was established.
+	openedAt time.Time
 	// idleSince is the time at which the last request ended.
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle.
@@ -55,7 +57,7 @@
 func newConn(c *Client, address netip.AddrPort, netConn net.Conn) *conn {
 	limit := &limitedReader{reader: netConn}
 	return &conn{
-		client: c, address: address, netConn: netConn, limit: limit,
+		client: c, address: address, netConn: netConn, limit: limit, openedAt: time.Now(),
 		reader: bufio.NewReaderSize(limit, readBufferSize), idleTimeout: c.idleTimeout,
 	}
 }
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -150,6 +150,15 @@
 	return conn.roundTrip(ctx, r)
 }
 
+// OpenedAt returns when the connection was established over which a response of Do arrives: the process that sends it
+// has run since then. It returns the present time for other responses, which prove nothing.
+func OpenedAt(resp *http.Response) time.Time {
+	if b, ok := resp.Body.(*body); ok {
+		return b.conn.openedAt
+	}
+	return time.Now()
+}
+
 // Connect establishes a connection and keeps it for the next request. It returns a DialError
 // if the server accepts none. If all connections to it are in use, none is established.
 func (c *Client) Connect(ctx context.Context, address netip.AddrPort) error {
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -224,6 +224,22 @@
 	return drains || news
 }
 
+// Confirmed reports whether the process behind a connection that was opened at the given time is the listed start
+// of the server.
+func (s *Service) Confirmed(server roster.Server, openedAt time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.Confirmed(server, openedAt, time.Now().Add(-s.servers.Age()))
+}
+
+// RecordStart records the start that a server named when it was asked, and reports whether it is that of the server as it was
+// chosen.
+func (s *Service) RecordStart(server roster.Server, askedAt time.Time, started int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.roster.RecordStart(server, askedAt, started)
+}
+
 // applyTable replaces the routing tables unless the version of the current ones is the
 // same or newer.
 func (s *Service) applyTable(r record.Record, source string) {
--- a/services/relay/origin.go
+++ b/services/relay/origin.go
@@ -53,17 +53,50 @@
 	return refusal.New(refusal.OriginUnknown, retryAfter, "the software version that began the stream is unknown")
 }
 
-// recordOrigin records where the stream begins, before its first event is passed on.
-func (j *job) recordOrigin(ctx context.Context) {
-	if j.Begun || j.request.ContinuesStream() || j.route.Kind != route.ResumableStream {
-		return
+// checkOrigin is called before the first event of a response is passed on. It records where a stream begins, and returns an
+// error if the server that continues one isn't known to have the version that it is listed with.
+func (j *job) checkOrigin(ctx context.Context, prompt *promptTracker) error {
+	if prompt.originChecked || j.route.Kind != route.ResumableStream {
+		return nil
+	}
+	prompt.originChecked = true
+	err := j.confirmServer(ctx, prompt)
+	if j.origin.Known() {
+		return err
+	}
+	if err != nil {
+		j.log.Info("origin of stream not confirmed", "server", j.server, "version", j.version, "error", err)
+		return nil
 	}
 	j.origin = lineage.Origin{Pool: j.pool.Name, Version: j.version}
 	if j.origin.Known() {
 		j.service.lineage.Begin(ctx, lineage.NewID(j.workspace.Name, j.request.ID), j.origin, lifetimeRatio*j.route.Timeout)
 	}
+	return nil
+}
+
+// confirmServer returns an error if the server that responds isn't known to be the start of it that is listed. It is asked
+// if the list can't show that yet.
+func (j *job) confirmServer(ctx context.Context, prompt *promptTracker) error {
+	catalog := j.service.catalog
+	if catalog.Confirmed(prompt.server, prompt.openedAt) {
+		return nil
+	}
+	askedAt := time.Now()
+	started, err := j.service.reports.Started(ctx, prompt.server, j.maxConns())
+	j.service.metrics.Counter(serverStartsAsked).Inc()
+	if err != nil {
+		return err
+	}
+	if !catalog.RecordStart(prompt.server, askedAt, started) {
+		return errors.Errorf("server %s started at %d, and is listed with %d", prompt.server.ID, started, prompt.server.Started)
+	}
+	return nil
 }
 
+// serverStartsAsked counts the calls that ask servers when they started.
+const serverStartsAsked = "crocusline_server_starts_asked_total"
+
 // lifetimeRatio is the time for which callers may take up a stream, as a multiple of the timeout of a request: the stream breaks off
 // within one, and is taken up within another.
 const lifetimeRatio = 2
--- a/services/relay/origin_test.go
+++ b/services/relay/origin_test.go
@@ -46,7 +46,7 @@
 func (env *testEnv) setVersions(versions ...string) {
 	var list []roster.Server
 	for i, s := range env.servers {
-		list = append(list, roster.Server{ID: s.ID, Address: s.Address(), Slots: 8, FailureDomain: "far", Version: versions[i]})
+		list = append(list, roster.Server{ID: s.ID, Address: s.Address(), Slots: 8, FailureDomain: "far", Version: versions[i], Started: 17})
 	}
 	// The first two are chosen first.
 	list[0].FailureDomain, list[1].FailureDomain = "near", "near"
@@ -129,6 +129,62 @@
 	}
 }
 
+// fakeReports holds the starts that servers name.
+type fakeReports map[string]int64
+
+func (r fakeReports) Started(_ context.Context, s roster.Server, _ int) (int64, error) {
+	started, exists := r[s.ID]
+	if !exists {
+		return 0, errors.New("no report")
+	}
+	return started, nil
+}
+
+// TestServerStartedAgainAsAnotherVersion guards against streams that begin at, or go on at, a server that has started again
+// under its id as another version, before the list shows it.
+func TestServerStartedAgainAsAnotherVersion(t *testing.T) {
+	const listed, later = 17, 18
+	tests := []struct {
+		name    string
+		reports fakeReports
+		// taken is whether the caller takes up a stream, events the number of events that it gets.
+		taken  bool
+		events int
+	}{
+		{"both confirmed", fakeReports{"s1": listed, "s2": listed}, false, 10},
+		{"began at a later start", fakeReports{"s1": later, "s2": listed}, false, 5},
+		{"began at an unknown start", fakeReports{"s2": listed}, false, 5},
+		{"goes on at a later start", fakeReports{"s1": listed, "s2": later}, false, 5},
+		{"goes on at an unknown start", fakeReports{"s1": listed}, false, 5},
+		{"taken up at a confirmed start", fakeReports{"s1": listed, "s2": listed}, true, 6},
+		{"taken up at later starts", fakeReports{"s1": later, "s2": later}, true, 0},
+		{"taken up at unknown starts", nil, true, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			first := site.AbortResponse
+			if tt.taken {
+				first = site.Serve
+			}
+			opts := []relay.Option{relay.WithReports(tt.reports), relay.WithLineage(newFakeLineage("began", "v1"))}
+			env := newTestEnv(t, opts, site.NewServer("s1", 10, first), site.NewServer("s2", 10))
+			env.catalog.restarted = true
+			env.setVersions("v1", "v1")
+			if tt.taken {
+				resp, err := env.send(t.Context(), "/draft/a", "Last-Event-Id", "4", "Resumes", "began")
+				if got := strings.Count(resp.Body.String(), "\n\n"); got != tt.events || (err == nil) != (tt.events > 0) {
+					t.Errorf("got %q and %v, want %d events", resp.Body.String(), err, tt.events)
+				}
+				return
+			}
+			status, body, err := env.sendOverConnection("/draft/a")
+			if status != http.StatusOK || body != events(1, tt.events) || (err == nil) != (tt.events == 10) {
+				t.Errorf("got status %d, %q and %v, want %d events", status, body, err, tt.events)
+			}
+		})
+	}
+}
+
 // TestOriginRecorded checks that the version of the server that sent the first event is recorded before the
 // event is passed on, once for each stream.
 func TestOriginRecorded(t *testing.T) {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -55,6 +55,25 @@
 	WithBalancer(pool string, f func(*balance.Balancer))
 	// RecordNotice records what a server announces about itself, and reports whether that was new.
 	RecordNotice(s roster.Server, r notice.Response) bool
+	// Confirmed reports whether the process behind a connection that was opened at the given time is the listed
+	// start of the server.
+	Confirmed(s roster.Server, openedAt time.Time) bool
+	// RecordStart records the start that a server named when it was asked, and reports whether it is that of the server as
+	// it was chosen.
+	RecordStart(s roster.Server, askedAt time.Time, started int64) bool
+}
+
+// Reports calls servers.
+type Reports interface {
+	// Started returns when the server started, in ms since 1970 by its own clock.
+	Started(ctx context.Context, s roster.Server, maxConns int) (int64, error)
+}
+
+// noReports is the Reports of a service without one.
+type noReports struct{}
+
+func (noReports) Started(context.Context, roster.Server, int) (int64, error) {
+	return 0, errors.New("servers are not asked for their start")
 }
 
 // Budget reserves prepaid tokens.
@@ -132,6 +151,9 @@
 // WithLineage sets where the origins of streams are kept. Without one, callers can't take streams up.
 func WithLineage(l Lineage) Option { return func(s *Service) { s.lineage = l } }
 
+// WithReports sets how servers are asked for their start. Without one, only the list of servers confirms it.
+func WithReports(r Reports) Option { return func(s *Service) { s.reports = r } }
+
 // WithMetrics sets the metrics that the service updates.
 func WithMetrics(set *metric.Set) Option { return func(s *Service) { s.metrics = set } }
 
@@ -149,6 +171,7 @@
 	fleet       Fleet
 	quarantine  Quarantine
 	lineage     Lineage
+	reports     Reports
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.WindowBudget
@@ -159,7 +182,7 @@
 	s := &Service{
 		log: log.Named("relay"), codec: codec, catalog: catalog, budget: budget, client: client,
 		metrics: metric.New(), retryWindow: DefaultRetryWindow, retryRatio: DefaultRetryRatio, retryExtra: DefaultRetryExtra,
-		retryBudgets: map[string]*retry.WindowBudget{}, quarantine: noQuarantine{}, lineage: noLineage{},
+		retryBudgets: map[string]*retry.WindowBudget{}, quarantine: noQuarantine{}, lineage: noLineage{}, reports: noReports{},
 	}
 	for _, opt := range opts {
 		opt(s)
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -35,6 +35,8 @@
 	board     *notice.Board
 	// notices counts what servers said of themselves.
 	notices int
+	// restarted is whether servers may have started again under their ids.
+	restarted bool
 }
 
 func (c *fakeCatalog) Table() *route.Table { return c.table }
@@ -55,6 +57,14 @@
 	return c.board.Record(time.Now(), s, r)
 }
 
+// Confirmed implements relay.Catalog. All connections are those of the listed starts, unless restarted is set.
+func (c *fakeCatalog) Confirmed(roster.Server, time.Time) bool { return !c.restarted }
+
+// RecordStart implements relay.Catalog.
+func (*fakeCatalog) RecordStart(s roster.Server, _ time.Time, started int64) bool {
+	return s.Started == started
+}
+
 // fakeBudget grants all reservations, unless refuse is set.
 type fakeBudget struct{ refuse error }
 
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -47,7 +47,7 @@
 	j.arrivals++
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	prompt := &promptTracker{job: j, serverID: id, request: req, cachedTokens: choice.CachedTokens}
+	prompt := &promptTracker{job: j, server: choice.Server, request: req, cachedTokens: choice.CachedTokens}
 	if d, limited := j.silenceTimeout(choice, sends); limited {
 		prompt.silenceTimeout = d
 		prompt.silenceTimer = time.AfterFunc(d, func() { cancel(errSilenceTimeout) })
@@ -59,6 +59,7 @@
 		result = j.classifyError(err)
 	} else {
 		j.recordNotice(choice.Server, resp, start)
+		prompt.openedAt = exchange.OpenedAt(resp)
 		resp.Body = prompt.watch(resp.Body)
 		result = j.handleResponse(ctx, w, resp, prompt)
 		_ = resp.Body.Close()
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -13,6 +13,7 @@
 	"github.com/crocusline/crocusline/models/balance"
 	"github.com/crocusline/crocusline/models/call"
 	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/roster"
 )
 
 // maxEventBytes is the maximum size of one event.
@@ -28,8 +29,10 @@
 // promptTracker reports to the balancer when a server has read the prompt of a
 // request, which is assumed at its first event or response body.
 type promptTracker struct {
-	job          *job
-	serverID     string
+	job *job
+	// server is the one that the request was sent to, and openedAt when the connection was established.
+	server       roster.Server
+	openedAt     time.Time
 	request      balance.Request
 	cachedTokens int64
 	// silenceTimer cancels the send if the server does not respond, or is nil. It restarts with
@@ -39,6 +42,8 @@
 	promptRead     bool
 	// firstEventAt is when the server sent its first event or the response body.
 	firstEventAt time.Time
+	// originChecked is set once the version of the server was checked.
+	originChecked bool
 	// answerReported is set once the answer was reported to the quarantine.
 	answerReported bool
 }
@@ -68,7 +73,7 @@
 		j.timeToFirstEvent = now.Sub(j.request.ArrivedAt)
 		j.service.histogram("crocusline_first_event_seconds", j.route.Kind).Update(j.timeToFirstEvent.Seconds())
 	}
-	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) { b.RecordFirstEvent(now, p.serverID, p.request, p.cachedTokens) })
+	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) { b.RecordFirstEvent(now, p.server.ID, p.request, p.cachedTokens) })
 }
 
 // watch restarts the silence timer now and whenever a part of the body arrives.
@@ -133,7 +138,9 @@
 			continue
 		}
 		events++
-		j.recordOrigin(ctx)
+		if err := j.checkOrigin(ctx, prompt); err != nil {
+			return unknownOutcome{reason: refusal.ServerFailed, err: err}
+		}
 		j.writeHeader(w, resp)
 		if _, err := w.Write(event); err != nil {
 			return callerDisconnected{err: errors.WithStack(err)}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -112,6 +112,8 @@
 	retryAfter string
 	// limit is the value of Server-Limit in all responses.
 	limit string
+	// started is the start that the server reports, in ms since 1970, or 0.
+	started int64
 	// version is named by the events of streams, unless it is empty.
 	version string
 }
@@ -224,6 +226,10 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == reportPath {
+		s.respondReport(w)
+		return
+	}
 	var body strings.Builder
 	buffer := make([]byte, 32<<10)
 	for {
--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -207,6 +207,7 @@
 // setServerState writes the registry entry of a server. An empty state removes it.
 func (f *fleet) setServerState(i int, state string) {
 	f.serverStates[i] = state
+	f.servers[i].SetStarted(startTime(f.serverStarts[i]))
 	version := f.servers[i].Version()
 	if version == "" {
 		version = defaultVersion
@@ -241,6 +242,9 @@
 	f.putServerStart(id, address, state, defaultVersion, 0)
 }
 
+// startTime returns the time of the given start of a server, in ms since 1970.
+func startTime(start int) int64 { return 1_700_000_000_000 + int64(start) }
+
 func (f *fleet) putServerStart(id string, address netip.AddrPort, state, version string, start int) {
 	if state == "" {
 		f.store.Put("keyed.servers", id, nil)
@@ -248,7 +252,7 @@
 	}
 	f.store.Put("keyed.servers", id, fmt.Appendf(nil,
 		`{"service":"s","address":%q,"zone":"z","version":%q,"max_concurrency":64,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":%d}`,
-		address.String(), version, state, f.serverSequence.Add(1), start))
+		address.String(), version, state, f.serverSequence.Add(1), startTime(start)))
 }
 
 // copyStore copies the store's contents.
