Tell where a workspace's tokens are when a request is refused for lack of them

Neither log lines nor counters told whether the tokens were spent, reserved, permitted by spend limits of ended processes, or granted to others.

Grants keep which parts of PriorSpent nobody knows to be spent: reserved by requests in flight, permitted by spend limits beyond that, and granted without a report. prepaid.Breakdown divides a workspace's total by place, and the log line of 402 and 429 names it, with ages. New: the event "predecessor closed", and counters of tokens closed and refused by place. No decision changed.

Each test was seen to fail: without what requests had reserved in the closing, and with what was spent counted in flight too. Ran: go test ./docs ./models/prepaid ./services/prepaid, make lint.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"testing"
 
+	"github.com/crocusline/crocusline/models/prepaid"
 	"github.com/crocusline/crocusline/models/refusal"
 )
 
@@ -165,6 +166,20 @@
 	compare(t, "reason", documented, reasons)
 }
 
+// TestPlaces checks that the documented places of tokens are exactly those in the code.
+func TestPlaces(t *testing.T) {
+	_, section, _ := strings.Cut(readPage(t, "OPERATIONS.md"), "### 402")
+	section, _, _ = strings.Cut(section, "\n### ")
+	var documented, places []string
+	for _, row := range tableRows(section) {
+		documented = append(documented, row[0])
+	}
+	for _, p := range prepaid.Places() {
+		places = append(places, p.String())
+	}
+	compare(t, "place", documented, places)
+}
+
 var link = regexp.MustCompile(`\]\(([^)#:]+)\)`)
 
 // TestLinks checks that the targets of relative links exist.
--- a/models/prepaid/account.go
+++ b/models/prepaid/account.go
@@ -42,6 +42,14 @@
 	// PeerAddress is the address at which the gateway lends tokens to others, or the zero
 	// value if it doesn't.
 	PeerAddress netip.AddrPort `cbor:"5,keyasint"`
+	// PriorReserved, PriorPermitted and PriorUnreported are the parts of PriorSpent of which
+	// nobody knows whether they were spent: what requests in flight held at the last reports,
+	// what spending limits permitted beyond that, and grants without a report. ClosedAt is the
+	// wall-clock time of the last closing in ms since 1970.
+	PriorReserved   int64 `cbor:"9,keyasint,omitempty"`
+	PriorPermitted  int64 `cbor:"10,keyasint,omitempty"`
+	PriorUnreported int64 `cbor:"11,keyasint,omitempty"`
+	ClosedAt        int64 `cbor:"12,keyasint,omitempty"`
 }
 
 // Report is a gateway's report on one workspace.
@@ -298,33 +306,3 @@
 	}
 	return latest
 }
-
-// closePredecessor returns a grant without tokens in which everything that the
-// predecessor of the holder's process may have spent is added to PriorSpent. A
-// process that did not report on its grant has spent nothing of it, unless its reports
-// were lost with an earlier era.
-func (a Account) closePredecessor(h HolderState) Grant {
-	g := a.Grants[h.Instance]
-	r := a.report(h.Instance, g)
-	closed := Grant{PriorSpent: g.PriorSpent, Era: g.Era, Base: g.Base, Restored: g.Restored}
-	switch {
-	case g.Era < h.Era && r.Era == h.Era:
-		// The predecessor wrote in this era, and the record of its grant is a late one of the
-		// era before. Its spending limit bounds what it spent of any grant.
-		spent := g.PriorSpent + r.tokensAfter(h.timeUntilExit(r))
-		return Grant{PriorSpent: spent, Base: spent, Era: h.Era}
-	case g.Era < h.Era:
-		// The predecessor may have had a larger grant that the store lost. What it had is
-		// not free, nor is what it is known to have had.
-		known := g.PriorSpent + g.Total
-		return Grant{PriorSpent: known, Base: known, Era: h.Era}
-	case r.Incarnation == 0 && !g.Restored:
-		return closed
-	case r.Era < g.Era:
-		// What the predecessor spent since the era began was not reported.
-		closed.PriorSpent += g.Total
-		return closed
-	}
-	closed.PriorSpent += min(g.Total, r.tokensAfter(h.timeUntilExit(r)))
-	return closed
-}
--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -176,6 +176,7 @@
 func (h HolderState) grant(total int64, old Grant) Grant {
 	g := Grant{
 		Incarnation: h.Incarnation, Sequence: h.Sequence, Total: total, PriorSpent: old.PriorSpent, Era: h.Era, Base: old.Base, Restored: h.Withheld > 0,
+		PriorReserved: old.PriorReserved, PriorPermitted: old.PriorPermitted, PriorUnreported: old.PriorUnreported, ClosedAt: old.ClosedAt,
 	}
 	if h.Role == Holder {
 		g.PeerAddress = h.PeerAddress
--- a/services/prepaid/grant.go
+++ b/services/prepaid/grant.go
@@ -239,6 +239,9 @@
 		return
 	}
 	s.accounts[workspace] = s.accounts[workspace].WithGrant(instance, grant)
+	if instance == s.instance && grant.Incarnation == s.incarnation && known.Incarnation != 0 && known.Incarnation != grant.Incarnation {
+		s.recordClosed(workspace, known, grant)
+	}
 	if b, exists := s.budgets[workspace]; exists && instance == s.instance && grant.Incarnation == s.incarnation {
 		b.ConfirmGrant(grant)
 		s.reportWriter.pacer.trigger()
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -306,31 +306,6 @@
 	s.reportWriter.pacer.trigger()
 }
 
-// Balance is a gateway's view of a workspace's tokens, for log lines.
-type Balance struct {
-	// Free is the number of tokens available now, Granted what is left of the gateway's
-	// grant, and Unspent the most that may be left of the prepaid total.
-	Free    int64
-	Granted int64
-	Unspent int64
-	// Demand is the demand of callers at this gateway in tokens per second.
-	Demand float64
-	// Age is the time since the reports were read.
-	Age time.Duration
-}
-
-// Balance returns the gateway's view of the workspace's tokens.
-func (s *Service) Balance(w route.Workspace) Balance {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	b := Balance{Unspent: s.accounts[w.Name].Unspent(w.Prepaid), Age: s.reportWriter.follower.Age()}
-	if l, exists := s.budgets[w.Name]; exists {
-		now := time.Now()
-		b.Free, b.Granted, b.Demand = l.Free(now), l.GrantRemaining(), l.Demand(now)
-	}
-	return b
-}
-
 // notify wakes the requests that wait for a change of grants or reports.
 func (s *Service) notify() {
 	close(s.changed)
--- a/services/prepaid/reserve.go
+++ b/services/prepaid/reserve.go
@@ -73,12 +73,7 @@
 	}
 	if !a.reserved {
 		s.returnBorrowed(w.Name, 1)
-	}
-	switch {
-	case a.exhausted:
-		return nil, refusal.New(refusal.BudgetExhausted, 0, "the prepaid tokens do not cover the request: top up")
-	case !a.reserved:
-		return nil, s.unreachableError(w, tokens)
+		return nil, s.refuse(w, tokens, a.exhausted)
 	}
 	if waited := time.Since(start); waited >= loggedWait {
 		log.Info("waited for tokens", "tokens", tokens, "took", waited.Round(time.Millisecond))
@@ -110,10 +105,7 @@
 // unreachableError returns the refusal of a request for which neither this gateway nor
 // its peers have enough tokens. Callers should retry when the spending limits of the
 // gateways will probably cover it.
-func (s *Service) unreachableError(w route.Workspace, tokens int64) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
+func (s *Service) unreachableError(w route.Workspace, now time.Time, tokens int64) error {
 	wait := minRetryAfter
 	for wait < maxRetryAfter && s.expectedFree(w, now, wait) < tokens {
 		wait += retryAfterStep
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -315,9 +315,8 @@
 		"host", r.Host, "path", r.Path, "tablesVersion", version, "tablesAge", s.catalog.Age().Round(time.Millisecond),
 	}
 	if j != nil {
-		b := s.budget.Balance(j.workspace)
-		pairs = append(pairs, "route", j.route.Name, "workspace", j.workspace.Name,
-			"tokens", r.MaxTotalTokens(), "free", b.Free, "granted", b.Granted, "demand", int64(b.Demand), "unspent", b.Unspent, "accountsAge", b.Age.Round(time.Millisecond))
+		pairs = append(pairs, "route", j.route.Name, "workspace", j.workspace.Name)
+		pairs = append(pairs, s.budget.Balance(j.workspace).Pairs(r.MaxTotalTokens())...)
 	}
 	s.log.Info("request refused", pairs...)
 }
