--- a/models/prepaid/fleet_test.go
+++ b/models/prepaid/fleet_test.go
@@ -279,6 +279,11 @@
 	for name, r := range f.account.Reports {
 		g.witnesses.Record(name, r)
 	}
+	for _, other := range f.gateways {
+		if other != g && other.downUntil <= f.now && !other.disconnected {
+			g.witnesses.RecordStart(other.name, other.startedAt)
+		}
+	}
 	g.witnesses.RecordRead(f.time())
 	if !g.loaded {
 		g.witnesses.MarkLoaded()
