Ask other gateways for streams that the store doesn't show

Callers that took a stream up at another gateway while the store was away, or after a gateway that was cut off from it had begun the stream, were refused, though the gateway that began the stream was alive.

A gateway that finds no record, or can't read the store, asks up to 24 others for the origin, those of its failure domain first, as callers come back at one of these. What any of them knows is a fact; answers that contradict each other are none. The addresses are in the entries of the directory. A request that names nothing in Resumes is refused without any call.

TestOriginsOfPeers fails without it.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -126,14 +126,14 @@
 		catalog.WithInstance(s.Instance), catalog.WithFailureDomain(s.FailureDomain), catalog.WithPeers(g.peers),
 		catalog.WithBounds(s.Parameters.TableBound, s.Parameters.DrainBound))
 	g.directory = directory.New(logger, g.store, platform.Codec{}.GatewaysTopic(), s.Instance, s.Capacity,
-		directory.WithStart(prepaid.ClockReading(logger)))
+		directory.WithStart(prepaid.ClockReading(logger)), directory.WithAddress(s.Listen.Peers, s.FailureDomain))
 	grants, reports := platform.Codec{}.BudgetTopics()
 	g.prepaid = prepaid.New(logger, g.store, prepaid.Topics{Grants: grants, Reports: reports}, g.catalog, s.Instance,
 		prepaid.WithDirectory(g.directory), prepaid.WithPeers(g.peers, s.Listen.Peers), prepaid.WithMetrics(g.metrics))
 	g.quarantine = quarantine.New(logger, g.store, platform.Codec{}.QuarantineTopic(), s.Instance, g.client)
 	g.notices = notice.New(logger, g.store, platform.Codec{}.NoticesTopic(), s.Instance, g.catalog, g.directory)
 	g.lineage = lineage.New(logger, g.store, platform.Codec{}.LineageTopic(), s.Instance,
-		lineage.WithFleet(g.directory), lineage.WithWritesPerSecond(s.StoreWrites), lineage.WithMetrics(g.metrics))
+		lineage.WithFleet(g.directory, g.peers), lineage.WithWritesPerSecond(s.StoreWrites), lineage.WithMetrics(g.metrics))
 	r := relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
 		append(retryOptions(s), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine), relay.WithLineage(g.lineage),
 			relay.WithReports(platform.NewReports(g.client)), relay.WithMetrics(g.metrics))...)
@@ -208,7 +208,7 @@
 
 func (g *gateway) listenPeers() (closer, error) {
 	mux := http.NewServeMux()
-	mux.Handle("/peer/", front.NewPeerHandler(g.log, g.catalog, g.prepaid))
+	mux.Handle("/peer/", front.NewPeerHandler(g.log, g.catalog, g.prepaid, g.lineage))
 	mux.Handle("GET /metrics", g.metrics)
 	return web.NewServer(g.settings.Listen.Peers, mux)
 }
--- a/models/gateway/gateway.go
+++ b/models/gateway/gateway.go
@@ -4,6 +4,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"net/netip"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,6 +29,34 @@
 	Restored bool `cbor:"4,keyasint,omitempty"`
 	// Start is the clock of the machine at the start of the process, or the zero value.
 	Start prepaid.ClockReading `cbor:"5,keyasint,omitzero"`
+	// Address is where other gateways call the process, or empty, and FailureDomain that of the machine.
+	Address       string `cbor:"6,keyasint,omitempty"`
+	FailureDomain string `cbor:"7,keyasint,omitempty"`
+}
+
+// Nearest returns the addresses of at most n members other than self, those of its failure domain first. The load
+// that it answers are callers that come back at another gateway, which is one of the same failure domain.
+func Nearest(members map[string]Member, self string, n int) []netip.AddrPort {
+	domain := members[self].FailureDomain
+	names := slices.DeleteFunc(slices.Sorted(maps.Keys(members)), func(name string) bool { return name == self })
+	slices.SortStableFunc(names, func(a, b string) int {
+		return cmp.Compare(distance(domain, members[a]), distance(domain, members[b]))
+	})
+	var nearest []netip.AddrPort
+	for _, name := range names {
+		// Members of older releases have no address.
+		if address, err := netip.ParseAddrPort(members[name].Address); err == nil && len(nearest) < n {
+			nearest = append(nearest, address)
+		}
+	}
+	return nearest
+}
+
+func distance(domain string, m Member) int {
+	if m.FailureDomain == domain {
+		return 0
+	}
+	return 1
 }
 
 // AllStated reports whether all gateways have stated their grants in the store's era. A
--- a/models/gateway/gateway_test.go
+++ b/models/gateway/gateway_test.go
@@ -82,8 +82,22 @@
 	}
 }
 
+// TestNearest checks that gateways of the same failure domain come first, and that those without an address are left out.
+func TestNearest(t *testing.T) {
+	members := map[string]gateway.Member{
+		"a1": {Address: "10.0.1.1:80", FailureDomain: "a"}, "a2": {Address: "10.0.1.2:80", FailureDomain: "a"},
+		"b1": {Address: "10.0.2.1:80", FailureDomain: "b"}, "b2": {Address: "10.0.2.2:80", FailureDomain: "b"}, "b3": {FailureDomain: "b"},
+	}
+	if got := fmt.Sprint(gateway.Nearest(members, "b1", 2)); got != "[10.0.2.2:80 10.0.1.1:80]" {
+		t.Errorf("got %s", got)
+	}
+	if got := gateway.Nearest(members, "b1", 24); len(got) != 3 {
+		t.Errorf("got %v, want all others with an address", got)
+	}
+}
+
 func TestRoundTrip(t *testing.T) {
-	m := gateway.Member{Capacity: 144}
+	m := gateway.Member{Capacity: 144, Address: "10.0.1.1:80", FailureDomain: "a"}
 	data, err := m.Encode()
 	if err != nil {
 		t.Fatal(err)
--- a/routers/front/front_test.go
+++ b/routers/front/front_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/crocusline/crocusline/models/call"
 	"github.com/crocusline/crocusline/models/intake"
+	"github.com/crocusline/crocusline/models/lineage"
 	"github.com/crocusline/crocusline/models/prepaid"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/route"
@@ -220,9 +221,19 @@
 
 func (h halfLender) TakeBack(workspace string, tokens int64) { h.returned[workspace] += tokens }
 
+// oneOrigin knows one stream.
+type oneOrigin struct{}
+
+func (oneOrigin) Known(id lineage.ID) lineage.Origin {
+	if id != lineage.NewID("clinics", "known") {
+		return lineage.Origin{}
+	}
+	return lineage.Origin{Pool: "models", Version: "v1"}
+}
+
 func TestPeers(t *testing.T) {
 	lender := halfLender{returned: map[string]int64{}}
-	server := httptest.NewServer(front.NewPeerHandler(hclog.NewNullLogger(), fixedSnapshot{}, lender))
+	server := httptest.NewServer(front.NewPeerHandler(hclog.NewNullLogger(), fixedSnapshot{}, lender, oneOrigin{}))
 	defer server.Close()
 	client := front.NewPeerClient(nil)
 	if _, err := client.Snapshot(t.Context(), 0, catalog.Known{}); err == nil {
@@ -245,6 +256,13 @@
 	if err := client.Return(t.Context(), peer, "clinics", 300); err != nil || lender.returned["clinics"] != 300 {
 		t.Errorf("returned %d tokens, want 300: %v", lender.returned["clinics"], err)
 	}
+	known, unknown := lineage.NewID("clinics", "known"), lineage.NewID("clinics", "unknown")
+	if o, err := client.Origin(t.Context(), peer, known); err != nil || o != (lineage.Origin{Pool: "models", Version: "v1"}) {
+		t.Errorf("got the origin %+v and %v", o, err)
+	}
+	if o, err := client.Origin(t.Context(), peer, unknown); err != nil || o.Known() {
+		t.Errorf("got the origin %+v and %v of an unknown stream", o, err)
+	}
 	resp, err := http.Post(server.URL+"/peer/v1/tokens", "application/json", strings.NewReader("{"))
 	if err != nil {
 		t.Fatal(err)
--- a/routers/front/peers.go
+++ b/routers/front/peers.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/crocusline/crocusline/models/lineage"
 	"github.com/crocusline/crocusline/models/prepaid"
 	"github.com/crocusline/crocusline/modules/transfer"
 	"github.com/crocusline/crocusline/services/catalog"
@@ -25,6 +27,8 @@
 	snapshotPath = "/peer/v1/snapshot"
 	tokensPath   = "/peer/v1/tokens"
 	returnPath   = "/peer/v1/tokens/return"
+	// originPath is where they ask for the origin of the stream whose id follows.
+	originPath = "/peer/v1/origins/"
 )
 
 const (
@@ -53,6 +57,18 @@
 	TakeBack(workspace string, tokens int64)
 }
 
+// OriginSource knows the origins of streams.
+type OriginSource interface {
+	// Known returns the origin of the stream, or an unknown one.
+	Known(id lineage.ID) lineage.Origin
+}
+
+// origin is the body of the response to a request for the origin of a stream. It is empty if that is unknown.
+type origin struct {
+	Pool    string `json:"pool,omitempty"`
+	Version string `json:"version,omitempty"`
+}
+
 // loan is the body of a request for tokens and of a return.
 type loan struct {
 	Workspace string `json:"workspace"`
@@ -69,7 +85,7 @@
 }
 
 // NewPeerHandler returns the handler for requests of other gateways.
-func NewPeerHandler(log hclog.Logger, snapshots SnapshotSource, lender Lender) http.Handler {
+func NewPeerHandler(log hclog.Logger, snapshots SnapshotSource, lender Lender, origins OriginSource) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
@@ -96,6 +112,17 @@
 			_, _ = w.Write([]byte("{}"))
 		}
 	})
+	mux.HandleFunc("GET "+originPath+"{id}", func(w http.ResponseWriter, r *http.Request) {
+		id, err := hex.DecodeString(r.PathValue("id"))
+		if err != nil || len(id) != len(lineage.ID{}) {
+			http.Error(w, "the id of a stream has "+strconv.Itoa(len(lineage.ID{}))+" bytes in hexadecimal", http.StatusBadRequest)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(origin(origins.Known(lineage.ID(id)))); err != nil {
+			log.Debug("peer disconnected", "error", err)
+		}
+	})
 	return mux
 }
 
@@ -190,6 +217,13 @@
 	return prepaid.Lent(result), err
 }
 
+// Origin implements lineage.Peers.
+func (c *PeerClient) Origin(ctx context.Context, peer netip.AddrPort, id lineage.ID) (lineage.Origin, error) {
+	var result origin
+	err := c.do(ctx, http.MethodGet, peer, originPath+hex.EncodeToString(id[:]), nil, maxLoanBytes, &result)
+	return lineage.Origin(result), err
+}
+
 // Return implements prepaid.Peers. net/http doesn't repeat a POST that may have been
 // sent.
 func (c *PeerClient) Return(ctx context.Context, peer netip.AddrPort, workspace string, tokens int64) error {
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"maps"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -77,6 +78,16 @@
 // WithStart sets the clock of the machine at the start of the process.
 func WithStart(c prepaid.ClockReading) Option { return func(s *Service) { s.self.Start = c } }
 
+// WithAddress sets where other gateways call this one, and its failure domain.
+func WithAddress(address netip.AddrPort, domain string) Option {
+	return func(s *Service) {
+		s.self.FailureDomain = domain
+		if address.IsValid() {
+			s.self.Address = address.String()
+		}
+	}
+}
+
 // New returns the directory of a gateway with the capacity in thousandths of a core.
 func New(log hclog.Logger, store Store, topic, instance string, capacity int64, opts ...Option) *Service {
 	s := &Service{
--- a/services/lineage/find.go
+++ b/services/lineage/find.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/crocusline/crocusline/models/gateway"
 	"github.com/crocusline/crocusline/models/lineage"
 )
 
@@ -17,6 +18,9 @@
 	findTimeout = 350 * time.Millisecond
 	// readTimeout bounds a read of all partitions.
 	readTimeout = 2 * time.Second
+	// maxPeers is the number of gateways that are asked for a stream, and peerTimeout bounds these calls.
+	maxPeers    = 24
+	peerTimeout = 150 * time.Millisecond
 	// failedReadTime is how long after a failed read no other one is made.
 	failedReadTime = 300 * time.Millisecond
 )
@@ -75,6 +79,11 @@
 // Find returns the origin of the stream, or an *UnknownError.
 func (s *Service) Find(ctx context.Context, id lineage.ID) (lineage.Origin, error) {
 	origin, err := s.find(ctx, id, time.Now())
+	if err != nil {
+		if o := s.askPeers(ctx, id); o.Known() {
+			origin, err = o, nil
+		}
+	}
 	var unknown *UnknownError
 	switch {
 	case err == nil:
@@ -134,6 +143,41 @@
 	return o, o.Known()
 }
 
+// Known returns the origin of a stream that this process began or has read of, for other gateways.
+func (s *Service) Known(id lineage.ID) lineage.Origin {
+	o, _ := s.known(id)
+	return o
+}
+
+// askPeers asks the nearest gateways for a stream that the store doesn't show. The one that began it knows it, also if it is cut off
+// from the store or the store is away.
+func (s *Service) askPeers(ctx context.Context, id lineage.ID) lineage.Origin {
+	if s.peers == nil {
+		return lineage.Origin{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	answers := make(chan lineage.Origin, maxPeers)
+	peers := gateway.Nearest(s.fleet.Members(), s.instance, maxPeers)
+	for _, peer := range peers {
+		go func() {
+			o, err := s.peers.Origin(ctx, peer, id)
+			if err != nil {
+				s.log.Debug("peer not asked for the origin of a stream", "peer", peer, "error", err)
+			}
+			answers <- o
+		}()
+	}
+	all := lineage.NewIndex()
+	for range peers {
+		if o := <-answers; o.Known() {
+			all.Add(lineage.Entry{ID: id, Origin: o})
+		}
+	}
+	o, _ := all.Find(id)
+	return o
+}
+
 // joinRead returns the read that is under way, or begins one. It returns an error if the last one failed just before.
 func (s *Service) joinRead(since time.Time) (*read, error) {
 	s.mu.Lock()
--- a/services/lineage/lineage.go
+++ b/services/lineage/lineage.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -51,16 +52,25 @@
 	Era() int64
 }
 
-// Fleet counts the gateways that share the store.
+// Fleet lists the gateways.
 type Fleet interface {
+	// Count returns the number of gateways that share the store.
 	Count() gateway.Count
+	// Members returns the gateways that are registered, by instance, with this one.
+	Members() map[string]gateway.Member
+}
+
+// Peers calls other gateways.
+type Peers interface {
+	// Origin returns the origin of a stream that the gateway at the address knows, or an unknown one.
+	Origin(ctx context.Context, peer netip.AddrPort, id lineage.ID) (lineage.Origin, error)
 }
 
 // Option changes a Service at construction.
 type Option func(*Service)
 
-// WithFleet sets the gateways that share the store's writes.
-func WithFleet(f Fleet) Option { return func(s *Service) { s.fleet = f } }
+// WithFleet sets the gateways that share the store's writes, and how they are asked for streams that the store doesn't show.
+func WithFleet(f Fleet, p Peers) Option { return func(s *Service) { s.fleet, s.peers = f, p } }
 
 // WithWritesPerSecond sets the number of writes a second that the store takes from all gateways.
 func WithWritesPerSecond(n float64) Option {
@@ -81,6 +91,7 @@
 	topic           string
 	instance        string
 	fleet           Fleet
+	peers           Peers
 	writesPerSecond float64
 	metrics         *metric.Set
 
--- a/services/lineage/lineage_test.go
+++ b/services/lineage/lineage_test.go
@@ -1,6 +1,7 @@
 package lineage_test
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/crocusline/crocusline/models/gateway"
 	models "github.com/crocusline/crocusline/models/lineage"
 	"github.com/crocusline/crocusline/modules/metric"
 	"github.com/crocusline/crocusline/platform"
@@ -26,19 +28,40 @@
 type fixture struct {
 	*testing.T
 	store *site.Store
+	// gateways are those that live, by address.
+	gateways map[netip.AddrPort]*lineage.Service
+}
+
+// Count implements lineage.Fleet.
+func (f *fixture) Count() gateway.Count { return gateway.Count(len(f.gateways)) }
+
+// Members implements lineage.Fleet.
+func (f *fixture) Members() map[string]gateway.Member {
+	members := map[string]gateway.Member{}
+	for address := range f.gateways {
+		members[address.String()] = gateway.Member{Address: address.String()}
+	}
+	return members
+}
+
+// Origin implements lineage.Peers.
+func (f *fixture) Origin(_ context.Context, peer netip.AddrPort, id models.ID) (models.Origin, error) {
+	return f.gateways[peer].Known(id), nil
 }
 
 func run(t *testing.T, test func(f *fixture)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) { test(&fixture{T: t, store: site.NewStore()}) })
+	synctest.Test(t, func(t *testing.T) {
+		test(&fixture{T: t, store: site.NewStore(), gateways: map[netip.AddrPort]*lineage.Service{}})
+	})
 }
 
 // start starts the process of a gateway, which ends with the test or with stop.
-func (f *fixture) start(instance string) (s *lineage.Service, stop func()) {
+func (f *fixture) start(instance string, opts ...lineage.Option) (s *lineage.Service, stop func()) {
 	f.Helper()
 	client := platform.NewStore(netip.MustParseAddrPort("10.0.0.1:80"), metric.New(),
 		platform.WithTransport(site.NewTransport(f.store, storeLatency)))
-	s = lineage.New(hclog.NewNullLogger(), client, platform.Codec{}.LineageTopic(), instance)
+	s = lineage.New(hclog.NewNullLogger(), client, platform.Codec{}.LineageTopic(), instance, opts...)
 	if err := s.Start(f.Context(), nil); err != nil {
 		f.Fatal(err)
 	}
@@ -110,6 +133,23 @@
 	})
 }
 
+// TestOriginsOfPeers guards against streams that can't be taken up at other gateways while the store is away, though the gateway
+// that began them lives.
+func TestOriginsOfPeers(t *testing.T) {
+	run(t, func(f *fixture) {
+		a, stopA := f.start("a")
+		b, _ := f.start("b", lineage.WithFleet(f, f))
+		f.gateways[netip.MustParseAddrPort("10.0.1.1:80")] = a
+		f.store.SetFault(site.Unavailable)
+		f.begin(a, "away", "v1")
+		f.expect(b, "away", "v1")
+		f.expect(b, "never-begun", "")
+		stopA()
+		clear(f.gateways)
+		f.expect(b, "away", "")
+	})
+}
+
 // TestOriginsWhileStoreIsAway checks that a store that is away holds no first event for long, that the process itself knows its streams,
 // that others know nothing meanwhile and all once the store is back.
 func TestOriginsWhileStoreIsAway(t *testing.T) {
--- a/services/relay/origin.go
+++ b/services/relay/origin.go
@@ -23,6 +23,9 @@
 	if !j.request.ContinuesStream() || !j.route.Kind.Streams() {
 		return nil
 	}
+	if j.request.Resumes == "" {
+		return j.unknownOrigin(errors.New("the request names no request that began the stream"))
+	}
 	origin, err := j.service.lineage.Find(ctx, lineage.NewID(j.workspace.Name, j.request.Resumes))
 	if err != nil {
 		return j.unknownOrigin(err)
--- a/tests/faults/store_version_test.go
+++ b/tests/faults/store_version_test.go
@@ -1,6 +1,7 @@
 package faults_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -101,3 +102,21 @@
 	requireService(t, f, "after the copy")
 	knownred.Report(t, f.takenUp("copied", broken))
 }
+
+// TestStreamsTakenUpWhileTheStoreIsAway guards against streams that don't go on at other gateways while the store
+// is away, though the gateways that began them live.
+func TestStreamsTakenUpWhileTheStoreIsAway(t *testing.T) {
+	f := newVersionFleet(t, versionGateways)
+	f.store.SetFault(site.Unavailable)
+	ctx, leave := context.WithCancel(t.Context())
+	streams := newClientStreams("away", streamCount)
+	wait := begin(ctx, streams, f.gateways, killedAt)
+	leave()
+	wait()
+	f.behaveAll(site.Serve)
+	problem := f.takenUp("away", begun(streams))
+	f.store.SetFault(site.NoFault)
+	if problem != "" {
+		t.Error(problem)
+	}
+}
