Show that responses without an end take a gateway's memory

Cause: a response is buffered up to 512 KiB until it is whole, each by itself. Nothing bounds the sum over the requests of a process.

Change: TestEndlessResponsesAtOnce starts a gateway of 134 MB and lets 400 requests at once get the same response without an end, in each of 22 ways: in heads, bodies, failures, statements that a request has not run, events and after a whole response. Every other caller doesn't read its response. The process has to live and to stay within the memory of its settings. Another caller of sound servers has to be served, and may be refused only as not run: the flood takes the processor, and a gateway that lacks it refuses some requests (503 with Retry-After). EndlessServer answers with the request's id and can stop in the middle.

--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -23,6 +23,8 @@
 const (
 	// gracePeriodSeconds is the time between SIGTERM and SIGKILL.
 	gracePeriodSeconds = 4
+	// gatewayMemory is the memory of a gateway in bytes, by its settings.
+	gatewayMemory = 134 << 20
 	// startupTime is the time within which a process installs its signal handlers.
 	startupTime = 200 * time.Millisecond
 	// exitTimeout bounds the time from SIGTERM until a process exits.
@@ -57,6 +59,8 @@
 	serverProxies []*proxy
 	configVersion int
 	prepaidTokens int64
+	// faultyPools are pools beside that of the servers.
+	faultyPools []string
 	// serverStates are the states last written, by server, and serverStarts how often each has
 	// started. serverSequence is the number of the last record.
 	serverStates   []string
@@ -145,7 +149,7 @@
 	data, err := json.Marshal(map[string]any{
 		"node_name": g.name, "zone": "z", "region": "r",
 		"bind":       map[string]string{"front": g.callerAddress.String(), "ready": g.readyAddress.String(), "control": peers.String()},
-		"seed_addrs": seeds, "limits": map[string]any{"cpu_share": cpuShare, "memory_mb": 134, "max_fds": 4100},
+		"seed_addrs": seeds, "limits": map[string]any{"cpu_share": cpuShare, "memory_mb": gatewayMemory >> 20, "max_fds": 4100},
 		"parameters": map[string]any{"grace_s": gracePeriodSeconds, "budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 60},
 		"platform":   map[string]any{"address": g.storeProxy.address().String(), "writes_per_s": 800, "reads_per_s": 2000},
 	})
@@ -170,18 +174,26 @@
 			"max_attempts": attempts, "service": pool, "resumable": resumable, "gap_goal_ms": 500,
 		}
 	}
+	service := func(name string) map[string]any {
+		return map[string]any{"name": name, "max_conns": 400, "engine": map[string]any{"max_concurrency": 64, "kv_tokens": 100_000, "stride": tokensPerEvent}}
+	}
 	// It has all paths that no other route has.
 	rootRoute := route("root", "non_idempotent", "s", 2, false)
 	rootRoute["path_prefix"] = "/"
+	routes := []any{
+		route("once", "non_idempotent", "s", 2, false), route("lookup", "idempotent", "s", 2, false),
+		route("draft", "streaming", "s", 2, true), route("plan", "streaming", "s", 2, false),
+		rootRoute,
+	}
+	services := []any{service("s")}
+	for _, pool := range f.faultyPools {
+		routes = append(routes, route(pool+"/once", "non_idempotent", pool, 2, false), route(pool+"/lookup", "idempotent", pool, 2, false),
+			route(pool+"/draft", "streaming", pool, 2, true))
+		services = append(services, service(pool))
+	}
 	data, err := json.Marshal(map[string]any{
-		"version": f.configVersion,
-		"routes": []any{
-			route("once", "non_idempotent", "s", 2, false), route("lookup", "idempotent", "s", 2, false),
-			route("draft", "streaming", "s", 2, true), route("plan", "streaming", "s", 2, false),
-			rootRoute,
-		},
-		"services": []any{map[string]any{"name": "s", "max_conns": 400, "engine": map[string]any{"max_concurrency": 64, "kv_tokens": 100_000, "stride": tokensPerEvent}}},
-		"tenants":  []any{map[string]any{"name": "clinics", "api_keys": []string{apiKey}, "prepaid": f.prepaidTokens}},
+		"version": f.configVersion, "routes": routes, "services": services,
+		"tenants": []any{map[string]any{"name": "clinics", "api_keys": []string{apiKey}, "prepaid": f.prepaidTokens}},
 	})
 	if err != nil {
 		f.Fatal(err)
@@ -192,7 +204,7 @@
 // setServerState writes the registry entry of a server. An empty state removes it.
 func (f *fleet) setServerState(i int, state string) {
 	f.serverStates[i] = state
-	f.putServerStart(f.servers[i].ID, f.serverProxies[i].address(), state, f.serverStarts[i])
+	f.putServerStart("s", f.servers[i].ID, f.serverProxies[i].address(), state, f.serverStarts[i])
 }
 
 // restartServer makes a server ready, as another incarnation without anything that it said of
@@ -209,17 +221,17 @@
 // putServer writes the registry entry of the first start of the server with the identifier, or
 // removes it.
 func (f *fleet) putServer(id string, address netip.AddrPort, state string) {
-	f.putServerStart(id, address, state, 0)
+	f.putServerStart("s", id, address, state, 0)
 }
 
-func (f *fleet) putServerStart(id string, address netip.AddrPort, state string, start int) {
+func (f *fleet) putServerStart(pool, id string, address netip.AddrPort, state string, start int) {
 	if state == "" {
 		f.store.Put("keyed.servers", id, nil)
 		return
 	}
 	f.store.Put("keyed.servers", id, fmt.Appendf(nil,
-		`{"service":"s","address":%q,"zone":"z","version":"v1","max_concurrency":64,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":%d}`,
-		address.String(), state, f.serverSequence.Add(1), start))
+		`{"service":%q,"address":%q,"zone":"z","version":"v1","max_concurrency":64,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":%d}`,
+		pool, address.String(), state, f.serverSequence.Add(1), start))
 }
 
 // copyStore copies the store's contents.
