Bound what all buffered responses take of a gateway's memory

Cause: each response was buffered up to 512 KiB, and each event up to 64 KiB, without regard to the others. 400 at once take over 200 MB.

Change: responses and events share a budget of an eighth of the process's memory (models/buffer); up to 16 KiB each are free. When it is used up, a response is passed on as it arrives, as larger ones were before. A failure that another server could make good, and an event, are given up with an unknown outcome. The buffer of a stream's events is reused. A SIGHUP that changes the memory changes the budget. crocusline_buffers_refused_total counts.

Ruled out: a smaller bound for each response, as 112 MB for 400 requests would leave 35 KB, and larger sound responses would no longer be retried.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -106,6 +106,7 @@
 	prepaid      *prepaid.Service
 	quarantine   *quarantine.Service
 	notices      *notice.Service
+	relay        *relay.Service
 	lag          *schedlag.Meter
 	handler      *front.Handler
 	readiness    *front.Readiness
@@ -130,10 +131,10 @@
 		prepaid.WithDirectory(g.directory), prepaid.WithPeers(g.peers, s.Listen.Peers), prepaid.WithMetrics(g.metrics))
 	g.quarantine = quarantine.New(logger, g.store, platform.Codec{}.QuarantineTopic(), s.Instance, g.client)
 	g.notices = notice.New(logger, g.store, platform.Codec{}.NoticesTopic(), s.Instance, g.catalog, g.directory)
-	r := relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
-		append(retryOptions(s), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine), relay.WithMetrics(g.metrics))...)
+	g.relay = relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
+		append(retryOptions(s), relay.WithMemory(s.Memory), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine), relay.WithMetrics(g.metrics))...)
 	g.lag = schedlag.New()
-	g.handler = front.New(logger, platform.HeaderCodec{}, r, g.catalog,
+	g.handler = front.New(logger, platform.HeaderCodec{}, g.relay, g.catalog,
 		front.WithBandwidth(s.Bandwidth), front.WithProcessorDelay(g.lag.Delay))
 	g.readiness = front.NewReadiness(g.handler, g.catalog.Ready, g.prepaid.Ready)
 	g.metrics.Gauge("crocusline_log_lines_dropped", func() float64 { return float64(logWriter.Dropped()) })
@@ -285,5 +286,6 @@
 		return
 	}
 	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryLimitRatio))
+	g.relay.SetMemory(settings.Memory)
 	g.log.Info("settings reloaded", "file", g.settingsFile, "memory", settings.Memory)
 }
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -67,6 +67,8 @@
 	timeToFirstEvent time.Duration
 	// server is the id of the server that the request was last sent to.
 	server string
+	// buffers hold what the job has read of responses.
+	buffers []*responseBuffer
 }
 
 // sendResult is the result of sending the request to one server.
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/crocusline/crocusline/models/balance"
+	"github.com/crocusline/crocusline/models/buffer"
 	"github.com/crocusline/crocusline/models/call"
 	"github.com/crocusline/crocusline/models/gateway"
 	"github.com/crocusline/crocusline/models/notice"
@@ -131,6 +132,9 @@
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.WindowBudget
+
+	bufferMu sync.Mutex
+	buffers  buffer.Budget
 }
 
 // New returns a service that sends requests to servers with the client.
@@ -140,6 +144,7 @@
 		metrics: metric.New(), retryWindow: DefaultRetryWindow, retryRatio: DefaultRetryRatio, retryExtra: DefaultRetryExtra,
 		retryBudgets: map[string]*retry.WindowBudget{}, quarantine: noQuarantine{},
 	}
+	s.buffers.SetMemory(defaultMemory)
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -177,6 +182,7 @@
 		s.recordRefusal(r, j, err)
 		return err
 	}
+	defer j.releaseBuffers()
 	err = j.run(ctx, w)
 	j.hold.Settle(j.usedTokens())
 	j.recordResult(err)
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -271,16 +271,19 @@
 // TestLargeFailure checks that an error response which is too large to be buffered is
 // passed on whole, and that a request which can be repeated is sent to another server.
 func TestLargeFailure(t *testing.T) {
-	for _, path := range []string{"/once/a", "/lookup/a"} {
-		env := newTestEnv(t, nil, site.NewServer("s1", 0, site.FailLarge), site.NewServer("s2", 0, site.Serve))
-		resp, err := env.send(t.Context(), path)
-		switch {
-		case err != nil:
-			t.Errorf("%s: %v", path, err)
-		case path == "/lookup/a" && (resp.Code != http.StatusOK || resp.Body.String() != "answer of s2"):
-			t.Errorf("%s: got status %d and %d bytes, want the answer of the other server", path, resp.Code, resp.Body.Len())
-		case path == "/once/a" && (resp.Code != http.StatusInternalServerError || resp.Body.Len() != site.LargeBodySize):
-			t.Errorf("%s: got status %d and %d bytes, want %d", path, resp.Code, resp.Body.Len(), site.LargeBodySize)
+	// Without memory, responses are passed on unless they are short.
+	for _, opts := range [][]relay.Option{nil, {relay.WithMemory(0)}} {
+		for _, path := range []string{"/once/a", "/lookup/a"} {
+			env := newTestEnv(t, opts, site.NewServer("s1", 0, site.FailLarge), site.NewServer("s2", 0, site.Serve))
+			resp, err := env.send(t.Context(), path)
+			switch {
+			case err != nil:
+				t.Errorf("%s: %v", path, err)
+			case path == "/lookup/a" && (resp.Code != http.StatusOK || resp.Body.String() != "answer of s2"):
+				t.Errorf("%s: got status %d and %d bytes, want the answer of the other server", path, resp.Code, resp.Body.Len())
+			case path == "/once/a" && (resp.Code != http.StatusInternalServerError || resp.Body.Len() != site.LargeBodySize):
+				t.Errorf("%s: got status %d and %d bytes, want %d", path, resp.Code, resp.Body.Len(), site.LargeBodySize)
+			}
 		}
 	}
 	env := newTestEnv(t, nil, site.NewServer("s1", 0, site.FailLarge), site.NewServer("s2", 0, site.FailLarge))
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -22,7 +22,8 @@
 
 const (
 	// maxBufferedBytes limits the size of responses that are buffered until they are
-	// complete. Larger responses are passed on as they arrive.
+	// complete. Larger responses, and those beyond the budget of all buffers, are passed on as
+	// they arrive.
 	maxBufferedBytes = 512 << 10
 )
 
@@ -210,7 +211,7 @@
 
 // relayBuffered passes on a response once it has arrived completely.
 func (j *job) relayBuffered(w http.ResponseWriter, resp *http.Response, prompt *promptTracker) sendResult {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	body, complete, err := j.readBody(resp.Body)
 	if err != nil {
 		return unknownOutcome{reason: refusal.ServerFailed, err: err}
 	}
@@ -218,7 +219,7 @@
 		return unknownOutcome{reason: refusal.ServerFailed, err: errors.New("the response has neither framing nor a body")}
 	}
 	prompt.markPromptRead()
-	if len(body) == maxBufferedBytes {
+	if !complete {
 		return j.relayLarge(w, resp, body)
 	}
 	j.writeResponse(w, &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body})
@@ -226,8 +227,8 @@
 	return responseRelayed{}
 }
 
-// relayLarge passes on a response that is too large to be buffered. prefix is the
-// part already read.
+// relayLarge passes on a response that can't be buffered. prefix is the part already
+// read.
 func (j *job) relayLarge(w http.ResponseWriter, resp *http.Response, prefix []byte) sendResult {
 	j.service.codec.CopyResponseHeader(w.Header(), resp.Header)
 	if resp.ContentLength >= 0 {
@@ -249,17 +250,17 @@
 // relayServerError passes on an error response of the server, unless it is a 5xx
 // response to a repeatable request, to which another server may respond successfully.
 func (j *job) relayServerError(w http.ResponseWriter, resp *http.Response) sendResult {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	body, complete, err := j.readBody(resp.Body)
 	if err != nil {
 		return unknownOutcome{reason: refusal.ServerFailed, err: err}
 	}
 	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
 	final := resp.StatusCode < http.StatusInternalServerError || !j.route.Kind.Repeatable()
-	switch large := len(body) == maxBufferedBytes; {
-	case large && final:
+	switch {
+	case !complete && final:
 		return j.relayLarge(w, resp, body)
-	case large:
-		return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("response of status %d has %d bytes or more", resp.StatusCode, maxBufferedBytes)}
+	case !complete:
+		return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("response of status %d has %d bytes or more", resp.StatusCode, len(body))}
 	case final:
 		j.writeResponse(w, buffered)
 		j.possibleRuns++
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -111,9 +111,11 @@
 // relayEvents passes on events as they arrive, each only when it is complete.
 func (j *job) relayEvents(w http.ResponseWriter, resp *http.Response, prompt *promptTracker) sendResult {
 	reader := bufio.NewReader(resp.Body)
+	buffer := j.newBuffer()
+	defer buffer.release()
 	events := 0
 	for {
-		event, err := readEvent(reader)
+		event, err := readEvent(reader, buffer)
 		if errors.Is(err, io.EOF) && len(event) == 0 && call.Whole(framed(resp), events) {
 			if j.endUnproven(resp) {
 				return endUnproven{}
@@ -158,14 +160,18 @@
 	w.WriteHeader(resp.StatusCode)
 }
 
-// readEvent returns the next event, including the empty line that ends it. If the
-// stream ends within an event, it returns the bytes read and an error other than
-// io.EOF.
-func readEvent(reader *bufio.Reader) ([]byte, error) {
-	var event []byte
+// readEvent returns the next event, including the empty line that ends it. It is valid until the
+// buffer is used again. If the stream ends within an event, it returns the bytes read and an error
+// other than io.EOF.
+func readEvent(reader *bufio.Reader, buffer *responseBuffer) ([]byte, error) {
+	buffer.data = buffer.data[:0]
 	for {
 		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
+		if !buffer.grow(len(line), maxEventBytes) {
+			return buffer.data, errors.Errorf("event exceeds %d bytes or what can be buffered", maxEventBytes)
+		}
+		buffer.data = append(buffer.data, line...)
+		event := buffer.data
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF) && len(event) > 0:
@@ -175,9 +181,6 @@
 		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line):
 			return event, nil
 		}
-		if len(event) > maxEventBytes {
-			return event, errors.Errorf("event exceeds %d bytes", maxEventBytes)
-		}
 	}
 }
 
--- a/services/relay/stream_test.go
+++ b/services/relay/stream_test.go
@@ -7,25 +7,30 @@
 	"testing"
 
 	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/modules/metric"
 )
 
 // TestReadEvent checks that an event is returned only with the empty line that ends
 // it, however the stream ends.
 func TestReadEvent(t *testing.T) {
 	reader := bufio.NewReaderSize(strings.NewReader("id: 7\ndata: "+strings.Repeat("x", 100)+"\n\nid: 8\r\ndata: y\r\n\r\nid: 9\ndata"), 16)
+	s := &Service{metrics: metric.New()}
+	s.SetMemory(defaultMemory)
+	buffer := &responseBuffer{service: s}
 	for _, id := range []string{"7", "8"} {
-		event, err := readEvent(reader)
+		event, err := readEvent(reader, buffer)
 		if err != nil || eventID(event) != id {
 			t.Fatalf("got %q and %v, want event %s", event, err, id)
 		}
 	}
-	if _, err := readEvent(reader); !errors.Is(err, io.ErrUnexpectedEOF) {
+	if _, err := readEvent(reader, buffer); !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("incomplete event: got %v", err)
 	}
-	if event, err := readEvent(bufio.NewReader(strings.NewReader(""))); len(event) != 0 || !errors.Is(err, io.EOF) {
+	if event, err := readEvent(bufio.NewReader(strings.NewReader("")), buffer); len(event) != 0 || !errors.Is(err, io.EOF) {
 		t.Errorf("end of stream: got %q and %v", event, err)
 	}
-	if _, err := readEvent(bufio.NewReader(strings.NewReader(strings.Repeat("x", maxEventBytes+10)))); err == nil {
+	if _, err := readEvent(bufio.NewReader(strings.NewReader(strings.Repeat("x", maxEventBytes+10))), buffer); err == nil {
 		t.Error("oversized event was accepted")
 	}
 }
