Bound the lines that repeat what a server sent

Cause: the error for a response that can't be decoded quotes the line, up to 64 KiB, as 245 KB, and the log quotes it again, as 307,582 bytes measured. The buffer of the log counts lines, 4,096, not their bytes: a slow log could hold over 1 GB.

Change: the error keeps 256 bytes of the text, a value in a log line 2 KiB, and the buffer of the log at most 4 MiB; lines beyond are dropped and counted as before.

Of the new tests TestAsyncWriterLongLines fails without the change of the buffer (26 MB kept), TestLongValue without that of the values, TestUndecodableResponse without that of the error.

--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -31,6 +31,8 @@
 	// maxSkippedBytes limits the body of a response to another request. A longer one closes
 	// the connection.
 	maxSkippedBytes = 512 << 10
+	// maxErrorBytes limits the text of the error for a response that can't be decoded.
+	maxErrorBytes = 256
 	// idleMargin is subtracted from the server's keep-alive timeout, so that the
 	// client stops using a connection before the server closes it.
 	idleMargin = 500 * time.Millisecond
@@ -176,7 +178,7 @@
 		resp, err := http.ReadResponse(c.reader, req)
 		c.limit.enabled = false
 		if err != nil {
-			return nil, errors.WithStack(err)
+			return nil, shortError(err)
 		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
@@ -193,6 +195,14 @@
 	}
 }
 
+// shortError returns the error without most of what it quotes of a response that can't be decoded.
+func shortError(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.Errorf("%s... (%d bytes)", strings.ToValidUTF8(text[:maxErrorBytes], ""), len(text))
+	}
+	return errors.WithStack(err)
+}
+
 // allowsReuse reports whether the connection can be used again after the response.
 func allowsReuse(resp *http.Response) bool {
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
--- a/modules/exchange/endless_test.go
+++ b/modules/exchange/endless_test.go
@@ -1,10 +1,14 @@
 package exchange_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,6 +56,30 @@
 	}
 }
 
+// TestUndecodableResponse checks that the error for bytes that are no response is short, as it is
+// logged.
+func TestUndecodableResponse(t *testing.T) {
+	const maxErrorBytes = 1 << 10
+	long := strings.Repeat("\x01", 60<<10)
+	for _, data := range []string{
+		long + "\r\n\r\n", "HTTP/1.1 " + long + "\r\n\r\n", "HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: " + strings.Repeat("x", len(long)) + "\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + strings.Repeat("x", len(long)) + "\r\n\r\n",
+	} {
+		s := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+			_, _ = readRequestID(requests)
+			_, _ = io.WriteString(conn, data)
+		})
+		client := exchange.New()
+		_, err := call(client, s.request("1"))
+		var noResponse *exchange.NoResponseError
+		if !errors.As(err, &noResponse) || !noResponse.Written || len(err.Error()) > maxErrorBytes {
+			t.Errorf("%.40q: error of %d bytes, %.200s", data, len(fmt.Sprint(err)), fmt.Sprint(err))
+		}
+		_ = client.Close()
+	}
+}
+
 func heapInUse() int64 {
 	runtime.GC()
 	var m runtime.MemStats
--- a/modules/log/async_writer.go
+++ b/modules/log/async_writer.go
@@ -10,18 +10,24 @@
 // is enough for several seconds of a busy entry.
 const DefaultBufferedLines = 4096
 
+// maxBufferedBytes limits the size of the lines in a buffer together.
+const maxBufferedBytes = 4 << 20
+
 // AsyncWriter writes lines to a slower writer in the background. Lines that do not fit
 // into the buffer are dropped and counted, so that logging never blocks the caller.
 type AsyncWriter struct {
-	dst     io.Writer
-	buffer  chan []byte
-	dropped atomic.Int64
-	closing sync.RWMutex
-	closed  bool
-	done    sync.WaitGroup
+	dst    io.Writer
+	buffer chan []byte
+	// bufferedBytes is the size of the lines in the buffer.
+	bufferedBytes atomic.Int64
+	dropped       atomic.Int64
+	closing       sync.RWMutex
+	closed        bool
+	done          sync.WaitGroup
 }
 
-// NewAsyncWriter returns an AsyncWriter that buffers up to the number of lines.
+// NewAsyncWriter returns an AsyncWriter that buffers up to the number of lines, of up to
+// maxBufferedBytes together.
 func NewAsyncWriter(dst io.Writer, lines int) *AsyncWriter {
 	w := &AsyncWriter{dst: dst, buffer: make(chan []byte, lines)}
 	w.done.Go(w.writeLoop)
@@ -35,14 +41,26 @@
 	if w.closed {
 		return w.dst.Write(line)
 	}
-	select {
-	case w.buffer <- append([]byte(nil), line...):
-	default:
+	if !w.enqueue(line) {
 		w.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// enqueue adds a copy of the line to the buffer, unless the buffer is full.
+func (w *AsyncWriter) enqueue(line []byte) bool {
+	size := int64(len(line))
+	if w.bufferedBytes.Add(size) <= maxBufferedBytes {
+		select {
+		case w.buffer <- append([]byte(nil), line...):
+			return true
+		default:
+		}
+	}
+	w.bufferedBytes.Add(-size)
+	return false
+}
+
 // Dropped returns the number of dropped lines.
 func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
 
@@ -63,6 +81,7 @@
 
 func (w *AsyncWriter) writeLoop() {
 	for line := range w.buffer {
+		w.bufferedBytes.Add(-int64(len(line)))
 		if _, err := w.dst.Write(line); err != nil {
 			w.dropped.Add(1)
 		}
--- a/modules/log/log_test.go
+++ b/modules/log/log_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"regexp"
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/crocusline/crocusline/modules/log"
 )
@@ -31,6 +33,26 @@
 	}
 }
 
+// TestLongValue checks that a line stays short and readable whatever a server sent.
+func TestLongValue(t *testing.T) {
+	const (
+		size     = 64 << 10
+		maxBytes = 10 << 10
+	)
+	for _, sent := range []string{"x", "\x01", "\x80", `"`, "\u20ac"} {
+		var out bytes.Buffer
+		logger, err := log.New(&out, "info")
+		if err != nil {
+			t.Fatal(err)
+		}
+		logger.Info("send outcome unknown", "error", fmt.Errorf("malformed response %q", strings.Repeat(sent, size)), "took", 7)
+		line := out.String()
+		if len(line) > maxBytes || !utf8.ValidString(line) || !strings.HasSuffix(line, " took=7\n") || !strings.Contains(line, "bytes)") {
+			t.Errorf("%q: line of %d bytes, ending in %q", sent, len(line), line[max(0, len(line)-100):])
+		}
+	}
+}
+
 func TestUnknownLevel(t *testing.T) {
 	if _, err := log.New(&bytes.Buffer{}, "loud"); err == nil {
 		t.Fatal("no error")
--- a/modules/log/sink.go
+++ b/modules/log/sink.go
@@ -20,6 +20,9 @@
 	now      func() time.Time
 }
 
+// maxValueBytes limits the values of an event. Some repeat what servers and callers sent.
+const maxValueBytes = 2 << 10
+
 const timeFormat = "2006-01-02T15:04:05.000Z"
 
 // Accept implements hclog.SinkAdapter.
@@ -48,6 +51,9 @@
 	b.WriteByte(' ')
 	b.WriteString(key)
 	b.WriteByte('=')
+	if len(value) > maxValueBytes {
+		value = fmt.Sprintf("%s... (%d bytes)", strings.ToValidUTF8(value[:maxValueBytes], ""), len(value))
+	}
 	if needsQuotes(value) {
 		value = strconv.Quote(value)
 	}
--- a/standin/site/endless.go
+++ b/standin/site/endless.go
@@ -50,6 +50,8 @@
 // not run.
 func EndlessAnswers() []EndlessResponse {
 	const (
+		// headSize is just short of the bound of a head.
+		headSize = 60 << 10
 		// bufferedSize is just short of the size up to which a response is buffered.
 		bufferedSize = 511 << 10
 		chunk        = "400\r\n"
@@ -57,6 +59,8 @@
 	block := chunk + strings.Repeat("x", 1<<10) + "\r\n"
 	blocks := strings.Repeat(block, bufferedSize>>10)
 	return []EndlessResponse{
+		// Quoted, each of these bytes takes four.
+		{"bytes that are no header", strings.Repeat("\x01", headSize) + "\r\n", ""},
 		{"body with length", okLine + sealedFields + "Content-Length: 1000000000000\r\n\r\n", "x"},
 		{"chunked body", okLine + sealedFields + chunked, block},
 		{"chunked body, stopped", okLine + sealedFields + chunked + blocks, ""},
