Merge the bounds of what responses without an end take

Measured: the tests of all packages but tests/faults, and there those of endless responses and of versions, pass on the merged tree.

--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -73,6 +73,8 @@
 	// server is the id of the server that the request was last sent to, and version that of its software.
 	server  string
 	version string
+	// buffers hold what the job has read of responses.
+	buffers []*responseBuffer
 }
 
 // sendResult is the result of sending the request to one server.
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/models/balance"
+	"github.com/crocusline/crocusline/models/buffer"
 	"github.com/crocusline/crocusline/models/call"
 	"github.com/crocusline/crocusline/models/gateway"
 	"github.com/crocusline/crocusline/models/lineage"
@@ -175,6 +176,9 @@
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.WindowBudget
+
+	bufferMu sync.Mutex
+	buffers  buffer.Budget
 }
 
 // New returns a service that sends requests to servers with the client.
@@ -184,6 +188,7 @@
 		metrics: metric.New(), retryWindow: DefaultRetryWindow, retryRatio: DefaultRetryRatio, retryExtra: DefaultRetryExtra,
 		retryBudgets: map[string]*retry.WindowBudget{}, quarantine: noQuarantine{}, lineage: noLineage{}, reports: noReports{},
 	}
+	s.buffers.SetMemory(defaultMemory)
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -225,6 +230,7 @@
 		s.recordRefusal(r, j, err)
 		return err
 	}
+	defer j.releaseBuffers()
 	err = j.run(ctx, w)
 	j.hold.Settle(j.usedTokens())
 	j.recordResult(err)
