Confirm the end of streams without framing by two servers

Cause: a complete stream without framing is resumed at another server, to learn whether it is complete. If that one answers without framing too, with no event left, the answer counted as one without any evidence, and the caller's connection was cut although all events had arrived.

One such end alone isn't taken for the end: a server that crashes after its head or between two events looks the same. Two servers that end the stream in order after the same event agree (call.Progress.ConfirmsEnd). Ruled out: a response without framing or event as confirmation by itself, which would complete a stream that was broken off and whose next server crashes after its head.

TestUnframedStreamEndsBetweenEvents/complete,_confirmed_without_framing: 4 of 4 events, then an unexpected EOF; now complete.

Remains: servers that crash at the same event one after the other in an orderly close count as agreed.

--- a/models/call/progress.go
+++ b/models/call/progress.go
@@ -10,6 +10,23 @@
 	// if that event had none.
 	Events      int64
 	LastEventID string
+	// endedAfter is the id of the last event if a server has ended the stream there in order, but
+	// without framing.
+	endedAfter string
+}
+
+// ConfirmsEnd reports whether an orderly end without framing, after the event with the id, shows that
+// the stream is complete: another server must have ended it there too. One such end alone may be a
+// crash between two events or after the head, two servers seldom crash at the same event. The load
+// that it answers are servers that send streams without framing and are asked for what is left of
+// a complete one.
+func (p *Progress) ConfirmsEnd(eventID string) bool {
+	if eventID == "" || eventID != p.LastEventID {
+		return false
+	}
+	confirmed := p.endedAfter == eventID
+	p.endedAfter = eventID
+	return confirmed
 }
 
 // Accepts reports whether a server's response, or its continuation, may be passed on. Callers
--- a/models/call/progress_test.go
+++ b/models/call/progress_test.go
@@ -61,3 +61,36 @@
 		}
 	}
 }
+
+// TestStreamEndedWithoutFramingByTwoServers guards against complete streams that are taken for broken
+// ones, and against broken ones that are taken for complete, where no server frames its response.
+func TestStreamEndedWithoutFramingByTwoServers(t *testing.T) {
+	type end struct {
+		// last is the caller's last event, and after the one after which the server ended.
+		last, after string
+		confirmed   bool
+	}
+	tests := []struct {
+		name string
+		ends []end
+	}{
+		{"one server", []end{{"4", "4", false}}},
+		{"the same event", []end{{"4", "4", false}, {"4", "4", true}}},
+		{"a later event", []end{{"2", "2", false}, {"4", "4", false}, {"4", "4", true}}},
+		{"an earlier event", []end{{"4", "4", false}, {"4", "2", false}}},
+		{"twice an earlier event", []end{{"4", "2", false}, {"4", "2", false}}},
+		{"an earlier event between", []end{{"4", "4", false}, {"4", "2", false}, {"4", "4", true}}},
+		{"no event", []end{{"", "", false}, {"", "", false}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var p call.Progress
+			for i, e := range tt.ends {
+				p.LastEventID = e.last
+				if got := p.ConfirmsEnd(e.after); got != e.confirmed {
+					t.Errorf("end %d after event %q: confirmed is %t", i, e.after, got)
+				}
+			}
+		})
+	}
+}
--- a/services/relay/cut_test.go
+++ b/services/relay/cut_test.go
@@ -49,7 +49,7 @@
 }
 
 // TestUnframedStreamEndsBetweenEvents guards against streams without framing whose server ended between
-// two events, and that callers get as complete.
+// two events, and that callers get as complete, and against complete ones that are cut.
 func TestUnframedStreamEndsBetweenEvents(t *testing.T) {
 	const events = 4
 	tests := []struct {
@@ -61,6 +61,9 @@
 	}{
 		{"stopped, resumed", "/draft/a", site.StopUnframed, site.Serve, "100,40", true, events, 2},
 		{"complete, confirmed", "/draft/a", site.ServeUnframed, site.Serve, "100,40", true, events, 2},
+		{"complete, confirmed without framing", "/draft/a", site.ServeUnframed, site.EndUnframed, "100,40", true, events, 2},
+		{"stopped, resumed from the first event", "/draft/a", site.StopUnframed, site.RestartUnframed, "100,40", false, events / 2, 2},
+		{"broken off, no further event", "/draft/a", site.AbortResponse, site.EndUnframed, "100,40", false, events / 2, 2},
 		{"complete by its tokens", "/draft/a", site.ServeUnframed, site.Serve, "100,4", true, events, 1},
 		{"stopped, no server for the rest", "/draft/a", site.StopUnframed, site.Shed, "100,40", false, events / 2, 2},
 		{"can't be resumed", "/plan/a", site.ServeUnframed, site.Serve, "100,40", true, events, 1},
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -112,10 +112,13 @@
 func (j *job) relayEvents(w http.ResponseWriter, resp *http.Response, prompt *promptTracker) sendResult {
 	reader := bufio.NewReader(resp.Body)
 	events := 0
+	last := j.LastEventID
 	for {
 		event, err := readEvent(reader)
-		if errors.Is(err, io.EOF) && len(event) == 0 && call.Whole(framed(resp), events) {
-			if j.endUnproven(resp) {
+		ended := errors.Is(err, io.EOF) && len(event) == 0
+		confirmed := ended && !framed(resp) && j.ConfirmsEnd(last)
+		if ended && (confirmed || call.Whole(framed(resp), events)) {
+			if !confirmed && j.endUnproven(resp) {
 				return endUnproven{}
 			}
 			j.writeHeader(w, resp)
@@ -128,6 +131,7 @@
 		}
 		prompt.markPromptRead()
 		id := eventID(event)
+		last = id
 		if j.Includes(id) {
 			continue
 		}
