Answer and log requests whose handling ends by a panic, and settle their tokens

Cause: front relied on net/http, which closes the connection at a panic and logs to stderr, where no event of the process goes. Relay settled the hold after the relay returned, so that the tokens of such a request stayed reserved.

front recovers, logs 'request ended by a panic' on one line and answers 502 if nothing was written; otherwise, and for http.ErrAbortHandler, the connection is closed as before.

TestPanicCutsConnection: before, EOF and no line; now 502 with the request's id and a line, and an unexpected EOF where the response had begun. TestPanicKeepsTokensReserved: before, the next request was refused (budgetUnreachable); now it is served. Without counting the run, a third request is served that the total doesn't cover, and the test fails. TestServerErrorMissingInLog, TestPanicMissingInErrorLog, TestEvents pass.

Remains: a panic between sending and its report leaves the send counted as running at its server; goroutines without a recover end the process.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -197,19 +197,20 @@
 func (g *gateway) listenReadiness() (closer, error) {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+platform.ReadinessPath, g.readiness)
-	return web.NewServer(g.settings.Listen.Readiness, mux)
+	return web.NewServer(g.settings.Listen.Readiness, mux, web.WithErrorLog(serverErrorLog(g.log)))
 }
 
 func (g *gateway) listenPeers() (closer, error) {
 	mux := http.NewServeMux()
 	mux.Handle("/peer/", front.NewPeerHandler(g.log, g.catalog, g.prepaid))
 	mux.Handle("GET /metrics", g.metrics)
-	return web.NewServer(g.settings.Listen.Peers, mux)
+	return web.NewServer(g.settings.Listen.Peers, mux, web.WithErrorLog(serverErrorLog(g.log)))
 }
 
 func (g *gateway) listenCallers() (closer, error) {
 	plan := g.stopPlan()
 	return web.NewServer(g.settings.Listen.Callers, g.handler,
+		web.WithErrorLog(serverErrorLog(g.log)),
 		web.WithMaxHeaderBytes(maxHeaderBytes),
 		web.WithDrainTimeout(plan.CloseAfter-plan.GiveUpAfter),
 		web.WithWriteTimeout(writeTimeout))
--- a/cmd/listener.go
+++ b/cmd/listener.go
@@ -1,7 +1,11 @@
 package cmd
 
 import (
+	"bytes"
 	"context"
+	stdlog "log"
+
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/crocusline/crocusline/kernel"
 )
@@ -40,3 +44,17 @@
 	}
 	return l.server.Close()
 }
+
+// serverErrorLog returns a logger whose messages become events of the process's log.
+func serverErrorLog(logger hclog.Logger) *stdlog.Logger {
+	return stdlog.New(errorEvents{logger.Named("web")}, "", 0)
+}
+
+// errorEvents logs each message as an event of one line.
+type errorEvents struct{ log hclog.Logger }
+
+// Write implements io.Writer.
+func (e errorEvents) Write(message []byte) (int, error) {
+	e.log.Warn("HTTP server error", "error", string(bytes.Join(bytes.Fields(message), []byte(" "))))
+	return len(message), nil
+}
--- a/modules/web/server.go
+++ b/modules/web/server.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"log"
 	"net"
 	"net/http"
 	"net/netip"
@@ -52,6 +53,12 @@
 	return func(s *Server) { s.writeTimeout = d }
 }
 
+// WithErrorLog sets the log of errors of connections and of panics in handlers. By default they go to
+// the standard logger.
+func WithErrorLog(l *log.Logger) Option {
+	return func(s *Server) { s.http.ErrorLog = l }
+}
+
 // NewServer returns a server that listens on the address and serves the handler until
 // Close.
 func NewServer(address netip.AddrPort, handler http.Handler, opts ...Option) (*Server, error) {
--- a/routers/front/front.go
+++ b/routers/front/front.go
@@ -132,6 +132,13 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.openRequests.Add(1)
 	defer h.openRequests.Add(-1)
+	tracker := &writeTracker{ResponseWriter: w}
+	defer func() { h.handlePanic(recover(), tracker, r) }()
+	h.serve(tracker, r)
+}
+
+// serve reads a request and responds to it.
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
 	arrivedAt := time.Now()
 	if h.Draining() || h.recordReceived(arrivedAt, r) {
 		w.Header().Set("Connection", "close")
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -177,8 +177,16 @@
 		s.recordRefusal(r, j, err)
 		return err
 	}
+	// Deferred for the case of a panic, after which the request may have run.
+	relayed := false
+	defer func() {
+		if !relayed {
+			j.possibleRuns++
+		}
+		j.hold.Settle(j.usedTokens())
+	}()
 	err = j.run(ctx, w)
-	j.hold.Settle(j.usedTokens())
+	relayed = true
 	j.recordResult(err)
 	return err
 }
