Fit what a process does after its last request into the grace period

Cause: the readiness and peer listeners had the default drain timeout of 10 s, and net/http takes a connection without a request for one in use for 5 s. One such connection kept a process beyond its grace period, before prepaid tokens were returned. What follows had fixed bounds of its own, 0.7 s for tokens and 0.3 s for the entry in the directory, of the 1.0 s that are left of 8 s, and loans (up to 2 s) and returns to a silent peer (0.5 s) counted in none of them.

intake.PlanStop divides what is left after CloseAfter among these steps: of 8 s 0.1 s for each listener, 0.5 s for tokens and loans, 0.2 s for the entry, and the stop ends after 7.9 s at the latest. No bound is longer than before.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -124,10 +124,11 @@
 		catalog.WithInstance(s.Instance), catalog.WithFailureDomain(s.FailureDomain), catalog.WithPeers(g.peers),
 		catalog.WithBounds(s.Parameters.TableBound, s.Parameters.DrainBound))
 	g.directory = directory.New(logger, g.store, platform.Codec{}.GatewaysTopic(), s.Instance, s.Capacity,
-		directory.WithStart(prepaid.ClockReading(logger)))
+		directory.WithStart(prepaid.ClockReading(logger)), directory.WithRemoveTimeout(g.stopPlan().RemoveFor))
 	grants, reports := platform.Codec{}.BudgetTopics()
 	g.prepaid = prepaid.New(logger, g.store, prepaid.Topics{Grants: grants, Reports: reports}, g.catalog, s.Instance,
-		prepaid.WithDirectory(g.directory), prepaid.WithPeers(g.peers, s.Listen.Peers), prepaid.WithMetrics(g.metrics))
+		prepaid.WithDirectory(g.directory), prepaid.WithPeers(g.peers, s.Listen.Peers), prepaid.WithMetrics(g.metrics),
+		prepaid.WithReturnTimeout(g.stopPlan().ReturnFor))
 	g.quarantine = quarantine.New(logger, g.store, platform.Codec{}.QuarantineTopic(), s.Instance, g.client)
 	g.notices = notice.New(logger, g.store, platform.Codec{}.NoticesTopic(), s.Instance, g.catalog, g.directory)
 	r := relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
@@ -197,14 +198,14 @@
 func (g *gateway) listenReadiness() (closer, error) {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+platform.ReadinessPath, g.readiness)
-	return web.NewServer(g.settings.Listen.Readiness, mux, web.WithErrorLog(serverErrorLog(g.log)))
+	return web.NewServer(g.settings.Listen.Readiness, mux, web.WithDrainTimeout(g.stopPlan().DrainFor), web.WithErrorLog(serverErrorLog(g.log)))
 }
 
 func (g *gateway) listenPeers() (closer, error) {
 	mux := http.NewServeMux()
 	mux.Handle("/peer/", front.NewPeerHandler(g.log, g.catalog, g.prepaid))
 	mux.Handle("GET /metrics", g.metrics)
-	return web.NewServer(g.settings.Listen.Peers, mux, web.WithErrorLog(serverErrorLog(g.log)))
+	return web.NewServer(g.settings.Listen.Peers, mux, web.WithDrainTimeout(g.stopPlan().DrainFor), web.WithErrorLog(serverErrorLog(g.log)))
 }
 
 func (g *gateway) listenCallers() (closer, error) {
--- a/models/intake/stop_test.go
+++ b/models/intake/stop_test.go
@@ -10,7 +10,8 @@
 )
 
 // TestPlanStop checks the order of events, that requests have time to end, and that open ones are not
-// given up before the last sixth of the grace period, which is when the platform's operators allow it.
+// given up before the last sixth of the grace period, which is when the platform's operators allow it,
+// and that all steps after that fit into the grace period.
 func TestPlanStop(t *testing.T) {
 	problem := ""
 	for _, grace := range []time.Duration{0, time.Second, 4 * time.Second, 8 * time.Second, 30 * time.Second, 5 * time.Minute} {
@@ -18,6 +19,9 @@
 		if s.AcceptFor > s.GiveUpAfter || s.GiveUpAfter > s.CloseAfter || s.CloseAfter > grace {
 			t.Errorf("grace %s: %+v is out of order", grace, s)
 		}
+		if end := s.EndAfter(); end > grace || (grace > 0 && (end == grace || min(s.DrainFor, s.ReturnFor, s.RemoveFor) <= 0)) {
+			t.Errorf("grace %s: %+v ends after %s", grace, s, end)
+		}
 		if s.GiveUpAfter < grace*5/6 {
 			problem += fmt.Sprintf("grace %s: requests are given up after %s; ", grace, s.GiveUpAfter)
 		}
--- a/services/directory/directory.go
+++ b/services/directory/directory.go
@@ -5,6 +5,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"sync"
@@ -29,8 +30,8 @@
 	pollTimeout = 5 * time.Second
 	// registerInterval is the time between two attempts to register.
 	registerInterval = 300 * time.Millisecond
-	// removeTimeout bounds the removal of the entry at shutdown.
-	removeTimeout = 300 * time.Millisecond
+	// DefaultRemoveTimeout bounds the removal of the entry at shutdown.
+	DefaultRemoveTimeout = 300 * time.Millisecond
 	// releaseKey is the key of the fleet's release. It can't be the name of an instance.
 	releaseKey = "\x1frelease"
 )
@@ -50,6 +51,8 @@
 	instance string
 	self     gateway.Member
 	follower *follower.Follower
+	// removeTimeout bounds the removal of the entry at shutdown.
+	removeTimeout time.Duration
 
 	mu       sync.Mutex
 	registry *gateway.Registry
@@ -77,12 +80,18 @@
 // WithStart sets the clock of the machine at the start of the process.
 func WithStart(c prepaid.ClockReading) Option { return func(s *Service) { s.self.Start = c } }
 
+// WithRemoveTimeout sets how long the removal of the entry may take at shutdown. 0 keeps the default.
+func WithRemoveTimeout(d time.Duration) Option {
+	return func(s *Service) { s.removeTimeout = cmp.Or(d, s.removeTimeout) }
+}
+
 // New returns the directory of a gateway with the capacity in thousandths of a core.
 func New(log hclog.Logger, store Store, topic, instance string, capacity int64, opts ...Option) *Service {
 	s := &Service{
 		log: log.Named(Name), store: store, topic: topic, instance: instance,
 		self:     gateway.Member{Capacity: capacity},
 		registry: gateway.NewRegistry(instance), unregistered: make(chan struct{}, 1),
+		removeTimeout: DefaultRemoveTimeout,
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -117,7 +126,7 @@
 	if !s.removable() {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), removeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), s.removeTimeout)
 	defer cancel()
 	if removeErr := s.write(ctx, []record.Record{{Key: s.instance}}); removeErr != nil {
 		s.log.Warn("entry not removed", "instance", s.instance, "error", removeErr)
--- a/services/prepaid/lending.go
+++ b/services/prepaid/lending.go
@@ -226,7 +226,7 @@
 }
 
 func (s *Service) requestLoan(log hclog.Logger, l prepaid.Lender, loan prepaid.Loan) {
-	ctx, cancel := context.WithTimeout(context.Background(), loan.Wait+lateLoanTimeout)
+	ctx, cancel := context.WithTimeout(s.lending, loan.Wait+lateLoanTimeout)
 	defer cancel()
 	start := time.Now()
 	lent, err := s.peers.Borrow(ctx, l.PeerAddress, loan)
@@ -265,7 +265,7 @@
 	}
 	tokens, lender := b.ReturnBorrowed(), b.lender
 	s.returns.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), returnBorrowedTimeout)
+		ctx, cancel := context.WithTimeout(s.lending, returnBorrowedTimeout)
 		defer cancel()
 		if err := s.peers.Return(ctx, lender, workspace, tokens); err != nil {
 			// The peer may have taken the tokens back, so they can't be used here.
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -5,6 +5,7 @@
 package prepaid
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net/netip"
@@ -45,9 +46,9 @@
 	// seldom.
 	minGrantReadInterval  = 500 * time.Millisecond
 	minReportReadInterval = 300 * time.Millisecond
-	// returnTimeout bounds the return of unused tokens at shutdown. Together with the
-	// time for requests in flight it must not exceed the grace period.
-	returnTimeout = 700 * time.Millisecond
+	// DefaultReturnTimeout bounds the return of borrowed and unused tokens at shutdown. Together
+	// with the time for requests in flight it must not exceed the grace period.
+	DefaultReturnTimeout = 700 * time.Millisecond
 )
 
 // Store is the platform's store of records.
@@ -111,6 +112,11 @@
 // Without one, each gateway holds tokens.
 func WithDirectory(d Directory) Option { return func(s *Service) { s.directory = d } }
 
+// WithReturnTimeout sets how long the return of tokens may take at shutdown. 0 keeps the default.
+func WithReturnTimeout(d time.Duration) Option {
+	return func(s *Service) { s.returnTimeout = cmp.Or(d, s.returnTimeout) }
+}
+
 // Service manages the gateway's local budgets.
 type Service struct {
 	log       hclog.Logger
@@ -129,6 +135,8 @@
 	directory    Directory
 	peers        Peers
 	peerAddress  netip.AddrPort
+	// returnTimeout bounds the return of tokens at shutdown.
+	returnTimeout time.Duration
 
 	mu sync.Mutex
 	// incarnation is higher than those of all earlier processes of the instance. It is
@@ -173,6 +181,9 @@
 	// loans and returns are the loans and returns of borrowed tokens in progress.
 	loans   sync.WaitGroup
 	returns sync.WaitGroup
+	// lending ends when loans and returns are no longer awaited.
+	lending    context.Context
+	endLending context.CancelFunc
 }
 
 // localBudget is the budget of one workspace, with the time of its last unmet request.
@@ -192,8 +203,9 @@
 		log: log.Named(Name), store: store, topics: topics, tables: tables,
 		instance: instance, planner: prepaid.NewPlanner(), wallClock: uptime.NewWallClock().Earliest, bootClock: uptime.SinceBoot,
 		accounts: map[string]prepaid.Account{}, undecodable: map[string]map[recordID]bool{}, budgets: map[string]*localBudget{}, holders: map[string]selection{}, withheld: map[string]int64{},
-		changed: make(chan struct{}), avoidedUntil: map[string]time.Time{}, metrics: metric.New(),
+		changed: make(chan struct{}), avoidedUntil: map[string]time.Time{}, metrics: metric.New(), returnTimeout: DefaultReturnTimeout,
 	}
+	s.lending, s.endLending = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -230,13 +242,17 @@
 	if s.cancel != nil {
 		s.cancel()
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), s.returnTimeout)
+	defer cancel()
+	// The other half is for unused tokens.
+	defer time.AfterFunc(s.returnTimeout/2, s.endLending).Stop()
 	s.done.Wait()
 	s.loans.Wait()
 	for _, workspace := range s.workspacesWithBudget() {
 		s.returnBorrowed(workspace, 1)
 	}
 	s.returns.Wait()
-	s.returnUnused()
+	s.returnUnused(ctx)
 	err := s.reportWriter.follower.Close()
 	for _, g := range s.grantWriters {
 		if closeErr := g.follower.Close(); err == nil {
@@ -393,9 +409,7 @@
 }
 
 // returnUnused returns the unused tokens before the process exits.
-func (s *Service) returnUnused() {
-	ctx, cancel := context.WithTimeout(context.Background(), returnTimeout)
-	defer cancel()
+func (s *Service) returnUnused(ctx context.Context) {
 	s.mu.Lock()
 	s.planner = prepaid.NewPlanner(prepaid.WithHorizon(0), prepaid.WithTolerance(0))
 	for _, b := range s.budgets {
--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -34,6 +34,7 @@
 	name          string
 	callerAddress netip.AddrPort
 	readyAddress  netip.AddrPort
+	peerAddress   netip.AddrPort
 	settingsFile  string
 	logFile       *os.File
 	storeProxy    *proxy
@@ -117,11 +118,10 @@
 	free := freeAddresses(t, listeners*gateways)
 	for i := range gateways {
 		own := free[listeners*i:]
-		g := &gateway{name: fmt.Sprintf("front-%d", i), callerAddress: own[0], readyAddress: own[1], storeProxy: stores[i]}
-		peers := own[2]
-		seeds = append(seeds, peers.String())
+		g := &gateway{name: fmt.Sprintf("front-%d", i), callerAddress: own[0], readyAddress: own[1], peerAddress: own[2], storeProxy: stores[i]}
+		seeds = append(seeds, g.peerAddress.String())
 		g.settingsFile = filepath.Join(dir, g.name+".json")
-		writeSettings(t, g, peers, seeds, cpuShare(i, gateways))
+		writeSettings(t, g, seeds, cpuShare(i, gateways))
 		f.gateways = append(f.gateways, g)
 	}
 	for _, g := range f.gateways {
@@ -140,11 +140,11 @@
 	return 0.8
 }
 
-func writeSettings(t *testing.T, g *gateway, peers netip.AddrPort, seeds []string, cpuShare float64) {
+func writeSettings(t *testing.T, g *gateway, seeds []string, cpuShare float64) {
 	t.Helper()
 	data, err := json.Marshal(map[string]any{
 		"node_name": g.name, "zone": "z", "region": "r",
-		"bind":       map[string]string{"front": g.callerAddress.String(), "ready": g.readyAddress.String(), "control": peers.String()},
+		"bind":       map[string]string{"front": g.callerAddress.String(), "ready": g.readyAddress.String(), "control": g.peerAddress.String()},
 		"seed_addrs": seeds, "limits": map[string]any{"cpu_share": cpuShare, "memory_mb": 134, "max_fds": 4100},
 		"parameters": map[string]any{"grace_s": gracePeriodSeconds, "budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 60},
 		"platform":   map[string]any{"address": g.storeProxy.address().String(), "writes_per_s": 800, "reads_per_s": 2000},
--- a/tests/faults/stop_test.go
+++ b/tests/faults/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"syscall"
 	"testing"
 	"time"
@@ -125,3 +126,26 @@
 	}
 	knownred.Report(t, problem)
 }
+
+// TestProcessKeptByOpenConnection guards against processes that a connection without a request, on a
+// port other than the callers', keeps beyond their grace period.
+func TestProcessKeptByOpenConnection(t *testing.T) {
+	const grace = gracePeriodSeconds * time.Second
+	f := newFleet(t, buildBinary(t), 1, serverCount)
+	requireService(t, f, "before SIGTERM")
+	g := f.gateways[0]
+	start := time.Now()
+	g.signal(syscall.SIGTERM)
+	time.Sleep(time.Until(start.Add(grace / 2)))
+	for _, address := range []netip.AddrPort{g.readyAddress, g.peerAddress} {
+		conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", address.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+	}
+	if !g.waitExit(time.Until(start.Add(grace))) {
+		t.Errorf("the process runs longer than %s", grace)
+	}
+	t.Logf("the process ended after %s", time.Since(start))
+}
