--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -231,8 +231,16 @@
 		return err
 	}
 	defer j.releaseBuffers()
+	// Deferred for the case of a panic, after which the request may have run.
+	relayed := false
+	defer func() {
+		if !relayed {
+			j.possibleRuns++
+		}
+		j.hold.Settle(j.usedTokens())
+	}()
 	err = j.run(ctx, w)
-	j.hold.Settle(j.usedTokens())
+	relayed = true
 	j.recordResult(err)
 	return err
 }
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -120,10 +120,18 @@
 	buffer := j.newBuffer()
 	defer buffer.release()
 	events := 0
+	last := j.LastEventID
 	for {
 		event, err := readEvent(reader, buffer)
-		if errors.Is(err, io.EOF) && len(event) == 0 && call.Whole(framed(resp), events) {
-			if j.endUnproven(resp) {
+		ended := errors.Is(err, io.EOF) && len(event) == 0
+		if ended && j.origin.Known() {
+			if err := j.checkOrigin(ctx, prompt); err != nil {
+				return unknownOutcome{reason: refusal.ServerFailed, err: err}
+			}
+		}
+		confirmed := ended && !framed(resp) && j.ConfirmsEnd(last)
+		if ended && (confirmed || call.Whole(framed(resp), events)) {
+			if !confirmed && j.endUnproven(resp) {
 				return endUnproven{}
 			}
 			j.writeHeader(w, resp)
@@ -136,6 +144,7 @@
 		}
 		prompt.markPromptRead()
 		id := eventID(event)
+		last = id
 		if j.Includes(id) {
 			continue
 		}
