Refuse requests whose body ends after a planned stop takes no more

Cause: front checked the stop when the header had arrived, and not again after the body, which may take 5 s. Such a request was passed on, to be cut soon after, or after its requests had been given up.

The check is made again after the body, also for requests that are given up.

--- a/routers/front/front.go
+++ b/routers/front/front.go
@@ -149,8 +149,7 @@
 		return
 	}
 	if h.refusesAll(arrivedAt) {
-		h.log.Info("request refused by a planned stop", "requestId", req.ID)
-		h.refuse(w, req, refusal.New(refusal.ShuttingDown, stopRetryAfter, "this entry stops: another one takes the request"))
+		h.refuseStopping(w, req)
 		return
 	}
 	if err := h.acceptBody(r, req); err != nil {
@@ -165,6 +164,11 @@
 		h.refuse(w, req, refusalForBody(err))
 		return
 	}
+	// The body may have ended long after the header.
+	if h.refusesAll(time.Now()) || h.givenUp.Err() != nil {
+		h.refuseStopping(w, req)
+		return
+	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
 	defer context.AfterFunc(h.givenUp, func() { cancel(context.Cause(h.givenUp)) })()
@@ -179,6 +183,13 @@
 	}
 }
 
+// refuseStopping refuses a request because of a planned stop.
+func (h *Handler) refuseStopping(w http.ResponseWriter, req *call.Request) {
+	h.log.Info("request refused by a planned stop", "requestId", req.ID)
+	w.Header().Set("Connection", "close")
+	h.refuse(w, req, refusal.New(refusal.ShuttingDown, stopRetryAfter, "this entry stops: another one takes the request"))
+}
+
 // headerBytes is the usual size of a request's header.
 const headerBytes = 600
 
