Take empty lines and comments after the last event for no broken event

Cause: a stream that ended with a further empty line, or with a comment, counted as one that broke off within an event, although its length was complete, and the caller's connection was cut. Two empty lines, or a comment with one, were passed on as an event without an id, after which a stream can't be resumed.

What follows the last event is part of an event only if it has a field (call.HasField). A framed stream may end with any other bytes, one without framing with whole lines: an unfinished line shows that the server stopped within it. These bytes aren't passed on. Comments between events arrive with the next event.

TestBytesAfterTheLastEvent: before, 'unexpected EOF' for an empty line in either framing and for an unfinished comment in a framed stream, and 4 cases with bytes that are no event; now all 16 as asked. TestEndsBetweenEvents, TestReadEvent and TestResponseCutShort pass.

--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -123,7 +123,7 @@
 	last := j.LastEventID
 	for {
 		event, err := readEvent(reader, buffer)
-		ended := errors.Is(err, io.EOF) && len(event) == 0
+		ended := (errors.Is(err, io.EOF) || errors.Is(err, errEndInEvent)) && call.EndsBetweenEvents(framed(resp), event)
 		if ended && j.origin.Known() {
 			if err := j.checkOrigin(ctx, prompt); err != nil {
 				return unknownOutcome{reason: refusal.ServerFailed, err: err}
@@ -178,6 +178,9 @@
 	w.WriteHeader(resp.StatusCode)
 }
 
+// errEndInEvent is returned if a stream ends in order after bytes that are no whole event.
+var errEndInEvent = errors.WithMessage(io.ErrUnexpectedEOF, "the stream ends within an event")
+
 // readEvent returns the next event, including the empty line that ends it. It is valid until the
 // buffer is used again. If the stream ends within an event, it returns the bytes read and an error
 // other than io.EOF.
@@ -193,10 +196,10 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF) && len(event) > 0:
-			return event, errors.WithStack(io.ErrUnexpectedEOF)
+			return event, errEndInEvent
 		case err != nil:
 			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line):
+		case len(bytes.TrimRight(line, "\r\n")) == 0 && call.HasField(event):
 			return event, nil
 		}
 	}
--- /dev/null
+++ b/services/relay/trailer_test.go
@@ -0,0 +1,51 @@
+package relay_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/crocusline/crocusline/models/roster"
+	"github.com/crocusline/crocusline/standin/site"
+)
+
+// TestBytesAfterTheLastEvent guards against complete streams that are cut because something follows
+// their last event that is no event, and against callers that get a part of an event.
+func TestBytesAfterTheLastEvent(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: x\r\nInstance-Id: cut\r\nContent-Type: text/event-stream\r\n"
+	events := site.Event(1) + site.Event(2)
+	tests := []struct {
+		rest             string
+		framed, unframed bool
+	}{
+		{"", true, true},
+		{"\n", true, true},
+		{"\r\n", true, true},
+		{"\n\n", true, true},
+		{":\n\n", true, true},
+		{": comment", true, false},
+		{"data: more\n", false, false},
+		{"id: 3", false, false},
+	}
+	server, err := site.NewCutServer()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	env := newTestEnv(t, nil, site.NewServer("unused", 4))
+	env.catalog.balancers["models"].SetServers([]roster.Server{{ID: "cut", Address: server.Address(), Slots: 64}}, 0)
+	for _, tt := range tests {
+		text := events + tt.rest
+		for _, framed := range []bool{true, false} {
+			complete, field := tt.unframed, "Connection: close\r\n"
+			if framed {
+				complete, field = tt.framed, "Content-Length: "+strconv.Itoa(len(text))+"\r\n"
+			}
+			server.Respond(head + field + "\r\n" + text)
+			status, body, err := env.sendOverConnection("/plan/a")
+			if status != http.StatusOK || body != events || (err == nil) != complete {
+				t.Errorf("framed %t, %q: got status %d, %q and %v, want the events, complete %t", framed, tt.rest, status, body, err, complete)
+			}
+		}
+	}
+}
