Bound the fields of a response's head

Cause: a head could have 64 KiB, which as fields of a few bytes each takes about 300 KB in memory, as long as the response isn't complete. The error for a value of a server's notice quotes it, up to four bytes for each.

Change: a head, with the interim heads before it, has at most 16 KiB, as a caller's, and 128 fields. The fields are also counted while the head is read, as a server may stop within it.

TestHeadFields fails without the change.

--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -27,7 +28,9 @@
 	maxForeignResponses = 2
 	// maxHeadBytes limits the status lines and headers before a response's body, including
 	// those of interim responses.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = 16 << 10
+	// maxHeadFields limits the fields of a head. Each takes many times its bytes in memory.
+	maxHeadFields = 128
 	// maxSkippedBytes limits the body of a response to another request. A longer one closes
 	// the connection.
 	maxSkippedBytes = 512 << 10
@@ -62,14 +65,18 @@
 	}
 }
 
-// errHeadTooLong is returned for a response whose head is longer than maxHeadBytes.
-var errHeadTooLong = errors.Errorf("the response's head exceeds %d bytes", maxHeadBytes)
+// errHeadTooLong is returned for a response whose head is longer than maxHeadBytes or has more than
+// maxHeadFields.
+var errHeadTooLong = errors.Errorf("the response's head exceeds %d bytes or %d fields", maxHeadBytes, maxHeadFields)
 
-// limitedReader limits the bytes that are read while it is enabled.
+// limitedReader limits the bytes and lines that are read while it is enabled.
 type limitedReader struct {
 	reader  io.Reader
 	enabled bool
 	left    int
+	// lines is the number of lines read of a head. The read that ends a head may exceed the limit, as
+	// it may have read a part of the body.
+	lines int
 }
 
 // Read implements io.Reader.
@@ -77,11 +84,12 @@
 	if !l.enabled {
 		return l.reader.Read(p)
 	}
-	if l.left <= 0 {
+	if l.left <= 0 || l.lines > maxHeadFields {
 		return 0, errHeadTooLong
 	}
 	n, err := l.reader.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	l.lines += bytes.Count(p[:n], []byte{'\n'})
 	return n, err
 }
 
@@ -174,12 +182,15 @@
 	req := &http.Request{Method: r.Method}
 	c.limit.left = maxHeadBytes
 	for skipped := 0; ; {
-		c.limit.enabled = true
+		c.limit.enabled, c.limit.lines = true, 0
 		resp, err := http.ReadResponse(c.reader, req)
 		c.limit.enabled = false
 		if err != nil {
 			return nil, shortError(err)
 		}
+		if fieldCount(resp.Header) > maxHeadFields {
+			return nil, errHeadTooLong
+		}
 		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
 			continue
 		}
@@ -195,6 +206,14 @@
 	}
 }
 
+func fieldCount(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
 // shortError returns the error without most of what it quotes of a response that can't be decoded.
 func shortError(err error) error {
 	if text := err.Error(); len(text) > maxErrorBytes {
--- a/modules/exchange/endless_test.go
+++ b/modules/exchange/endless_test.go
@@ -80,6 +80,62 @@
 	}
 }
 
+// TestHeadFields checks that a head with many fields is given up, whether or not it ends, and that the
+// lines of a body don't count as fields.
+func TestHeadFields(t *testing.T) {
+	fields := func(n int) string {
+		var b strings.Builder
+		for i := range n {
+			fmt.Fprintf(&b, "F%d:\r\n", i)
+		}
+		return b.String()
+	}
+	const ok = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
+	lines := strings.Repeat("\n", 3000)
+	framed := fmt.Sprintf("Content-Length: %d\r\n", len(lines))
+	tests := []struct {
+		name string
+		// parts are sent one after the other.
+		parts    []string
+		accepted bool
+	}{
+		{"some", []string{ok + fields(100) + framed + "\r\n" + lines}, true},
+		{"in parts", []string{ok + fields(50), framed + "\r\n" + lines}, true},
+		{"after interim heads", []string{strings.Repeat("HTTP/1.1 102 Processing\r\n"+fields(50)+"\r\n", 5), ok + framed + "\r\n" + lines}, true},
+		{"many", []string{ok + fields(200) + framed + "\r\n" + lines}, false},
+		{"many of one name", []string{ok + strings.Repeat("F:\r\n", 200) + framed + "\r\n" + lines}, false},
+		{"many without an end", []string{ok + fields(200), "F:"}, false},
+	}
+	for _, tt := range tests {
+		s := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+			_, _ = readRequestID(requests)
+			for _, part := range tt.parts {
+				_, _ = io.WriteString(conn, part)
+				time.Sleep(10 * time.Millisecond)
+			}
+			// Without an end the connection stays open until the client closes it.
+			_, _ = requests.ReadByte()
+		})
+		client := exchange.New()
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		resp, err := client.Do(ctx, s.request("1"))
+		var noResponse *exchange.NoResponseError
+		switch {
+		case !tt.accepted && (!errors.As(err, &noResponse) || !noResponse.Written || ctx.Err() != nil):
+			t.Errorf("%s: got %v, want an error that leaves open whether the request ran", tt.name, err)
+		case tt.accepted && err != nil:
+			t.Errorf("%s: %v", tt.name, err)
+		case tt.accepted:
+			if body, err := io.ReadAll(resp.Body); err != nil || string(body) != lines {
+				t.Errorf("%s: body of %d bytes, %v", tt.name, len(body), err)
+			}
+			_ = resp.Body.Close()
+		}
+		cancel()
+		_ = client.Close()
+	}
+}
+
 func heapInUse() int64 {
 	runtime.GC()
 	var m runtime.MemStats
