Give up a server that repeats events without end

Cause: events that the caller has are skipped, as a server may resume a stream too early. A server that repeats them without end kept the request and the processor until its deadline, though another server could go on.

Change: more than 512 KiB of skipped events end the send with an unknown outcome. A stream that can be resumed goes on at another server, another one is aborted at once.

Tests: TestRepeatedEvents.

--- a/services/relay/response_test.go
+++ b/services/relay/response_test.go
@@ -7,8 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/roster"
+	"github.com/crocusline/crocusline/services/relay"
 	"github.com/crocusline/crocusline/standin/site"
 )
 
@@ -145,3 +148,19 @@
 		})
 	}
 }
+
+// TestRepeatedEvents checks that a stream whose server repeats events without end goes on at another
+// server, or is aborted at once if it can't be resumed.
+func TestRepeatedEvents(t *testing.T) {
+	env := newTestEnv(t, nil, site.NewServer("s1", 10, site.RepeatEvents), site.NewServer("s2", 10))
+	status, body, err := env.sendOverConnection("/draft/a")
+	if status != http.StatusOK || body != events(1, 10) || err != nil {
+		t.Errorf("got status %d, %q and %v, want 200 and all events", status, body, err)
+	}
+	env = newTestEnv(t, nil, site.NewServer("s1", 10, site.RepeatEvents))
+	resp, err := env.send(t.Context(), "/plan/a")
+	var aborted *relay.AbortedError
+	if !errors.As(err, &aborted) || aborted.Reason != refusal.ServerFailed || resp.Body.String() != events(1, 5) {
+		t.Errorf("got %q and %v, want the first events and a response aborted as the server failed", resp.Body, err)
+	}
+}
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -14,8 +14,13 @@
 	"github.com/crocusline/crocusline/models/refusal"
 )
 
-// maxEventBytes is the maximum size of one event.
-const maxEventBytes = 64 << 10
+const (
+	// maxEventBytes is the maximum size of one event.
+	maxEventBytes = 64 << 10
+	// maxSkippedBytes limits the events of a response that the caller has received before. A server
+	// that resumes a stream too early repeats each of them once.
+	maxSkippedBytes = 512 << 10
+)
 
 // streamProgress is the part of the response that was sent to the caller.
 type streamProgress struct {
@@ -113,7 +118,7 @@
 	reader := bufio.NewReader(resp.Body)
 	buffer := j.newBuffer()
 	defer buffer.release()
-	events := 0
+	events, skippedBytes := 0, 0
 	for {
 		event, err := readEvent(reader, buffer)
 		if errors.Is(err, io.EOF) && len(event) == 0 && call.Whole(framed(resp), events) {
@@ -131,6 +136,9 @@
 		prompt.markPromptRead()
 		id := eventID(event)
 		if j.Includes(id) {
+			if skippedBytes += len(event); skippedBytes > maxSkippedBytes {
+				return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("server repeats event %s: more than %d bytes skipped", id, maxSkippedBytes)}
+			}
 			continue
 		}
 		events++
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -70,6 +71,9 @@
 	// SlowEvents executes the request and sends the events of its stream with a pause of SlowPause
 	// before each.
 	SlowEvents
+	// RepeatEvents executes the request, sends the first half of its events, and repeats the last
+	// of them until the client disconnects.
+	RepeatEvents
 	// WrongRequestID responds with the Request-Id of another request.
 	WrongRequestID
 )
@@ -364,5 +368,17 @@
 		}
 		_, _ = w.Write([]byte(event))
 		_ = http.NewResponseController(w).Flush()
+		if b == RepeatEvents && id >= s.events/2 {
+			repeatUntilDone(r.Context(), w, event)
+			return
+		}
+	}
+}
+
+// repeatUntilDone sends an event until the client disconnects.
+func repeatUntilDone(ctx context.Context, w http.ResponseWriter, event string) {
+	block := []byte(strings.Repeat(event, 1000))
+	for ctx.Err() == nil {
+		_, _ = w.Write(block)
 	}
 }
