Take the rest of a long line for no empty line

Cause: an event ends with an empty line. A line that fills the reader's buffer of 4,096 bytes, or a multiple of it, comes in parts, and the last part is its line feed alone, which was taken for an empty line. The event was passed on without its end, and the next one began with it: a caller of a stream that is cut there takes both for one event, and the last event of a stream was taken for a cut.

Change: the whole line is considered.

Tests: TestReadEventLineLength fails without the change at 4 of 64 lengths.

--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -173,12 +173,14 @@
 // other than io.EOF.
 func readEvent(reader *bufio.Reader, buffer *responseBuffer) ([]byte, error) {
 	buffer.data = buffer.data[:0]
+	// lineStart is where the current line begins. ReadSlice returns a long line in parts.
+	lineStart := 0
 	for {
-		line, err := reader.ReadSlice('\n')
-		if !buffer.grow(len(line), maxEventBytes) {
+		part, err := reader.ReadSlice('\n')
+		if !buffer.grow(len(part), maxEventBytes) {
 			return buffer.data, errors.Errorf("event exceeds %d bytes or what can be buffered", maxEventBytes)
 		}
-		buffer.data = append(buffer.data, line...)
+		buffer.data = append(buffer.data, part...)
 		event := buffer.data
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
@@ -186,8 +188,10 @@
 			return event, errors.WithStack(io.ErrUnexpectedEOF)
 		case err != nil:
 			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line):
+		case len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0 && lineStart > 0:
 			return event, nil
+		default:
+			lineStart = len(event)
 		}
 	}
 }
--- a/services/relay/stream_test.go
+++ b/services/relay/stream_test.go
@@ -34,3 +34,22 @@
 		t.Error("oversized event was accepted")
 	}
 }
+
+// TestReadEventLineLength checks that a line which fills the reader's buffer does not end its event
+// before the empty line.
+func TestReadEventLineLength(t *testing.T) {
+	const readerSize = 16
+	s := &Service{metrics: metric.New()}
+	s.SetMemory(defaultMemory)
+	for length := 1; length <= 4*readerSize; length++ {
+		first := "data: " + strings.Repeat("x", length) + "\nid: 7\n\n"
+		second := "id: 8\n\n"
+		reader := bufio.NewReaderSize(strings.NewReader(first+second), readerSize)
+		buffer := &responseBuffer{service: s}
+		for _, want := range []string{first, second} {
+			if event, err := readEvent(reader, buffer); err != nil || string(event) != want {
+				t.Errorf("length %d: got %q and %v, want %q", length, event, err, want)
+			}
+		}
+	}
+}
