Close idle connections with unsolicited bytes

Cause: a connection on which a server sends bytes after a complete response stayed in the pool, unread, until the next request to the server or for up to 8 s. The bytes fill the buffers of its sockets, and it counts against the limit of connections to the server. So did one that the server had closed.

Change: Prune, once a second, also closes idle connections that can't be used again.

Tests: TestPruneUnusable fails without the change.

--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -278,15 +278,15 @@
 	c.mu.Unlock()
 }
 
-// Prune closes the connections whose idle timeout has passed. The owner of the client
-// calls it periodically.
+// Prune closes the connections whose idle timeout has passed, and those that can't be used again,
+// whose unread bytes take memory. The owner of the client calls it periodically.
 func (c *Client) Prune(now time.Time) {
 	var expired []*conn
 	c.mu.Lock()
 	for _, p := range c.pools {
 		live := p.idle[:0]
 		for _, conn := range p.idle {
-			if now.Sub(conn.idleSince) > min(c.idleTimeout, conn.idleTimeout) {
+			if now.Sub(conn.idleSince) > min(c.idleTimeout, conn.idleTimeout) || !conn.usable() {
 				expired = append(expired, conn)
 				continue
 			}
--- a/modules/exchange/exchange_test.go
+++ b/modules/exchange/exchange_test.go
@@ -332,6 +332,42 @@
 	}
 }
 
+// TestPruneUnusable checks that an idle connection is closed that the server has closed, or on which
+// it sends bytes that belong to no request.
+func TestPruneUnusable(t *testing.T) {
+	for _, extra := range []string{"", "unsolicited"} {
+		closed := make(chan struct{})
+		s := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+			id, _ := readRequestID(requests)
+			_, _ = io.WriteString(conn, response(id, "done"))
+			time.Sleep(10 * time.Millisecond)
+			if extra == "" {
+				_ = conn.(*net.TCPConn).CloseWrite()
+			}
+			_, _ = io.WriteString(conn, extra)
+			_, _ = requests.ReadByte()
+			close(closed)
+		})
+		c := exchange.New(exchange.WithIdleTimeout(time.Hour))
+		if _, err := call(c, s.request("1")); err != nil {
+			t.Fatal(err)
+		}
+		for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+			c.Prune(time.Now())
+			select {
+			case <-closed:
+			default:
+				if time.Now().Before(deadline) {
+					continue
+				}
+				t.Errorf("connection after %q is still open", extra)
+			}
+			break
+		}
+		_ = c.Close()
+	}
+}
+
 // FuzzResponse makes the server send arbitrary bytes. The client must not return a
 // response to another request, nor a truncated response without an error.
 func FuzzResponse(f *testing.F) {
