--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -16,8 +16,13 @@
 	"github.com/crocusline/crocusline/models/roster"
 )
 
-// maxEventBytes is the maximum size of one event.
-const maxEventBytes = 64 << 10
+const (
+	// maxEventBytes is the maximum size of one event.
+	maxEventBytes = 64 << 10
+	// maxSkippedBytes limits the events of a response that the caller has received before. A server
+	// that resumes a stream too early repeats each of them once.
+	maxSkippedBytes = 512 << 10
+)
 
 // streamProgress is the part of the response that was sent to the caller.
 type streamProgress struct {
@@ -119,25 +124,12 @@
 	reader := bufio.NewReader(resp.Body)
 	buffer := j.newBuffer()
 	defer buffer.release()
-	events := 0
+	passed, skippedBytes := 0, 0
 	last := j.LastEventID
 	for {
 		event, err := readEvent(reader, buffer)
-		ended := (errors.Is(err, io.EOF) || errors.Is(err, errEndInEvent)) && call.EndsBetweenEvents(framed(resp), event)
-		if ended && j.origin.Known() {
-			if err := j.checkOrigin(ctx, prompt); err != nil {
-				return unknownOutcome{reason: refusal.ServerFailed, err: err}
-			}
-		}
-		confirmed := ended && !framed(resp) && j.ConfirmsEnd(last)
-		if ended && (confirmed || call.Whole(framed(resp), events)) {
-			if !confirmed && j.endUnproven(resp) {
-				return endUnproven{}
-			}
-			j.writeHeader(w, resp)
-			j.complete = true
-			j.possibleRuns++
-			return responseRelayed{}
+		if endedBetweenEvents(resp, event, err) {
+			return j.endStream(ctx, w, resp, prompt, streamEnd{passed: passed, last: last, err: err})
 		}
 		if err != nil {
 			return unknownOutcome{reason: refusal.ServerFailed, err: err}
@@ -146,9 +138,12 @@
 		id := eventID(event)
 		last = id
 		if j.Includes(id) {
+			if skippedBytes += len(event); skippedBytes > maxSkippedBytes {
+				return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("server repeats event %s: more than %d bytes skipped", id, maxSkippedBytes)}
+			}
 			continue
 		}
-		events++
+		passed++
 		if err := j.checkOrigin(ctx, prompt); err != nil {
 			return unknownOutcome{reason: refusal.ServerFailed, err: err}
 		}
@@ -167,6 +162,40 @@
 	}
 }
 
+// streamEnd is the end of a response in order, between two events.
+type streamEnd struct {
+	// passed is the number of events of the response that were passed on, and last the id of its last event, or of the one
+	// after which it continued the stream.
+	passed int
+	last   string
+	err    error
+}
+
+// endedBetweenEvents reports whether a stream ended in order with the rest of it and the error.
+func endedBetweenEvents(resp *http.Response, rest []byte, err error) bool {
+	return (errors.Is(err, io.EOF) || errors.Is(err, errEndInEvent)) && call.EndsBetweenEvents(framed(resp), rest)
+}
+
+// endStream ends the stream if its end is proven. What another version ended proves nothing about the stream.
+func (j *job) endStream(ctx context.Context, w http.ResponseWriter, resp *http.Response, prompt *promptTracker, end streamEnd) sendResult {
+	if j.origin.Known() {
+		if err := j.checkOrigin(ctx, prompt); err != nil {
+			return unknownOutcome{reason: refusal.ServerFailed, err: err}
+		}
+	}
+	confirmed := !framed(resp) && j.ConfirmsEnd(end.last)
+	switch {
+	case !confirmed && !call.Whole(framed(resp), end.passed):
+		return unknownOutcome{reason: refusal.ServerFailed, err: end.err}
+	case !confirmed && j.endUnproven(resp):
+		return endUnproven{}
+	}
+	j.writeHeader(w, resp)
+	j.complete = true
+	j.possibleRuns++
+	return responseRelayed{}
+}
+
 // writeHeader writes the status line and header, unless they were written before.
 func (j *job) writeHeader(w http.ResponseWriter, resp *http.Response) {
 	if j.Begun {
@@ -186,12 +215,14 @@
 // other than io.EOF.
 func readEvent(reader *bufio.Reader, buffer *responseBuffer) ([]byte, error) {
 	buffer.data = buffer.data[:0]
+	// lineStart is where the current line begins. ReadSlice returns a long line in parts.
+	lineStart := 0
 	for {
-		line, err := reader.ReadSlice('\n')
-		if !buffer.grow(len(line), maxEventBytes) {
+		part, err := reader.ReadSlice('\n')
+		if !buffer.grow(len(part), maxEventBytes) {
 			return buffer.data, errors.Errorf("event exceeds %d bytes or what can be buffered", maxEventBytes)
 		}
-		buffer.data = append(buffer.data, line...)
+		buffer.data = append(buffer.data, part...)
 		event := buffer.data
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
@@ -199,8 +230,10 @@
 			return event, errEndInEvent
 		case err != nil:
 			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && call.HasField(event):
+		case len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0 && call.HasField(event):
 			return event, nil
+		default:
+			lineStart = len(event)
 		}
 	}
 }
