Soak streams over changes of the servers' software versions

Servers of three versions change them when they start again, all gateways are killed at once, and six more clients take broken streams up at other gateways, over up to six attempts. No stream may have events of two versions, and none may be missing or come twice, in one answer or over all attempts. The present checks compare bodies with the events of one known version, as strictly. These clients have a key without a prepaid budget, so that the check of the budget stays as it was. A SIGHUP during a drain now goes to the process that drains, not to the one that followed it.

--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -14,13 +14,17 @@
 )
 
 // SlowPause is the pause between two of the slowPieces pieces of a slow response, and between the
-// events of a slow stream. PacedPause is that between the events of a paced stream.
+// events of a slow stream. PacedPause is that between the events of a paced stream, unless the server
+// has another.
 const (
 	SlowPause  = 250 * time.Millisecond
 	PacedPause = 100 * time.Millisecond
 	slowPieces = 6
 )
 
+// PacedBody is the body of requests whose streams a Server paces when it serves normally.
+const PacedBody = "paced"
+
 // LargeBodySize is the size in bytes of a response that is too large to be buffered.
 const LargeBodySize = 600 << 10
 
@@ -114,12 +118,14 @@
 	limit string
 	// version is named by the events of streams, unless it is empty.
 	version string
+	// pacedPause is the pause between the events of a paced stream.
+	pacedPause time.Duration
 }
 
 // NewServer starts a server whose streamed responses have the given number of
 // events. Without behaviours it serves every request.
 func NewServer(id string, events int, behaviour ...Behaviour) *Server {
-	s := &Server{ID: id, events: events, behaviours: behaviour, executions: map[string]int{}}
+	s := &Server{ID: id, events: events, behaviours: behaviour, executions: map[string]int{}, pacedPause: PacedPause}
 	s.http = httptest.NewServer(s)
 	return s
 }
@@ -141,6 +147,13 @@
 	s.leaving = value
 }
 
+// SetPacedPause sets the pause between the events of later paced streams.
+func (s *Server) SetPacedPause(pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pacedPause = pause
+}
+
 // SetLimit makes all responses name this limit of requests per second.
 func (s *Server) SetLimit(value string) {
 	s.mu.Lock()
@@ -246,6 +259,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if b == Serve && body.String() == PacedBody {
+		b = PacedEvents
+	}
 	s.countExecution(id)
 	w.Header().Set("Response-Seal", "seal-of-"+s.ID)
 	s.respond(w, r, b)
@@ -352,7 +368,9 @@
 func Event(id int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", id, id) }
 
 func (s *Server) respondEvents(w http.ResponseWriter, r *http.Request, b Behaviour) {
-	version := s.Version()
+	s.mu.Lock()
+	version, pause := s.version, s.pacedPause
+	s.mu.Unlock()
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
@@ -374,7 +392,7 @@
 		switch {
 		case b == SlowEvents:
 			time.Sleep(SlowPause)
-		case (b == PacedEvents || b == PacedAbort) && !delay.Wait(r.Context(), PacedPause):
+		case (b == PacedEvents || b == PacedAbort) && !delay.Wait(r.Context(), pause):
 			return
 		}
 		_, _ = w.Write([]byte(event))
--- a/tests/faults/client_test.go
+++ b/tests/faults/client_test.go
@@ -17,6 +17,8 @@
 const (
 	host   = "a.example"
 	apiKey = "secret"
+	// unlimitedKey is the key of a tenant without a prepaid budget.
+	unlimitedKey = "unlimited"
 	// eventsPerStream and tokensPerEvent give the size of each stream.
 	eventsPerStream = 10
 	tokensPerEvent  = 4
@@ -42,6 +44,8 @@
 	// took is the time until the header of the response, and retryAfter its Retry-After.
 	took       time.Duration
 	retryAfter string
+	// after is the number of events that the client had before.
+	after int
 }
 
 // eventCount returns the number of events that the client received.
@@ -137,7 +141,7 @@
 		if ran > 0 && o.guaranteesNotRun() {
 			problems = append(problems, fmt.Sprintf("%s %s got status %d, but was executed %d times", o.kind, o.id, o.status, ran))
 		}
-		if problem := o.violation(); problem != "" {
+		if problem := o.violation(c.fleet.versions); problem != "" {
 			problems = append(problems, problem)
 		}
 		if ran > 0 && (o.kind == "draft" || o.kind == "plan") {
@@ -150,25 +154,36 @@
 	return problems
 }
 
-// violation describes what is wrong with a single response, or returns "".
-func (o outcome) violation() string {
+// violation describes what is wrong with a single response of servers of the versions, or returns "".
+func (o outcome) violation(versions []string) string {
 	if o.status != http.StatusOK {
 		return ""
 	}
 	stream := o.kind == "draft" || o.kind == "plan"
-	var want strings.Builder
-	for id := 1; stream && id <= eventsPerStream; id++ {
-		want.WriteString(site.Event(id))
-	}
+	fits, whole := compareEvents(o.body, o.after, versions)
 	switch {
 	case o.seal == "":
 		return fmt.Sprintf("%s %s succeeded without a seal", o.kind, o.id)
-	case stream && o.complete && o.body != want.String():
-		return fmt.Sprintf("%s %s ended without an error after %d events", o.kind, o.id, o.eventCount())
-	case stream && !strings.HasPrefix(want.String(), o.body):
+	case stream && o.complete && !whole:
+		return fmt.Sprintf("%s %s ended without an error after %d events: %q", o.kind, o.id, o.eventCount(), o.body)
+	case stream && !fits:
 		return fmt.Sprintf("%s %s has a missing, repeated or wrong event: %q", o.kind, o.id, o.body)
 	case !stream && o.complete && o.body != "answer of "+strings.TrimPrefix(o.seal, "seal-of-"):
 		return fmt.Sprintf("%s %s got body %q with seal %s", o.kind, o.id, o.body, o.seal)
 	}
 	return ""
 }
+
+// compareEvents reports whether the body begins as the stream of one of the versions goes on after the
+// number of events, and whether it has all events of it.
+func compareEvents(body string, after int, versions []string) (fits, whole bool) {
+	for _, version := range versions {
+		var want strings.Builder
+		for id := after + 1; id <= eventsPerStream; id++ {
+			want.WriteString(site.VersionedEvent(id, version))
+		}
+		fits = fits || strings.HasPrefix(want.String(), body)
+		whole = whole || body == want.String()
+	}
+	return fits, whole
+}
--- a/tests/faults/faults_test.go
+++ b/tests/faults/faults_test.go
@@ -43,6 +43,10 @@
 	// maxUnavailable the longest time for which it is away before that.
 	maxCopyAge     = 3 * time.Second
 	maxUnavailable = 500 * time.Millisecond
+	// killedCode is the exit code of a process that a signal terminated.
+	killedCode = -1
+	// soakPrepaidTokens is the prepaid budget at the start.
+	soakPrepaidTokens = 40_000
 	// topUpDelay is longer than the time for which a process withholds top-ups.
 	topUpDelay = 9 * time.Second
 	// topUpTokens is the amount of one top-up of the prepaid budget, and toppedUpGateways the
@@ -106,25 +110,35 @@
 
 // runSeed runs a fleet under load with the sequence of faults of one seed.
 func runSeed(t *testing.T, binary string, seed uint64) {
-	f := newFleet(t, binary, *gatewayCount, serverCount)
+	f := newFleetOfVersions(t, binary, *gatewayCount, []string{soakVersions[0], soakVersions[1], soakVersions[0]}, soakPrepaidTokens)
+	f.versions = soakVersions
+	for _, s := range f.servers {
+		s.SetPacedPause(soakPause)
+	}
 	requireService(t, f, "before the faults")
 	c := &loadGenerator{fleet: f}
 	ctx, cancel := context.WithCancel(t.Context())
 	c.start(ctx, clientCount, seed)
+	resumers := &resumingClients{fleet: f}
+	resumers.start(ctx, resumingClientCount, seed)
 	r, drills, servers := rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
+	versions := rand.New(rand.NewPCG(seed, 3))
 	for end := time.Now().Add(*faultDuration); time.Now().Before(end); {
 		injectFault(f, r)
 		injectDrill(f, drills)
 		injectServerFault(f, servers)
+		injectVersionFault(f, versions)
 		time.Sleep(time.Duration(r.Int64N(int64(maxFaultInterval))))
 	}
 	clearFaults(f)
 	cancel()
 	c.workers.Wait()
+	resumers.workers.Wait()
 	requireService(t, f, "after the faults")
-	for _, problem := range c.violations() {
+	for _, problem := range append(c.violations(), resumers.violations()...) {
 		t.Error(problem)
 	}
+	t.Log(resumers.summary())
 	t.Logf("%d requests, %d times tokens borrowed, %d returns of the store from a copy", len(c.outcomes), f.borrowCount(), f.eras)
 }
 
@@ -212,7 +226,7 @@
 	g.signal(s)
 	if s == syscall.SIGTERM && !starting {
 		// A reload of the settings may overlap with a drain.
-		time.AfterFunc(hangupInterval, func() { g.signal(syscall.SIGHUP) })
+		time.AfterFunc(hangupInterval, g.signalLater(syscall.SIGHUP))
 	}
 	if !g.waitExit(exitTimeout) {
 		// A stopped process handles SIGTERM only after SIGCONT.
@@ -225,7 +239,7 @@
 	}
 	// Before its signal handlers are installed, SIGTERM terminates a process with a
 	// non-zero code. It has not accepted any request by then.
-	if code := g.exitCode(); s == syscall.SIGTERM && code != 0 && !starting {
+	if code := g.exitCode(); s == syscall.SIGTERM && code != 0 && !starting && (!g.wasKilled() || code != killedCode) {
 		f.Errorf("%s exited with code %d after %s", g.name, code, s)
 	}
 	f.start(g)
--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -43,8 +43,10 @@
 	// restartMu is held while the process is replaced.
 	restartMu sync.Mutex
 
-	mu        sync.Mutex
-	cmd       *exec.Cmd
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// killed is whether the current process got SIGKILL from killAll.
+	killed    bool
 	startedAt time.Time
 	exited    chan struct{}
 }
@@ -61,7 +63,9 @@
 	prepaidTokens int64
 	// serverStates are the states last written, by server, and serverStarts how often each has
 	// started. serverSequence is the number of the last record.
-	serverStates   []string
+	serverStates []string
+	// versions are those that the events of the servers may name.
+	versions       []string
 	serverStarts   []int
 	serverSequence atomic.Int64
 	// copiedAt is when the store was copied last, or the zero value.
@@ -95,7 +99,7 @@
 // newFleet starts a fleet and stops it at the end of the test.
 func newFleet(t *testing.T, binary string, gateways, servers int) *fleet {
 	t.Helper()
-	return newFleetOfVersions(t, binary, gateways, make([]string, servers), 40_000)
+	return newFleetOfVersions(t, binary, gateways, make([]string, servers), soakPrepaidTokens)
 }
 
 // newFleetOfVersions starts a fleet with a server of each version. Without prepaid tokens, no budget
@@ -103,7 +107,7 @@
 func newFleetOfVersions(t *testing.T, binary string, gateways int, versions []string, prepaidTokens int64) *fleet {
 	t.Helper()
 	servers := len(versions)
-	f := &fleet{T: t, binary: binary, store: site.NewStore(), prepaidTokens: prepaidTokens, serverStates: make([]string, servers), serverStarts: make([]int, servers)}
+	f := &fleet{T: t, binary: binary, store: site.NewStore(), prepaidTokens: prepaidTokens, versions: versions, serverStates: make([]string, servers), serverStarts: make([]int, servers)}
 	web := httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		web.CloseClientConnections()
@@ -184,6 +188,7 @@
 	// It has all paths that no other route has.
 	rootRoute := route("root", "non_idempotent", "s", 2, false)
 	rootRoute["path_prefix"] = "/"
+	unlimited := map[string]any{"name": "mills", "api_keys": []string{unlimitedKey}}
 	tenant := map[string]any{"name": "clinics", "api_keys": []string{apiKey}}
 	if f.prepaidTokens > 0 {
 		tenant["prepaid"] = f.prepaidTokens
@@ -196,7 +201,7 @@
 			rootRoute,
 		},
 		"services": []any{map[string]any{"name": "s", "max_conns": 400, "engine": map[string]any{"max_concurrency": 64, "kv_tokens": 100_000, "stride": tokensPerEvent}}},
-		"tenants":  []any{tenant},
+		"tenants":  []any{tenant, unlimited},
 	})
 	if err != nil {
 		f.Fatal(err)
@@ -214,25 +219,24 @@
 	f.putServerStart(f.servers[i].ID, f.serverProxies[i].address(), state, version, f.serverStarts[i])
 }
 
-// restartServerAs starts a server again under its identifier and address as another version of its
-// software. Its connections break.
-func (f *fleet) restartServerAs(i int, version string) {
-	f.servers[i].SetVersion(version)
-	f.serverProxies[i].setMode(reset)
-	f.serverProxies[i].setMode(forward)
-	f.serverStarts[i]++
-	f.setServerState(i, f.serverStates[i])
-}
-
 // restartServer makes a server ready, as another incarnation without anything that it said of
 // itself before.
 func (f *fleet) restartServer(i int) {
 	f.servers[i].SetDraining("")
-	f.servers[i].RejectAll(false, "")
 	f.servers[i].SetLimit("")
 	f.servers[i].Behave()
 	f.serverStarts[i]++
 	f.setServerState(i, "ready")
+	f.servers[i].RejectAll(false, "")
+}
+
+// restartServerAs starts a server again under its identifier and address as another version of its
+// software. Its connections break, and it serves once its entry is written.
+func (f *fleet) restartServerAs(i int, version string) {
+	f.servers[i].RejectAll(true, "")
+	f.serverProxies[i].resetOpen()
+	f.servers[i].SetVersion(version)
+	f.restartServer(i)
 }
 
 // putServer writes the registry entry of the first start of the server with the identifier, or
@@ -281,7 +285,7 @@
 		return
 	}
 	exited := make(chan struct{})
-	g.cmd, g.exited, g.startedAt = cmd, exited, time.Now()
+	g.cmd, g.exited, g.startedAt, g.killed = cmd, exited, time.Now(), false
 	go func() {
 		_ = cmd.Wait()
 		close(exited)
@@ -304,6 +308,14 @@
 	}
 }
 
+// signalLater returns a function that sends a signal to the process that runs now.
+func (g *gateway) signalLater(s syscall.Signal) func() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	process := g.cmd.Process
+	return func() { _ = process.Signal(s) }
+}
+
 // waitExit reports whether the process exits within the timeout.
 func (g *gateway) waitExit(timeout time.Duration) bool {
 	g.mu.Lock()
--- a/tests/faults/proxy_test.go
+++ b/tests/faults/proxy_test.go
@@ -66,11 +66,22 @@
 func (p *proxy) setMode(m proxyMode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	resetOpen := m == reset || p.mode == stall || p.mode == stallReplies
+	lost := m == reset || p.mode == stall || p.mode == stallReplies
 	p.mode = m
-	if !resetOpen {
-		return
+	if lost {
+		p.resetConns()
 	}
+}
+
+// resetOpen resets the open connections and keeps the mode.
+func (p *proxy) resetOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetConns()
+}
+
+// resetConns resets the open connections, with the proxy locked.
+func (p *proxy) resetConns() {
 	for c := range p.conns {
 		_ = c.(*net.TCPConn).SetLinger(0)
 		_ = c.Close()
--- a/tests/faults/takeup_test.go
+++ b/tests/faults/takeup_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/crocusline/crocusline/modules/exchange"
-	"github.com/crocusline/crocusline/standin/site"
 )
 
 // retryPause is the time between two attempts of a client.
@@ -28,15 +27,18 @@
 	// attempts counts the attempts, and outcomes holds those that have ended.
 	attempts int
 	outcomes []outcome
-	// received are the events that arrived whole, and partial is the rest of this attempt's body.
+	// received are the events that arrived whole, and partial is the rest of this attempt's.
 	received string
 	partial  string
+	// problem is what was wrong first with the events.
+	problem string
+	body    string
 }
 
 func newClientStreams(name string, n int) []*clientStream {
 	streams := make([]*clientStream, n)
 	for i := range streams {
-		streams[i] = &clientStream{name: fmt.Sprintf("%s-%d", name, i)}
+		streams[i] = &clientStream{name: fmt.Sprintf("%s-%d", name, i), body: "body"}
 	}
 	return streams
 }
@@ -73,29 +75,33 @@
 func (s *clientStream) violation() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var want strings.Builder
-	for id := range eventsPerStream {
-		want.WriteString(site.VersionedEvent(id+1, firstVersion(s.received)))
+	return s.problem
+}
+
+// compare notes a problem of the events so far, with the stream locked.
+func (s *clientStream) compare() {
+	if s.problem != "" || s.received == "" {
+		return
 	}
-	if strings.HasPrefix(want.String(), s.received) {
-		return ""
+	if fits, _ := compareEvents(s.received+s.partial, 0, []string{firstVersion(s.received)}); !fits {
+		s.problem = fmt.Sprintf("%s has events that don't fit together: %q", s.name, s.received+s.partial)
 	}
-	return fmt.Sprintf("%s has events that don't fit together: %q", s.name, s.received)
 }
 
-// next returns the id and header of the next attempt.
-func (s *clientStream) next() (string, http.Header) {
+// next returns the header of the next attempt, and what is known of its outcome.
+func (s *clientStream) next() (http.Header, outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.attempts++
-	id := fmt.Sprintf("%s-try%d", s.name, s.attempts)
-	header := requestHeader(id, "draft")
-	if n := strings.Count(s.received, "\n\n"); n > 0 {
-		header.Set("Last-Event-Id", fmt.Sprint(n))
+	o := outcome{id: fmt.Sprintf("%s-try%d", s.name, s.attempts), kind: "draft", after: strings.Count(s.received, "\n\n")}
+	header := requestHeader(o.id, o.kind)
+	header.Set("Authorization", "Token "+unlimitedKey)
+	if o.after > 0 {
+		header.Set("Last-Event-Id", fmt.Sprint(o.after))
 		header.Set("Resumes", s.first)
 	}
 	s.partial = ""
-	return id, header
+	return header, o
 }
 
 // read adds bytes of the body of an attempt.
@@ -118,26 +124,26 @@
 // send begins the stream at the gateway, or takes it up there, and reads until the response ends.
 // The changes are made to the header.
 func (s *clientStream) send(ctx context.Context, g *gateway, changes ...func(http.Header)) outcome {
-	id, header := s.next()
+	header, o := s.next()
 	for _, change := range changes {
 		change(header)
 	}
-	o := s.exchange(ctx, g, id, header)
+	o = s.exchange(ctx, g, header, o)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.compare()
 	s.outcomes = append(s.outcomes, o)
 	return o
 }
 
-func (s *clientStream) exchange(ctx context.Context, g *gateway, id string, header http.Header) outcome {
+func (s *clientStream) exchange(ctx context.Context, g *gateway, header http.Header, o outcome) outcome {
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	// Clients try again on new connections.
 	client := exchange.New()
 	defer func() { _ = client.Close() }()
-	o := outcome{id: id, kind: "draft"}
 	resp, err := client.Do(ctx, &exchange.Request{
-		Address: g.callerAddress, Method: http.MethodPost, Target: "/draft/x", Host: host, Header: header, Body: []byte("body"),
+		Address: g.callerAddress, Method: http.MethodPost, Target: "/draft/x", Host: host, Header: header, Body: []byte(s.body),
 	})
 	if err != nil {
 		return o
@@ -150,7 +156,7 @@
 		n, err := resp.Body.Read(buffer)
 		o.body += string(buffer[:n])
 		if o.status == http.StatusOK {
-			s.read(id, string(buffer[:n]))
+			s.read(o.id, string(buffer[:n]))
 		}
 		if err != nil {
 			o.complete = errors.Is(err, io.EOF)
