Revert the writes of long bodies as far as the receive window

Cause: 'Write long bodies only as far as the server's receive window' reads the window from TCP_INFO.

The change is reverted.

--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -144,7 +144,6 @@
 	writer := &trackingWriter{Conn: c.netConn}
 	writeResult := make(chan error, 1)
 	if len(r.Body) > maxInlineBody {
-		writer.Conn = &windowWriter{Conn: c.netConn}
 		go func() { writeResult <- writeRequest(writer, r) }()
 	} else {
 		err := writeRequest(writer, r)
