Let the callers of the flood wait for a connection

Change: the callers wait for a connection as long as for a response. A request without a response is reported with its error.

--- a/tests/faults/client_test.go
+++ b/tests/faults/client_test.go
@@ -42,6 +42,8 @@
 	// took is the time until the header of the response, and retryAfter its Retry-After.
 	took       time.Duration
 	retryAfter string
+	// err is why no response header was received.
+	err error
 }
 
 // eventCount returns the number of events that the client received.
@@ -104,6 +106,7 @@
 		Address: g.callerAddress, Method: http.MethodPost, Target: "/" + kind + "/x", Host: host, Header: header, Body: []byte(body),
 	})
 	if err != nil {
+		o.err = err
 		return o
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/tests/faults/flood_test.go
+++ b/tests/faults/flood_test.go
@@ -91,7 +91,7 @@
 	requireService(t, c.fleet, "before the responses of "+c.pool)
 	g.resetPeak(t)
 	var flooding, other sync.WaitGroup
-	client := exchange.New()
+	client := exchange.New(exchange.WithDialTimeout(requestTimeout))
 	defer func() { _ = client.Close() }()
 	for i := range floodRequests {
 		flooding.Go(func() { c.send(client, i) })
@@ -128,7 +128,8 @@
 // with a status that guarantees that it has not run, as by a gateway that lacks the processor, and is
 // sent again. It must not fail in another way.
 func (c *soundCaller) run(g *gateway, pool string, ended *atomic.Bool) {
-	client := exchange.New()
+	// The flood's connections come before this one.
+	client := exchange.New(exchange.WithDialTimeout(requestTimeout))
 	defer func() { _ = client.Close() }()
 	var end time.Time
 	for i := 0; ; i++ {
@@ -144,7 +145,7 @@
 		case o.guaranteesNotRun():
 			c.refused++
 		default:
-			c.problems = append(c.problems, fmt.Sprintf("%s of another caller got status %d after %s", kind, o.status, o.took))
+			c.problems = append(c.problems, fmt.Sprintf("%s of another caller got status %d after %s, error %v", o.id, o.status, o.took, o.err))
 		}
 		switch {
 		case !ended.Load():
