Start no loans or returns while the prepaid service closes

Cause: requests that outlast their listener could start a loan or a return while Close awaited others, and sync.WaitGroup panics if that happens at the moment at which the last one ends. Seen once in a run of all tests with the stop bounded by its plan: TestNeverOverspendsAfterPlannedStops or another of the fault fleets, 'WaitGroup is reused before previous Wait has returned' in Close. The wait and the start without a lock are older.

Requests start neither once Close has begun; Close itself returns what is borrowed, as before.

TestPeersCalledAfterClose: before, 2 calls of peers after Close; now none. go test ./services/prepaid ./cmd pass.

--- a/services/prepaid/close_test.go
+++ b/services/prepaid/close_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,3 +83,56 @@
 		f.store.SetFault(site.NoFault)
 	})
 }
+
+// countingPeers are peers that count calls.
+type countingPeers struct {
+	peers
+	calls *atomic.Int64
+}
+
+// Borrow implements prepaid.Peers.
+func (p countingPeers) Borrow(ctx context.Context, peer netip.AddrPort, l model.Loan) (model.Lent, error) {
+	p.calls.Add(1)
+	return p.peers.Borrow(ctx, peer, l)
+}
+
+// Return implements prepaid.Peers.
+func (p countingPeers) Return(ctx context.Context, peer netip.AddrPort, workspace string, tokens int64) error {
+	p.calls.Add(1)
+	return p.peers.Return(ctx, peer, workspace, tokens)
+}
+
+// TestPeersCalledAfterClose guards against requests that outlast Close and start loans or returns, which
+// panics if Close awaits others at that moment ("WaitGroup is reused").
+func TestPeersCalledAfterClose(t *testing.T) {
+	run(t, 2_000_000, func(f *fleet) {
+		all := countingPeers{peers{}, new(atomic.Int64)}
+		var gateways [2]*prepaid.Service
+		for i := range gateways {
+			address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(9000+i))
+			gateways[i] = f.start(fmt.Sprintf("entry-%d", i), prepaid.WithPeers(all, address))
+			all.peers[address] = gateways[i]
+		}
+		for _, g := range gateways {
+			f.reserve(g, 1_000).Settle(1_000)
+		}
+		time.Sleep(time.Second)
+		f.store.SetFault(site.Unresponsive)
+		time.Sleep(3500 * time.Millisecond)
+		g := gateways[0]
+		hold, err := g.Reserve(f.Context(), f.workspace, "request", g.Balance(f.workspace).Free+50_000)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.close(g)
+		before := all.calls.Load()
+		hold.Settle(1_000)
+		if _, err := g.Reserve(f.Context(), f.workspace, "request", 1_000_000); err == nil {
+			f.Error("served without a grant or a loan")
+		}
+		if calls := all.calls.Load() - before; before == 0 || calls > 0 {
+			f.Errorf("%d calls of peers before the end of Close, %d after it", before, calls)
+		}
+		f.store.SetFault(site.NoFault)
+	})
+}
--- a/services/prepaid/lending.go
+++ b/services/prepaid/lending.go
@@ -209,10 +209,16 @@
 // that still adds the tokens that it brings.
 func (s *Service) borrowFrom(ctx context.Context, log hclog.Logger, l prepaid.Lender, loan prepaid.Loan) {
 	received := make(chan struct{})
+	s.mu.Lock()
+	if s.closing {
+		s.mu.Unlock()
+		return
+	}
 	s.loans.Go(func() {
 		defer close(received)
 		s.requestLoan(log, l, loan)
 	})
+	s.mu.Unlock()
 	timer := time.NewTimer(loan.Wait + borrowTimeout)
 	defer timer.Stop()
 	select {
@@ -259,6 +265,13 @@
 func (s *Service) returnBorrowed(workspace string, atLeast int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.closing {
+		s.startReturn(workspace, atLeast)
+	}
+}
+
+// startReturn is returnBorrowed for callers that hold the lock.
+func (s *Service) startReturn(workspace string, atLeast int64) {
 	b := s.budgets[workspace]
 	if s.peers == nil || b.Borrowed() < atLeast {
 		return
--- a/services/prepaid/prepaid.go
+++ b/services/prepaid/prepaid.go
@@ -7,9 +7,7 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -181,6 +179,8 @@
 	// loans and returns are the loans and returns of borrowed tokens in progress.
 	loans   sync.WaitGroup
 	returns sync.WaitGroup
+	// closing is set once no more loans and returns may be started by requests.
+	closing bool
 	// lending ends when loans and returns are no longer awaited.
 	lending    context.Context
 	endLending context.CancelFunc
@@ -246,11 +246,16 @@
 	defer cancel()
 	// The other half is for unused tokens.
 	defer time.AfterFunc(s.returnTimeout/2, s.endLending).Stop()
+	s.mu.Lock()
+	s.closing = true
+	s.mu.Unlock()
 	s.done.Wait()
 	s.loans.Wait()
-	for _, workspace := range s.workspacesWithBudget() {
-		s.returnBorrowed(workspace, 1)
+	s.mu.Lock()
+	for workspace := range s.budgets {
+		s.startReturn(workspace, 1)
 	}
+	s.mu.Unlock()
 	s.returns.Wait()
 	s.returnUnused(ctx)
 	err := s.reportWriter.follower.Close()
@@ -401,13 +406,6 @@
 	return c
 }
 
-// workspacesWithBudget returns the names of the workspaces that have a budget.
-func (s *Service) workspacesWithBudget() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Collect(maps.Keys(s.budgets))
-}
-
 // returnUnused returns the unused tokens before the process exits.
 func (s *Service) returnUnused(ctx context.Context) {
 	s.mu.Lock()
