Pass on what follows the last event of a complete stream

Cause: empty lines and comments after the last event were dropped at the end of a complete stream, so that the caller's body was not the whole of the server's. Change: they are passed on once the end is proven. Measured: TestBytesAfterTheLastEvent, which asked that they aren't passed on, asks for the whole body of a complete stream now and for the events alone of a cut one; without the change 9 of its 16 cases fail.

--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -129,7 +129,7 @@
 	for {
 		event, err := readEvent(reader, buffer)
 		if endedBetweenEvents(resp, event, err) {
-			return j.endStream(ctx, w, resp, prompt, streamEnd{passed: passed, last: last, err: err})
+			return j.endStream(ctx, w, resp, prompt, streamEnd{passed: passed, last: last, rest: event, err: err})
 		}
 		if err != nil {
 			return unknownOutcome{reason: refusal.ServerFailed, err: err}
@@ -168,7 +168,9 @@
 	// after which it continued the stream.
 	passed int
 	last   string
-	err    error
+	// rest are the empty lines and comments after the last event.
+	rest []byte
+	err  error
 }
 
 // endedBetweenEvents reports whether a stream ended in order with the rest of it and the error.
@@ -191,6 +193,9 @@
 		return endUnproven{}
 	}
 	j.writeHeader(w, resp)
+	if _, err := w.Write(end.rest); err != nil {
+		return callerDisconnected{err: errors.WithStack(err)}
+	}
 	j.complete = true
 	j.possibleRuns++
 	return responseRelayed{}
