--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -28,6 +29,8 @@
 	Unresponsive
 	// DropResponses executes calls and sends no response.
 	DropResponses
+	// Endless responds with small records until the client closes the connection.
+	Endless
 )
 
 // record is one record of a partition: its encoded form, and the key and value
@@ -198,11 +201,34 @@
 		s.serve(discardResponse{}, r)
 		<-r.Context().Done()
 		return
+	case Endless:
+		serveEndless(w, r)
+		return
 	case NoFault:
 	}
 	s.serve(w, r)
 }
 
+// serveEndless responds with small records without end.
+func serveEndless(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	start, pattern := "", " "
+	switch r.URL.Path {
+	case "/api/log-read":
+		start, pattern = strings.Repeat("\x00", 16), "\x00\x00\x00\x03\x01kv"
+	case "/api/log-newest":
+		start, pattern = `{"items":[{}`, `,{"key":"k","value":"dg==","offset":1}`
+	}
+	data := []byte(start + strings.Repeat(pattern, 1000))
+	for r.Context().Err() == nil {
+		if _, err := w.Write(data); err != nil {
+			return
+		}
+		data = data[len(start):]
+		start = ""
+	}
+}
+
 // setEra adds the store's era to a response, with the store locked.
 func (s *Store) setEra(w http.ResponseWriter) { w.Header().Set("Store-Era", strconv.Itoa(s.era)) }
 
--- a/tests/faults/flood_test.go
+++ b/tests/faults/flood_test.go
@@ -50,6 +50,37 @@
 	}
 }
 
+// endlessStoreTime is how long the store's responses have no end. Calls are repeated meanwhile.
+const endlessStoreTime = 3 * time.Second
+
+// TestEndlessStoreResponses checks that responses of the store without end neither end a gateway nor
+// take it beyond the memory of its settings, and that callers are served meanwhile.
+func TestEndlessStoreResponses(t *testing.T) {
+	f := newFleet(t, buildBinary(t), 1, 2)
+	g := f.gateways[0]
+	requireService(t, f, "before the endless responses")
+	g.resetPeak(t)
+	var ended atomic.Bool
+	var caller soundCaller
+	var calling sync.WaitGroup
+	calling.Go(func() { caller.run(g, "store", &ended) })
+	f.store.SetFault(site.Endless)
+	time.Sleep(endlessStoreTime)
+	f.store.SetFault(site.NoFault)
+	ended.Store(true)
+	calling.Wait()
+	if g.waitExit(0) {
+		t.Fatalf("the gateway ended with exit code %d", g.exitCode())
+	}
+	peak := g.memory(t)
+	t.Logf("%d MB resident at most, %d requests served, %d refused", peak>>20, caller.served, caller.refused)
+	problems := caller.problems
+	if peak > gatewayMemory {
+		problems = append(problems, fmt.Sprintf("the gateway took %d MB of memory, its settings allow %d MB", peak>>20, gatewayMemory>>20))
+	}
+	knownred.Report(t, strings.Join(problems, "; "))
+}
+
 // flood is a number of requests to servers whose responses have no end.
 type flood struct {
 	*fleet
