Give up a send for a silent server only if another one can be asked

Cause: the silence timer cancelled a send, and the retry budget and another server were asked for afterwards.

A retry that is reserved and not made returns to the budget. The balancer learns of the silence at the first check, also if the request stays. Ends by a reset or refused connection are as before.

Ruled out: to leave for a server that is suspended itself (in crowds the request moves among silent ones); to send twice (it costs the budget).

--- a/models/retry/window.go
+++ b/models/retry/window.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -32,17 +33,41 @@
 	w.requests = append(w.prune(w.requests, now), now)
 }
 
-// Allow reports whether the window has room for another retry, and records the
-// retry if it has.
-func (w *WindowBudget) Allow(now time.Time) bool {
+// Reservation is a retry that the budget has allowed, and that may be returned until it is made.
+type Reservation struct{ at time.Time }
+
+// Reserve reserves a retry if the window has room for another one.
+func (w *WindowBudget) Reserve(now time.Time) (Reservation, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.requests, w.retries = w.prune(w.requests, now), w.prune(w.retries, now)
 	if float64(len(w.retries)+1) > w.ratio*float64(len(w.requests))+float64(w.extra()) {
-		return false
+		return Reservation{}, false
 	}
 	w.retries = append(w.retries, now)
-	return true
+	return Reservation{at: now}, true
+}
+
+// Spend records that a reserved retry is made now, and returns its reservation from then on.
+func (w *WindowBudget) Spend(now time.Time, r Reservation) Reservation {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.remove(r)
+	w.retries = append(w.retries, now)
+	return Reservation{at: now}
+}
+
+// Return gives a reserved retry that reached no server back to the budget.
+func (w *WindowBudget) Return(r Reservation) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.remove(r)
+}
+
+func (w *WindowBudget) remove(r Reservation) {
+	if i := slices.IndexFunc(w.retries, r.at.Equal); i >= 0 {
+		w.retries = slices.Delete(w.retries, i, i+1)
+	}
 }
 
 // prune removes the times before the window.
--- a/models/retry/window_test.go
+++ b/models/retry/window_test.go
@@ -20,7 +20,7 @@
 	for i := range 600 {
 		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
 		w.RecordRequest(now)
-		if w.Allow(now) {
+		if _, ok := w.Reserve(now); ok {
 			retries = append(retries, now)
 		}
 	}
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -46,7 +46,10 @@
 	workspace   route.Workspace
 	deadline    time.Time
 	retryBudget *retry.WindowBudget
-	hold        *prepaid.Hold
+	// reservation is the retry that is reserved for the next send, and spent that of the current one. They are
+	// nil if there is none.
+	reservation, spent *retry.Reservation
+	hold               *prepaid.Hold
 	// segments are those of the prompt that other requests may have too. Calls to plain
 	// services have none.
 	segments []string
@@ -126,6 +129,7 @@
 
 // run sends the request until it is answered or must not be sent again.
 func (j *job) run(ctx context.Context, w http.ResponseWriter) error {
+	defer j.returnReservation()
 	var fallback *bufferedResponse
 	for sends := 1; ; sends++ {
 		if err := j.checkQuarantine(); err != nil {
@@ -153,7 +157,7 @@
 			j.lastRefusal = unknownRefusal(refusal.OutcomeUnknown)
 		case notRun:
 			if result.unsent {
-				j.arrivals--
+				j.recordUnsent()
 			}
 			if j.possibleRuns == 0 {
 				j.lastRefusal = refusal.New(result.reason, overloadRetryAfter, "the backend servers turned the request away")
@@ -247,13 +251,57 @@
 		return false
 	case j.possibleRuns >= j.route.MaxAttempts, sends >= maxSends:
 		return false
-	case j.arrivals > 0 && !j.retryBudget.Allow(time.Now()):
+	case !j.reserveRetry():
 		j.log.Info("retry budget exhausted", "sends", sends, "reason", j.lastRefusal.Reason)
 		return false
 	}
 	return true
 }
 
+// reserveRetry reports whether the budget allows the next send, which it need not if it is the first to
+// reach a server.
+func (j *job) reserveRetry() bool {
+	if j.arrivals == 0 {
+		j.returnReservation()
+		return true
+	}
+	if j.reservation != nil {
+		return true
+	}
+	reservation, ok := j.retryBudget.Reserve(time.Now())
+	if ok {
+		j.reservation = &reservation
+	}
+	return ok
+}
+
+// spendReservation records that the reserved retry is made, if there is one.
+func (j *job) spendReservation() {
+	j.spent = nil
+	if j.reservation != nil {
+		spent := j.retryBudget.Spend(time.Now(), *j.reservation)
+		j.spent, j.reservation = &spent, nil
+	}
+}
+
+// recordUnsent records that the last send reached no server. Its retry stays reserved.
+func (j *job) recordUnsent() {
+	j.arrivals--
+	if j.spent == nil {
+		return
+	}
+	j.returnReservation()
+	j.reservation, j.spent = j.spent, nil
+}
+
+// returnReservation returns the reserved retry to the budget, if there is one.
+func (j *job) returnReservation() {
+	if j.reservation != nil {
+		j.retryBudget.Return(*j.reservation)
+		j.reservation = nil
+	}
+}
+
 // fail ends a request without a successful response. It passes on the fallback, an
 // error response of a server, if there is one.
 func (j *job) fail(w http.ResponseWriter, fallback *bufferedResponse, e *refusal.Error) error {
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -27,10 +27,6 @@
 	maxBufferedBytes = 512 << 10
 )
 
-// errSilenceTimeout cancels a send if the server does not respond in the expected
-// time.
-var errSilenceTimeout = errors.New("no response from the server within the silence timeout")
-
 // bufferedResponse is a complete response that was not passed on yet.
 type bufferedResponse struct {
 	status int
@@ -49,11 +45,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	prompt := &promptTracker{job: j, server: choice.Server, request: req, cachedTokens: choice.CachedTokens}
-	if d, limited := j.silenceTimeout(choice, sends); limited {
-		prompt.silenceTimeout = d
-		prompt.silenceTimer = time.AfterFunc(d, func() { cancel(errSilenceTimeout) })
-		defer prompt.silenceTimer.Stop()
-	}
+	j.spendReservation()
+	prompt.silence = j.watchSilence(choice, sends, cancel)
+	defer prompt.silence.stop()
 	resp, err := j.service.client.Do(ctx, j.buildRequest(choice))
 	var result sendResult
 	if err != nil {
@@ -65,6 +59,7 @@
 		result = j.handleResponse(ctx, w, resp, prompt)
 		_ = resp.Body.Close()
 	}
+	j.reservation = prompt.silence.stop()
 	j.reportToBalancer(ctx, id, prompt, result)
 	j.reportToQuarantine(ctx, choice.Server, prompt, result)
 	j.logSend(choice, sends, time.Since(start), result)
@@ -89,24 +84,6 @@
 	}
 }
 
-// silenceTimeout returns how long to wait for the next part of a response, until its first
-// event or all of it has arrived, before the request is sent to another server, and whether
-// there is such a limit. It leaves enough time to reach the latency goal there. Only
-// repeatable requests have a limit.
-func (j *job) silenceTimeout(choice balance.Choice, sends int) (time.Duration, bool) {
-	if !j.route.Kind.Repeatable() || j.possibleRuns+1 >= j.route.MaxAttempts || sends >= maxSends {
-		return 0, false
-	}
-	if j.route.Kind.Streams() {
-		return max(2*j.route.Goal, 2*choice.PredictedLatency+silenceMargin), true
-	}
-	return j.route.Goal / 2, true
-}
-
-// silenceMargin is the time that an engine may spend on steps of other requests
-// before it reads the prompt.
-const silenceMargin = 200 * time.Millisecond
-
 // classifyError returns the result of a send without a response.
 func (j *job) classifyError(err error) sendResult {
 	var dial *exchange.DialError
@@ -283,7 +260,8 @@
 
 // reportToBalancer reports the result of a send to the balancer.
 func (j *job) reportToBalancer(ctx context.Context, id string, prompt *promptTracker, result sendResult) {
-	cancelled := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilenceTimeout)
+	// The silence of a server was reported when it was noticed.
+	cancelled := ctx.Err() != nil
 	now := time.Now()
 	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) {
 		if !prompt.promptRead {
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -40,11 +40,10 @@
 	openedAt     time.Time
 	request      balance.Request
 	cachedTokens int64
-	// silenceTimer cancels the send if the server does not respond, or is nil. It restarts with
-	// each part of the response.
-	silenceTimer   *time.Timer
-	silenceTimeout time.Duration
-	promptRead     bool
+	// silence is the monitor of the send until its first event, or nil. It restarts with each part of
+	// the response.
+	silence    *silenceMonitor
+	promptRead bool
 	// firstEventAt is when the server sent its first event or the response body.
 	firstEventAt time.Time
 	// originChecked is set once the version of the server was checked.
@@ -68,9 +67,7 @@
 		return
 	}
 	p.promptRead = true
-	if p.silenceTimer != nil {
-		p.silenceTimer.Stop()
-	}
+	p.silence.stop()
 	now := time.Now()
 	p.firstEventAt = now
 	j := p.job
@@ -81,32 +78,26 @@
 	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) { b.RecordFirstEvent(now, p.server.ID, p.request, p.cachedTokens) })
 }
 
-// watch restarts the silence timer now and whenever a part of the body arrives.
+// watch restarts the silence monitor now and whenever a part of the body arrives.
 func (p *promptTracker) watch(body io.ReadCloser) io.ReadCloser {
-	if p.silenceTimer == nil {
+	if p.silence == nil {
 		return body
 	}
-	p.restartSilence()
-	return &watchedBody{ReadCloser: body, prompt: p}
-}
-
-func (p *promptTracker) restartSilence() {
-	if !p.promptRead {
-		p.silenceTimer.Reset(p.silenceTimeout)
-	}
+	p.silence.restart()
+	return &watchedBody{ReadCloser: body, silence: p.silence}
 }
 
-// watchedBody is the body of a response whose parts restart the silence timer.
+// watchedBody is the body of a response whose parts restart the silence monitor.
 type watchedBody struct {
 	io.ReadCloser
-	prompt *promptTracker
+	silence *silenceMonitor
 }
 
 // Read implements io.Reader.
 func (b *watchedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
-		b.prompt.restartSilence()
+		b.silence.restart()
 	}
 	return n, err
 }
