--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -319,9 +319,10 @@
 // TestUnsentNeedsNoBudget checks that a request which did not reach its server is sent to
 // another one without a retry budget, since only one server receives it.
 func TestUnsentNeedsNoBudget(t *testing.T) {
-	unreachable := site.NewServer("s1", 0)
+	// The other server listens before the first is closed, so that it doesn't get its port.
+	unreachable, other := site.NewServer("s1", 0), site.NewServer("s2", 0, site.Serve)
 	unreachable.Close()
-	env := newTestEnv(t, []relay.Option{relay.WithRetryBudget(time.Minute, 0, 0)}, unreachable, site.NewServer("s2", 0, site.Serve))
+	env := newTestEnv(t, []relay.Option{relay.WithRetryBudget(time.Minute, 0, 0)}, unreachable, other)
 	resp, err := env.send(t.Context(), "/once/a")
 	if err != nil || resp.Body.String() != "answer of s2" || env.ran() != 1 {
 		t.Errorf("got %q after %d runs and %v, want the answer of s2", resp.Body.String(), env.ran(), err)
