Pass no lines on that belong to no event of a stream

Change: each line of an event is a field of the format, a comment, or the line of versions that servers add (call.WellFormed). An event with another line is a break of the stream.

--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -42,6 +42,8 @@
 	// Notice returns what the server announces about itself in the header of a response, and an error for
 	// values that can't be decoded.
 	Notice(resp *http.Response) (call.Notice, error)
+	// AddedEventField reports whether servers add lines with this field to events.
+	AddedEventField(field string) bool
 	// CopyResponseHeader copies the response fields that are passed on to callers.
 	CopyResponseHeader(to, from http.Header)
 }
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -125,6 +125,9 @@
 		if err != nil {
 			return unknownOutcome{reason: refusal.ServerFailed, err: err}
 		}
+		if !call.WellFormed(event, j.service.codec.AddedEventField) {
+			return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("%d bytes after event %q are no event", len(event), last)}
+		}
 		prompt.markPromptRead()
 		id := eventID(event)
 		last = id
