--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -108,6 +108,7 @@
 	quarantine   *quarantine.Service
 	notices      *notice.Service
 	lineage      *lineage.Service
+	relay        *relay.Service
 	lag          *schedlag.Meter
 	handler      *front.Handler
 	readiness    *front.Readiness
@@ -126,19 +127,21 @@
 		catalog.WithInstance(s.Instance), catalog.WithFailureDomain(s.FailureDomain), catalog.WithPeers(g.peers),
 		catalog.WithBounds(s.Parameters.TableBound, s.Parameters.DrainBound))
 	g.directory = directory.New(logger, g.store, platform.Codec{}.GatewaysTopic(), s.Instance, s.Capacity,
-		directory.WithStart(prepaid.ClockReading(logger)))
+		directory.WithStart(prepaid.ClockReading(logger)), directory.WithAddress(s.Listen.Peers, s.FailureDomain),
+		directory.WithRemoveTimeout(g.stopPlan().RemoveFor))
 	grants, reports := platform.Codec{}.BudgetTopics()
 	g.prepaid = prepaid.New(logger, g.store, prepaid.Topics{Grants: grants, Reports: reports}, g.catalog, s.Instance,
-		prepaid.WithDirectory(g.directory), prepaid.WithPeers(g.peers, s.Listen.Peers), prepaid.WithMetrics(g.metrics))
+		prepaid.WithDirectory(g.directory), prepaid.WithPeers(g.peers, s.Listen.Peers), prepaid.WithMetrics(g.metrics),
+		prepaid.WithReturnTimeout(g.stopPlan().ReturnFor))
 	g.quarantine = quarantine.New(logger, g.store, platform.Codec{}.QuarantineTopic(), s.Instance, g.client)
 	g.notices = notice.New(logger, g.store, platform.Codec{}.NoticesTopic(), s.Instance, g.catalog, g.directory)
 	g.lineage = lineage.New(logger, g.store, platform.Codec{}.LineageTopic(), s.Instance,
-		lineage.WithFleet(g.directory), lineage.WithWritesPerSecond(s.StoreWrites), lineage.WithMetrics(g.metrics))
-	r := relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
-		append(retryOptions(s), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine), relay.WithLineage(g.lineage),
-			relay.WithReports(platform.NewReports(g.client)), relay.WithMetrics(g.metrics))...)
+		lineage.WithFleet(g.directory, g.peers), lineage.WithWritesPerSecond(s.StoreWrites), lineage.WithMetrics(g.metrics))
+	g.relay = relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
+		append(retryOptions(s), relay.WithMemory(s.Memory), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine),
+			relay.WithLineage(g.lineage), relay.WithReports(platform.NewReports(g.client)), relay.WithMetrics(g.metrics))...)
 	g.lag = schedlag.New()
-	g.handler = front.New(logger, platform.HeaderCodec{}, r, g.catalog,
+	g.handler = front.New(logger, platform.HeaderCodec{}, g.relay, g.catalog,
 		front.WithBandwidth(s.Bandwidth), front.WithProcessorDelay(g.lag.Delay))
 	g.readiness = front.NewReadiness(g.handler, g.catalog.Ready, g.prepaid.Ready)
 	g.metrics.Gauge("crocusline_log_lines_dropped", func() float64 { return float64(logWriter.Dropped()) })
@@ -203,19 +206,20 @@
 func (g *gateway) listenReadiness() (closer, error) {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+platform.ReadinessPath, g.readiness)
-	return web.NewServer(g.settings.Listen.Readiness, mux)
+	return web.NewServer(g.settings.Listen.Readiness, mux, web.WithDrainTimeout(g.stopPlan().DrainFor), web.WithErrorLog(serverErrorLog(g.log)))
 }
 
 func (g *gateway) listenPeers() (closer, error) {
 	mux := http.NewServeMux()
-	mux.Handle("/peer/", front.NewPeerHandler(g.log, g.catalog, g.prepaid))
+	mux.Handle("/peer/", front.NewPeerHandler(g.log, g.catalog, g.prepaid, g.lineage))
 	mux.Handle("GET /metrics", g.metrics)
-	return web.NewServer(g.settings.Listen.Peers, mux)
+	return web.NewServer(g.settings.Listen.Peers, mux, web.WithDrainTimeout(g.stopPlan().DrainFor), web.WithErrorLog(serverErrorLog(g.log)))
 }
 
 func (g *gateway) listenCallers() (closer, error) {
 	plan := g.stopPlan()
 	return web.NewServer(g.settings.Listen.Callers, g.handler,
+		web.WithErrorLog(serverErrorLog(g.log)),
 		web.WithMaxHeaderBytes(maxHeaderBytes),
 		web.WithDrainTimeout(plan.CloseAfter-plan.GiveUpAfter),
 		web.WithWriteTimeout(writeTimeout))
@@ -291,5 +295,6 @@
 		return
 	}
 	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryLimitRatio))
+	g.relay.SetMemory(settings.Memory)
 	g.log.Info("settings reloaded", "file", g.settingsFile, "memory", settings.Memory)
 }
--- a/services/lineage/find.go
+++ b/services/lineage/find.go
@@ -8,15 +8,22 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/crocusline/crocusline/models/gateway"
 	"github.com/crocusline/crocusline/models/lineage"
 )
 
 const (
-	// findTimeout bounds the time for which a request that takes up a stream waits for its origin. A slow store responds
-	// in some 0.25 s.
+	// findTimeout bounds the time for which a request that takes up a stream waits for its origin. A
+	// slow store responds in some 0.25 s.
 	findTimeout = 350 * time.Millisecond
 	// readTimeout bounds a read of all partitions.
 	readTimeout = 2 * time.Second
+	// maxPeers is the number of gateways that are asked for a stream, and peerTimeout bounds these
+	// calls.
+	maxPeers    = 24
+	peerTimeout = 150 * time.Millisecond
+	// readLifetime is how long the streams of a read are kept.
+	readLifetime = time.Minute
 	// failedReadTime is how long after a failed read no other one is made.
 	failedReadTime = 300 * time.Millisecond
 )
@@ -75,6 +82,11 @@
 // Find returns the origin of the stream, or an *UnknownError.
 func (s *Service) Find(ctx context.Context, id lineage.ID) (lineage.Origin, error) {
 	origin, err := s.find(ctx, id, time.Now())
+	if err != nil {
+		if o := s.askPeers(ctx, id); o.Known() {
+			origin, err = o, nil
+		}
+	}
 	var unknown *UnknownError
 	switch {
 	case err == nil:
@@ -87,8 +99,9 @@
 	return origin, err
 }
 
-// find looks for the stream among those known, and in the store if it isn't. A caller has received an event of
-// the stream, so that the store has the record by now if it was written in time: a read that begins later shows it.
+// find looks for the stream among those known, and in the store if it isn't. A caller has received an
+// event of the stream, so that the store has the record by now if it was written in time: a read that
+// begins later shows it.
 func (s *Service) find(ctx context.Context, id lineage.ID, since time.Time) (lineage.Origin, error) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
@@ -134,7 +147,43 @@
 	return o, o.Known()
 }
 
-// joinRead returns the read that is under way, or begins one. It returns an error if the last one failed just before.
+// Known returns the origin of a stream that this process began or has read of, for other gateways.
+func (s *Service) Known(id lineage.ID) lineage.Origin {
+	o, _ := s.known(id)
+	return o
+}
+
+// askPeers asks the nearest gateways for a stream that the store doesn't show. The one that began it
+// knows it, also if it is cut off from the store or the store is away.
+func (s *Service) askPeers(ctx context.Context, id lineage.ID) lineage.Origin {
+	if s.peers == nil {
+		return lineage.Origin{}
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	answers := make(chan lineage.Origin, maxPeers)
+	peers := gateway.Nearest(s.fleet.Members(), s.instance, maxPeers)
+	for _, peer := range peers {
+		go func() {
+			o, err := s.peers.Origin(ctx, peer, id)
+			if err != nil {
+				s.log.Debug("peer not asked for the origin of a stream", "peer", peer, "error", err)
+			}
+			answers <- o
+		}()
+	}
+	all := lineage.NewIndex()
+	for range peers {
+		if o := <-answers; o.Known() {
+			all.Add(lineage.Entry{ID: id, Origin: o})
+		}
+	}
+	o, _ := all.Find(id)
+	return o
+}
+
+// joinRead returns the read that is under way, or begins one. It returns an error if the last one failed
+// just before.
 func (s *Service) joinRead(since time.Time) (*read, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/models/balance"
+	"github.com/crocusline/crocusline/models/buffer"
 	"github.com/crocusline/crocusline/models/call"
 	"github.com/crocusline/crocusline/models/gateway"
 	"github.com/crocusline/crocusline/models/lineage"
@@ -41,6 +42,8 @@
 	// Notice returns what the server announces about itself in the header of a response, and an error for
 	// values that can't be decoded.
 	Notice(resp *http.Response) (call.Notice, error)
+	// AddedEventField reports whether servers add lines with this field to events.
+	AddedEventField(field string) bool
 	// CopyResponseHeader copies the response fields that are passed on to callers.
 	CopyResponseHeader(to, from http.Header)
 }
@@ -175,6 +178,9 @@
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.WindowBudget
+
+	bufferMu sync.Mutex
+	buffers  buffer.Budget
 }
 
 // New returns a service that sends requests to servers with the client.
@@ -184,6 +190,7 @@
 		metrics: metric.New(), retryWindow: DefaultRetryWindow, retryRatio: DefaultRetryRatio, retryExtra: DefaultRetryExtra,
 		retryBudgets: map[string]*retry.WindowBudget{}, quarantine: noQuarantine{}, lineage: noLineage{}, reports: noReports{},
 	}
+	s.buffers.SetMemory(defaultMemory)
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -225,8 +232,17 @@
 		s.recordRefusal(r, j, err)
 		return err
 	}
+	defer j.releaseBuffers()
+	// Deferred for the case of a panic, after which the request may have run.
+	relayed := false
+	defer func() {
+		if !relayed {
+			j.possibleRuns++
+		}
+		j.hold.Settle(j.usedTokens())
+	}()
 	err = j.run(ctx, w)
-	j.hold.Settle(j.usedTokens())
+	relayed = true
 	j.recordResult(err)
 	return err
 }
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -22,14 +22,11 @@
 
 const (
 	// maxBufferedBytes limits the size of responses that are buffered until they are
-	// complete. Larger responses are passed on as they arrive.
+	// complete. Larger responses, and those beyond the budget of all buffers, are passed on as
+	// they arrive.
 	maxBufferedBytes = 512 << 10
 )
 
-// errSilenceTimeout cancels a send if the server does not respond in the expected
-// time.
-var errSilenceTimeout = errors.New("no response from the server within the silence timeout")
-
 // bufferedResponse is a complete response that was not passed on yet.
 type bufferedResponse struct {
 	status int
@@ -48,11 +45,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	prompt := &promptTracker{job: j, server: choice.Server, request: req, cachedTokens: choice.CachedTokens}
-	if d, limited := j.silenceTimeout(choice, sends); limited {
-		prompt.silenceTimeout = d
-		prompt.silenceTimer = time.AfterFunc(d, func() { cancel(errSilenceTimeout) })
-		defer prompt.silenceTimer.Stop()
-	}
+	j.spendReservation()
+	prompt.silence = j.watchSilence(choice, sends, cancel)
+	defer prompt.silence.stop()
 	resp, err := j.service.client.Do(ctx, j.buildRequest(choice))
 	var result sendResult
 	if err != nil {
@@ -64,6 +59,7 @@
 		result = j.handleResponse(ctx, w, resp, prompt)
 		_ = resp.Body.Close()
 	}
+	j.reservation = prompt.silence.stop()
 	j.reportToBalancer(ctx, id, prompt, result)
 	j.reportToQuarantine(ctx, choice.Server, prompt, result)
 	j.logSend(choice, sends, time.Since(start), result)
@@ -88,24 +84,6 @@
 	}
 }
 
-// silenceTimeout returns how long to wait for the next part of a response, until its first
-// event or all of it has arrived, before the request is sent to another server, and whether
-// there is such a limit. It leaves enough time to reach the latency goal there. Only
-// repeatable requests have a limit.
-func (j *job) silenceTimeout(choice balance.Choice, sends int) (time.Duration, bool) {
-	if !j.route.Kind.Repeatable() || j.possibleRuns+1 >= j.route.MaxAttempts || sends >= maxSends {
-		return 0, false
-	}
-	if j.route.Kind.Streams() {
-		return max(2*j.route.Goal, 2*choice.PredictedLatency+silenceMargin), true
-	}
-	return j.route.Goal / 2, true
-}
-
-// silenceMargin is the time that an engine may spend on steps of other requests
-// before it reads the prompt.
-const silenceMargin = 200 * time.Millisecond
-
 // classifyError returns the result of a send without a response.
 func (j *job) classifyError(err error) sendResult {
 	var dial *exchange.DialError
@@ -211,7 +189,7 @@
 
 // relayBuffered passes on a response once it has arrived completely.
 func (j *job) relayBuffered(w http.ResponseWriter, resp *http.Response, prompt *promptTracker) sendResult {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	body, complete, err := j.readBody(resp.Body)
 	if err != nil {
 		return unknownOutcome{reason: refusal.ServerFailed, err: err}
 	}
@@ -219,7 +197,7 @@
 		return unknownOutcome{reason: refusal.ServerFailed, err: errors.New("the response has neither framing nor a body")}
 	}
 	prompt.markPromptRead()
-	if len(body) == maxBufferedBytes {
+	if !complete {
 		return j.relayLarge(w, resp, body)
 	}
 	j.writeResponse(w, &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body})
@@ -227,8 +205,8 @@
 	return responseRelayed{}
 }
 
-// relayLarge passes on a response that is too large to be buffered. prefix is the
-// part already read.
+// relayLarge passes on a response that can't be buffered. prefix is the part already
+// read.
 func (j *job) relayLarge(w http.ResponseWriter, resp *http.Response, prefix []byte) sendResult {
 	j.service.codec.CopyResponseHeader(w.Header(), resp.Header)
 	if resp.ContentLength >= 0 {
@@ -250,17 +228,17 @@
 // relayServerError passes on an error response of the server, unless it is a 5xx
 // response to a repeatable request, to which another server may respond successfully.
 func (j *job) relayServerError(w http.ResponseWriter, resp *http.Response) sendResult {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	body, complete, err := j.readBody(resp.Body)
 	if err != nil {
 		return unknownOutcome{reason: refusal.ServerFailed, err: err}
 	}
 	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
 	final := resp.StatusCode < http.StatusInternalServerError || !j.route.Kind.Repeatable()
-	switch large := len(body) == maxBufferedBytes; {
-	case large && final:
+	switch {
+	case !complete && final:
 		return j.relayLarge(w, resp, body)
-	case large:
-		return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("response of status %d has %d bytes or more", resp.StatusCode, maxBufferedBytes)}
+	case !complete:
+		return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("response of status %d has %d bytes or more", resp.StatusCode, len(body))}
 	case final:
 		j.writeResponse(w, buffered)
 		j.possibleRuns++
@@ -282,7 +260,8 @@
 
 // reportToBalancer reports the result of a send to the balancer.
 func (j *job) reportToBalancer(ctx context.Context, id string, prompt *promptTracker, result sendResult) {
-	cancelled := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilenceTimeout)
+	// The silence of a server was reported when it was noticed.
+	cancelled := ctx.Err() != nil
 	now := time.Now()
 	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) {
 		if !prompt.promptRead {
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -16,8 +16,13 @@
 	"github.com/crocusline/crocusline/models/roster"
 )
 
-// maxEventBytes is the maximum size of one event.
-const maxEventBytes = 64 << 10
+const (
+	// maxEventBytes is the maximum size of one event.
+	maxEventBytes = 64 << 10
+	// maxSkippedBytes limits the events of a response that the caller has received before. A server
+	// that resumes a stream too early repeats each of them once.
+	maxSkippedBytes = 512 << 10
+)
 
 // streamProgress is the part of the response that was sent to the caller.
 type streamProgress struct {
@@ -35,11 +40,10 @@
 	openedAt     time.Time
 	request      balance.Request
 	cachedTokens int64
-	// silenceTimer cancels the send if the server does not respond, or is nil. It restarts with
-	// each part of the response.
-	silenceTimer   *time.Timer
-	silenceTimeout time.Duration
-	promptRead     bool
+	// silence is the monitor of the send until its first event, or nil. It restarts with each part of
+	// the response.
+	silence    *silenceMonitor
+	promptRead bool
 	// firstEventAt is when the server sent its first event or the response body.
 	firstEventAt time.Time
 	// originChecked is set once the version of the server was checked.
@@ -63,9 +67,7 @@
 		return
 	}
 	p.promptRead = true
-	if p.silenceTimer != nil {
-		p.silenceTimer.Stop()
-	}
+	p.silence.stop()
 	now := time.Now()
 	p.firstEventAt = now
 	j := p.job
@@ -76,32 +78,26 @@
 	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) { b.RecordFirstEvent(now, p.server.ID, p.request, p.cachedTokens) })
 }
 
-// watch restarts the silence timer now and whenever a part of the body arrives.
+// watch restarts the silence monitor now and whenever a part of the body arrives.
 func (p *promptTracker) watch(body io.ReadCloser) io.ReadCloser {
-	if p.silenceTimer == nil {
+	if p.silence == nil {
 		return body
 	}
-	p.restartSilence()
-	return &watchedBody{ReadCloser: body, prompt: p}
-}
-
-func (p *promptTracker) restartSilence() {
-	if !p.promptRead {
-		p.silenceTimer.Reset(p.silenceTimeout)
-	}
+	p.silence.restart()
+	return &watchedBody{ReadCloser: body, silence: p.silence}
 }
 
-// watchedBody is the body of a response whose parts restart the silence timer.
+// watchedBody is the body of a response whose parts restart the silence monitor.
 type watchedBody struct {
 	io.ReadCloser
-	prompt *promptTracker
+	silence *silenceMonitor
 }
 
 // Read implements io.Reader.
 func (b *watchedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if n > 0 {
-		b.prompt.restartSilence()
+		b.silence.restart()
 	}
 	return n, err
 }
@@ -117,27 +113,31 @@
 // relayEvents passes on events as they arrive, each only when it is complete.
 func (j *job) relayEvents(ctx context.Context, w http.ResponseWriter, resp *http.Response, prompt *promptTracker) sendResult {
 	reader := bufio.NewReader(resp.Body)
-	events := 0
+	buffer := j.newBuffer()
+	defer buffer.release()
+	passed, skippedBytes := 0, 0
+	last := j.LastEventID
 	for {
-		event, err := readEvent(reader)
-		if errors.Is(err, io.EOF) && len(event) == 0 && call.Whole(framed(resp), events) {
-			if j.endUnproven(resp) {
-				return endUnproven{}
-			}
-			j.writeHeader(w, resp)
-			j.complete = true
-			j.possibleRuns++
-			return responseRelayed{}
+		event, err := readEvent(reader, buffer)
+		if endedBetweenEvents(resp, event, err) {
+			return j.endStream(ctx, w, resp, prompt, streamEnd{passed: passed, last: last, rest: event, err: err})
 		}
 		if err != nil {
 			return unknownOutcome{reason: refusal.ServerFailed, err: err}
 		}
+		if !call.WellFormed(event, j.service.codec.AddedEventField) {
+			return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("%d bytes after event %q are no event", len(event), last)}
+		}
 		prompt.markPromptRead()
 		id := eventID(event)
+		last = id
 		if j.Includes(id) {
+			if skippedBytes += len(event); skippedBytes > maxSkippedBytes {
+				return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("server repeats event %s: more than %d bytes skipped", id, maxSkippedBytes)}
+			}
 			continue
 		}
-		events++
+		passed++
 		if err := j.checkOrigin(ctx, prompt); err != nil {
 			return unknownOutcome{reason: refusal.ServerFailed, err: err}
 		}
@@ -156,6 +156,46 @@
 	}
 }
 
+// streamEnd is the end of a response in order, between two events.
+type streamEnd struct {
+	// passed is the number of events of the response that were passed on, and last the id of its last
+	// event, or of the one after which it continued the stream.
+	passed int
+	last   string
+	// rest are the empty lines and comments after the last event.
+	rest []byte
+	err  error
+}
+
+// endedBetweenEvents reports whether a stream ended in order with the rest of it and the error.
+func endedBetweenEvents(resp *http.Response, rest []byte, err error) bool {
+	return (errors.Is(err, io.EOF) || errors.Is(err, errEndInEvent)) && call.EndsBetweenEvents(framed(resp), rest)
+}
+
+// endStream ends the stream if its end is proven. What another version ended proves nothing about the
+// stream.
+func (j *job) endStream(ctx context.Context, w http.ResponseWriter, resp *http.Response, prompt *promptTracker, end streamEnd) sendResult {
+	if j.origin.Known() {
+		if err := j.checkOrigin(ctx, prompt); err != nil {
+			return unknownOutcome{reason: refusal.ServerFailed, err: err}
+		}
+	}
+	confirmed := !framed(resp) && j.ConfirmsEnd(end.last)
+	switch {
+	case !confirmed && !call.Whole(framed(resp), end.passed):
+		return unknownOutcome{reason: refusal.ServerFailed, err: end.err}
+	case !confirmed && j.endUnproven(resp):
+		return endUnproven{}
+	}
+	j.writeHeader(w, resp)
+	if _, err := w.Write(end.rest); err != nil {
+		return callerDisconnected{err: errors.WithStack(err)}
+	}
+	j.complete = true
+	j.possibleRuns++
+	return responseRelayed{}
+}
+
 // writeHeader writes the status line and header, unless they were written before.
 func (j *job) writeHeader(w http.ResponseWriter, resp *http.Response) {
 	if j.Begun {
@@ -167,25 +207,33 @@
 	w.WriteHeader(resp.StatusCode)
 }
 
-// readEvent returns the next event, including the empty line that ends it. If the
-// stream ends within an event, it returns the bytes read and an error other than
-// io.EOF.
-func readEvent(reader *bufio.Reader) ([]byte, error) {
-	var event []byte
+// errEndInEvent is returned if a stream ends in order after bytes that are no whole event.
+var errEndInEvent = errors.WithMessage(io.ErrUnexpectedEOF, "the stream ends within an event")
+
+// readEvent returns the next event, including the empty line that ends it. It is valid until the
+// buffer is used again. If the stream ends within an event, it returns the bytes read and an error
+// other than io.EOF.
+func readEvent(reader *bufio.Reader, buffer *responseBuffer) ([]byte, error) {
+	buffer.data = buffer.data[:0]
+	// lineStart is where the current line begins. ReadSlice returns a long line in parts.
+	lineStart := 0
 	for {
-		line, err := reader.ReadSlice('\n')
-		event = append(event, line...)
+		part, err := reader.ReadSlice('\n')
+		if !buffer.grow(len(part), maxEventBytes) {
+			return buffer.data, errors.Errorf("event exceeds %d bytes or what can be buffered", maxEventBytes)
+		}
+		buffer.data = append(buffer.data, part...)
+		event := buffer.data
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF) && len(event) > 0:
-			return event, errors.WithStack(io.ErrUnexpectedEOF)
+			return event, errEndInEvent
 		case err != nil:
 			return event, err
-		case len(bytes.TrimRight(line, "\r\n")) == 0 && len(event) > len(line):
+		case len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0 && call.HasField(event):
 			return event, nil
-		}
-		if len(event) > maxEventBytes {
-			return event, errors.Errorf("event exceeds %d bytes", maxEventBytes)
+		default:
+			lineStart = len(event)
 		}
 	}
 }
--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -23,6 +23,8 @@
 const (
 	// gracePeriodSeconds is the time between SIGTERM and SIGKILL.
 	gracePeriodSeconds = 4
+	// gatewayMemory is the memory of a gateway in bytes, by its settings.
+	gatewayMemory = 134 << 20
 	// startupTime is the time within which a process installs its signal handlers.
 	startupTime = 200 * time.Millisecond
 	// exitTimeout bounds the time from SIGTERM until a process exits.
@@ -36,6 +38,7 @@
 	name          string
 	callerAddress netip.AddrPort
 	readyAddress  netip.AddrPort
+	peerAddress   netip.AddrPort
 	settingsFile  string
 	logFile       *os.File
 	storeProxy    *proxy
@@ -43,8 +46,10 @@
 	// restartMu is held while the process is replaced.
 	restartMu sync.Mutex
 
-	mu        sync.Mutex
-	cmd       *exec.Cmd
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// killed is whether the current process got SIGKILL from killAll.
+	killed    bool
 	startedAt time.Time
 	exited    chan struct{}
 }
@@ -59,9 +64,13 @@
 	serverProxies []*proxy
 	configVersion int
 	prepaidTokens int64
+	// faultyPools are pools beside that of the servers.
+	faultyPools []string
 	// serverStates are the states last written, by server, and serverStarts how often each has
 	// started. serverSequence is the number of the last record.
-	serverStates   []string
+	serverStates []string
+	// versions are those that the events of the servers may name.
+	versions       []string
 	serverStarts   []int
 	serverSequence atomic.Int64
 	// copiedAt is when the store was copied last, or the zero value.
@@ -95,7 +104,7 @@
 // newFleet starts a fleet and stops it at the end of the test.
 func newFleet(t *testing.T, binary string, gateways, servers int) *fleet {
 	t.Helper()
-	return newFleetOfVersions(t, binary, gateways, make([]string, servers), 40_000)
+	return newFleetOfVersions(t, binary, gateways, make([]string, servers), soakPrepaidTokens)
 }
 
 // newFleetOfVersions starts a fleet with a server of each version. Without prepaid tokens, no budget
@@ -103,7 +112,7 @@
 func newFleetOfVersions(t *testing.T, binary string, gateways int, versions []string, prepaidTokens int64) *fleet {
 	t.Helper()
 	servers := len(versions)
-	f := &fleet{T: t, binary: binary, store: site.NewStore(), prepaidTokens: prepaidTokens, serverStates: make([]string, servers), serverStarts: make([]int, servers)}
+	f := &fleet{T: t, binary: binary, store: site.NewStore(), prepaidTokens: prepaidTokens, versions: versions, serverStates: make([]string, servers), serverStarts: make([]int, servers)}
 	web := httptest.NewServer(f.store)
 	t.Cleanup(func() {
 		web.CloseClientConnections()
@@ -128,11 +137,10 @@
 	free := freeAddresses(t, listeners*gateways)
 	for i := range gateways {
 		own := free[listeners*i:]
-		g := &gateway{name: fmt.Sprintf("front-%d", i), callerAddress: own[0], readyAddress: own[1], storeProxy: stores[i]}
-		peers := own[2]
-		seeds = append(seeds, peers.String())
+		g := &gateway{name: fmt.Sprintf("front-%d", i), callerAddress: own[0], readyAddress: own[1], peerAddress: own[2], storeProxy: stores[i]}
+		seeds = append(seeds, g.peerAddress.String())
 		g.settingsFile = filepath.Join(dir, g.name+".json")
-		writeSettings(t, g, peers, seeds, cpuShare(i, gateways))
+		writeSettings(t, g, seeds, cpuShare(i, gateways))
 		f.gateways = append(f.gateways, g)
 	}
 	for _, g := range f.gateways {
@@ -151,12 +159,12 @@
 	return 0.8
 }
 
-func writeSettings(t *testing.T, g *gateway, peers netip.AddrPort, seeds []string, cpuShare float64) {
+func writeSettings(t *testing.T, g *gateway, seeds []string, cpuShare float64) {
 	t.Helper()
 	data, err := json.Marshal(map[string]any{
 		"node_name": g.name, "zone": "z", "region": "r",
-		"bind":       map[string]string{"front": g.callerAddress.String(), "ready": g.readyAddress.String(), "control": peers.String()},
-		"seed_addrs": seeds, "limits": map[string]any{"cpu_share": cpuShare, "memory_mb": 134, "max_fds": 4100},
+		"bind":       map[string]string{"front": g.callerAddress.String(), "ready": g.readyAddress.String(), "control": g.peerAddress.String()},
+		"seed_addrs": seeds, "limits": map[string]any{"cpu_share": cpuShare, "memory_mb": gatewayMemory >> 20, "max_fds": 4100},
 		"parameters": map[string]any{"grace_s": gracePeriodSeconds, "budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 60},
 		"platform":   map[string]any{"address": g.storeProxy.address().String(), "writes_per_s": 800, "reads_per_s": 2000},
 	})
@@ -181,22 +189,30 @@
 			"max_attempts": attempts, "service": pool, "resumable": resumable, "gap_goal_ms": 500,
 		}
 	}
+	service := func(name string) map[string]any {
+		return map[string]any{"name": name, "max_conns": 400, "engine": map[string]any{"max_concurrency": 64, "kv_tokens": 100_000, "stride": tokensPerEvent}}
+	}
 	// It has all paths that no other route has.
 	rootRoute := route("root", "non_idempotent", "s", 2, false)
 	rootRoute["path_prefix"] = "/"
+	unlimited := map[string]any{"name": "mills", "api_keys": []string{unlimitedKey}}
 	tenant := map[string]any{"name": "clinics", "api_keys": []string{apiKey}}
 	if f.prepaidTokens > 0 {
 		tenant["prepaid"] = f.prepaidTokens
 	}
+	routes := []any{
+		route("once", "non_idempotent", "s", 2, false), route("lookup", "idempotent", "s", 2, false),
+		route("draft", "streaming", "s", 2, true), route("plan", "streaming", "s", 2, false),
+		rootRoute,
+	}
+	services := []any{service("s")}
+	for _, pool := range f.faultyPools {
+		routes = append(routes, route(pool+"/once", "non_idempotent", pool, 2, false), route(pool+"/lookup", "idempotent", pool, 2, false),
+			route(pool+"/draft", "streaming", pool, 2, true))
+		services = append(services, service(pool))
+	}
 	data, err := json.Marshal(map[string]any{
-		"version": f.configVersion,
-		"routes": []any{
-			route("once", "non_idempotent", "s", 2, false), route("lookup", "idempotent", "s", 2, false),
-			route("draft", "streaming", "s", 2, true), route("plan", "streaming", "s", 2, false),
-			rootRoute,
-		},
-		"services": []any{map[string]any{"name": "s", "max_conns": 400, "engine": map[string]any{"max_concurrency": 64, "kv_tokens": 100_000, "stride": tokensPerEvent}}},
-		"tenants":  []any{tenant},
+		"version": f.configVersion, "routes": routes, "services": services, "tenants": []any{tenant, unlimited},
 	})
 	if err != nil {
 		f.Fatal(err)
@@ -212,47 +228,46 @@
 	if version == "" {
 		version = defaultVersion
 	}
-	f.putServerStart(f.servers[i].ID, f.serverProxies[i].address(), state, version, f.serverStarts[i])
-}
-
-// restartServerAs starts a server again under its identifier and address as another version of its
-// software. Its connections break.
-func (f *fleet) restartServerAs(i int, version string) {
-	f.servers[i].SetVersion(version)
-	f.serverProxies[i].setMode(reset)
-	f.serverProxies[i].setMode(forward)
-	f.serverStarts[i]++
-	f.setServerState(i, f.serverStates[i])
+	f.putServerStart("s", f.servers[i].ID, f.serverProxies[i].address(), state, version, f.serverStarts[i])
 }
 
 // restartServer makes a server ready, as another incarnation without anything that it said of
 // itself before.
 func (f *fleet) restartServer(i int) {
 	f.servers[i].SetDraining("")
-	f.servers[i].RejectAll(false, "")
 	f.servers[i].SetLimit("")
 	f.servers[i].Behave()
 	f.serverStarts[i]++
 	f.setServerState(i, "ready")
+	f.servers[i].RejectAll(false, "")
+}
+
+// restartServerAs starts a server again under its identifier and address as another version of its
+// software. Its connections break, and it serves once its entry is written.
+func (f *fleet) restartServerAs(i int, version string) {
+	f.servers[i].RejectAll(true, "")
+	f.serverProxies[i].resetOpen()
+	f.servers[i].SetVersion(version)
+	f.restartServer(i)
 }
 
 // putServer writes the registry entry of the first start of the server with the identifier, or
 // removes it.
 func (f *fleet) putServer(id string, address netip.AddrPort, state string) {
-	f.putServerStart(id, address, state, defaultVersion, 0)
+	f.putServerStart("s", id, address, state, defaultVersion, 0)
 }
 
 // startTime returns the time of the given start of a server, in ms since 1970.
 func startTime(start int) int64 { return 1_700_000_000_000 + int64(start) }
 
-func (f *fleet) putServerStart(id string, address netip.AddrPort, state, version string, start int) {
+func (f *fleet) putServerStart(pool, id string, address netip.AddrPort, state, version string, start int) {
 	if state == "" {
 		f.store.Put("keyed.servers", id, nil)
 		return
 	}
 	f.store.Put("keyed.servers", id, fmt.Appendf(nil,
-		`{"service":"s","address":%q,"zone":"z","version":%q,"max_concurrency":64,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":%d}`,
-		address.String(), version, state, f.serverSequence.Add(1), startTime(start)))
+		`{"service":%q,"address":%q,"zone":"z","version":%q,"max_concurrency":64,"state":%q,"warmup_left_ms":0,"sequence":%d,"born":%d}`,
+		pool, address.String(), version, state, f.serverSequence.Add(1), startTime(start)))
 }
 
 // copyStore copies the store's contents.
@@ -285,7 +300,7 @@
 		return
 	}
 	exited := make(chan struct{})
-	g.cmd, g.exited, g.startedAt = cmd, exited, time.Now()
+	g.cmd, g.exited, g.startedAt, g.killed = cmd, exited, time.Now(), false
 	go func() {
 		_ = cmd.Wait()
 		close(exited)
@@ -308,6 +323,14 @@
 	}
 }
 
+// signalLater returns a function that sends a signal to the process that runs now.
+func (g *gateway) signalLater(s syscall.Signal) func() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	process := g.cmd.Process
+	return func() { _ = process.Signal(s) }
+}
+
 // waitExit reports whether the process exits within the timeout.
 func (g *gateway) waitExit(timeout time.Duration) bool {
 	g.mu.Lock()
