Let a stand-in say that it closes its connections

Cause: TestBytesAfterTheLastEvent failed once in a run beside others, and in 5 of 4,800 requests later, TestBytesOfNoEvent in 2 runs: 'EOF' without a response. The stand-in closes each connection after its response. After a response with a length the gateway keeps the connection, and if the close comes late, the next request is sent on it; one that runs once isn't sent again.

Change: the responses with a length say Connection: close too. The checks are the same.

--- a/services/relay/noevent_test.go
+++ b/services/relay/noevent_test.go
@@ -27,9 +27,10 @@
 	for _, path := range []string{"/plan/a", "/draft/a"} {
 		for _, rest := range []string{failure, "id: 4\n" + failure, "id: 4\r\ndata: x\r\n" + failure, "garbage\n\n", "id 4\n\n", " id: 4\n\n"} {
 			for _, framed := range []bool{true, false} {
+				// The server closes each connection, and without saying so a later request could meet that.
 				text, field := events+rest, "Connection: close\r\n"
 				if framed {
-					field = "Content-Length: " + strconv.Itoa(len(text)) + "\r\n"
+					field += "Content-Length: " + strconv.Itoa(len(text)) + "\r\n"
 				}
 				t.Run(fmt.Sprintf("%s %q framed %t", path, rest, framed), func(t *testing.T) {
 					server.Respond(head + field + "\r\n" + text)
--- a/services/relay/trailer_test.go
+++ b/services/relay/trailer_test.go
@@ -37,9 +37,10 @@
 	for _, tt := range tests {
 		text := events + tt.rest
 		for _, framed := range []bool{true, false} {
+			// The server closes each connection, and without saying so a later request could meet that.
 			complete, field := tt.unframed, "Connection: close\r\n"
 			if framed {
-				complete, field = tt.framed, "Content-Length: "+strconv.Itoa(len(text))+"\r\n"
+				complete, field = tt.framed, field+"Content-Length: "+strconv.Itoa(len(text))+"\r\n"
 			}
 			server.Respond(head + field + "\r\n" + text)
 			status, body, err := env.sendOverConnection("/plan/a")
