--- a/models/lineage/lineage.go
+++ b/models/lineage/lineage.go
@@ -1,6 +1,6 @@
 // Package lineage records at which software version each stream began. What two versions write
 // doesn't fit together, so a stream continues only at servers of the version that began it: within a
-// response, and over the requests of a caller that takes it up again, at any gateway. The load that it
+// response, and over the requests of a caller that resumes it, at any gateway. The load that it
 // answers are streams that break off while several versions are in service, or while all gateways are
 // killed at once.
 package lineage
--- a/models/lineage/writer.go
+++ b/models/lineage/writer.go
@@ -32,7 +32,7 @@
 // slot is a record of the store.
 type slot struct {
 	entries []Entry
-	// expiresAt is when the slot may be used again: no stream of it can be taken up then.
+	// expiresAt is when the slot may be used again: no stream of it can be resumed then.
 	expiresAt time.Time
 	// changedAt is the generation of the last change, or 0 if there is nothing to write.
 	changedAt int64
--- a/services/lineage/find.go
+++ b/services/lineage/find.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// findTimeout bounds the time for which a request that takes up a stream waits for its origin. A
+	// findTimeout bounds the time for which a request that resumes a stream waits for its origin. A
 	// slow store responds in some 0.25 s.
 	findTimeout = 350 * time.Millisecond
 	// readTimeout bounds a read of all partitions.
@@ -70,8 +70,8 @@
 	return time.Time{}
 }
 
-// streamsTakenUp counts the streams that callers took up, by what was known of their origin.
-const streamsTakenUp = "crocusline_streams_taken_up_total"
+// streamsResumed counts the streams that callers resumed, by what was known of their origin.
+const streamsResumed = "crocusline_streams_resumed_total"
 
 const (
 	originKnown   = `{origin="known"}`
@@ -90,11 +90,11 @@
 	var unknown *UnknownError
 	switch {
 	case err == nil:
-		s.metrics.Counter(streamsTakenUp + originKnown).Inc()
+		s.metrics.Counter(streamsResumed + originKnown).Inc()
 	case errors.As(err, &unknown) && unknown.Unread:
-		s.metrics.Counter(streamsTakenUp + originUnread).Inc()
+		s.metrics.Counter(streamsResumed + originUnread).Inc()
 	default:
-		s.metrics.Counter(streamsTakenUp + originUnknown).Inc()
+		s.metrics.Counter(streamsResumed + originUnknown).Inc()
 	}
 	return origin, err
 }
--- a/services/lineage/lineage.go
+++ b/services/lineage/lineage.go
@@ -1,6 +1,6 @@
 // Package lineage keeps the software version at which each stream began in the platform's store, where
 // it outlasts all gateways. A gateway writes it before it passes the first event of a stream on, and
-// reads it when a caller takes up a stream that another process began.
+// reads it when a caller resumes a stream that another process began.
 package lineage
 
 import (
@@ -118,7 +118,7 @@
 	running sync.WaitGroup
 }
 
-// begun is a stream that this process began, and until when it can be taken up.
+// begun is a stream that this process began, and until when it can be resumed.
 type begun struct {
 	origin lineage.Origin
 	until  time.Time
@@ -165,9 +165,9 @@
 	return record.Partition{Topic: s.topic, Number: n}
 }
 
-// Begin records where the stream begins, and that callers may take it up for the given time. It returns
+// Begin records where the stream begins, and that callers may resume it for the given time. It returns
 // once the store has the record, or after maxHold. While the store fails it doesn't wait: the stream can
-// be taken up at this gateway then, and at others once the store has the record.
+// be resumed at this gateway then, and at others once the store has the record.
 func (s *Service) Begin(ctx context.Context, id lineage.ID, origin lineage.Origin, lifetime time.Duration) {
 	s.mu.Lock()
 	now := time.Now()
@@ -307,7 +307,7 @@
 	return x
 }
 
-// forgetExpired forgets streams that can't be taken up any more, and what was read long ago.
+// forgetExpired forgets streams that can't be resumed any more, and what was read long ago.
 func (s *Service) forgetExpired(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -387,7 +387,7 @@
 func (j *job) recordResult(err error) {
 	elapsed := time.Since(j.request.ArrivedAt)
 	if j.request.ContinuesStream() {
-		j.log.Info("stream taken up", "resumes", j.request.Resumes, "lastEvent", j.request.LastEventID, "server", j.server, "version", j.version, "ran", j.possibleRuns, "events", j.Events)
+		j.log.Info("stream resumed by caller", "resumes", j.request.Resumes, "lastEvent", j.request.LastEventID, "server", j.server, "version", j.version, "ran", j.possibleRuns, "events", j.Events)
 	}
 	pairs := []any{
 		"route", j.route.Name, "workspace", j.workspace.Name, "tablesVersion", j.table.Version, "server", j.server,
--- a/services/relay/origin.go
+++ b/services/relay/origin.go
@@ -103,6 +103,6 @@
 // serverStartsAsked counts the calls that ask servers when they started.
 const serverStartsAsked = "crocusline_server_starts_asked_total"
 
-// lifetimeRatio is the time for which callers may take up a stream, as a multiple of the timeout of a
-// request: the stream breaks off within one, and is taken up within another.
+// lifetimeRatio is the time for which callers may resume a stream, as a multiple of the timeout of a
+// request: the stream breaks off within one, and is resumed within another.
 const lifetimeRatio = 2
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -107,9 +107,9 @@
 
 // Lineage keeps the origins of streams.
 type Lineage interface {
-	// Begin records where a stream begins, before its first event is passed on. Callers may take it up for the given time.
+	// Begin records where a stream begins, before its first event is passed on. Callers may resume it for the given time.
 	Begin(ctx context.Context, id lineage.ID, origin lineage.Origin, lifetime time.Duration)
-	// Find returns the origin of a stream that a caller takes up, or an error if it is unknown.
+	// Find returns the origin of a stream that a caller resumes, or an error if it is unknown.
 	Find(ctx context.Context, id lineage.ID) (lineage.Origin, error)
 }
 
@@ -151,7 +151,7 @@
 // WithQuarantine sets the quarantine of prompts. Without one, all are sent.
 func WithQuarantine(q Quarantine) Option { return func(s *Service) { s.quarantine = q } }
 
-// WithLineage sets where the origins of streams are kept. Without one, callers can't take streams up.
+// WithLineage sets where the origins of streams are kept. Without one, callers can't resume streams.
 func WithLineage(l Lineage) Option { return func(s *Service) { s.lineage = l } }
 
 // WithReports sets how servers are asked for their start. Without one, only the list of servers confirms it.
