Log on which evidence a send counts as not run

A request that ran although its caller was told that it had not can have been refused on four kinds of evidence: no connection, no byte written, the server's statement, or a server that says it isn't the one meant.

It now has 'evidence' (call.Evidence), and for a response its status and whether the connection had carried other requests. No decision changes: what was 'unsent' is Evidence.Unsent.

--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -159,6 +159,12 @@
 	return time.Now()
 }
 
+// Reused reports whether the connection over which a response of Do arrives had carried other requests.
+func Reused(resp *http.Response) bool {
+	b, ok := resp.Body.(*body)
+	return ok && b.conn.reused
+}
+
 // Connect establishes a connection and keeps it for the next request. It returns a DialError
 // if the server accepts none. If all connections to it are in use, none is established.
 func (c *Client) Connect(ctx context.Context, address netip.AddrPort) error {
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -88,10 +88,14 @@
 
 // notRun means that the server has not run the request and never will.
 type notRun struct {
-	reason refusal.Reason
-	// unsent is whether nothing of the request reached the server, and err why not.
-	unsent bool
-	err    error
+	reason   refusal.Reason
+	evidence call.Evidence
+	// err is why nothing of the request reached the server, or nil.
+	err error
+	// status is the status of the server's response, and reused whether its connection had carried other
+	// requests. They are set if there is a response.
+	status int
+	reused bool
 }
 
 // unknownOutcome means that the request may have run, but the response is missing
@@ -156,7 +160,7 @@
 			j.possibleRuns++
 			j.lastRefusal = unknownRefusal(refusal.OutcomeUnknown)
 		case notRun:
-			if result.unsent {
+			if result.evidence.Unsent() {
 				j.recordUnsent()
 			}
 			if j.possibleRuns == 0 {
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -54,7 +54,7 @@
 		result = j.classifyError(err)
 	} else {
 		j.recordNotice(choice.Server, resp, start)
-		prompt.openedAt = exchange.OpenedAt(resp)
+		prompt.openedAt, prompt.reused = exchange.OpenedAt(resp), exchange.Reused(resp)
 		resp.Body = prompt.watch(resp.Body)
 		result = j.handleResponse(ctx, w, resp, prompt)
 		_ = resp.Body.Close()
@@ -89,13 +89,13 @@
 	var dial *exchange.DialError
 	if errors.As(err, &dial) {
 		if dial.PoolExhausted {
-			return notRun{reason: refusal.QueueFull, unsent: true, err: err}
+			return notRun{reason: refusal.QueueFull, evidence: call.NotConnected, err: err}
 		}
-		return notRun{reason: refusal.ServerFailed, unsent: true, err: err}
+		return notRun{reason: refusal.ServerFailed, evidence: call.NotConnected, err: err}
 	}
 	var noResponse *exchange.NoResponseError
 	if errors.As(err, &noResponse) && !noResponse.Written {
-		return notRun{reason: refusal.ServerFailed, unsent: true, err: err}
+		return notRun{reason: refusal.ServerFailed, evidence: call.NothingWritten, err: err}
 	}
 	return unknownOutcome{reason: refusal.ServerFailed, err: err}
 }
@@ -106,10 +106,10 @@
 	switch class := j.service.codec.ClassifyResponse(j.request, resp); class {
 	case call.NotRun:
 		drainBody(resp)
-		return notRun{reason: refusal.QueueFull}
+		return notRun{reason: refusal.QueueFull, evidence: call.ServerStatement, status: resp.StatusCode, reused: prompt.reused}
 	case call.Misdirected:
 		drainBody(resp)
-		return notRun{reason: refusal.WrongIncarnation}
+		return notRun{reason: refusal.WrongIncarnation, evidence: call.ServerMisdirected, status: resp.StatusCode, reused: prompt.reused}
 	case call.Succeeded, call.Failed:
 		return j.relayResponse(ctx, w, resp, class, prompt)
 	default:
@@ -322,10 +322,13 @@
 	}
 	switch result := result.(type) {
 	case notRun:
-		if result.err != nil {
+		pairs = append(pairs, "reason", result.reason, "evidence", result.evidence)
+		if result.evidence.Unsent() {
 			pairs = append(pairs, "error", result.err)
+		} else {
+			pairs = append(pairs, "status", result.status, "reused", result.reused)
 		}
-		j.log.Info("send not run", append(pairs, "reason", result.reason)...)
+		j.log.Info("send not run", pairs...)
 	case unknownOutcome:
 		j.log.Info("send outcome unknown", append(pairs, "workspace", j.workspace.Name, "segments", j.segments, "fingerprint", j.fingerprint,
 			"first", j.timeToFirstEvent.Round(time.Millisecond), "reason", result.reason, "error", result.err)...)
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -35,9 +35,11 @@
 // request, which is assumed at its first event or response body.
 type promptTracker struct {
 	job *job
-	// server is the one that the request was sent to, and openedAt when the connection was established.
+	// server is the one that the request was sent to, openedAt when the connection was established, and
+	// reused whether it had carried other requests.
 	server       roster.Server
 	openedAt     time.Time
+	reused       bool
 	request      balance.Request
 	cachedTokens int64
 	// silence is the monitor of the send until its first event, or nil. It restarts with each part of
