Pass on no failure whose status promises that a request has not run

Callers saw 408, 429 or 503 for requests that must run once and that a server had run: the server had failed them with such a status and its signature, without the statement that it had not run them. The gateway passed every signed failure on, and callers take these statuses for a promise, so that they sent the request again.

A signed failure with a status of call.PromisesNotRun has the class FailedAsRefused, and Progress.Accepts lets none of it pass, before or after a response has begun. The request may have run: one that must run once ends with 502, another goes to the next server. The same check covers responses that can't be buffered, which took another way.

Ruled out: a signed 421, which proves nothing already.

--- a/models/call/call.go
+++ b/models/call/call.go
@@ -122,6 +122,9 @@
 	Succeeded // succeeded
 	// Failed means that the server itself responded with an error.
 	Failed // failed
+	// FailedAsRefused means the same, with a status that promises callers that the request has not run.
+	// The server has not stated that.
+	FailedAsRefused // failedAsRefused
 	// Foreign means that this is the response to another request.
 	Foreign // foreign
 )
--- a/models/call/progress.go
+++ b/models/call/progress.go
@@ -31,8 +31,9 @@
 
 // Accepts reports whether a server's response, or its continuation, may be passed on. Callers
 // take all that follows the first byte of a response for a part of it, so only events of a
-// successful response can continue one that has begun. The load that it answers are streams
-// that break off and are resumed at servers that fail.
+// successful response can continue one that has begun. A status that promises more than the server
+// has stated is not passed on. The load that it answers are streams that break off and are resumed at
+// servers that fail.
 func (p Progress) Accepts(class ResponseClass, events bool) bool {
 	switch class {
 	case Succeeded:
--- a/models/call/progress_test.go
+++ b/models/call/progress_test.go
@@ -23,6 +23,8 @@
 		{call.Succeeded, true, true, true},
 		{call.Failed, false, true, false},
 		{call.Failed, true, true, false},
+		{call.FailedAsRefused, false, false, false},
+		{call.FailedAsRefused, true, false, false},
 		{call.Foreign, true, false, false},
 	}
 	for _, tt := range tests {
--- a/models/call/response_class_string.go
+++ b/models/call/response_class_string.go
@@ -13,12 +13,13 @@
 	_ = x[Misdirected-2]
 	_ = x[Succeeded-3]
 	_ = x[Failed-4]
-	_ = x[Foreign-5]
+	_ = x[FailedAsRefused-5]
+	_ = x[Foreign-6]
 }
 
-const _ResponseClass_name = "unknownnotRunmisdirectedsucceededfailedforeign"
+const _ResponseClass_name = "unknownnotRunmisdirectedsucceededfailedfailedAsRefusedforeign"
 
-var _ResponseClass_index = [...]uint8{0, 7, 13, 24, 33, 39, 46}
+var _ResponseClass_index = [...]uint8{0, 7, 13, 24, 33, 39, 54, 61}
 
 func (i ResponseClass) String() string {
 	idx := int(i) - 0
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -109,8 +109,12 @@
 // complete.
 type endUnproven struct{}
 
-// serverError means that the server responded with an error that was not passed on.
-type serverError struct{ resp *bufferedResponse }
+// serverError means that the server responded with a status that was not passed on. resp is the response if
+// it may be passed on later, or nil.
+type serverError struct {
+	status int
+	resp   *bufferedResponse
+}
 
 // callerDisconnected means that the response could not be written to the caller.
 type callerDisconnected struct{ err error }
@@ -151,7 +155,9 @@
 			return errors.WithStack(&AbortedError{Reason: abortReason(ctx)})
 		case serverError:
 			j.possibleRuns++
-			fallback = result.resp
+			if result.resp != nil {
+				fallback = result.resp
+			}
 			j.lastRefusal = unknownRefusal(refusal.ServerFailed)
 		case unknownOutcome:
 			j.possibleRuns++
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -110,7 +110,7 @@
 	case call.Misdirected:
 		drainBody(resp)
 		return notRun{reason: refusal.WrongIncarnation, evidence: call.ServerMisdirected, status: resp.StatusCode, reused: prompt.reused}
-	case call.Succeeded, call.Failed:
+	case call.Succeeded, call.Failed, call.FailedAsRefused:
 		return j.relayResponse(ctx, w, resp, class, prompt)
 	default:
 		return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("status %d proves nothing: the response is %s, without a signature or without the request's id", resp.StatusCode, class)}
@@ -154,15 +154,17 @@
 }
 
 // relayResponse passes on a signed response, unless it can't follow what the caller has
-// received.
+// received, or says more than the server has stated.
 func (j *job) relayResponse(ctx context.Context, w http.ResponseWriter, resp *http.Response, class call.ResponseClass, prompt *promptTracker) sendResult {
 	events := isEventStream(resp)
 	switch {
 	case !j.Accepts(class, events):
 		// Its body isn't awaited, so that another server can continue at once.
-		j.log.Info("response does not continue the stream", "server", j.server, "status", resp.StatusCode, "class", class,
-			"contentType", resp.Header.Get("Content-Type"), "lastEvent", j.LastEventID)
-		return serverError{resp: &bufferedResponse{status: resp.StatusCode}}
+		if j.Begun {
+			j.log.Info("response does not continue the stream", "server", j.server, "status", resp.StatusCode, "class", class,
+				"contentType", resp.Header.Get("Content-Type"), "lastEvent", j.LastEventID)
+		}
+		return serverError{status: resp.StatusCode}
 	case class == call.Failed:
 		return j.relayServerError(w, resp)
 	case events:
@@ -244,7 +246,7 @@
 		j.possibleRuns++
 		return responseRelayed{}
 	}
-	return serverError{resp: buffered}
+	return serverError{status: resp.StatusCode, resp: buffered}
 }
 
 // writeResponse writes a complete response to the caller.
@@ -337,7 +339,7 @@
 	case callerDisconnected:
 		j.log.Info("caller disconnected", append(pairs, "error", result.err)...)
 	case serverError:
-		j.log.Info("send failed", append(pairs, "status", result.resp.status)...)
+		j.log.Info("send failed", append(pairs, "status", result.status)...)
 	}
 }
 
