Take no contradictory response for the statement that a request has not run

Callers could be told that a request had not run, and it could be sent to a second server, although the server that had run it said something else in the same response: Not-Executed with 0 or false, once with 1 and once with 0, with a status of failures (500, 504, 404), or with the id of another request beside this one's. The field's presence was taken for the statement and the first id for all of them.

call.Statement tells what the values say, call.Ambiguous is a response with several ids, and a statement counts only with the statuses with which servers refuse (400, 421, 429, 503). What is contradictory proves nothing: the outcome is unknown.

The response with two ids isn't skipped as another's, since the answer may be in it.

--- a/models/call/call.go
+++ b/models/call/call.go
@@ -85,18 +85,28 @@
 	Unnamed // unnamed
 	// Other is the answer to another request.
 	Other // other
+	// Ambiguous is a response with the ids of several requests, such as one that was cut in its head
+	// and followed by the next.
+	Ambiguous // ambiguous
 )
 
-// OriginOf returns whose answer the response with the request id is.
-func (r *Request) OriginOf(id string) Origin {
-	switch id {
-	case r.ID:
-		return Own
-	case "":
-		return Unnamed
-	default:
-		return Other
+// OriginOf returns whose answer the response with the request ids is.
+func (r *Request) OriginOf(ids ...string) Origin {
+	origin := Unnamed
+	if r.ID == "" {
+		origin = Own
 	}
+	for i, id := range ids {
+		switch {
+		case i > 0 && id != ids[0]:
+			return Ambiguous
+		case id == r.ID:
+			origin = Own
+		case id != "":
+			origin = Other
+		}
+	}
+	return origin
 }
 
 // Skippable reports whether the response may be skipped, as the answer to this request can
--- a/models/call/classify_test.go
+++ b/models/call/classify_test.go
@@ -18,21 +18,53 @@
 }
 
 // TestNotRunWithoutStatement checks for all responses that a request counts as not run only if the server states it
-// in a response with the request's id, and that what is passed on promises nothing.
+// with a status of refusals, in a response with the request's id, and that what is passed on promises nothing.
 func TestNotRunWithoutStatement(t *testing.T) {
+	refusals := map[int]bool{http.StatusBadRequest: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true}
 	for status := 200; status < 600; status++ {
-		for bits := range 8 {
-			for _, origin := range []call.Origin{call.Own, call.Unnamed, call.Other} {
-				h := call.ResponseHead{Origin: origin, Status: status, NotExecuted: bits&1 > 0, Sealed: bits&2 > 0, Encoded: bits&4 > 0}
-				stated := origin == call.Own && !h.Sealed && (h.NotExecuted && status >= 300 || status == http.StatusMisdirectedRequest)
-				class := h.Class()
-				if (class == call.NotRun || class == call.Misdirected) != stated {
-					t.Errorf("%+v: got %s", h, class)
-				}
-				if (call.Progress{}).Accepts(class, false) && (call.PromisesNotRun(status) || origin != call.Own || !h.Sealed) {
-					t.Errorf("%+v is passed on as %s", h, class)
-				}
+		for bits := range 4 * 4 * 3 {
+			h := call.ResponseHead{
+				Origin: call.Origin(bits / 4 % 4), Status: status, Statement: call.Statement(bits / 16), Sealed: bits&1 > 0, Encoded: bits&2 > 0,
 			}
+			stated := h.Statement == call.NotExecuted && refusals[status] || h.Statement != call.Contradictory && status == http.StatusMisdirectedRequest
+			stated = stated && h.Origin == call.Own && !h.Sealed
+			class := h.Class()
+			if (class == call.NotRun || class == call.Misdirected) != stated {
+				t.Errorf("%+v: got %s", h, class)
+			}
+			if (call.Progress{}).Accepts(class, false) && (call.PromisesNotRun(status) || h.Origin != call.Own || !h.Sealed) {
+				t.Errorf("%+v is passed on as %s", h, class)
+			}
+		}
+	}
+}
+
+// TestOriginOf checks whose answer a response is, by the ids that it has.
+func TestOriginOf(t *testing.T) {
+	tests := []struct {
+		request string
+		ids     []string
+		want    call.Origin
+	}{
+		{"1", []string{"1"}, call.Own},
+		{"1", []string{"1", "1"}, call.Own},
+		{"1", []string{"2"}, call.Other},
+		{"1", []string{"2", "2"}, call.Other},
+		{"1", nil, call.Unnamed},
+		{"1", []string{""}, call.Unnamed},
+		{"1", []string{"1", "2"}, call.Ambiguous},
+		{"1", []string{"2", "1"}, call.Ambiguous},
+		{"1", []string{"1", ""}, call.Ambiguous},
+		{"1", []string{"2", "3"}, call.Ambiguous},
+		{"1", []string{"1, 2"}, call.Other},
+		{"", nil, call.Own},
+		{"", []string{""}, call.Own},
+		{"", []string{"1"}, call.Other},
+	}
+	for _, tt := range tests {
+		r := call.Request{ID: tt.request}
+		if got := r.OriginOf(tt.ids...); got != tt.want {
+			t.Errorf("request %q, response with %q: got %s, want %s", tt.request, tt.ids, got, tt.want)
 		}
 	}
 }
--- a/models/call/origin_string.go
+++ b/models/call/origin_string.go
@@ -11,11 +11,12 @@
 	_ = x[Own-0]
 	_ = x[Unnamed-1]
 	_ = x[Other-2]
+	_ = x[Ambiguous-3]
 }
 
-const _Origin_name = "ownunnamedother"
+const _Origin_name = "ownunnamedotherambiguous"
 
-var _Origin_index = [...]uint8{0, 3, 10, 15}
+var _Origin_index = [...]uint8{0, 3, 10, 15, 24}
 
 func (i Origin) String() string {
 	idx := int(i) - 0
--- a/services/relay/promise_test.go
+++ b/services/relay/promise_test.go
@@ -66,7 +66,16 @@
 // heads are the heads of responses to requests that have run, with what the server says of that.
 func heads() map[string]string {
 	all := map[string]string{
-		"no statement": "503 S\r\nRequest-Id: ID\r\n",
+		"not executed empty":     "503 S\r\nRequest-Id: ID\r\nNot-Executed:\r\n",
+		"not executed 0":         "503 S\r\nRequest-Id: ID\r\nNot-Executed: 0\r\n",
+		"not executed false":     "503 S\r\nRequest-Id: ID\r\nNot-Executed: False\r\n",
+		"not executed 1 and 0":   "503 S\r\nRequest-Id: ID\r\nNot-Executed: 1\r\nNot-Executed: 0\r\n",
+		"failure not executed":   "500 S\r\nRequest-Id: ID\r\nNot-Executed: 1\r\n",
+		"deadline not executed":  "504 S\r\nRequest-Id: ID\r\nNot-Executed: 1\r\n",
+		"not found not executed": "404 S\r\nRequest-Id: ID\r\nNot-Executed: 1\r\n",
+		"two ids":                "503 S\r\nRequest-Id: ID\r\nRequest-Id: another\r\nNot-Executed: 1\r\n",
+		"misdirected, two ids":   "421 S\r\nRequest-Id: ID\r\nRequest-Id: another\r\n",
+		"no statement":           "503 S\r\nRequest-Id: ID\r\n",
 	}
 	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
 		all[fmt.Sprintf("sealed %d", status)] = fmt.Sprintf("%d S\r\nRequest-Id: ID\r\nResponse-Seal: seal-of-s1\r\n", status)
