Use no connection on which a copy can't be told from the response

Callers of requests without an id, or with the id of an earlier request, could be told that a request had not run which a server was running, get another request's answer, or have it run at a second server too: a copy of an earlier response, written late on a connection that was in use again, passed for the response. An id tells responses apart only if no other request on the connection had the same, and each response without one seemed to answer a request without one.

Requests without an id get a new connection. If the server's connections are all open, an idle one makes room, which needs no wait for Prune.

Requests with ids of their own use the connections that they used before (TestNewConnection, TestReuse). Ruled out: a copy that arrives while the process stands still between the check for unread bytes and the write has another id and is skipped.

--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -54,8 +54,9 @@
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
-	// reused is set once the connection has carried a request.
+	// reused is set once the connection has carried a request, and ids are those of the last ones.
 	reused    bool
+	ids       recentIDs
 	closeOnce sync.Once
 }
 
@@ -140,6 +141,7 @@
 
 // roundTrip writes the request and reads the status line and header of its response.
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*http.Response, error) {
+	c.ids.add(r.ID)
 	stop := context.AfterFunc(ctx, func() { _ = c.netConn.Close() })
 	writer := &trackingWriter{Conn: c.netConn}
 	writeResult := make(chan error, 1)
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -130,6 +131,11 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// ID is the id that tells responses to the request from those to others, or empty if there is none. A
+	// connection that has lately carried a request with the same id isn't used.
+	ID string
+	// NewConnection is whether a connection is used that has carried no other request.
+	NewConnection bool
 	// MaxConns is the maximum number of open connections to the address; 0 means
 	// DefaultMaxConns.
 	MaxConns int
@@ -182,7 +188,10 @@
 
 // acquire returns an idle connection or establishes a new one.
 func (c *Client) acquire(ctx context.Context, r *Request) (*conn, error) {
-	if idle := c.takeIdle(r.Address); idle != nil {
+	if r.NewConnection {
+		return c.dial(ctx, r)
+	}
+	if idle := c.takeIdle(r); idle != nil {
 		c.reused.Add(1)
 		return idle, nil
 	}
@@ -191,7 +200,7 @@
 
 // dial establishes a connection.
 func (c *Client) dial(ctx context.Context, r *Request) (*conn, error) {
-	if !c.reserve(r) {
+	if !c.reserve(r) && (!c.closeIdle(r.Address) || !c.reserve(r)) {
 		return nil, &DialError{Address: r.Address, PoolExhausted: true}
 	}
 	dialer := net.Dialer{Timeout: c.dialTimeout, KeepAliveConfig: tcpKeepAlive, Control: setUserTimeout}
@@ -220,29 +229,38 @@
 	return errors.Wrap(err, "set TCP_USER_TIMEOUT")
 }
 
-// takeIdle removes the most recently used connection that is still usable from the
-// pool and returns it, or nil if there is none.
-func (c *Client) takeIdle(address netip.AddrPort) *conn {
+// takeIdle removes the most recently used connection that can carry the request from the pool and
+// returns it, or nil if there is none.
+func (c *Client) takeIdle(r *Request) *conn {
 	now := time.Now()
 	for {
-		c.mu.Lock()
-		p := c.pools[address]
-		if p == nil || len(p.idle) == 0 {
-			c.mu.Unlock()
-			return nil
+		idle := c.removeIdle(r, now)
+		if idle == nil || idle.usable() {
+			return idle
 		}
-		last := p.idle[len(p.idle)-1]
-		if now.Sub(last.idleSince) > min(c.idleTimeout, last.idleTimeout) {
-			c.mu.Unlock()
+		idle.close()
+	}
+}
+
+// removeIdle removes the most recently used connection that has not expired and has not carried the
+// request's id from the pool and returns it, or nil if there is none.
+func (c *Client) removeIdle(r *Request, now time.Time) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pools[r.Address]
+	if p == nil {
+		return nil
+	}
+	for i, conn := range slices.Backward(p.idle) {
+		if now.Sub(conn.idleSince) > min(c.idleTimeout, conn.idleTimeout) {
 			return nil
 		}
-		p.idle = p.idle[:len(p.idle)-1]
-		c.mu.Unlock()
-		if last.usable() {
-			return last
+		if !conn.ids.contains(r.ID) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return conn
 		}
-		last.close()
 	}
+	return nil
 }
 
 // reserve counts a new connection against the limit of its address. It returns false
@@ -266,6 +284,22 @@
 	return true
 }
 
+// closeIdle closes the idle connection to the address that was used least recently, and reports whether there
+// was one.
+func (c *Client) closeIdle(address netip.AddrPort) bool {
+	c.mu.Lock()
+	p := c.pools[address]
+	if p == nil || len(p.idle) == 0 {
+		c.mu.Unlock()
+		return false
+	}
+	oldest := p.idle[0]
+	p.idle = slices.Delete(p.idle, 0, 1)
+	c.mu.Unlock()
+	oldest.close()
+	return true
+}
+
 // release undoes reserve for a connection that was closed or never established.
 func (c *Client) release(address netip.AddrPort) {
 	c.mu.Lock()
--- a/modules/exchange/exchange_test.go
+++ b/modules/exchange/exchange_test.go
@@ -114,6 +114,41 @@
 	}
 }
 
+// TestNewConnection checks which requests get a connection of their own, also if idle ones take all that the
+// server allows.
+func TestNewConnection(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(n int, r *exchange.Request)
+		dialed int64
+	}{
+		{"different ids", func(n int, r *exchange.Request) { r.ID = strconv.Itoa(n) }, 1},
+		{"the same id", func(_ int, r *exchange.Request) { r.ID = "1" }, 4},
+		{"an id of two requests before", func(n int, r *exchange.Request) { r.ID = strconv.Itoa(n % 2) }, 2},
+		{"no id", func(_ int, _ *exchange.Request) {}, 1},
+		{"new connections", func(_ int, r *exchange.Request) { r.NewConnection = true }, 4},
+	} {
+		for _, maxConns := range []int{1, 2} {
+			t.Run(tt.name+" "+strconv.Itoa(maxConns), func(t *testing.T) {
+				s := newScriptedServer(t, echo)
+				c := exchange.New()
+				defer func() { _ = c.Close() }()
+				for n := range 4 {
+					r := s.request("x")
+					r.MaxConns = maxConns
+					tt.change(n, r)
+					if body, err := call(c, r); err != nil || body != "to x" {
+						t.Fatalf("request %d: got %q and %v", n, body, err)
+					}
+				}
+				if got := c.Dialed(); got < tt.dialed || maxConns > 1 && got != tt.dialed {
+					t.Errorf("%d connections established, want %d", got, tt.dialed)
+				}
+			})
+		}
+	}
+}
+
 // TestUnsolicitedResponse checks that a connection on which an unsolicited response
 // arrived before the next request is closed and not reused.
 func TestUnsolicitedResponse(t *testing.T) {
--- a/services/relay/response_test.go
+++ b/services/relay/response_test.go
@@ -60,6 +60,44 @@
 	}
 }
 
+// TestRefusalWrittenAgainForTheSameID guards against the same for requests whose earlier responses can't be told
+// from theirs: without an id, or with the id of an earlier request.
+func TestRefusalWrittenAgainForTheSameID(t *testing.T) {
+	for _, repetition := range site.Repetitions() {
+		for _, path := range []string{"/once/a", "/lookup/a"} {
+			for _, id := range []string{"", "r1"} {
+				t.Run(repetition.Name+path+"/"+id, func(t *testing.T) { testRepetitionForTheSameID(t, repetition, path, id) })
+			}
+		}
+	}
+}
+
+func testRepetitionForTheSameID(t *testing.T, repetition site.Repetition, path, id string) {
+	t.Helper()
+	repeating, err := site.NewRepeatingServer("s1", repetition)
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := site.NewServer("s2", 0)
+	t.Cleanup(func() { _ = repeating.Close() })
+	env := newTestEnv(t, nil, other)
+	env.catalog.balancers["plain"].SetServers([]roster.Server{
+		{ID: "s1", Address: repeating.Address(), Slots: 8, FailureDomain: "near"},
+		{ID: "s2", Address: other.Address(), Slots: 8, FailureDomain: "far"},
+	}, 0)
+	for n := range 4 {
+		before := repeating.ExecutionCount(id) + other.ExecutionCount(id)
+		resp, err := env.send(t.Context(), path, "Request-Id", id)
+		ran := repeating.ExecutionCount(id) + other.ExecutionCount(id) - before
+		if e, refused := refusal.As(err); refused && e.Outcome == refusal.NotRun && ran > 0 || path == "/once/a" && ran > 1 {
+			t.Errorf("request %d ran %d times, and its caller was told %v", n, ran, err)
+		}
+		if seal := resp.Header().Get("Response-Seal"); err == nil && resp.Body.String() != "answer of "+strings.TrimPrefix(seal, "seal-of-") {
+			t.Errorf("request %d got status %d and %q with %s", n, resp.Code, resp.Body.String(), seal)
+		}
+	}
+}
+
 // TestServerNotices checks that what a server says of itself is taken from each kind of
 // response as soon as its head has arrived, and from no response of another.
 func TestServerNotices(t *testing.T) {
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -79,6 +79,9 @@
 			Server: choice.Server.ID, TimeLeft: time.Until(j.deadline), Workspace: j.workspace.Name,
 			Priority: j.priority(), LastEventID: lastEvent,
 		}),
+		// On a connection that has carried others, a copy of an earlier response could be taken for the
+		// response to a request without an id.
+		ID: r.ID, NewConnection: r.ID == "",
 		MaxConns:  j.maxConns(),
 		IsForeign: func(h http.Header, reused bool) bool { return j.service.codec.OriginOf(r, h).Skippable(reused) },
 	}
