--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -88,10 +88,14 @@
 
 // notRun means that the server has not run the request and never will.
 type notRun struct {
-	reason refusal.Reason
-	// unsent is whether nothing of the request reached the server, and err why not.
-	unsent bool
-	err    error
+	reason   refusal.Reason
+	evidence call.Evidence
+	// err is why nothing of the request reached the server, or nil.
+	err error
+	// status is the status of the server's response, and reused whether its connection had carried other
+	// requests. They are set if there is a response.
+	status int
+	reused bool
 }
 
 // unknownOutcome means that the request may have run, but the response is missing
@@ -105,8 +109,12 @@
 // complete.
 type endUnproven struct{}
 
-// serverError means that the server responded with an error that was not passed on.
-type serverError struct{ resp *bufferedResponse }
+// serverError means that the server responded with a status that was not passed on. resp is the response if
+// it may be passed on later, or nil.
+type serverError struct {
+	status int
+	resp   *bufferedResponse
+}
 
 // callerDisconnected means that the response could not be written to the caller.
 type callerDisconnected struct{ err error }
@@ -147,7 +155,9 @@
 			return errors.WithStack(&AbortedError{Reason: abortReason(ctx)})
 		case serverError:
 			j.possibleRuns++
-			fallback = result.resp
+			if result.resp != nil {
+				fallback = result.resp
+			}
 			j.lastRefusal = unknownRefusal(refusal.ServerFailed)
 		case unknownOutcome:
 			j.possibleRuns++
@@ -156,7 +166,7 @@
 			j.possibleRuns++
 			j.lastRefusal = unknownRefusal(refusal.OutcomeUnknown)
 		case notRun:
-			if result.unsent {
+			if result.evidence.Unsent() {
 				j.recordUnsent()
 			}
 			if j.possibleRuns == 0 {
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -54,7 +54,7 @@
 		result = j.classifyError(err)
 	} else {
 		j.recordNotice(choice.Server, resp, start)
-		prompt.openedAt = exchange.OpenedAt(resp)
+		prompt.openedAt, prompt.reused = exchange.OpenedAt(resp), exchange.Reused(resp)
 		resp.Body = prompt.watch(resp.Body)
 		result = j.handleResponse(ctx, w, resp, prompt)
 		_ = resp.Body.Close()
@@ -79,6 +79,9 @@
 			Server: choice.Server.ID, TimeLeft: time.Until(j.deadline), Workspace: j.workspace.Name,
 			Priority: j.priority(), LastEventID: lastEvent,
 		}),
+		// On a connection that has carried others, a copy of an earlier response could be taken for the
+		// response to a request without an id.
+		ID: r.ID, NewConnection: r.ID == "",
 		MaxConns:  j.maxConns(),
 		IsForeign: func(h http.Header, reused bool) bool { return j.service.codec.OriginOf(r, h).Skippable(reused) },
 	}
@@ -89,13 +92,13 @@
 	var dial *exchange.DialError
 	if errors.As(err, &dial) {
 		if dial.PoolExhausted {
-			return notRun{reason: refusal.QueueFull, unsent: true, err: err}
+			return notRun{reason: refusal.QueueFull, evidence: call.NotConnected, err: err}
 		}
-		return notRun{reason: refusal.ServerFailed, unsent: true, err: err}
+		return notRun{reason: refusal.ServerFailed, evidence: call.NotConnected, err: err}
 	}
 	var noResponse *exchange.NoResponseError
 	if errors.As(err, &noResponse) && !noResponse.Written {
-		return notRun{reason: refusal.ServerFailed, unsent: true, err: err}
+		return notRun{reason: refusal.ServerFailed, evidence: call.NothingWritten, err: err}
 	}
 	return unknownOutcome{reason: refusal.ServerFailed, err: err}
 }
@@ -106,11 +109,11 @@
 	switch class := j.service.codec.ClassifyResponse(j.request, resp); class {
 	case call.NotRun:
 		drainBody(resp)
-		return notRun{reason: refusal.QueueFull}
+		return notRun{reason: refusal.QueueFull, evidence: call.ServerStatement, status: resp.StatusCode, reused: prompt.reused}
 	case call.Misdirected:
 		drainBody(resp)
-		return notRun{reason: refusal.WrongIncarnation}
-	case call.Succeeded, call.Failed:
+		return notRun{reason: refusal.WrongIncarnation, evidence: call.ServerMisdirected, status: resp.StatusCode, reused: prompt.reused}
+	case call.Succeeded, call.Failed, call.FailedAsRefused:
 		return j.relayResponse(ctx, w, resp, class, prompt)
 	default:
 		return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("status %d proves nothing: the response is %s, without a signature or without the request's id", resp.StatusCode, class)}
@@ -154,15 +157,17 @@
 }
 
 // relayResponse passes on a signed response, unless it can't follow what the caller has
-// received.
+// received, or says more than the server has stated.
 func (j *job) relayResponse(ctx context.Context, w http.ResponseWriter, resp *http.Response, class call.ResponseClass, prompt *promptTracker) sendResult {
 	events := isEventStream(resp)
 	switch {
 	case !j.Accepts(class, events):
 		// Its body isn't awaited, so that another server can continue at once.
-		j.log.Info("response does not continue the stream", "server", j.server, "status", resp.StatusCode, "class", class,
-			"contentType", resp.Header.Get("Content-Type"), "lastEvent", j.LastEventID)
-		return serverError{resp: &bufferedResponse{status: resp.StatusCode}}
+		if j.Begun {
+			j.log.Info("response does not continue the stream", "server", j.server, "status", resp.StatusCode, "class", class,
+				"contentType", resp.Header.Get("Content-Type"), "lastEvent", j.LastEventID)
+		}
+		return serverError{status: resp.StatusCode}
 	case class == call.Failed:
 		return j.relayServerError(w, resp)
 	case events:
@@ -244,7 +249,7 @@
 		j.possibleRuns++
 		return responseRelayed{}
 	}
-	return serverError{resp: buffered}
+	return serverError{status: resp.StatusCode, resp: buffered}
 }
 
 // writeResponse writes a complete response to the caller.
@@ -322,10 +327,13 @@
 	}
 	switch result := result.(type) {
 	case notRun:
-		if result.err != nil {
+		pairs = append(pairs, "reason", result.reason, "evidence", result.evidence)
+		if result.evidence.Unsent() {
 			pairs = append(pairs, "error", result.err)
+		} else {
+			pairs = append(pairs, "status", result.status, "reused", result.reused)
 		}
-		j.log.Info("send not run", append(pairs, "reason", result.reason)...)
+		j.log.Info("send not run", pairs...)
 	case unknownOutcome:
 		j.log.Info("send outcome unknown", append(pairs, "workspace", j.workspace.Name, "segments", j.segments, "fingerprint", j.fingerprint,
 			"first", j.timeToFirstEvent.Round(time.Millisecond), "reason", result.reason, "error", result.err)...)
@@ -334,7 +342,7 @@
 	case callerDisconnected:
 		j.log.Info("caller disconnected", append(pairs, "error", result.err)...)
 	case serverError:
-		j.log.Info("send failed", append(pairs, "status", result.resp.status)...)
+		j.log.Info("send failed", append(pairs, "status", result.status)...)
 	}
 }
 
