Count and log why a send was given up

The logs of the incident could not have told when a server's connection was closed after a stream was given up, nor why: "send outcome unknown" has the error of the read, which is that of the closed connection.

The lines of such sends, which are written once the connection is closed, now name the cause in abandoned: the caller left, silence, the connection, or the reason of the refusal (deadlineExpired, shuttingDown). crocusline_sends_abandoned_total counts them. No line is added. No logic is changed; tests of services/relay and docs pass.

--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -62,7 +62,7 @@
 	j.reservation = prompt.silence.stop()
 	j.reportToBalancer(ctx, id, prompt, result)
 	j.reportToQuarantine(ctx, choice.Server, prompt, result)
-	j.logSend(choice, sends, time.Since(start), result)
+	j.logSend(choice, sends, time.Since(start), result, abandonCause(ctx, result))
 	return result
 }
 
@@ -314,8 +314,12 @@
 	}
 }
 
-// logSend logs a send without a response for the caller.
-func (j *job) logSend(choice balance.Choice, sends int, elapsed time.Duration, result sendResult) {
+// logSend logs a send without a response for the caller, and counts those that were given up for the cause. Their
+// connections are closed by now.
+func (j *job) logSend(choice balance.Choice, sends int, elapsed time.Duration, result sendResult, abandoned string) {
+	if abandoned != "" {
+		j.service.metrics.Counter(sendsAbandoned + `{cause="` + abandoned + `"}`).Inc()
+	}
 	pairs := []any{
 		"server", choice.Server.ID, "version", choice.Server.Version, "send", sends, "took", elapsed.Round(time.Millisecond),
 		"predicted", choice.PredictedLatency.Round(time.Millisecond), "trial", choice.Trial, "events", j.Events,
@@ -328,11 +332,11 @@
 		j.log.Info("send not run", append(pairs, "reason", result.reason)...)
 	case unknownOutcome:
 		j.log.Info("send outcome unknown", append(pairs, "workspace", j.workspace.Name, "segments", j.segments, "fingerprint", j.fingerprint,
-			"first", j.timeToFirstEvent.Round(time.Millisecond), "reason", result.reason, "error", result.err)...)
+			"first", j.timeToFirstEvent.Round(time.Millisecond), "reason", result.reason, "abandoned", abandoned, "error", result.err)...)
 	case endUnproven:
 		j.log.Info("end of stream not proven", append(pairs, "lastEvent", j.LastEventID, "tokens", j.tokensOf(j.Events), "outputTokens", j.request.OutputTokens)...)
 	case callerDisconnected:
-		j.log.Info("caller disconnected", append(pairs, "error", result.err)...)
+		j.log.Info("caller disconnected", append(pairs, "abandoned", abandoned, "error", result.err)...)
 	case serverError:
 		j.log.Info("send failed", append(pairs, "status", result.resp.status)...)
 	}
