Reset connections that are closed behind a body the server has not read

A server that has not read a long body doesn't learn that the gateway gave the request up and sent it elsewhere: the orderly close waits behind the bytes that its receive window doesn't take.

Bodies up to 100 KiB fit into the window of loopback.

The connection is reset only if a request is under way and its bytes are still written or not acknowledged (SIOCOUTQ). Other closes stay orderly, since the kernel repeats those that are lost. A complete response is closed in order too, so that a server that answered early may read on. Ruled out: a send that begins before the connection of the one before is closed; all paths of conn.roundTrip, body.Close and send close first.

--- /dev/null
+++ b/modules/exchange/abandon_test.go
@@ -0,0 +1,91 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/crocusline/crocusline/modules/exchange"
+)
+
+// noticeTimeout is shorter than the TCP user timeout, after which the kernel closes a connection whose
+// bytes are not acknowledged.
+const noticeTimeout = exchange.DefaultUserTimeout * 2 / 3
+
+// TestServerWorksOnAbandonedLongBody guards against servers that learn of the end of a request only once they have
+// read its long body.
+func TestServerWorksOnAbandonedLongBody(t *testing.T) {
+	for _, size := range []int{1 << 10, 100 << 10, 256 << 10, 1 << 20, longBodySize} {
+		for _, early := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d bytes, answers early %t", size, early), func(t *testing.T) {
+				t.Parallel()
+				began, noticed := make(chan struct{}), make(chan bool, 1)
+				s := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+					if _, err := http.ReadRequest(requests); err != nil {
+						return
+					}
+					if early {
+						_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+					}
+					// The client fills the receive window meanwhile.
+					time.Sleep(100 * time.Millisecond)
+					close(began)
+					noticed <- awaitHangup(t, conn, noticeTimeout)
+				})
+				c := exchange.New()
+				defer func() { _ = c.Close() }()
+				r := s.request("1")
+				r.Body = make([]byte, size)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if early {
+					resp, err := c.Do(ctx, r)
+					if err != nil {
+						t.Fatal(err)
+					}
+					<-began
+					_ = resp.Body.Close()
+				} else {
+					go func() {
+						<-began
+						cancel()
+					}()
+					if resp, err := c.Do(ctx, r); err == nil {
+						_ = resp.Body.Close()
+						t.Error("got a response")
+					}
+				}
+				if !<-noticed {
+					t.Errorf("the server did not learn within %v that the client closed the connection", noticeTimeout)
+				}
+			})
+		}
+	}
+}
+
+// awaitHangup reports whether the peer closes or resets the connection within the timeout, without reading from it.
+func awaitHangup(t *testing.T, conn net.Conn, timeout time.Duration) bool {
+	t.Helper()
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return false
+	}
+	var polled int
+	var pollErr error
+	err = raw.Control(func(fd uintptr) {
+		polled, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}, int(timeout.Milliseconds()))
+	})
+	if err != nil || pollErr != nil {
+		t.Errorf("poll: %v, %v", err, pollErr)
+	}
+	return polled > 0
+}
--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -11,10 +11,12 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -55,7 +57,9 @@
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
 	// reused is set once the connection has carried a request.
-	reused    bool
+	reused bool
+	// writing is set while a request is written.
+	writing   atomic.Bool
 	closeOnce sync.Once
 }
 
@@ -102,6 +106,34 @@
 	})
 }
 
+// abandon closes the connection while it carries a request.
+func (c *conn) abandon() {
+	c.hangUp()
+	c.close()
+}
+
+// hangUp closes the socket while it carries a request. An orderly close waits behind bytes that the server has not
+// read, which is why it resets the connection then. A reset that is lost isn't repeated, so that it is used only then.
+func (c *conn) hangUp() {
+	if tcp, ok := c.netConn.(*net.TCPConn); ok && (c.writing.Load() || hasUnacknowledged(tcp)) {
+		// If this fails, the close is orderly.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.netConn.Close()
+}
+
+// hasUnacknowledged reports whether the peer's system may lack bytes that were written.
+func hasUnacknowledged(tcp *net.TCPConn) bool {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var queued int
+	var ioctlErr error
+	err = raw.Control(func(fd uintptr) { queued, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err != nil || ioctlErr != nil || queued > 0
+}
+
 // usable reports whether the connection is still open and no unsolicited bytes have
 // arrived on it.
 func (c *conn) usable() bool {
@@ -140,24 +172,29 @@
 
 // roundTrip writes the request and reads the status line and header of its response.
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*http.Response, error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.netConn.Close() })
+	stop := context.AfterFunc(ctx, c.hangUp)
 	writer := &trackingWriter{Conn: c.netConn}
 	writeResult := make(chan error, 1)
+	write := func() error {
+		defer c.writing.Store(false)
+		return writeRequest(writer, r)
+	}
+	c.writing.Store(true)
 	if len(r.Body) > maxInlineBody {
-		go func() { writeResult <- writeRequest(writer, r) }()
+		go func() { writeResult <- write() }()
 	} else {
-		err := writeRequest(writer, r)
+		err := write()
 		writeResult <- err
 		if err != nil {
 			stop()
-			c.close()
+			c.abandon()
 			return nil, &NoResponseError{Address: c.address, Written: writer.written, Reused: c.reused, Err: contextCauseOr(ctx, err)}
 		}
 	}
 	resp, err := c.readResponse(r)
 	if err != nil {
 		stop()
-		c.close()
+		c.abandon()
 		// Part of a body that is written concurrently may already have been sent.
 		written := len(r.Body) > maxInlineBody || writer.written
 		return nil, &NoResponseError{Address: c.address, Written: written, Reused: c.reused, Err: contextCauseOr(ctx, err)}
@@ -290,7 +327,11 @@
 		b.conn.client.putIdle(b.conn)
 		return nil
 	}
-	b.conn.close()
+	if b.complete {
+		b.conn.close()
+		return nil
+	}
+	b.conn.abandon()
 	return nil
 }
 
