Send no request whose context has ended

A request whose caller had left, or whose deadline was over, was still written to a server over a kept connection, which was closed just after: the end of the context only closes connections, and nothing asked for it between the choice of the server and the write. A process that waits for the processor there is late by as much.

TestEndedRequestSent: the server received 50 of 50 requests whose context had ended before; now none. Such a request counts as not written, and its connection is kept. The balancer no longer takes the end of a request for a server that can't be reached (not run, with a context that has ended), as it doesn't for unknown outcomes.

--- a/modules/exchange/abandon_test.go
+++ b/modules/exchange/abandon_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/crocusline/crocusline/modules/exchange"
@@ -89,3 +90,47 @@
 	}
 	return polled > 0
 }
+
+// TestEndedRequestSent guards against requests that are sent after their end.
+func TestEndedRequestSent(t *testing.T) {
+	received := make(chan struct{}, 1000)
+	s := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+		for {
+			r, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if r.Header.Get("Ended") != "" {
+				received <- struct{}{}
+			}
+			_, _ = io.WriteString(conn, response("1", "answer"))
+		}
+	})
+	c := exchange.New()
+	defer func() { _ = c.Close() }()
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 50 {
+		if _, err := call(c, s.request("1")); err != nil {
+			t.Fatal(err)
+		}
+		r := s.request("1")
+		r.Header.Set("Ended", "1")
+		resp, err := c.Do(ended, r)
+		var failed *exchange.NoResponseError
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		if !errors.As(err, &failed) || failed.Written || !errors.Is(err, context.Canceled) {
+			t.Errorf("got %v, want that nothing was written", err)
+		}
+	}
+	// The connection is still usable.
+	if _, err := call(c, s.request("1")); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(received); n > 0 {
+		t.Errorf("the server received %d requests after their end", n)
+	}
+}
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -140,13 +140,17 @@
 }
 
 // Do sends the request once and returns the response as soon as its header is read.
-// The end of the context closes the connection, also while the body is read. The
-// caller must close the body.
+// The end of the context closes the connection, also while the body is read. A request
+// whose context has ended isn't sent. The caller must close the body.
 func (c *Client) Do(ctx context.Context, r *Request) (*http.Response, error) {
 	conn, err := c.acquire(ctx, r)
 	if err != nil {
 		return nil, err
 	}
+	if ctx.Err() != nil {
+		c.putIdle(conn)
+		return nil, &NoResponseError{Address: r.Address, Reused: conn.reused, Err: errors.WithStack(context.Cause(ctx))}
+	}
 	return conn.roundTrip(ctx, r)
 }
 
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -282,7 +282,7 @@
 		case serverError:
 			b.RecordFailure(id)
 		case notRun:
-			if result.reason != refusal.QueueFull {
+			if result.reason != refusal.QueueFull && !cancelled {
 				b.RecordUnreachable(now, id)
 			}
 		case unknownOutcome:
