Log what confirmed the server that continues a stream

Hypotheses 4 and 5 of the incident can't be told apart in the logs: they say neither on which evidence a server counted as the listed start, nor after which event it went on. roster.Confirmed now returns that evidence, none, list or report, and each continuation is logged with it, with both versions and with the age of the connection. Decisions are as before; the cases of TestConfirmed now name the evidence.

--- a/models/roster/start_test.go
+++ b/models/roster/start_test.go
@@ -24,17 +24,17 @@
 		// askedAt is when the server named its start, if answer isn't 0.
 		askedAt float64
 		answer  int64
-		want    bool
+		want    roster.Evidence
 	}{
-		{"opened long before the list", s, s, 0, 5, 0, 0, true},
-		{"opened just before the list", s, s, 4, 5, 0, 0, false},
-		{"opened while the list can't be read", s, s, 20, 5, 0, 0, false},
-		{"asked after it was opened", s, s, 20, 5, 21, 17, true},
-		{"asked before it was opened", s, s, 20, 5, 19, 17, false},
-		{"another start answers", s, s, 20, 5, 21, 18, false},
-		{"no start is known", s, s, 20, 5, 21, 0, false},
-		{"listed again", later, s, 0, 5, 0, 0, false},
-		{"no start is listed", unknown, unknown, 0, 5, 0, 0, false},
+		{"opened long before the list", s, s, 0, 5, 0, 0, roster.ListEvidence},
+		{"opened just before the list", s, s, 4, 5, 0, 0, roster.NoEvidence},
+		{"opened while the list can't be read", s, s, 20, 5, 0, 0, roster.NoEvidence},
+		{"asked after it was opened", s, s, 20, 5, 21, 17, roster.ReportEvidence},
+		{"asked before it was opened", s, s, 20, 5, 19, 17, roster.NoEvidence},
+		{"another start answers", s, s, 20, 5, 21, 18, roster.NoEvidence},
+		{"no start is known", s, s, 20, 5, 21, 0, roster.NoEvidence},
+		{"listed again", later, s, 0, 5, 0, 0, roster.NoEvidence},
+		{"no start is listed", unknown, unknown, 0, 5, 0, 0, roster.NoEvidence},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -46,11 +46,11 @@
 			// A heartbeat of the same start changes nothing.
 			r.Put(tt.listed, at(tt.askedAt))
 			if got := r.Confirmed(tt.chosen, at(tt.openedAt), at(tt.listAt)); got != tt.want {
-				t.Errorf("confirmed %t, want %t", got, tt.want)
+				t.Errorf("evidence %s, want %s", got, tt.want)
 			}
 		})
 	}
-	if roster.New().Confirmed(s, at(0), at(5)) {
+	if roster.New().Confirmed(s, at(0), at(5)) != roster.NoEvidence {
 		t.Error("a server that isn't listed is confirmed")
 	}
 }
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -224,9 +224,9 @@
 	return drains || news
 }
 
-// Confirmed reports whether the process behind a connection that was opened at the given time is the listed start
-// of the server.
-func (s *Service) Confirmed(server roster.Server, openedAt time.Time) bool {
+// Confirmed returns what shows that the process behind a connection that was opened at the given time is the listed
+// start of the server.
+func (s *Service) Confirmed(server roster.Server, openedAt time.Time) roster.Evidence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.roster.Confirmed(server, openedAt, time.Now().Add(-s.servers.Age()))
--- a/services/relay/origin.go
+++ b/services/relay/origin.go
@@ -10,6 +10,7 @@
 	"github.com/crocusline/crocusline/models/balance"
 	"github.com/crocusline/crocusline/models/lineage"
 	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/roster"
 	"github.com/crocusline/crocusline/models/route"
 	lineages "github.com/crocusline/crocusline/services/lineage"
 )
@@ -66,8 +67,10 @@
 		return nil
 	}
 	prompt.originChecked = true
-	err := j.confirmServer(ctx, prompt)
+	evidence, err := j.confirmServer(ctx, prompt)
 	if j.origin.Known() {
+		j.log.Info("stream continues", "server", j.server, "version", j.version, "began", j.origin.Version, "evidence", evidence,
+			"connectionAge", time.Since(prompt.openedAt).Round(time.Millisecond), "lastEvent", j.lastEvent(), "error", err)
 		return err
 	}
 	if err != nil {
@@ -81,23 +84,23 @@
 	return nil
 }
 
-// confirmServer returns an error if the server that responds isn't known to be the start of it that is
-// listed. It is asked if the list can't show that yet.
-func (j *job) confirmServer(ctx context.Context, prompt *promptTracker) error {
+// confirmServer returns what shows that the server that responds is the start of it that is listed, or an
+// error. The server is asked if nothing shows that yet.
+func (j *job) confirmServer(ctx context.Context, prompt *promptTracker) (roster.Evidence, error) {
 	catalog := j.service.catalog
-	if catalog.Confirmed(prompt.server, prompt.openedAt) {
-		return nil
+	if evidence := catalog.Confirmed(prompt.server, prompt.openedAt); evidence != roster.NoEvidence {
+		return evidence, nil
 	}
 	askedAt := time.Now()
 	started, err := j.service.reports.Started(ctx, prompt.server, j.maxConns())
 	j.service.metrics.Counter(serverStartsAsked).Inc()
 	if err != nil {
-		return err
+		return roster.NoEvidence, err
 	}
 	if !catalog.RecordStart(prompt.server, askedAt, started) {
-		return errors.Errorf("server %s started at %d, and is listed with %d", prompt.server.ID, started, prompt.server.Started)
+		return roster.NoEvidence, errors.Errorf("server %s started at %d, and is listed with %d", prompt.server.ID, started, prompt.server.Started)
 	}
-	return nil
+	return roster.ReportEvidence, nil
 }
 
 // serverStartsAsked counts the calls that ask servers when they started.
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -58,9 +58,9 @@
 	WithBalancer(pool string, f func(*balance.Balancer))
 	// RecordNotice records what a server announces about itself, and reports whether that was new.
 	RecordNotice(s roster.Server, r notice.Response) bool
-	// Confirmed reports whether the process behind a connection that was opened at the given time is the listed
-	// start of the server.
-	Confirmed(s roster.Server, openedAt time.Time) bool
+	// Confirmed returns what shows that the process behind a connection that was opened at the given time is the
+	// listed start of the server.
+	Confirmed(s roster.Server, openedAt time.Time) roster.Evidence
 	// RecordStart records the start that a server named when it was asked, and reports whether it is that of the server as
 	// it was chosen.
 	RecordStart(s roster.Server, askedAt time.Time, started int64) bool
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -58,7 +58,12 @@
 }
 
 // Confirmed implements relay.Catalog. All connections are those of the listed starts, unless restarted is set.
-func (c *fakeCatalog) Confirmed(roster.Server, time.Time) bool { return !c.restarted }
+func (c *fakeCatalog) Confirmed(roster.Server, time.Time) roster.Evidence {
+	if c.restarted {
+		return roster.NoEvidence
+	}
+	return roster.ListEvidence
+}
 
 // RecordStart implements relay.Catalog.
 func (*fakeCatalog) RecordStart(s roster.Server, _ time.Time, started int64) bool {
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -69,21 +69,25 @@
 // buildRequest returns the request to send to the server.
 func (j *job) buildRequest(choice balance.Choice) *exchange.Request {
 	r := j.request
-	lastEvent := r.LastEventID
-	if j.Begun {
-		lastEvent = j.LastEventID
-	}
 	return &exchange.Request{
 		Address: choice.Server.Address, Method: r.Method, Target: r.Target, Host: r.Host, Body: r.Body,
 		Header: j.service.codec.Encode(r, call.DispatchParams{
 			Server: choice.Server.ID, TimeLeft: time.Until(j.deadline), Workspace: j.workspace.Name,
-			Priority: j.priority(), LastEventID: lastEvent,
+			Priority: j.priority(), LastEventID: j.lastEvent(),
 		}),
 		MaxConns:  j.maxConns(),
 		IsForeign: func(h http.Header, reused bool) bool { return j.service.codec.OriginOf(r, h).Skippable(reused) },
 	}
 }
 
+// lastEvent returns the id of the last event that the caller has received, or "" if there is none.
+func (j *job) lastEvent() string {
+	if j.Begun {
+		return j.LastEventID
+	}
+	return j.request.LastEventID
+}
+
 // classifyError returns the result of a send without a response.
 func (j *job) classifyError(err error) sendResult {
 	var dial *exchange.DialError
