Take the list for evidence of a server's start only if it can show it

Callers saw streams with events of two versions. A server that starts again under its id as another version counted as the listed start on every connection that was opened 2 s before the list was last current, by the assumption that it registers within 2 s. It can't during an outage, or cut off from the store; an entry that expired in the outage was kept and confirmed it too; and a process that stood still took a response of seconds ago for the present list.

So the list shows that a start was heard from after a connection was opened only if the entry is still there three heartbeats and a margin for late writes later, and if the list was available all the while. This gateway's own reads show that: none failed, and they began at most 2 s apart; a read counts from its beginning, so that what a process reads late proves less and not more. What was shown before an outage stays shown. An expired entry shows nothing new, and an entry that goes back to an earlier start of its server shows nothing at all. Everything else is asked of the server.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -125,7 +125,7 @@
 	g.client = exchange.New()
 	g.catalog = catalog.New(logger, g.store, platform.Codec{},
 		catalog.WithInstance(s.Instance), catalog.WithFailureDomain(s.FailureDomain), catalog.WithPeers(g.peers),
-		catalog.WithBounds(s.Parameters.TableBound, s.Parameters.DrainBound))
+		catalog.WithBounds(s.Parameters.TableBound, s.Parameters.DrainBound), catalog.WithHeartbeat(s.Heartbeat))
 	g.directory = directory.New(logger, g.store, platform.Codec{}.GatewaysTopic(), s.Instance, s.Capacity,
 		directory.WithStart(prepaid.ClockReading(logger)), directory.WithAddress(s.Listen.Peers, s.FailureDomain),
 		directory.WithRemoveTimeout(g.stopPlan().RemoveFor))
--- a/models/roster/roster.go
+++ b/models/roster/roster.go
@@ -49,6 +49,10 @@
 	// confirmedAt is when the server was asked last and confirmed that it is the listed start, or the
 	// zero value.
 	confirmedAt time.Time
+	// heardAt is a time after which an expired server was heard from.
+	heardAt time.Time
+	// regressed is whether the list had a later start of the server before.
+	regressed bool
 }
 
 // departure records that a server drains or was removed from the list.
@@ -78,11 +82,21 @@
 	departures      map[string]departure
 	listUnavailable bool
 	availableSince  time.Time
+	heartbeat       time.Duration
+	// readAt is when the last read began, and readsSince when the first one did of those through which
+	// the list was available all the while.
+	readAt, readsSince time.Time
+	// heardAt is a time after which all listed servers that haven't expired were heard from.
+	heardAt time.Time
 }
 
 // New returns an empty roster.
-func New() *Roster {
-	return &Roster{servers: map[string]listedServer{}, departures: map[string]departure{}}
+func New(opts ...Option) *Roster {
+	r := &Roster{servers: map[string]listedServer{}, departures: map[string]departure{}, heartbeat: DefaultHeartbeat}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
 }
 
 // Put adds or replaces a server.
@@ -97,8 +111,11 @@
 		delete(r.departures, s.ID)
 	}
 	listed := listedServer{Server: s}
-	if before, exists := r.servers[s.ID]; exists && before.Started == s.Started {
-		listed.confirmedAt = before.confirmedAt
+	if before, exists := r.servers[s.ID]; exists {
+		listed.regressed = s.Started < before.Started || (before.regressed && s.Started == before.Started)
+		if before.Started == s.Started {
+			listed.confirmedAt = before.confirmedAt
+		}
 	}
 	r.servers[s.ID] = listed
 }
@@ -135,7 +152,10 @@
 }
 
 // ListUnavailable records that the list can't be read.
-func (r *Roster) ListUnavailable() { r.listUnavailable = true }
+func (r *Roster) ListUnavailable() {
+	r.listUnavailable = true
+	r.ResetReads()
+}
 
 // ListAvailable records that the list can be read.
 func (r *Roster) ListAvailable(now time.Time) {
@@ -156,7 +176,9 @@
 		r.removeDeparted(s.Server, now)
 		return
 	}
-	s.expired = true
+	if !s.expired {
+		s.expired, s.heardAt = true, r.heardAt
+	}
 	r.servers[id] = s
 }
 
--- a/models/roster/start.go
+++ b/models/roster/start.go
@@ -2,8 +2,47 @@
 
 import "time"
 
-// registrationTime is how long after its start a server is listed at the latest.
-const registrationTime = 2 * time.Second
+const (
+	// DefaultHeartbeat is the time between two heartbeats of a server.
+	DefaultHeartbeat = 1200 * time.Millisecond
+	// expiryHeartbeats is the number of heartbeats without which the list removes a server.
+	expiryHeartbeats = 3
+	// registrationMargin covers heartbeats that the list executes late, and entries that it removes late.
+	registrationMargin = 2 * time.Second
+	// maxReadInterval is the longest time between the beginnings of two reads after which the list counts
+	// as available all the while. A longer one may hide an outage.
+	maxReadInterval = 2 * time.Second
+)
+
+// Option changes a Roster at construction.
+type Option func(*Roster)
+
+// WithHeartbeat sets the time between two heartbeats of a server.
+func WithHeartbeat(d time.Duration) Option {
+	return func(r *Roster) {
+		if d > 0 {
+			r.heartbeat = d
+		}
+	}
+}
+
+// RecordRead records that a read of the list that began at the time succeeded, after its changes were
+// applied. Servers that were silent for long have left a list that has been available since then, so
+// that it shows which ones are still heard from. What a process reads late is as old as the beginning
+// of the read.
+func (r *Roster) RecordRead(beganAt time.Time) {
+	if r.readsSince.IsZero() || beganAt.Sub(r.readAt) > maxReadInterval {
+		r.readsSince = beganAt
+	}
+	r.readAt = beganAt
+	heardAt := beganAt.Add(-expiryHeartbeats*r.heartbeat - registrationMargin)
+	if !heardAt.Before(r.readsSince) && heardAt.After(r.heardAt) {
+		r.heardAt = heardAt
+	}
+}
+
+// ResetReads records that earlier reads say nothing about what the list has from now on.
+func (r *Roster) ResetReads() { r.readsSince = time.Time{} }
 
 // RecordStart records that the server, asked at the given time, named its start. It reports whether that
 // is the start of the server as it was chosen.
@@ -33,20 +72,28 @@
 
 // Confirmed returns what shows that the process behind a connection that was opened at the given time
 // is the listed start of the server. A server may start again under its id and address, as another
-// version, which the list shows some time later. A connection ends with its process, so that the list,
-// or the server itself, must have confirmed the start after the connection was opened. listedAt is when
-// the list was last known to be the newest. The load that it answers are servers that start again while
-// the list can't be read.
-func (r *Roster) Confirmed(s Server, openedAt, listedAt time.Time) Evidence {
+// version, which the list shows some time later, and not at all while the server can't write to it. A
+// connection ends with its process, so that the listed start must have been heard from after the
+// connection was opened. The load that it answers are servers that start again during an outage of
+// the list, or cut off from it.
+func (r *Roster) Confirmed(s Server, openedAt time.Time) Evidence {
 	listed, exists := r.servers[s.ID]
 	if !exists || s.Started == 0 || listed.Started != s.Started {
 		return NoEvidence
 	}
 	switch {
-	case listedAt.Sub(openedAt) >= registrationTime:
-		return ListEvidence
 	case listed.confirmedAt.After(openedAt):
 		return ReportEvidence
+	case !listed.regressed && r.heardAtOf(listed).After(openedAt):
+		return ListEvidence
 	}
 	return NoEvidence
 }
+
+// heardAtOf returns a time after which the server was heard from, as the list shows.
+func (r *Roster) heardAtOf(s listedServer) time.Time {
+	if s.expired {
+		return s.heardAt
+	}
+	return r.heardAt
+}
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -61,6 +61,9 @@
 	return func(s *Service) { s.board = notice.NewBoard(notice.NewFleet(name)) }
 }
 
+// WithHeartbeat sets the time between two heartbeats of a server.
+func WithHeartbeat(d time.Duration) Option { return func(s *Service) { s.heartbeat = d } }
+
 // WithPeers sets the source of snapshots while the store is unreachable.
 func WithPeers(p Peers) Option { return func(s *Service) { s.peers = p } }
 
@@ -79,6 +82,8 @@
 	// tableBound and serverBound are how soon changes must be in force.
 	tableBound  time.Duration
 	serverBound time.Duration
+	// heartbeat is the time between two heartbeats of a server.
+	heartbeat time.Duration
 
 	tables  *follower.Follower
 	servers *follower.Follower
@@ -106,20 +111,22 @@
 // New returns a catalog that reads from the store.
 func New(log hclog.Logger, store follower.Log, codec Codec, opts ...Option) *Service {
 	s := &Service{
-		log: log.Named(Name), codec: codec, roster: roster.New(),
+		log: log.Named(Name), codec: codec,
 		serverRecords: map[string]record.Record{}, balancers: map[string]*balance.Balancer{},
 		board: notice.NewBoard(nil), onNotice: func() {},
 	}
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.roster = roster.New(roster.WithHeartbeat(s.heartbeat))
 	tables, servers := codec.Topics()
 	s.tables = follower.New(s.log, store, record.Partition{Topic: tables}, tableHandler{s}, follower.WithResyncOnError(),
 		follower.WithPace(func() follower.Pace {
 			poll := max(follower.DefaultPollTimeout, time.Duration(tablePollShare*float64(s.tableBound)))
 			return follower.Pace{MinInterval: follower.DefaultMinInterval, PollTimeout: poll}
 		}))
-	s.servers = follower.New(s.log, store, record.Partition{Topic: servers}, serverHandler{s}, follower.WithResyncOnError(),
+	timed := &timedLog{log: store}
+	s.servers = follower.New(s.log, timed, record.Partition{Topic: servers}, serverHandler{s: s, reads: timed}, follower.WithResyncOnError(),
 		follower.WithPace(func() follower.Pace {
 			interval := max(follower.DefaultMinInterval, time.Duration(serverReadShare*float64(s.serverBound)))
 			return follower.Pace{MinInterval: interval, PollTimeout: follower.DefaultPollTimeout}
@@ -229,7 +236,7 @@
 func (s *Service) Confirmed(server roster.Server, openedAt time.Time) roster.Evidence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.roster.Confirmed(server, openedAt, time.Now().Add(-s.servers.Age()))
+	return s.roster.Confirmed(server, openedAt)
 }
 
 // RecordStart records the start that a server named when it was asked, and reports whether it is that of the server as it was
@@ -351,50 +358,3 @@
 
 // SetReachable implements follower.Handler.
 func (tableHandler) SetReachable(bool) {}
-
-// serverHandler applies the records of the servers' topic.
-type serverHandler struct{ s *Service }
-
-// Reset implements follower.Handler.
-func (h serverHandler) Reset(records []record.Record, next int64) {
-	s, now := h.s, time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.roster.ListAvailable(now)
-	listed := map[string]bool{}
-	for _, r := range records {
-		listed[r.Key] = true
-		s.putServer(r, now)
-	}
-	for id := range s.serverRecords {
-		if !listed[id] {
-			s.removeServer(id, now)
-		}
-	}
-	s.serversLoaded, s.nextOffset = true, next
-	s.refresh(now)
-}
-
-// Apply implements follower.Handler.
-func (h serverHandler) Apply(records []record.Record, next int64) {
-	s, now := h.s, time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.roster.ListAvailable(now)
-	for _, r := range records {
-		s.putServer(r, now)
-	}
-	s.nextOffset = max(s.nextOffset, next)
-	s.refresh(now)
-}
-
-// SetReachable implements follower.Handler.
-func (h serverHandler) SetReachable(ok bool) {
-	h.s.mu.Lock()
-	defer h.s.mu.Unlock()
-	if ok {
-		h.s.roster.ListAvailable(time.Now())
-		return
-	}
-	h.s.roster.ListUnavailable()
-}
--- /dev/null
+++ b/services/catalog/servers_test.go
@@ -0,0 +1,65 @@
+package catalog_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/crocusline/crocusline/models/record"
+	"github.com/crocusline/crocusline/models/roster"
+	"github.com/crocusline/crocusline/platform"
+	"github.com/crocusline/crocusline/services/catalog"
+)
+
+// slowLog lists one server. Its reads return after the time.
+type slowLog struct{ readTime time.Duration }
+
+func (l *slowLog) Read(ctx context.Context, r record.Read) (record.Batch, error) {
+	select {
+	case <-time.After(l.readTime):
+		return record.Batch{Next: r.From}, nil
+	case <-ctx.Done():
+		return record.Batch{}, ctx.Err()
+	}
+}
+
+func (*slowLog) Snapshot(_ context.Context, p record.Partition) (record.Snapshot, error) {
+	if p.Topic != serversTopic {
+		return record.Snapshot{}, nil
+	}
+	value := `{"service":"s1","address":"10.128.0.9:8080","zone":"z","version":"v1","max_concurrency":4,"state":"ready","warmup_left_ms":0,"sequence":4,"born":17}`
+	return record.Snapshot{Records: []record.Record{{Key: "i-1", Value: []byte(value)}}, Next: 1}, nil
+}
+
+// TestListReadLate guards against a read that a process which stood still evaluates seconds later, and
+// whose list counts as the present one.
+func TestListReadLate(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		readTime time.Duration
+		want     roster.Evidence
+	}{
+		{"in time", 700 * time.Millisecond, roster.ListEvidence}, {"late", 9 * time.Second, roster.NoEvidence},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := catalog.New(hclog.NewNullLogger(), &slowLog{readTime: tt.readTime}, platform.Codec{}, catalog.WithHeartbeat(1200*time.Millisecond))
+				if err := c.Start(t.Context(), nil); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				openedAt := time.Now()
+				time.Sleep(8500 * time.Millisecond)
+				if got := c.Confirmed(roster.Server{ID: "i-1", Started: 17}, openedAt); got != tt.want {
+					t.Errorf("evidence %s, want %s", got, tt.want)
+				}
+				if err := c.Close(); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
