Ask a server once when several streams wait for its start

Streams that begin at the same time on new connections to one server each asked it when it started, and each such call is a further request to a server that has just begun to work. Concurrent callers now share the call that is under way, if it began after the connection of each was opened; a later one proves nothing about them. A call that ends because its caller left is made again by one of those that wait. In the calm case the roster remembers the answer for all connections opened before.

--- a/services/relay/origin.go
+++ b/services/relay/origin.go
@@ -91,14 +91,15 @@
 	if evidence := catalog.Confirmed(prompt.server, prompt.openedAt); evidence != roster.NoEvidence {
 		return evidence, nil
 	}
-	askedAt := time.Now()
-	started, err := j.service.reports.Started(ctx, prompt.server, j.maxConns())
-	j.service.metrics.Counter(serverStartsAsked).Inc()
+	call, err := j.service.starts.ask(ctx, prompt.server, prompt.openedAt, func(ctx context.Context) (int64, error) {
+		j.service.metrics.Counter(serverStartsAsked).Inc()
+		return j.service.reports.Started(ctx, prompt.server, j.maxConns())
+	})
 	if err != nil {
 		return roster.NoEvidence, err
 	}
-	if !catalog.RecordStart(prompt.server, askedAt, started) {
-		return roster.NoEvidence, errors.Errorf("server %s started at %d, and is listed with %d", prompt.server.ID, started, prompt.server.Started)
+	if !catalog.RecordStart(prompt.server, call.askedAt, call.started) {
+		return roster.NoEvidence, errors.Errorf("server %s started at %d, and is listed with %d", prompt.server.ID, call.started, prompt.server.Started)
 	}
 	return roster.ReportEvidence, nil
 }
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -175,6 +175,7 @@
 	quarantine  Quarantine
 	lineage     Lineage
 	reports     Reports
+	starts      *startCalls
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.WindowBudget
@@ -189,6 +190,7 @@
 		log: log.Named("relay"), codec: codec, catalog: catalog, budget: budget, client: client,
 		metrics: metric.New(), retryWindow: DefaultRetryWindow, retryRatio: DefaultRetryRatio, retryExtra: DefaultRetryExtra,
 		retryBudgets: map[string]*retry.WindowBudget{}, quarantine: noQuarantine{}, lineage: noLineage{}, reports: noReports{},
+		starts: newStartCalls(),
 	}
 	s.buffers.SetMemory(defaultMemory)
 	for _, opt := range opts {
