--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -58,9 +58,9 @@
 	WithBalancer(pool string, f func(*balance.Balancer))
 	// RecordNotice records what a server announces about itself, and reports whether that was new.
 	RecordNotice(s roster.Server, r notice.Response) bool
-	// Confirmed reports whether the process behind a connection that was opened at the given time is the listed
-	// start of the server.
-	Confirmed(s roster.Server, openedAt time.Time) bool
+	// Confirmed returns what shows that the process behind a connection that was opened at the given time is the
+	// listed start of the server.
+	Confirmed(s roster.Server, openedAt time.Time) roster.Evidence
 	// RecordStart records the start that a server named when it was asked, and reports whether it is that of the server as
 	// it was chosen.
 	RecordStart(s roster.Server, askedAt time.Time, started int64) bool
@@ -175,6 +175,7 @@
 	quarantine  Quarantine
 	lineage     Lineage
 	reports     Reports
+	starts      *startCalls
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.WindowBudget
@@ -189,6 +190,7 @@
 		log: log.Named("relay"), codec: codec, catalog: catalog, budget: budget, client: client,
 		metrics: metric.New(), retryWindow: DefaultRetryWindow, retryRatio: DefaultRetryRatio, retryExtra: DefaultRetryExtra,
 		retryBudgets: map[string]*retry.WindowBudget{}, quarantine: noQuarantine{}, lineage: noLineage{}, reports: noReports{},
+		starts: newStartCalls(),
 	}
 	s.buffers.SetMemory(defaultMemory)
 	for _, opt := range opts {
