Log and count the times in which a gateway did not run

A gateway that was stopped, or lacked processor time, logged what it then observed as if the store or a server had been slow: nothing in a log told the two apart. The meter of modules/schedlag now reports each pause of 0.25 s or more, as 'process did not run' with its delay and the time for which the machine was suspended, and two counters sum them up.

The monotonic clock and all timers stand still while the machine is suspended, so a late timer doesn't show that time. uptime.Suspended compares the clock of the boot with the monotonic one, but only after the wall clock has moved against the latter, so that calm operation makes no further system calls.

No decision is changed. Tests: modules/uptime, modules/schedlag, docs and cmd with the race detector, and the linter.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -140,7 +140,7 @@
 	g.relay = relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
 		append(retryOptions(s), relay.WithMemory(s.Memory), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine),
 			relay.WithLineage(g.lineage), relay.WithReports(platform.NewReports(g.client)), relay.WithMetrics(g.metrics))...)
-	g.lag = schedlag.New()
+	g.lag = schedlag.New(schedlag.WithOnPause(g.recordPause))
 	g.handler = front.New(logger, platform.HeaderCodec{}, g.relay, g.catalog,
 		front.WithBandwidth(s.Bandwidth), front.WithProcessorDelay(g.lag.Delay))
 	g.readiness = front.NewReadiness(g.handler, g.catalog.Ready, g.prepaid.Ready)
@@ -151,6 +151,20 @@
 	return g
 }
 
+const (
+	// processPauses counts the pauses of the process, and pausedMilliseconds their time.
+	processPauses      = "crocusline_process_pauses_total"
+	pausedMilliseconds = "crocusline_process_paused_milliseconds_total"
+)
+
+// recordPause logs and counts a time in which the process did not run. What it observes right after that
+// has waited as long, which a slow store or server would look like otherwise.
+func (g *gateway) recordPause(p schedlag.Pause) {
+	g.metrics.Counter(processPauses).Inc()
+	g.metrics.Counter(pausedMilliseconds).Add(int((p.Delay + p.Suspended).Milliseconds()))
+	g.log.Warn("process did not run", "delay", p.Delay.Round(time.Millisecond), "suspended", p.Suspended.Round(time.Millisecond))
+}
+
 // retryOptions returns the operators' retry budget of all gateways.
 func retryOptions(s *platform.Settings) []relay.Option {
 	p := s.Parameters
--- a/modules/schedlag/schedlag.go
+++ b/modules/schedlag/schedlag.go
@@ -1,15 +1,40 @@
 // Package schedlag measures how long runnable goroutines wait for a processor, by how
-// late a timer fires.
+// late a timer fires. It reports when the process has not run for a while.
 package schedlag
 
 import (
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/crocusline/crocusline/modules/uptime"
+)
+
+const (
+	// interval is the time between two measurements.
+	interval = 25 * time.Millisecond
+	// minPause is the shortest delay that is reported as a pause.
+	minPause = 250 * time.Millisecond
 )
 
-// interval is the time between two measurements.
-const interval = 25 * time.Millisecond
+// Pause is a time in which the process did not run: it was stopped, lacked processor time, or the
+// machine was suspended.
+type Pause struct {
+	// Delay is how late a timer fired, which doesn't include Suspended, the time for which the
+	// machine was suspended.
+	Delay, Suspended time.Duration
+}
+
+// Option configures a Meter.
+type Option func(*Meter)
+
+// WithOnPause sets the function that is called after each pause. It must not block.
+func WithOnPause(f func(Pause)) Option { return func(m *Meter) { m.onPause = f } }
+
+// WithSuspended sets the source of the time for which the machine was suspended.
+func WithSuspended(suspended func() time.Duration) Option {
+	return func(m *Meter) { m.suspended = suspended }
+}
 
 // Meter measures the delay until it is closed.
 type Meter struct {
@@ -18,13 +43,19 @@
 	delay   atomic.Int64
 	due     atomic.Int64
 	started time.Time
-	stop    chan struct{}
-	running sync.WaitGroup
+	onPause func(Pause)
+	// suspended returns the time for which the machine was suspended.
+	suspended func() time.Duration
+	stop      chan struct{}
+	running   sync.WaitGroup
 }
 
 // New starts a Meter.
-func New() *Meter {
-	m := &Meter{started: time.Now(), stop: make(chan struct{})}
+func New(opts ...Option) *Meter {
+	m := &Meter{started: time.Now(), onPause: func(Pause) {}, suspended: uptime.Suspended, stop: make(chan struct{})}
+	for _, opt := range opts {
+		opt(m)
+	}
 	m.due.Store(int64(interval))
 	m.running.Go(m.run)
 	return m
@@ -47,6 +78,7 @@
 func (m *Meter) run() {
 	timer := time.NewTimer(interval)
 	defer timer.Stop()
+	suspended := m.suspended()
 	for {
 		select {
 		case <-timer.C:
@@ -54,8 +86,14 @@
 			return
 		}
 		now := time.Since(m.started)
-		m.delay.Store(int64(now) - m.due.Load())
+		p := Pause{Delay: now - time.Duration(m.due.Load()), Suspended: -suspended}
+		suspended = m.suspended()
+		p.Suspended += suspended
+		m.delay.Store(int64(p.Delay))
 		m.due.Store(int64(now + interval))
+		if p.Delay+p.Suspended >= minPause {
+			m.onPause(p)
+		}
 		timer.Reset(interval)
 	}
 }
--- a/modules/uptime/uptime.go
+++ b/modules/uptime/uptime.go
@@ -14,11 +14,7 @@
 // SinceBoot returns the time since the machine was booted, including the time for which
 // it was suspended.
 func SinceBoot() (time.Duration, error) {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return 0, err
-	}
-	return time.Duration(t.Nano()), nil
+	return clock(unix.CLOCK_BOOTTIME)
 }
 
 const bootIDFile = "/proc/sys/kernel/random/boot_id"
