Count the age of the store's state from what a response proves

A gateway that stood still after the store had answered took the response, when it was handled, for the present state. Callers got 401 and 404, which are final, for keys and routes that had been added seconds before; versions of servers were confirmed, and peers were told that the tables are current, by the same age.

TestResponseHandledLateTakenForNew (virtual time) on: an age of 0 after a stop of 2, 4 and 10 s.

record.Read.KnownAt decides what a response proves: the state when the read was sent, or at the end of its wait if the store held it that long for nothing. The time at which the process handles the response plays no part. A read of another era and one that lacks records prove nothing. uptime.Clock counts the time for which the machine was suspended, which the monotonic clock leaves out (TestSuspendedMachine).

Writers of grants used the age as a sign of life of the store; they use the time without a successful read now, as each write names the offset up to which the gateway has read.

No further calls to the store. Ruled out: the delay that the process measures itself as a correction, as it is measured by a timer that may fire after the decision.

--- a/models/record/record.go
+++ b/models/record/record.go
@@ -44,6 +44,21 @@
 	Era int64
 }
 
+// KnownAt returns the latest time at which the state after the batch is known to have been the store's, for
+// a read that was sent and returned at these times. That is when it was sent, or the end of its wait if the
+// store held it that long for nothing. When the result was returned proves nothing else: the process may not
+// have run since the store answered. It returns false if the store has more records.
+func (r Read) KnownAt(b Batch, sentAt, returnedAt time.Duration) (time.Duration, bool) {
+	switch {
+	case b.Next < b.End:
+		return 0, false
+	case len(b.Records) > 0 || b.Unreadable > 0:
+		return sentAt, true
+	default:
+		return sentAt + min(r.Wait.Truncate(time.Millisecond), returnedAt-sentAt), true
+	}
+}
+
 // Snapshot holds the latest record of each key, and the offset from which to continue
 // reading.
 type Snapshot struct {
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -18,6 +18,7 @@
 	"github.com/crocusline/crocusline/models/record"
 	"github.com/crocusline/crocusline/models/roster"
 	"github.com/crocusline/crocusline/models/route"
+	"github.com/crocusline/crocusline/modules/uptime"
 	"github.com/crocusline/crocusline/services/follower"
 )
 
@@ -61,6 +62,9 @@
 	return func(s *Service) { s.board = notice.NewBoard(notice.NewFleet(name)) }
 }
 
+// WithClock sets the clock by which the age of the tables and of the list of servers is measured.
+func WithClock(c *uptime.Clock) Option { return func(s *Service) { s.clock = c } }
+
 // WithPeers sets the source of snapshots while the store is unreachable.
 func WithPeers(p Peers) Option { return func(s *Service) { s.peers = p } }
 
@@ -80,6 +84,7 @@
 	tableBound  time.Duration
 	serverBound time.Duration
 
+	clock   *uptime.Clock
 	tables  *follower.Follower
 	servers *follower.Follower
 	table   atomic.Pointer[route.Table]
@@ -90,8 +95,9 @@
 	serversLoaded bool
 	serverRecords map[string]record.Record
 	tableRecord   record.Record
-	// currentAt is when the tables were those of a peer that knew them to be current.
-	currentAt time.Time
+	// peerCurrentAt is when the tables were those of a peer that knew them to be current, by the clock,
+	// or nil.
+	peerCurrentAt *time.Duration
 	// nextOffset is the offset up to which the servers' topic was read.
 	nextOffset int64
 	balancers  map[string]*balance.Balancer
@@ -108,18 +114,18 @@
 	s := &Service{
 		log: log.Named(Name), codec: codec, roster: roster.New(),
 		serverRecords: map[string]record.Record{}, balancers: map[string]*balance.Balancer{},
-		board: notice.NewBoard(nil), onNotice: func() {},
+		board: notice.NewBoard(nil), onNotice: func() {}, clock: uptime.NewClock(),
 	}
 	for _, opt := range opts {
 		opt(s)
 	}
 	tables, servers := codec.Topics()
-	s.tables = follower.New(s.log, store, record.Partition{Topic: tables}, tableHandler{s}, follower.WithResyncOnError(),
+	s.tables = follower.New(s.log, store, record.Partition{Topic: tables}, tableHandler{s}, follower.WithResyncOnError(), follower.WithClock(s.clock),
 		follower.WithPace(func() follower.Pace {
 			poll := max(follower.DefaultPollTimeout, time.Duration(tablePollShare*float64(s.tableBound)))
 			return follower.Pace{MinInterval: follower.DefaultMinInterval, PollTimeout: poll}
 		}))
-	s.servers = follower.New(s.log, store, record.Partition{Topic: servers}, serverHandler{s}, follower.WithResyncOnError(),
+	s.servers = follower.New(s.log, store, record.Partition{Topic: servers}, serverHandler{s}, follower.WithResyncOnError(), follower.WithClock(s.clock),
 		follower.WithPace(func() follower.Pace {
 			interval := max(follower.DefaultMinInterval, time.Duration(serverReadShare*float64(s.serverBound)))
 			return follower.Pace{MinInterval: interval, PollTimeout: follower.DefaultPollTimeout}
@@ -161,7 +167,11 @@
 func (s *Service) Age() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return min(s.tables.Age(), time.Since(s.currentAt))
+	age := s.tables.Age()
+	if s.peerCurrentAt != nil {
+		age = min(age, s.clock.Elapsed()-*s.peerCurrentAt)
+	}
+	return age
 }
 
 // Current reports whether the routing tables hold all that the operators' bound requires.
--- a/services/catalog/peers.go
+++ b/services/catalog/peers.go
@@ -88,7 +88,7 @@
 		if s.tables.Silence() < maxStoreSilence && s.servers.Silence() < maxStoreSilence {
 			continue
 		}
-		requestedAt := time.Now()
+		requestedAt := s.clock.Elapsed()
 		snapshot, err := s.peers.Snapshot(ctx, attempt, s.known())
 		if err != nil {
 			s.log.Debug("peer snapshot not available", "turn", attempt, "error", err)
@@ -100,15 +100,15 @@
 
 // mergeSnapshot applies the parts of a peer's snapshot, requested at a time, that are newer
 // than this catalog.
-func (s *Service) mergeSnapshot(snapshot Snapshot, requestedAt time.Time) {
+func (s *Service) mergeSnapshot(snapshot Snapshot, requestedAt time.Duration) {
 	if snapshot.Tables.Value != nil {
 		s.applyTable(snapshot.Tables, "peer")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if age := snapshot.TablesAge; age != nil && s.table.Load() != nil {
-		if at := requestedAt.Add(-*age); at.After(s.currentAt) {
-			s.currentAt = at
+		if at := requestedAt - *age; s.peerCurrentAt == nil || at > *s.peerCurrentAt {
+			s.peerCurrentAt = &at
 		}
 	}
 	if snapshot.NextOffset <= s.nextOffset {
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -16,6 +16,7 @@
 
 	"github.com/crocusline/crocusline/models/record"
 	"github.com/crocusline/crocusline/modules/delay"
+	"github.com/crocusline/crocusline/modules/uptime"
 )
 
 // Defaults of the options.
@@ -32,6 +33,9 @@
 	// few round trips to the store.
 	triggeredMinInterval = 40 * time.Millisecond
 
+	// unknownAge is the age of the state before anything was read.
+	unknownAge = 24 * time.Hour
+
 	initialRetryDelay = 100 * time.Millisecond
 	maxRetryDelay     = 500 * time.Millisecond
 )
@@ -75,6 +79,9 @@
 // slow link transfers within a call's timeout.
 func WithResyncOnError() Option { return func(f *Follower) { f.resyncOnError = true } }
 
+// WithClock sets the clock by which ages are measured.
+func WithClock(c *uptime.Clock) Option { return func(f *Follower) { f.clock = c } }
+
 // Follower is a subscription to one partition.
 type Follower struct {
 	log       hclog.Logger
@@ -92,13 +99,14 @@
 	trigger chan struct{}
 	// reachable is whether the last read succeeded.
 	reachable atomic.Bool
-	// response is the one that is being read, or nil.
-	response atomic.Pointer[response]
-	// currentAt is the time at which the state was that of the store, in ns after created.
+	// responding is whether a response is being read.
+	responding atomic.Bool
+	// currentAt is the latest time at which the state is known to have been that of the store, in ns
+	// of the clock.
 	currentAt atomic.Int64
-	// contactAt is the time of the last successful read, in ns after created.
+	// contactAt is the time of the last successful read, in ns of the clock.
 	contactAt atomic.Int64
-	created   time.Time
+	clock     *uptime.Clock
 	cancel    context.CancelFunc
 	running   sync.WaitGroup
 }
@@ -108,12 +116,14 @@
 	f := &Follower{
 		log:    log.With("topic", partition.Topic, "partition", partition.Number),
 		source: source, partition: partition, handler: handler,
-		pace:    func() Pace { return Pace{MinInterval: DefaultMinInterval, PollTimeout: DefaultPollTimeout} },
-		created: time.Now(), trigger: make(chan struct{}, 1),
+		pace:  func() Pace { return Pace{MinInterval: DefaultMinInterval, PollTimeout: DefaultPollTimeout} },
+		clock: uptime.NewClock(), trigger: make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(f)
 	}
+	f.currentAt.Store(int64(f.clock.Elapsed() - unknownAge))
+	f.contactAt.Store(int64(f.clock.Elapsed()))
 	return f
 }
 
@@ -138,42 +148,27 @@
 // Era returns the store's era of the last snapshot.
 func (f *Follower) Era() int64 { return f.era.Load() }
 
-// Age returns the time since the response to the last successful read began, or since the
-// follower was created if there was none. The state lacks what was written since.
+// Age returns the time since the state is known to have been that of the store, which is more than
+// unknownAge if nothing was read. The state may lack what was written since.
 func (f *Follower) Age() time.Duration {
-	return time.Since(f.created) - time.Duration(f.currentAt.Load())
+	// The clock is read last, so that a pause of the process makes the age larger.
+	currentAt := time.Duration(f.currentAt.Load())
+	return f.clock.Elapsed() - currentAt
 }
 
 // Silence returns the time since the last successful read, or since the follower was created
-// if there was none. It is 0 while a response arrives, which may take long over a thin link.
+// if there was none. It is 0 while a response arrives, which may take long over a thin link. It is
+// no measure of the state's age.
 func (f *Follower) Silence() time.Duration {
-	if r := f.response.Load(); r != nil && r.began.Load() != nil {
+	if f.responding.Load() {
 		return 0
 	}
-	return time.Since(f.created) - time.Duration(f.contactAt.Load())
+	return f.clock.Elapsed() - time.Duration(f.contactAt.Load())
 }
 
-// response is a response of the store that is being read.
-type response struct {
-	// began is when its first byte arrived, or nil.
-	began atomic.Pointer[time.Time]
-}
-
-// trace returns a context that records the beginning of the response. A snapshot may have
-// several pages; its state is that of the first.
-func (r *response) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
-		now := time.Now()
-		r.began.CompareAndSwap(nil, &now)
-	}})
-}
-
-// beganAt returns when the response began, or the present time if that was not recorded.
-func (r *response) beganAt() time.Time {
-	if began := r.began.Load(); began != nil {
-		return *began
-	}
-	return time.Now()
+// trace returns a context that records that the response begins.
+func (f *Follower) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { f.responding.Store(true) }})
 }
 
 func (f *Follower) run(ctx context.Context) {
@@ -183,14 +178,13 @@
 	}
 	retryDelays.Reset()
 	for ctx.Err() == nil {
-		readStart, r := time.Now(), &response{}
-		f.response.Store(r)
-		err := f.read(r.trace(ctx))
+		readStart := time.Now()
+		currentAt, err := f.read(f.trace(ctx))
 		if ctx.Err() != nil {
 			return
 		}
-		f.recordResult(r.beganAt(), err)
-		f.response.Store(nil)
+		f.recordResult(currentAt, err)
+		f.responding.Store(false)
 		if err != nil {
 			if !delay.Wait(ctx, retryDelays.NextBackOff()) {
 				return
@@ -231,8 +225,8 @@
 }
 
 // recordResult logs a change of the store's reachability and passes it to the handler. The
-// response to the read began at respondedAt. Expired records are no failure of the store.
-func (f *Follower) recordResult(respondedAt time.Time, err error) {
+// state is that of currentAt. Expired records are no failure of the store.
+func (f *Follower) recordResult(currentAt time.Duration, err error) {
 	var expired *record.ExpiredError
 	if errors.As(err, &expired) {
 		f.log.Warn("records expired", "error", err)
@@ -242,49 +236,56 @@
 	before := f.reachable.Swap(ok)
 	switch {
 	case ok && !before:
-		f.log.Info("store reachable", "next", f.nextOffset, "age", f.Age())
+		f.log.Info("store reachable", "next", f.nextOffset, "age", f.clock.Elapsed()-time.Duration(f.contactAt.Load()))
 	case !ok && before:
 		f.log.Warn("store unreachable", "next", f.nextOffset, "error", err)
 	case !ok:
 		f.log.Debug("store still unreachable", "error", err)
 	}
 	if ok {
-		f.currentAt.Store(int64(respondedAt.Sub(f.created)))
-		f.contactAt.Store(int64(time.Since(f.created)))
+		f.currentAt.Store(int64(currentAt))
+		f.contactAt.Store(int64(f.clock.Elapsed()))
 	}
 	f.handler.SetReachable(ok)
 }
 
-// read reads a snapshot or the next batch of records and passes it to the handler.
-func (f *Follower) read(ctx context.Context) error {
+// read reads a snapshot or the next batch of records and passes it to the handler. It returns
+// the time at which the state is known to have been that of the store.
+func (f *Follower) read(ctx context.Context) (time.Duration, error) {
+	sentAt := f.clock.Elapsed()
 	if !f.synced {
 		snapshot, err := f.source.Snapshot(ctx, f.partition)
 		if err != nil {
-			return err
+			return 0, err
 		}
 		f.era.Store(snapshot.Era)
 		f.handler.Reset(snapshot.Records, snapshot.Next)
 		f.nextOffset, f.synced = snapshot.Next, true
-		return nil
+		return sentAt, nil
 	}
-	batch, err := f.source.Read(ctx, record.Read{Partition: f.partition, From: f.nextOffset, Wait: f.pace().PollTimeout})
+	read := record.Read{Partition: f.partition, From: f.nextOffset, Wait: f.pace().PollTimeout}
+	batch, err := f.source.Read(ctx, read)
 	if err != nil {
 		var expired *record.ExpiredError
 		if f.resyncOnError || errors.As(err, &expired) {
 			f.synced = false
 		}
-		return err
+		return 0, err
 	}
 	if era := f.era.Load(); batch.Era != era {
 		// The records that were read before may be gone, and others have their offsets.
 		f.log.Warn("store returned from a copy", "era", batch.Era, "before", era, "next", f.nextOffset)
 		f.synced = false
-		return nil
+		return time.Duration(f.currentAt.Load()), nil
+	}
+	currentAt, known := read.KnownAt(batch, sentAt, f.clock.Elapsed())
+	if !known {
+		currentAt = time.Duration(f.currentAt.Load())
 	}
 	if batch.Unreadable > 0 {
 		f.log.Warn("unreadable records", "count", batch.Unreadable, "next", batch.Next)
 	}
 	f.handler.Apply(batch.Records, batch.Next)
 	f.nextOffset = batch.Next
-	return nil
+	return currentAt, nil
 }
--- a/services/follower/follower_test.go
+++ b/services/follower/follower_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net/http/httptrace"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/models/record"
+	"github.com/crocusline/crocusline/modules/uptime"
 	"github.com/crocusline/crocusline/services/follower"
 )
 
@@ -122,3 +126,102 @@
 		}
 	})
 }
+
+// stoppedStore is a store whose responses are handled late, as the process does not run after the store
+// has answered. Its reads are held until their timeout.
+type stoppedStore struct {
+	slowLinkStore
+	// stop is for how long the process doesn't run after a response.
+	stop atomic.Int64
+}
+
+func (s *stoppedStore) Read(ctx context.Context, r record.Read) (record.Batch, error) {
+	b, err := s.slowLinkStore.Read(ctx, r)
+	time.Sleep(time.Duration(s.stop.Load()))
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil {
+		trace.GotFirstResponseByte()
+	}
+	return b, err
+}
+
+// TestResponseHandledLateTakenForNew guards against a process that stood still after the store had
+// answered, and takes what it reads then for the present state.
+func TestResponseHandledLateTakenForNew(t *testing.T) {
+	for _, stop := range []time.Duration{0, 2 * time.Second, 4 * time.Second, 10 * time.Second} {
+		t.Run(stop.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &stoppedStore{slowLinkStore: slowLinkStore{end: 1, maxRecords: 5}}
+				handled := &handledAges{}
+				f := follower.New(hclog.NewNullLogger(), store, record.Partition{Topic: "t"}, handled)
+				handled.follower = f
+				f.Start(t.Context())
+				time.Sleep(5 * time.Second)
+				store.stop.Store(int64(stop))
+				time.Sleep(time.Second + stop)
+				store.stop.Store(0)
+				time.Sleep(3 * time.Second)
+				if err := f.Close(); err != nil {
+					t.Error(err)
+				}
+				oldest := slices.Max(handled.ages[1:])
+				t.Logf("after a stop of %s the oldest response is handled at an age of %s", stop, oldest)
+				if oldest < stop || oldest > stop+100*time.Millisecond {
+					t.Errorf("the state was %s old, it is at least %s", oldest, stop)
+				}
+			})
+		})
+	}
+}
+
+// handledAges records the age of the state after each read.
+type handledAges struct {
+	lastOffset
+	follower *follower.Follower
+	ages     []time.Duration
+}
+
+func (h *handledAges) SetReachable(bool) { h.ages = append(h.ages, h.follower.Age()) }
+
+// TestSuspendedMachine guards against ages that leave out the time for which the machine was suspended,
+// in which neither the monotonic clock nor any timer advances.
+func TestSuspendedMachine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended atomic.Int64
+		clock := uptime.NewClockWith(func() time.Duration { return time.Duration(suspended.Load()) })
+		store := &slowLinkStore{end: 1, maxRecords: 5}
+		f := follower.New(hclog.NewNullLogger(), store, record.Partition{Topic: "t"}, &lastOffset{}, follower.WithClock(clock))
+		f.Start(t.Context())
+		time.Sleep(5 * time.Second)
+		calm := f.Age()
+		suspended.Store(int64(4 * time.Second))
+		if age := f.Age(); age != calm+4*time.Second || calm > follower.DefaultPollTimeout {
+			t.Errorf("the state is %s old before and %s after the machine was suspended for 4 s", calm, age)
+		}
+		time.Sleep(time.Second)
+		if age := f.Age(); age > follower.DefaultPollTimeout {
+			t.Errorf("the state is %s old a second later", age)
+		}
+		if err := f.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// TestUnknownAge checks that a state that was never read isn't taken for a new one.
+func TestUnknownAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &slowLinkStore{unreachable: true}
+		f := follower.New(hclog.NewNullLogger(), store, record.Partition{Topic: "t"}, &lastOffset{})
+		f.Start(t.Context())
+		time.Sleep(time.Second)
+		if age := f.Age(); age < time.Hour {
+			t.Errorf("the age of nothing is %s", age)
+		}
+		if silence := f.Silence(); silence != time.Second {
+			t.Errorf("the store is silent for %s, want 1 s", silence)
+		}
+		if err := f.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/services/prepaid/grant.go
+++ b/services/prepaid/grant.go
@@ -19,7 +19,7 @@
 	// awaitingInterval while it may become known when the predecessor exited.
 	grantInterval    = 400 * time.Millisecond
 	awaitingInterval = 50 * time.Millisecond
-	// staleAfter is the age of the last read at which the store is assumed unreachable.
+	// staleAfter is the time without a successful read after which the store is assumed unreachable.
 	staleAfter = 900 * time.Millisecond
 	// keySeparator separates workspace and instance in record keys.
 	keySeparator = "\x1f"
@@ -74,7 +74,7 @@
 // tokens.
 func (g *grantWriter) run(ctx context.Context) {
 	for g.pacer.wait(ctx, g.service.planInterval()) {
-		if g.follower.Reachable() && g.follower.Age() < staleAfter {
+		if g.follower.Reachable() && g.follower.Silence() < staleAfter {
 			g.write(ctx)
 			g.service.stateEra()
 		}
--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -64,6 +64,8 @@
 	serverProxies []*proxy
 	configVersion int
 	prepaidTokens int64
+	// addedKeys are the API keys that were added to those of the tenant without a budget.
+	addedKeys []string
 	// faultyPools are pools beside that of the servers.
 	faultyPools []string
 	// serverStates are the states last written, by server, and serverStarts how often each has
@@ -195,7 +197,7 @@
 	// It has all paths that no other route has.
 	rootRoute := route("root", "non_idempotent", "s", 2, false)
 	rootRoute["path_prefix"] = "/"
-	unlimited := map[string]any{"name": "mills", "api_keys": []string{unlimitedKey}}
+	unlimited := map[string]any{"name": "mills", "api_keys": append([]string{unlimitedKey}, f.addedKeys...)}
 	tenant := map[string]any{"name": "clinics", "api_keys": []string{apiKey}}
 	if f.prepaidTokens > 0 {
 		tenant["prepaid"] = f.prepaidTokens
