Order lists of servers by the store's era, then by offset

A gateway whose own list was newer took the list of a peer that had not read the store since its return from a copy: offsets go back then, and only they were compared. A server was listed with an earlier start and version again, as whose events streams are resumed. A peer's newer list with a lower offset was ignored. A response that the process handled late replaced a peer's newer list in the same way.

--- a/models/record/record.go
+++ b/models/record/record.go
@@ -44,6 +44,23 @@
 	Era int64
 }
 
+// Position is how far a partition was read.
+type Position struct {
+	// Era is the store's era, or 0 if unknown.
+	Era int64
+	// Next is the offset that follows the last record that was read.
+	Next int64
+}
+
+// Before reports whether the position is an earlier one than q. Offsets of different eras can't be compared, as the
+// store gives them out again when it returns from a copy.
+func (p Position) Before(q Position) bool {
+	if p.Era != q.Era {
+		return p.Era < q.Era
+	}
+	return p.Next < q.Next
+}
+
 // KnownAt returns the latest time at which the state after the batch is known to have been the store's, for
 // a read that was sent and returned at these times. That is when it was sent, or the end of its wait if the
 // store held it that long for nothing. When the result was returned proves nothing else: the process may not
--- a/models/record/record_test.go
+++ b/models/record/record_test.go
@@ -37,3 +37,15 @@
 		}
 	}
 }
+
+// TestPositionBefore checks that offsets are compared within one era only.
+func TestPositionBefore(t *testing.T) {
+	ordered := []record.Position{{}, {Next: 9}, {Era: 1, Next: 3}, {Era: 1, Next: 90}, {Era: 2, Next: 1}, {Era: 2, Next: 2}}
+	for i, p := range ordered {
+		for j, q := range ordered {
+			if p.Before(q) != (i < j) {
+				t.Errorf("%+v before %+v: got %t", p, q, p.Before(q))
+			}
+		}
+	}
+}
--- a/routers/front/front_test.go
+++ b/routers/front/front_test.go
@@ -16,6 +16,7 @@
 	"github.com/crocusline/crocusline/models/intake"
 	"github.com/crocusline/crocusline/models/lineage"
 	"github.com/crocusline/crocusline/models/prepaid"
+	"github.com/crocusline/crocusline/models/record"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/route"
 	"github.com/crocusline/crocusline/platform"
@@ -206,7 +207,7 @@
 type fixedSnapshot struct{}
 
 func (fixedSnapshot) Snapshot(known catalog.Known) catalog.Snapshot {
-	return catalog.Snapshot{NextOffset: known.NextOffset + known.TablesVersion}
+	return catalog.Snapshot{NextOffset: known.Servers.Next + known.TablesVersion, Era: known.Servers.Era}
 }
 
 // halfLender lends half of the requested tokens, to one workspace only.
@@ -240,8 +241,8 @@
 		t.Error("got no error without peers")
 	}
 	client = front.NewPeerClient(addresses(t, server))
-	got, err := client.Snapshot(t.Context(), 3, catalog.Known{TablesVersion: 3, NextOffset: 4})
-	if err != nil || got.NextOffset != 7 {
+	got, err := client.Snapshot(t.Context(), 3, catalog.Known{TablesVersion: 3, Servers: record.Position{Era: 2, Next: 4}})
+	if err != nil || got.NextOffset != 7 || got.Era != 2 {
 		t.Errorf("got %+v and %v", got, err)
 	}
 	peer := addresses(t, server)[0]
--- a/routers/front/peers.go
+++ b/routers/front/peers.go
@@ -131,12 +131,14 @@
 const (
 	paramTablesVersion = "tablesVersion"
 	paramNextOffset    = "nextOffset"
+	paramEra           = "era"
 )
 
 func encodeKnown(k catalog.Known) url.Values {
 	return url.Values{
 		paramTablesVersion: {strconv.FormatInt(k.TablesVersion, 10)},
-		paramNextOffset:    {strconv.FormatInt(k.NextOffset, 10)},
+		paramNextOffset:    {strconv.FormatInt(k.Servers.Next, 10)},
+		paramEra:           {strconv.FormatInt(k.Servers.Era, 10)},
 	}
 }
 
@@ -146,7 +148,10 @@
 		known.TablesVersion = n
 	}
 	if n, err := strconv.ParseInt(query.Get(paramNextOffset), 10, 64); err == nil {
-		known.NextOffset = n
+		known.Servers.Next = n
+	}
+	if n, err := strconv.ParseInt(query.Get(paramEra), 10, 64); err == nil {
+		known.Servers.Era = n
 	}
 	return known
 }
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -98,9 +98,9 @@
 	// peerCurrentAt is when the tables were those of a peer that knew them to be current, by the clock,
 	// or nil.
 	peerCurrentAt *time.Duration
-	// nextOffset is the offset up to which the servers' topic was read.
-	nextOffset int64
-	balancers  map[string]*balance.Balancer
+	// position is how far the servers' topic was read, by this gateway or a peer.
+	position  record.Position
+	balancers map[string]*balance.Balancer
 	// board holds what servers announce, and onNotice is called after anything new.
 	board    *notice.Board
 	onNotice func()
@@ -335,6 +335,22 @@
 	s.roster.Put(server, now)
 }
 
+// setServers replaces the list of servers by one that was read up to the position.
+func (s *Service) setServers(records []record.Record, at record.Position, now time.Time) {
+	listed := map[string]bool{}
+	for _, r := range records {
+		listed[r.Key] = true
+		s.putServer(r, now)
+	}
+	for id := range s.serverRecords {
+		if !listed[id] {
+			s.removeServer(id, now)
+		}
+	}
+	s.serversLoaded, s.position = true, at
+	s.refresh(now)
+}
+
 func (s *Service) removeServer(id string, now time.Time) {
 	if _, listed := s.serverRecords[id]; !listed {
 		return
@@ -371,18 +387,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.roster.ListAvailable(now)
-	listed := map[string]bool{}
-	for _, r := range records {
-		listed[r.Key] = true
-		s.putServer(r, now)
+	// A peer's list may be newer than a response that this process handles late. Without eras, a lower
+	// offset may also mean that the store has returned from a copy.
+	if at := (record.Position{Era: s.servers.Era(), Next: next}); at.Era == 0 || !at.Before(s.position) {
+		s.setServers(records, at, now)
 	}
-	for id := range s.serverRecords {
-		if !listed[id] {
-			s.removeServer(id, now)
-		}
-	}
-	s.serversLoaded, s.nextOffset = true, next
-	s.refresh(now)
 }
 
 // Apply implements follower.Handler.
@@ -391,10 +400,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.roster.ListAvailable(now)
+	era := s.servers.Era()
 	for _, r := range records {
-		s.putServer(r, now)
+		if !(record.Position{Era: era, Next: r.Offset}).Before(s.position) {
+			s.putServer(r, now)
+		}
+	}
+	if at := (record.Position{Era: era, Next: next}); s.position.Before(at) {
+		s.position = at
 	}
-	s.nextOffset = max(s.nextOffset, next)
 	s.refresh(now)
 }
 
--- a/services/catalog/peers.go
+++ b/services/catalog/peers.go
@@ -21,24 +21,27 @@
 type Known struct {
 	// TablesVersion is the version of the tables, or NoVersion.
 	TablesVersion int64
-	// NextOffset is the offset up to which the servers' topic was read.
-	NextOffset int64
+	// Servers is the position up to which the servers' topic was read.
+	Servers record.Position
 }
 
 // Snapshot is the state of a gateway's catalog, as records of the store.
 type Snapshot struct {
 	// Tables is empty if they are not newer than those that the caller knows.
 	Tables record.Record `json:"tables"`
-	// Servers is empty if NextOffset is not beyond that of the caller.
+	// Servers is empty if the position is not beyond that of the caller.
 	Servers []record.Record `json:"servers"`
-	// NextOffset is the offset up to which the servers' topic was read; 0 if it has not
-	// been read.
+	// NextOffset is the offset up to which the servers' topic was read, in the store's Era; 0 if it
+	// has not been read.
 	NextOffset int64 `json:"next"`
+	Era        int64 `json:"era,omitempty"`
 	// TablesAge is the time since the sender's tables were known to be the newest ones, or
 	// nil if the sender doesn't tell.
 	TablesAge *time.Duration `json:"tablesAgeNs,omitempty"`
 }
 
+func (s Snapshot) position() record.Position { return record.Position{Era: s.Era, Next: s.NextOffset} }
+
 // Peers requests snapshots from other gateways.
 type Peers interface {
 	// Snapshot returns what one peer has beyond the known state. The attempt number selects
@@ -51,11 +54,11 @@
 	age := s.Age()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	snapshot := Snapshot{NextOffset: s.nextOffset, TablesAge: &age}
+	snapshot := Snapshot{NextOffset: s.position.Next, Era: s.position.Era, TablesAge: &age}
 	if t := s.table.Load(); t != nil && t.Version > known.TablesVersion {
 		snapshot.Tables = s.tableRecord
 	}
-	if s.nextOffset > known.NextOffset {
+	if known.Servers.Before(s.position) {
 		for _, r := range s.serverRecords {
 			snapshot.Servers = append(snapshot.Servers, r)
 		}
@@ -67,7 +70,7 @@
 func (s *Service) known() Known {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := Known{TablesVersion: NoVersion, NextOffset: s.nextOffset}
+	known := Known{TablesVersion: NoVersion, Servers: s.position}
 	if t := s.table.Load(); t != nil {
 		known.TablesVersion = t.Version
 	}
@@ -111,20 +114,8 @@
 			s.peerCurrentAt = &at
 		}
 	}
-	if snapshot.NextOffset <= s.nextOffset {
+	if !s.position.Before(snapshot.position()) {
 		return
 	}
-	now := time.Now()
-	listed := map[string]bool{}
-	for _, r := range snapshot.Servers {
-		listed[r.Key] = true
-		s.putServer(r, now)
-	}
-	for id := range s.serverRecords {
-		if !listed[id] {
-			s.removeServer(id, now)
-		}
-	}
-	s.serversLoaded, s.nextOffset = true, snapshot.NextOffset
-	s.refresh(now)
+	s.setServers(snapshot.Servers, snapshot.position(), time.Now())
 }
--- a/services/catalog/peers_test.go
+++ b/services/catalog/peers_test.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"github.com/crocusline/crocusline/models/balance"
 	"github.com/crocusline/crocusline/models/record"
 	"github.com/crocusline/crocusline/modules/metric"
 	"github.com/crocusline/crocusline/platform"
@@ -106,3 +107,106 @@
 	}
 	time.Sleep(bound)
 }
+
+// startedServer returns the record of a start of the server i-1.
+func startedServer(start int) []byte {
+	return fmt.Appendf(nil, `{"service":"s1","address":"10.128.0.9:8080","zone":"z","version":"v%[1]d","max_concurrency":4,"state":"ready","warmup_left_ms":0,"sequence":4,"born":%[1]d}`, start)
+}
+
+// listedStart returns the start of the only server of the pool that is usable, or 0.
+func listedStart(c *catalog.Service) int64 {
+	var start int64
+	c.WithBalancer("s1", func(b *balance.Balancer) {
+		if choice, ok := b.Choose(time.Now(), balance.Request{}); ok {
+			start = choice.Server.Started
+		}
+	})
+	return start
+}
+
+// TestPeerListOfEarlierEra guards against lists of servers that a peer read before the store returned from a
+// copy and that replace newer ones, as offsets go back then, and against newer lists of peers that are ignored.
+func TestPeerListOfEarlierEra(t *testing.T) {
+	list := func(era, next int64, start int) catalog.Snapshot {
+		return catalog.Snapshot{Servers: []record.Record{{Key: "i-1", Value: startedServer(start), Offset: next - 1}}, Era: era, NextOffset: next}
+	}
+	for _, tt := range []struct {
+		name string
+		peer catalog.Snapshot
+		want int64
+	}{
+		{"earlier era, more records", list(1, 90, 1), 2},
+		{"earlier era, fewer records", list(1, 1, 1), 2},
+		{"same era, fewer records", list(2, 1, 1), 2},
+		{"same era, more records", list(2, 90, 3), 3},
+		{"later era, fewer records", list(3, 1, 3), 3},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := site.NewStore()
+				store.Put(operatorTopic, "config", config(1))
+				store.Copy()
+				store.Put(serversTopic, "i-1", startedServer(1))
+				client := platform.NewStore(netip.MustParseAddrPort("10.0.0.1:80"), metric.New(), platform.WithTransport(site.NewTransport(store, time.Millisecond)))
+				c := catalog.New(hclog.NewNullLogger(), client, platform.Codec{}, catalog.WithPeers(fixedPeers{tt.peer}))
+				if err := c.Start(t.Context(), nil); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(2 * time.Second)
+				store.Restore()
+				store.Put(serversTopic, "i-1", startedServer(2))
+				store.Put(serversTopic, "i-1", startedServer(2))
+				time.Sleep(5 * time.Second)
+				if got := listedStart(c); got != 2 {
+					t.Errorf("start %d is listed before the store is away, want 2", got)
+				}
+				store.SetFault(site.Unavailable)
+				time.Sleep(10 * time.Second)
+				if got := listedStart(c); got != tt.want {
+					t.Errorf("start %d is listed, want %d", got, tt.want)
+				}
+				if err := c.Close(); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
+// lateStore is a store whose answers to reads of the servers reach the process late.
+type lateStore struct{ late time.Duration }
+
+func (lateStore) Snapshot(context.Context, record.Partition) (record.Snapshot, error) {
+	return record.Snapshot{Records: []record.Record{{Key: "i-1", Value: startedServer(1)}}, Next: 1, Era: 1}, nil
+}
+
+func (s lateStore) Read(ctx context.Context, r record.Read) (record.Batch, error) {
+	if r.From > 1 {
+		<-ctx.Done()
+		return record.Batch{}, ctx.Err()
+	}
+	time.Sleep(s.late)
+	return record.Batch{Records: []record.Record{{Key: "i-1", Value: startedServer(2), Offset: 1}}, Next: 2, End: 2, Era: 1}, nil
+}
+
+// TestLateResponseOlderThanPeerList guards against records that replace those of a peer's newer list, as the
+// process handles a response late.
+func TestLateResponseOlderThanPeerList(t *testing.T) {
+	for _, late := range []time.Duration{0, 5 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			newer := catalog.Snapshot{Tables: record.Record{Key: "config", Value: config(1)}, Servers: []record.Record{{Key: "i-1", Value: startedServer(3), Offset: 2}}, Era: 1, NextOffset: 3}
+			c := catalog.New(hclog.NewNullLogger(), lateStore{late: late}, platform.Codec{}, catalog.WithPeers(fixedPeers{newer}))
+			if err := c.Start(t.Context(), nil); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(10 * time.Second)
+			if got := listedStart(c); got != 3 {
+				t.Errorf("start %d is listed by a response that came after %s, want 3", got, late)
+			}
+			if err := c.Close(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
