--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -18,6 +18,7 @@
 	"github.com/crocusline/crocusline/models/record"
 	"github.com/crocusline/crocusline/models/roster"
 	"github.com/crocusline/crocusline/models/route"
+	"github.com/crocusline/crocusline/modules/uptime"
 	"github.com/crocusline/crocusline/services/follower"
 )
 
@@ -64,6 +65,9 @@
 // WithHeartbeat sets the time between two heartbeats of a server.
 func WithHeartbeat(d time.Duration) Option { return func(s *Service) { s.heartbeat = d } }
 
+// WithClock sets the clock by which the age of the tables and of the list of servers is measured.
+func WithClock(c *uptime.Clock) Option { return func(s *Service) { s.clock = c } }
+
 // WithPeers sets the source of snapshots while the store is unreachable.
 func WithPeers(p Peers) Option { return func(s *Service) { s.peers = p } }
 
@@ -85,6 +89,7 @@
 	// heartbeat is the time between two heartbeats of a server.
 	heartbeat time.Duration
 
+	clock   *uptime.Clock
 	tables  *follower.Follower
 	servers *follower.Follower
 	table   atomic.Pointer[route.Table]
@@ -95,11 +100,12 @@
 	serversLoaded bool
 	serverRecords map[string]record.Record
 	tableRecord   record.Record
-	// currentAt is when the tables were those of a peer that knew them to be current.
-	currentAt time.Time
-	// nextOffset is the offset up to which the servers' topic was read.
-	nextOffset int64
-	balancers  map[string]*balance.Balancer
+	// peerCurrentAt is when the tables were those of a peer that knew them to be current, by the clock,
+	// or nil.
+	peerCurrentAt *time.Duration
+	// position is how far the servers' topic was read, by this gateway or a peer.
+	position  record.Position
+	balancers map[string]*balance.Balancer
 	// board holds what servers announce, and onNotice is called after anything new.
 	board    *notice.Board
 	onNotice func()
@@ -113,20 +119,20 @@
 	s := &Service{
 		log: log.Named(Name), codec: codec,
 		serverRecords: map[string]record.Record{}, balancers: map[string]*balance.Balancer{},
-		board: notice.NewBoard(nil), onNotice: func() {},
+		board: notice.NewBoard(nil), onNotice: func() {}, clock: uptime.NewClock(),
 	}
 	for _, opt := range opts {
 		opt(s)
 	}
 	s.roster = roster.New(roster.WithHeartbeat(s.heartbeat))
 	tables, servers := codec.Topics()
-	s.tables = follower.New(s.log, store, record.Partition{Topic: tables}, tableHandler{s}, follower.WithResyncOnError(),
+	s.tables = follower.New(s.log, store, record.Partition{Topic: tables}, tableHandler{s}, follower.WithResyncOnError(), follower.WithClock(s.clock),
 		follower.WithPace(func() follower.Pace {
 			poll := max(follower.DefaultPollTimeout, time.Duration(tablePollShare*float64(s.tableBound)))
 			return follower.Pace{MinInterval: follower.DefaultMinInterval, PollTimeout: poll}
 		}))
 	timed := &timedLog{log: store}
-	s.servers = follower.New(s.log, timed, record.Partition{Topic: servers}, serverHandler{s: s, reads: timed}, follower.WithResyncOnError(),
+	s.servers = follower.New(s.log, timed, record.Partition{Topic: servers}, serverHandler{s: s, reads: timed}, follower.WithResyncOnError(), follower.WithClock(s.clock),
 		follower.WithPace(func() follower.Pace {
 			interval := max(follower.DefaultMinInterval, time.Duration(serverReadShare*float64(s.serverBound)))
 			return follower.Pace{MinInterval: interval, PollTimeout: follower.DefaultPollTimeout}
@@ -168,7 +174,11 @@
 func (s *Service) Age() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return min(s.tables.Age(), time.Since(s.currentAt))
+	age := s.tables.Age()
+	if s.peerCurrentAt != nil {
+		age = min(age, s.clock.Elapsed()-*s.peerCurrentAt)
+	}
+	return age
 }
 
 // Current reports whether the routing tables hold all that the operators' bound requires.
@@ -332,6 +342,22 @@
 	s.roster.Put(server, now)
 }
 
+// setServers replaces the list of servers by one that was read up to the position.
+func (s *Service) setServers(records []record.Record, at record.Position, now time.Time) {
+	listed := map[string]bool{}
+	for _, r := range records {
+		listed[r.Key] = true
+		s.putServer(r, now)
+	}
+	for id := range s.serverRecords {
+		if !listed[id] {
+			s.removeServer(id, now)
+		}
+	}
+	s.serversLoaded, s.position = true, at
+	s.refresh(now)
+}
+
 func (s *Service) removeServer(id string, now time.Time) {
 	if _, listed := s.serverRecords[id]; !listed {
 		return
--- a/services/catalog/servers.go
+++ b/services/catalog/servers.go
@@ -39,19 +39,12 @@
 	defer s.mu.Unlock()
 	s.roster.ListAvailable(now)
 	s.roster.ResetReads()
-	listed := map[string]bool{}
-	for _, r := range records {
-		listed[r.Key] = true
-		s.putServer(r, now)
-	}
-	for id := range s.serverRecords {
-		if !listed[id] {
-			s.removeServer(id, now)
-		}
+	// A peer's list may be newer than a response that this process handles late. Without eras, a lower
+	// offset may also mean that the store has returned from a copy.
+	if at := (record.Position{Era: s.servers.Era(), Next: next}); at.Era == 0 || !at.Before(s.position) {
+		s.setServers(records, at, now)
 	}
 	s.roster.RecordRead(h.reads.beganAt)
-	s.serversLoaded, s.nextOffset = true, next
-	s.refresh(now)
 }
 
 // Apply implements follower.Handler.
@@ -60,11 +53,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.roster.ListAvailable(now)
+	era := s.servers.Era()
 	for _, r := range records {
-		s.putServer(r, now)
+		if !(record.Position{Era: era, Next: r.Offset}).Before(s.position) {
+			s.putServer(r, now)
+		}
 	}
 	s.roster.RecordRead(h.reads.beganAt)
-	s.nextOffset = max(s.nextOffset, next)
+	if at := (record.Position{Era: era, Next: next}); s.position.Before(at) {
+		s.position = at
+	}
 	s.refresh(now)
 }
 
