Begin no send after the request has ended

Such requests ran for nobody (GONE), and ended as 502 or 504 though nothing of them had to be sent.

exchange.Ended compares the deadline with the clock as well. Client.Do asks it before a connection is taken and again right before the write, and returns NotSentError; relay asks it before the next send. The send counts as not run with the evidence notBegun, which says nothing about the server: it isn't recorded as unreachable, also if a caller left while it was called.

--- a/models/call/evidence.go
+++ b/models/call/evidence.go
@@ -7,8 +7,10 @@
 
 // The kinds of evidence.
 const (
+	// NotBegun means that the send was not begun, as the request had ended before.
+	NotBegun Evidence = iota // notBegun
 	// NotConnected means that no connection to the server was established.
-	NotConnected Evidence = iota // notConnected
+	NotConnected // notConnected
 	// NothingWritten means that the connection accepted no byte of the request.
 	NothingWritten // nothingWritten
 	// ServerStatement means that the server states it in its response to this request.
@@ -18,4 +20,4 @@
 )
 
 // Unsent reports whether nothing of the request reached a server.
-func (e Evidence) Unsent() bool { return e == NotConnected || e == NothingWritten }
+func (e Evidence) Unsent() bool { return e == NotBegun || e == NotConnected || e == NothingWritten }
--- a/models/call/evidence_string.go
+++ b/models/call/evidence_string.go
@@ -8,15 +8,16 @@
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
-	_ = x[NotConnected-0]
-	_ = x[NothingWritten-1]
-	_ = x[ServerStatement-2]
-	_ = x[ServerMisdirected-3]
+	_ = x[NotBegun-0]
+	_ = x[NotConnected-1]
+	_ = x[NothingWritten-2]
+	_ = x[ServerStatement-3]
+	_ = x[ServerMisdirected-4]
 }
 
-const _Evidence_name = "notConnectednothingWrittenserverStatementserverMisdirected"
+const _Evidence_name = "notBegunnotConnectednothingWrittenserverStatementserverMisdirected"
 
-var _Evidence_index = [...]uint8{0, 12, 26, 41, 58}
+var _Evidence_index = [...]uint8{0, 8, 20, 34, 49, 66}
 
 func (i Evidence) String() string {
 	idx := int(i) - 0
--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -143,6 +143,12 @@
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*http.Response, error) {
 	c.ids.add(r.ID)
 	stop := context.AfterFunc(ctx, func() { _ = c.netConn.Close() })
+	// Checked again, as the process may have stood still since then.
+	if err := Ended(ctx); err != nil {
+		stop()
+		c.close()
+		return nil, &NotSentError{Address: c.address, Err: err}
+	}
 	writer := &trackingWriter{Conn: c.netConn}
 	writeResult := make(chan error, 1)
 	if len(r.Body) > maxInlineBody {
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -74,6 +74,31 @@
 // Unwrap returns the cause.
 func (e *NoResponseError) Unwrap() error { return e.Err }
 
+// NotSentError is returned if the context had ended before the request was written. Nothing of it was
+// sent.
+type NotSentError struct {
+	Address netip.AddrPort
+	Err     error
+}
+
+// Error implements error.
+func (e *NotSentError) Error() string { return fmt.Sprintf("not sent to %s: %v", e.Address, e.Err) }
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// Ended returns why the context has ended, or nil. In a process that lacks processor time, the timer of a context runs
+// long after its deadline.
+func Ended(ctx context.Context) error {
+	if ctx.Err() != nil {
+		return errors.WithStack(context.Cause(ctx))
+	}
+	if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+		return errors.WithStack(context.DeadlineExceeded)
+	}
+	return nil
+}
+
 // Option configures a Client.
 type Option func(*Client)
 
@@ -149,6 +174,9 @@
 // The end of the context closes the connection, also while the body is read. The
 // caller must close the body.
 func (c *Client) Do(ctx context.Context, r *Request) (*http.Response, error) {
+	if err := Ended(ctx); err != nil {
+		return nil, &NotSentError{Address: r.Address, Err: err}
+	}
 	conn, err := c.acquire(ctx, r)
 	if err != nil {
 		return nil, err
@@ -207,6 +235,10 @@
 	netConn, err := dialer.DialContext(ctx, "tcp", r.Address.String())
 	if err != nil {
 		c.release(r.Address)
+		if errors.Is(ctx.Err(), context.Canceled) {
+			// Says nothing about the server.
+			return nil, &NotSentError{Address: r.Address, Err: Ended(ctx)}
+		}
 		return nil, &DialError{Address: r.Address, Err: err}
 	}
 	c.dialed.Add(1)
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -16,6 +16,7 @@
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/retry"
 	"github.com/crocusline/crocusline/models/route"
+	"github.com/crocusline/crocusline/modules/exchange"
 	"github.com/crocusline/crocusline/services/prepaid"
 )
 
@@ -173,8 +174,8 @@
 				j.lastRefusal = refusal.New(result.reason, overloadRetryAfter, "the backend servers turned the request away")
 			}
 		}
-		if ctx.Err() != nil {
-			return j.fail(w, fallback, j.expiredRefusal(ctx))
+		if cause := exchange.Ended(ctx); cause != nil {
+			return j.fail(w, fallback, j.expiredRefusal(cause))
 		}
 		if !j.mayRetry(sends) {
 			return j.fail(w, fallback, j.finalRefusal())
@@ -229,11 +230,11 @@
 }
 
 // expiredRefusal returns the refusal of a request whose deadline passed, whose caller disconnected, or
-// that was given up for the reason that the cause of the context's end names.
-func (j *job) expiredRefusal(ctx context.Context) *refusal.Error {
-	e := &refusal.Error{Reason: refusal.DeadlineExpired, Advice: "the time for the request is over: " + context.Cause(ctx).Error()}
-	if cause, ok := refusal.As(context.Cause(ctx)); ok {
-		e.Reason, e.RetryAfter, e.Advice = cause.Reason, cause.RetryAfter, cause.Advice
+// that was given up for the reason that the cause of its end names.
+func (j *job) expiredRefusal(cause error) *refusal.Error {
+	e := &refusal.Error{Reason: refusal.DeadlineExpired, Advice: "the time for the request is over: " + cause.Error()}
+	if given, ok := refusal.As(cause); ok {
+		e.Reason, e.RetryAfter, e.Advice = given.Reason, given.RetryAfter, given.Advice
 	}
 	if j.possibleRuns > 0 {
 		e.Outcome = refusal.Unknown
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -37,12 +37,17 @@
 	notices int
 	// restarted is whether servers may have started again under their ids.
 	restarted bool
+	// stall is called before each use of a balancer, unless it is nil.
+	stall func()
 }
 
 func (c *fakeCatalog) Table() *route.Table { return c.table }
 func (c *fakeCatalog) Age() time.Duration  { return 0 }
 func (c *fakeCatalog) Current() bool       { return !c.outdated }
 func (c *fakeCatalog) WithBalancer(pool string, f func(*balance.Balancer)) {
+	if c.stall != nil {
+		c.stall()
+	}
 	f(c.balancers[pool])
 }
 
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -89,6 +89,10 @@
 
 // classifyError returns the result of a send without a response.
 func (j *job) classifyError(err error) sendResult {
+	var notSent *exchange.NotSentError
+	if errors.As(err, &notSent) {
+		return notRun{reason: refusal.DeadlineExpired, evidence: call.NotBegun, err: err}
+	}
 	var dial *exchange.DialError
 	if errors.As(err, &dial) {
 		if dial.PoolExhausted {
@@ -287,7 +291,7 @@
 		case serverError:
 			b.RecordFailure(id)
 		case notRun:
-			if result.reason != refusal.QueueFull {
+			if result.reason != refusal.QueueFull && result.evidence != call.NotBegun {
 				b.RecordUnreachable(now, id)
 			}
 		case unknownOutcome:
