Take only rejections of a model engine for the proof that nothing ran

Callers of work that must run once could be told that it had not run, and have it registered for another server, although the model engine had answered with a status that says nothing of that: 408, or a success or redirect other than 200. All statuses that the code didn't name were taken for a rejection, the last case of the switch.

A status of 4xx other than 408 is a rejection now, and what isn't known is an unknown outcome. 429 and 503 stay 'not run', as the common completions API means them.

TestEngineStatus has 201, 204, 302 and 408: all four were serverRejected (notRun) before, and are serverFailed (unknown) now. Ruled out on this path: a second delivery by the HTTP/3 transport, which sends again only what was rejected unprocessed (read, not run); an attempt that a stalled entry sends after it was fenced, which the sidecar refuses (TestFencedAttemptIsNeverRunAndNextAttemptIs).

--- a/services/server/engine.go
+++ b/services/server/engine.go
@@ -95,19 +95,20 @@
 	return result, nil
 }
 
-// engineRefusal returns the refusal for a response status, or nil for 200.
+// engineRefusal returns the refusal for a response status, or nil for 200. Only a status that rejects the
+// request shows that it has not run.
 func engineRefusal(status int) error {
 	switch {
 	case status == http.StatusOK:
 		return nil
 	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
 		return refusal.New(refusal.ServerFailed, serverFailedRetryAfter, "The model engine takes no work now: try another server.")
-	case status >= http.StatusInternalServerError:
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError && status != http.StatusRequestTimeout:
+		return refusal.New(refusal.ServerRejected, 0, "The model engine rejected the request: change it.")
+	default:
 		e := refusal.New(refusal.ServerFailed, serverFailedRetryAfter, "The model engine failed: try another server.")
 		e.Outcome = refusal.Unknown
 		return e
-	default:
-		return refusal.New(refusal.ServerRejected, 0, "The model engine rejected the request: change it.")
 	}
 }
 
--- a/services/server/server_test.go
+++ b/services/server/server_test.go
@@ -94,6 +94,11 @@
 		{http.StatusTooManyRequests, refusal.ServerFailed, refusal.NotRun},
 		{http.StatusInternalServerError, refusal.ServerFailed, refusal.Unknown},
 		{http.StatusBadRequest, refusal.ServerRejected, refusal.NotRun},
+		{http.StatusNotFound, refusal.ServerRejected, refusal.NotRun},
+		{http.StatusRequestTimeout, refusal.ServerFailed, refusal.Unknown},
+		{http.StatusCreated, refusal.ServerFailed, refusal.Unknown},
+		{http.StatusNoContent, refusal.ServerFailed, refusal.Unknown},
+		{http.StatusFound, refusal.ServerFailed, refusal.Unknown},
 	}
 	for _, tt := range tests {
 		address := startServer(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(tt.status) })
