--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -93,6 +93,10 @@
 
 // classifyError returns the result of a send without a response.
 func (j *job) classifyError(err error) sendResult {
+	var notSent *exchange.NotSentError
+	if errors.As(err, &notSent) {
+		return notRun{reason: refusal.DeadlineExpired, evidence: call.NotBegun, err: err}
+	}
 	var dial *exchange.DialError
 	if errors.As(err, &dial) {
 		if dial.PoolExhausted {
@@ -291,7 +295,7 @@
 		case serverError:
 			b.RecordFailure(id)
 		case notRun:
-			if result.reason != refusal.QueueFull && !cancelled {
+			if result.reason != refusal.QueueFull && result.evidence != call.NotBegun && !cancelled {
 				b.RecordUnreachable(now, id)
 			}
 		case unknownOutcome:
