Read what arrived while the process did not run before giving up a response

A gateway that was stopped for longer than a call to the store may take found the call's timer due when it ran on, gave up the response that waited in its socket, and logged the store as unreachable: its own delay was taken for the store's. It then waited 0.1 s or more for the next read, with the old view: callers with a key that had been added got 503, and decisions that ask whether the store responds got the wrong answer.

The guard of a response now notes when its timer is due. One that fires over 0.1 s late gives the process 0.1 s to read what has arrived, three times a call at most.

Ruled out: longer timeouts, which a stop can exceed as well, and which make dead connections known later.

Tests: modules/transfer and platform with the race detector, services/catalog.

--- a/modules/transfer/transfer.go
+++ b/modules/transfer/transfer.go
@@ -13,6 +13,15 @@
 	"github.com/pkg/errors"
 )
 
+const (
+	// maxLateness is how late a timer may fire in a process that runs. Beyond that the process was stopped, or
+	// lacked processor time, and what has arrived meanwhile is still to be read.
+	maxLateness = 100 * time.Millisecond
+	// lateGrace is the time for that, and maxExtensions how often a call gets it.
+	lateGrace     = 100 * time.Millisecond
+	maxExtensions = 3
+)
+
 // Limits bounds the progress of a response.
 type Limits struct {
 	// Begin is how long a response may take to begin.
@@ -61,16 +70,20 @@
 	cancel  context.CancelCauseFunc
 	started time.Time
 
-	mu       sync.Mutex
-	timer    *time.Timer
-	began    time.Time
-	received int64
+	mu    sync.Mutex
+	timer *time.Timer
+	// due is when the timer should fire, and extensions how often it has fired late.
+	due        time.Time
+	extensions int
+	began      time.Time
+	received   int64
 }
 
 // Watch returns a guard of a call that starts now, and the context of the call. Stop must
 // be called when the response was read.
 func Watch(ctx context.Context, limits Limits) (context.Context, *Guard) {
-	g := &Guard{limits: limits, started: time.Now()}
+	now := time.Now()
+	g := &Guard{limits: limits, started: now, due: now.Add(limits.Begin)}
 	g.ctx, g.cancel = context.WithCancelCause(ctx)
 	g.timer = time.AfterFunc(limits.Begin, g.expire)
 	return g.ctx, g
@@ -79,6 +92,12 @@
 func (g *Guard) expire() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
+	if now.Sub(g.due) > maxLateness && g.extensions < maxExtensions {
+		g.extensions++
+		g.reset(now, lateGrace)
+		return
+	}
 	since := g.started
 	if !g.began.IsZero() {
 		since = g.began
@@ -101,7 +120,13 @@
 		g.began = now
 	}
 	g.received += int64(n)
-	g.timer.Reset(g.limits.expiry(g.began, now, g.received).Sub(now))
+	g.reset(now, g.limits.expiry(g.began, now, g.received).Sub(now))
+}
+
+// reset sets the timer, with the guard locked.
+func (g *Guard) reset(now time.Time, d time.Duration) {
+	g.due = now.Add(d)
+	g.timer.Reset(d)
 }
 
 // Cause returns the Error if the response exceeded its limits, and err otherwise.
