--- a/tests/faults/proxy_test.go
+++ b/tests/faults/proxy_test.go
@@ -30,11 +30,11 @@
 // proxy is a loopback proxy in front of one address.
 type proxy struct {
 	listener net.Listener
-	target   netip.AddrPort
 
-	mu    sync.Mutex
-	mode  proxyMode
-	conns map[net.Conn]bool
+	mu     sync.Mutex
+	target netip.AddrPort
+	mode   proxyMode
+	conns  map[net.Conn]bool
 }
 
 func newProxy(t *testing.T, to netip.AddrPort) *proxy {
@@ -94,6 +94,20 @@
 	return p.mode
 }
 
+// lead makes later connections lead to another address, and resets the open ones.
+func (p *proxy) lead(to netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = to
+	p.resetConns()
+}
+
+func (p *proxy) leadsTo() netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 func (p *proxy) track(c net.Conn, open bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -110,7 +124,7 @@
 		if err != nil {
 			return
 		}
-		to, err := net.Dial("tcp", p.target.String())
+		to, err := net.Dial("tcp", p.leadsTo().String())
 		if err != nil {
 			_ = from.Close()
 			continue
--- a/tests/faults/version_test.go
+++ b/tests/faults/version_test.go
@@ -27,10 +27,13 @@
 	oldVersion, newVersion = "v1", "v1.1"
 )
 
-// newVersionFleet starts a fleet with two servers of each of two versions.
-func newVersionFleet(t *testing.T, gateways int) *fleet {
+// newVersionFleet starts a fleet with a server of each version, by default two of each of two versions.
+func newVersionFleet(t *testing.T, gateways int, versions ...string) *fleet {
 	t.Helper()
-	f := newFleetOfVersions(t, buildBinary(t), gateways, []string{oldVersion, oldVersion, newVersion, newVersion}, 0)
+	if len(versions) == 0 {
+		versions = []string{oldVersion, oldVersion, newVersion, newVersion}
+	}
+	f := newFleetOfVersions(t, buildBinary(t), gateways, versions, 0)
 	requireService(t, f, "before the streams")
 	// Gateways send a server more requests at a time once they have seen it finish some.
 	f.behaveAll(site.PacedEvents)
