Compare what a server resumes with what the caller has received

Callers that resumed a stream got events once more that they had named as received: repeated events were dropped only if this response had sent events before, and a caller's Last-Event-Id didn't count. A server that resumed too late left a gap in a response, and one that ended in order before the caller's last event ended the whole stream as complete, with 200 and an empty body where the caller had resumed it.

Progress now begins after the caller's Last-Event-Id. Ids increase, so that what isn't beyond the last one is dropped, and an end before it proves nothing. Ids need not be consecutive: only if all that were sent were, the first event of another server must be the next one; what follows a caller's own Last-Event-Id too late can't be told from ids with gaps, and is passed on as before. Ids that are no numbers can't be compared, so that a gateway doesn't continue a response after one by itself. Callers that resume with such an id still reach a server.

--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -273,6 +273,9 @@
 		fingerprint: fingerprint, deadline: r.ArrivedAt.Add(timeout),
 		log: s.log.With("requestId", r.ID),
 	}
+	if rt.Kind.Streams() {
+		j.LastEventID = r.LastEventID
+	}
 	j.usePool(table.PoolFor(rt, r.ID))
 	return j, nil
 }
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -85,7 +85,7 @@
 
 // lastEvent returns the id of the last event that the caller has received, or "" if there is none.
 func (j *job) lastEvent() string {
-	if j.Begun {
+	if j.route.Kind.Streams() {
 		return j.LastEventID
 	}
 	return j.request.LastEventID
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -139,6 +139,9 @@
 			}
 			continue
 		}
+		if passed == 0 && !j.Continues(id) {
+			return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("event %q does not continue the stream after event %q", id, j.LastEventID)}
+		}
 		passed++
 		if err := j.checkOrigin(ctx, prompt); err != nil {
 			return unknownOutcome{reason: refusal.ServerFailed, err: err}
@@ -150,8 +153,7 @@
 		if err := http.NewResponseController(w).Flush(); err != nil {
 			return callerDisconnected{err: errors.WithStack(err)}
 		}
-		j.Events++
-		j.LastEventID = id
+		j.RecordEvent(id)
 		if prompt.answered(time.Now()) {
 			prompt.reportAnswer()
 		}
@@ -182,6 +184,9 @@
 			return unknownOutcome{reason: refusal.ServerFailed, err: err}
 		}
 	}
+	if j.EndsEarlier(end.last) {
+		return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("response ends with event %q, and the caller has received event %q", end.last, j.LastEventID)}
+	}
 	confirmed := !framed(resp) && j.ConfirmsEnd(end.last)
 	switch {
 	case !confirmed && !call.Whole(framed(resp), end.passed):
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -86,6 +86,13 @@
 	// RepeatEvents executes the request, sends the first half of its events, and repeats the last
 	// of them until the client disconnects.
 	RepeatEvents
+	// ResumeFromFirst executes the request and sends the events from the first one on, whichever the
+	// client has received.
+	ResumeFromFirst
+	// ResumeEarly sends the last events that the client has received once more, and ResumeLate leaves
+	// out some of those that follow.
+	ResumeEarly
+	ResumeLate
 	// WrongRequestID responds with the Request-Id of another request.
 	WrongRequestID
 )
@@ -383,7 +390,7 @@
 	s.mu.Unlock()
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
-		first = last + 1
+		first = resumeAt(b, last)
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for id := first; id <= s.events; id++ {
@@ -414,6 +421,21 @@
 	}
 }
 
+// resumeAt returns the first event that is sent to a client whose last event is known.
+func resumeAt(b Behaviour, last int) int {
+	const shift = 2
+	switch b {
+	case ResumeFromFirst:
+		return 1
+	case ResumeEarly:
+		return max(1, last+1-shift)
+	case ResumeLate:
+		return last + 1 + shift
+	default:
+		return last + 1
+	}
+}
+
 // repeatUntilDone sends an event until the client disconnects.
 func repeatUntilDone(ctx context.Context, w http.ResponseWriter, event string) {
 	block := []byte(strings.Repeat(event, 1000))
