Keep two records of a stream that differ from being overruled by a gateway

A stream of which the store has two records, with different versions, counts as of unknown origin; but the gateway that found that asked the others then, and the first that knew only one of the two made it known again, so that the stream went on at that version. A process that began two streams under one id of a caller remembered the last one only. TestContradictingOrigins had neither case; on the code before, both were answered with a version, also to other gateways.

A contradiction is now an answer by itself: nobody is asked, and the error says so. Callers that use an id once, as they should, see no difference. Ruled out by reading: the era, the order of records, slots that are used again and reads that began too early; a missing record is refused at all gateways but the one that began the stream, and those that it answers.

--- a/services/lineage/find.go
+++ b/services/lineage/find.go
@@ -30,15 +30,21 @@
 
 // UnknownError is returned if the origin of a stream is unknown.
 type UnknownError struct {
-	// Unread is whether the store could not be read. Otherwise it has no record of the stream.
+	// Unread is whether the store could not be read.
 	Unread bool
-	Err    error
+	// Contradicted is whether two records of the stream differ. Otherwise there is none, as far as the store
+	// could be read.
+	Contradicted bool
+	Err          error
 }
 
 // Error implements error.
 func (e *UnknownError) Error() string {
-	if e.Unread {
+	switch {
+	case e.Unread:
 		return fmt.Sprintf("the origin of the stream can't be read: %v", e.Err)
+	case e.Contradicted:
+		return "two records of the stream's origin differ"
 	}
 	return "no record of the stream's origin"
 }
@@ -82,12 +88,13 @@
 // Find returns the origin of the stream, or an *UnknownError.
 func (s *Service) Find(ctx context.Context, id lineage.ID) (lineage.Origin, error) {
 	origin, err := s.find(ctx, id, time.Now())
-	if err != nil {
+	var unknown *UnknownError
+	// Other gateways may know one of two records that differ.
+	if errors.As(err, &unknown) && !unknown.Contradicted {
 		if o := s.askPeers(ctx, id); o.Known() {
 			origin, err = o, nil
 		}
 	}
-	var unknown *UnknownError
 	switch {
 	case err == nil:
 		s.metrics.Counter(streamsResumed + originKnown).Inc()
@@ -106,8 +113,8 @@
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	for {
-		if o, known := s.known(id); known {
-			return o, nil
+		if o, exists := s.known(id); exists {
+			return o, contradiction(o)
 		}
 		r, err := s.joinRead(since)
 		if err != nil {
@@ -118,8 +125,8 @@
 		case <-ctx.Done():
 			return lineage.Origin{}, &UnknownError{Unread: true, Err: errors.WithStack(ctx.Err())}
 		}
-		if o, known := s.known(id); known {
-			return o, nil
+		if o, exists := s.known(id); exists {
+			return o, contradiction(o)
 		}
 		if r.err != nil {
 			return lineage.Origin{}, &UnknownError{Unread: true, Err: r.err}
@@ -130,7 +137,16 @@
 	}
 }
 
-// known returns the origin of a stream that this process began or has read of.
+// contradiction returns an error if the records of a stream differ, so that its origin is unknown.
+func contradiction(o lineage.Origin) error {
+	if o.Known() {
+		return nil
+	}
+	return &UnknownError{Contradicted: true}
+}
+
+// known returns the origin of a stream that this process began or has read of, which is unknown if they
+// differ, and whether there is any.
 func (s *Service) known(id lineage.ID) (lineage.Origin, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,8 +159,7 @@
 			all.Add(lineage.Entry{ID: id, Origin: o})
 		}
 	}
-	o, _ := all.Find(id)
-	return o, o.Known()
+	return all.Find(id)
 }
 
 // Known returns the origin of a stream that this process began or has read of, for other gateways.
--- a/services/lineage/lineage.go
+++ b/services/lineage/lineage.go
@@ -172,7 +172,11 @@
 	s.mu.Lock()
 	now := time.Now()
 	until := now.Add(lifetime)
-	s.began[id] = begun{origin: origin, until: until}
+	if before, exists := s.began[id]; exists && before.origin != origin {
+		s.began[id] = begun{until: until}
+	} else {
+		s.began[id] = begun{origin: origin, until: until}
+	}
 	generation := s.writer.Add(now, lineage.Entry{ID: id, Origin: origin}, until)
 	failing := s.failing || !s.loaded
 	s.mu.Unlock()
--- a/services/lineage/lineage_test.go
+++ b/services/lineage/lineage_test.go
@@ -204,15 +204,27 @@
 	})
 }
 
-// TestContradictingOrigins guards against a stream that goes on though two records of it differ.
+// TestContradictingOrigins guards against a stream that goes on though two records of it differ, also if
+// another gateway knows only one of them, or the process itself began both.
 func TestContradictingOrigins(t *testing.T) {
 	run(t, func(f *fixture) {
 		a, _ := f.start("a")
 		b, _ := f.start("b")
 		c, _ := f.start("c")
+		d, _ := f.start("d", lineage.WithFleet(f, f))
+		f.gateways[netip.MustParseAddrPort("10.0.1.1:80")] = a
 		f.begin(a, "twice", "v1")
 		f.begin(b, "twice", "v2")
 		f.expect(c, "twice", "")
+		f.expect(d, "twice", "")
+		f.begin(a, "here", "v1")
+		f.begin(a, "here", "v2")
+		f.begin(a, "here", "v1")
+		f.expect(a, "here", "")
+		f.expect(d, "here", "")
+		if o := a.Known(id("here")); o.Known() {
+			t.Errorf("other gateways are told %+v", o)
+		}
 	})
 }
 
