Ask a server that confirms the end of a stream whether it still runs

A stream without framing ended as complete in the middle if two servers crashed at the same event: the first after event 2 of 4, and the one that was asked for the rest behind its head. Each closes its connection in order, as the kernel does for a process that ends, and two such ends counted as proof, since two servers seldom crash at the same event. They do if the prompt is what crashes them. On the code before the caller got 2 of 4 events with an orderly end, in both new cases of TestUnframedStreamEndsBetweenEvents, whose others now have the report of a server that runs.

Bytes can't tell a crash from an end, the server can: the second one is asked for its start after it has ended the stream, and only the start that is listed confirms. That is one call for a stream without framing whose tokens don't prove its end, none for others. Ends with framing are the server's word as before. Not covered: a second server that goes on to run and answers, but ends a stream in order that isn't complete.

--- a/services/relay/cut_test.go
+++ b/services/relay/cut_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/crocusline/crocusline/models/roster"
+	"github.com/crocusline/crocusline/services/relay"
 	"github.com/crocusline/crocusline/standin/site"
 )
 
@@ -51,26 +52,39 @@
 // TestUnframedStreamEndsBetweenEvents guards against streams without framing whose server ended between
 // two events, and that callers get as complete, and against complete ones that are cut.
 func TestUnframedStreamEndsBetweenEvents(t *testing.T) {
-	const events = 4
+	const (
+		events = 4
+		// running is the start that the second server names when it is asked, and another that of a later one.
+		running, another = 17, 18
+	)
 	tests := []struct {
 		name, path    string
 		first, second site.Behaviour
 		usage         string
 		complete      bool
 		events, sends int
+		// started is the start of the second server when it has ended the stream, or 0 if it doesn't answer.
+		started int64
 	}{
-		{"stopped, resumed", "/draft/a", site.StopUnframed, site.Serve, "100,40", true, events, 2},
-		{"complete, confirmed", "/draft/a", site.ServeUnframed, site.Serve, "100,40", true, events, 2},
-		{"complete, confirmed without framing", "/draft/a", site.ServeUnframed, site.EndUnframed, "100,40", true, events, 2},
-		{"stopped, resumed from the first event", "/draft/a", site.StopUnframed, site.RestartUnframed, "100,40", false, events / 2, 2},
-		{"broken off, no further event", "/draft/a", site.AbortResponse, site.EndUnframed, "100,40", false, events / 2, 2},
-		{"complete by its tokens", "/draft/a", site.ServeUnframed, site.Serve, "100,4", true, events, 1},
-		{"stopped, no server for the rest", "/draft/a", site.StopUnframed, site.Shed, "100,40", false, events / 2, 2},
-		{"can't be resumed", "/plan/a", site.ServeUnframed, site.Serve, "100,40", true, events, 1},
+		{"stopped, resumed", "/draft/a", site.StopUnframed, site.Serve, "100,40", true, events, 2, running},
+		{"complete, confirmed", "/draft/a", site.ServeUnframed, site.Serve, "100,40", true, events, 2, running},
+		{"complete, confirmed without framing", "/draft/a", site.ServeUnframed, site.EndUnframed, "100,40", true, events, 2, running},
+		{"stopped, the next one crashed too", "/draft/a", site.StopUnframed, site.EndUnframed, "100,40", false, events / 2, 2, 0},
+		{"stopped, the next one started again", "/draft/a", site.StopUnframed, site.EndUnframed, "100,40", false, events / 2, 2, another},
+		{"stopped, resumed from the first event", "/draft/a", site.StopUnframed, site.RestartUnframed, "100,40", false, events / 2, 2, running},
+		{"broken off, no further event", "/draft/a", site.AbortResponse, site.EndUnframed, "100,40", false, events / 2, 2, running},
+		{"complete by its tokens", "/draft/a", site.ServeUnframed, site.Serve, "100,4", true, events, 1, running},
+		{"stopped, no server for the rest", "/draft/a", site.StopUnframed, site.Shed, "100,40", false, events / 2, 2, running},
+		{"can't be resumed", "/plan/a", site.ServeUnframed, site.Serve, "100,40", true, events, 1, running},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			env := newTestEnv(t, nil, site.NewServer("s1", events, tt.first), site.NewServer("s2", events, tt.second))
+			reports := fakeReports{}
+			if tt.started != 0 {
+				reports["s2"] = tt.started
+			}
+			env := newTestEnv(t, []relay.Option{relay.WithReports(reports)}, site.NewServer("s1", events, tt.first), site.NewServer("s2", events, tt.second))
+			env.setVersions("v1", "v1")
 			var want strings.Builder
 			for id := range tt.events {
 				want.WriteString(site.Event(id + 1))
--- a/services/relay/origin.go
+++ b/services/relay/origin.go
@@ -91,17 +91,41 @@
 	if evidence := catalog.Confirmed(prompt.server, prompt.openedAt); evidence != roster.NoEvidence {
 		return evidence, nil
 	}
-	call, err := j.service.starts.ask(ctx, prompt.server, prompt.openedAt, func(ctx context.Context) (int64, error) {
+	if err := j.askStart(ctx, prompt, prompt.openedAt); err != nil {
+		return roster.NoEvidence, err
+	}
+	return roster.ReportEvidence, nil
+}
+
+// askStart returns an error if the server, asked after the given time, isn't the start of it that is
+// listed.
+func (j *job) askStart(ctx context.Context, prompt *promptTracker, after time.Time) error {
+	call, err := j.service.starts.ask(ctx, prompt.server, after, func(ctx context.Context) (int64, error) {
 		j.service.metrics.Counter(serverStartsAsked).Inc()
 		return j.service.reports.Started(ctx, prompt.server, j.maxConns())
 	})
 	if err != nil {
-		return roster.NoEvidence, err
+		return err
 	}
-	if !catalog.RecordStart(prompt.server, call.askedAt, call.started) {
-		return roster.NoEvidence, errors.Errorf("server %s started at %d, and is listed with %d", prompt.server.ID, call.started, prompt.server.Started)
+	if !j.service.catalog.RecordStart(prompt.server, call.askedAt, call.started) {
+		return errors.Errorf("server %s started at %d, and is listed with %d", prompt.server.ID, call.started, prompt.server.Started)
 	}
-	return roster.ReportEvidence, nil
+	return nil
+}
+
+// endConfirmed reports whether the server, which has ended the stream in order but without framing,
+// confirms that it is complete. A process that crashes ends its streams in the same way, so that the server
+// must still run.
+func (j *job) endConfirmed(ctx context.Context, prompt *promptTracker, last string) bool {
+	endedAt := time.Now()
+	if !j.ConfirmsEnd(last) {
+		return false
+	}
+	err := j.askStart(ctx, prompt, endedAt)
+	if err != nil {
+		j.log.Info("end of stream not confirmed", "server", j.server, "lastEvent", last, "error", err)
+	}
+	return err == nil
 }
 
 // serverStartsAsked counts the calls that ask servers when they started.
--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -187,7 +187,7 @@
 	if j.EndsEarlier(end.last) {
 		return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("response ends with event %q, and the caller has received event %q", end.last, j.LastEventID)}
 	}
-	confirmed := !framed(resp) && j.ConfirmsEnd(end.last)
+	confirmed := !framed(resp) && j.endConfirmed(ctx, prompt, end.last)
 	switch {
 	case !confirmed && !call.Whole(framed(resp), end.passed):
 		return unknownOutcome{reason: refusal.ServerFailed, err: end.err}
