--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -294,6 +294,9 @@
 		fingerprint: r.Fingerprint(cmp.Or(workspace.Name, r.APIKey)), deadline: r.ArrivedAt.Add(timeout),
 		log: s.log.With("requestId", r.ID),
 	}
+	if rt.Kind.Streams() {
+		j.LastEventID = r.LastEventID
+	}
 	j.usePool(table.PoolFor(rt, r.ID))
 	return j
 }
