Let requests wait for the read that follows a pause of the gateway

A gateway that ran on after it had been stopped sent requests to a server that had begun to drain meanwhile, longer ago than the operators' bound, until its next read of the list arrived. It serves by an old view so that it works without the store, and didn't tell that from a view that is old because the process itself stood still.

What begins waits for the next read, 0.15 s at most, if the view isn't current though no read has failed: each request before it is admitted and before each choice of a server, so that retries and streams that go on elsewhere wait too. Nothing waits without the store, nor for tables that arrive over a thin link.

Ruled out: a wait after each pause that the process has measured, which would hold requests of a starved gateway whose view is current.

--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -101,6 +101,8 @@
 	// position is how far the servers' topic was read, by this gateway or a peer.
 	position  record.Position
 	balancers map[string]*balance.Balancer
+	// read is closed after the next read of the tables or the servers.
+	read chan struct{}
 	// board holds what servers announce, and onNotice is called after anything new.
 	board    *notice.Board
 	onNotice func()
@@ -114,7 +116,7 @@
 	s := &Service{
 		log: log.Named(Name), codec: codec, roster: roster.New(),
 		serverRecords: map[string]record.Record{}, balancers: map[string]*balance.Balancer{},
-		board: notice.NewBoard(nil), onNotice: func() {}, clock: uptime.NewClock(),
+		board: notice.NewBoard(nil), onNotice: func() {}, clock: uptime.NewClock(), read: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -174,12 +176,6 @@
 	return age
 }
 
-// Current reports whether the routing tables hold all that the operators' bound requires.
-// Tables that are not current may lack routes and API keys.
-func (s *Service) Current() bool {
-	return s.tableBound == 0 || s.Age() < time.Duration(currentShare*float64(s.tableBound))
-}
-
 // Ready reports whether routing tables and servers have been loaded.
 func (s *Service) Ready() bool {
 	s.mu.Lock()
@@ -376,7 +372,11 @@
 }
 
 // SetReachable implements follower.Handler.
-func (tableHandler) SetReachable(bool) {}
+func (h tableHandler) SetReachable(bool) {
+	h.s.mu.Lock()
+	defer h.s.mu.Unlock()
+	h.s.notifyRead()
+}
 
 // serverHandler applies the records of the servers' topic.
 type serverHandler struct{ s *Service }
@@ -416,6 +416,7 @@
 func (h serverHandler) SetReachable(ok bool) {
 	h.s.mu.Lock()
 	defer h.s.mu.Unlock()
+	h.s.notifyRead()
 	if ok {
 		h.s.roster.ListAvailable(time.Now())
 		return
--- a/services/follower/follower.go
+++ b/services/follower/follower.go
@@ -166,6 +166,9 @@
 	return f.clock.Elapsed() - time.Duration(f.contactAt.Load())
 }
 
+// Arriving reports whether a response arrives.
+func (f *Follower) Arriving() bool { return f.responding.Load() }
+
 // trace returns a context that records that the response begins.
 func (f *Follower) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { f.responding.Store(true) }})
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -135,7 +135,7 @@
 		if err := j.checkQuarantine(); err != nil {
 			return j.fail(w, fallback, err)
 		}
-		choice, ok := j.chooseServer()
+		choice, ok := j.chooseServer(ctx)
 		if !ok {
 			return j.fail(w, fallback, j.finalRefusal())
 		}
@@ -319,7 +319,8 @@
 
 // chooseServer chooses the server for the next send and records the send with the
 // balancer.
-func (j *job) chooseServer() (balance.Choice, bool) {
+func (j *job) chooseServer(ctx context.Context) (balance.Choice, bool) {
+	j.service.countWait(j.service.catalog.AwaitServers(ctx))
 	var choice balance.Choice
 	var ok bool
 	req := j.balanceRequest()
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -55,6 +55,10 @@
 	Age() time.Duration
 	// Current reports whether the tables can lack no route or API key.
 	Current() bool
+	// AwaitTables and AwaitServers wait for the next read of the tables or of the list of servers if this
+	// process has not run for a while, and report whether they have waited.
+	AwaitTables(ctx context.Context) bool
+	AwaitServers(ctx context.Context) bool
 	WithBalancer(pool string, f func(*balance.Balancer))
 	// RecordNotice records what a server announces about itself, and reports whether that was new.
 	RecordNotice(s roster.Server, r notice.Response) bool
@@ -210,6 +214,7 @@
 // *refusal.Error if nothing was written, and an *AbortedError if the response was
 // aborted.
 func (s *Service) Relay(ctx context.Context, w http.ResponseWriter, r *call.Request) error {
+	s.countWait(s.catalog.AwaitTables(ctx))
 	j, err := s.admit(r)
 	if err != nil {
 		s.recordRefusal(r, nil, err)
@@ -247,6 +252,15 @@
 	return err
 }
 
+// viewsAwaited counts the waits for a newer view after the process has not run for a while.
+const viewsAwaited = "crocusline_views_awaited_total"
+
+func (s *Service) countWait(waited bool) {
+	if waited {
+		s.metrics.Counter(viewsAwaited).Inc()
+	}
+}
+
 // admit finds the route and workspace of the request.
 func (s *Service) admit(r *call.Request) (*job, error) {
 	table := s.catalog.Table()
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -42,6 +42,9 @@
 func (c *fakeCatalog) Table() *route.Table { return c.table }
 func (c *fakeCatalog) Age() time.Duration  { return 0 }
 func (c *fakeCatalog) Current() bool       { return !c.outdated }
+
+func (*fakeCatalog) AwaitTables(context.Context) bool  { return false }
+func (*fakeCatalog) AwaitServers(context.Context) bool { return false }
 func (c *fakeCatalog) WithBalancer(pool string, f func(*balance.Balancer)) {
 	f(c.balancers[pool])
 }
--- a/tests/faults/stopped_test.go
+++ b/tests/faults/stopped_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -142,3 +143,31 @@
 		}
 	}
 }
+
+// TestServerDrainsWhileStopped guards against a gateway that stood still and sends requests to a server that
+// began to drain meanwhile, longer ago than the operators' bound.
+func TestServerDrainsWhileStopped(t *testing.T) {
+	f := newBoundedFleet(t)
+	g := f.gateways[0]
+	g.storeProxy.setMode(delay)
+	for round := range 3 {
+		id := fmt.Sprintf("drains-%d", round)
+		conns := dialAll(t, g, stoppedRequests)
+		time.Sleep(settleTime)
+		statuses := sendWhileStopped(t, g, conns, id, unlimitedKey, func() { f.setServerState(round, "draining") })
+		late := 0
+		for _, r := range f.servers[round].Requests() {
+			if strings.HasPrefix(r.ID, id) {
+				late++
+			}
+		}
+		t.Logf("round %d: responses by status: %v, %d requests to the server that drains", round, statuses, late)
+		if late > 0 {
+			t.Errorf("round %d: %d requests were sent to a server that had been draining for %s, the bound is %s", round, late, 2*stopTime/3, tableBound)
+		}
+		if statuses[http.StatusOK] == 0 {
+			t.Errorf("round %d: no request was served", round)
+		}
+		f.restartServer(round)
+	}
+}
