--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -62,6 +62,9 @@
 	return func(s *Service) { s.board = notice.NewBoard(notice.NewFleet(name)) }
 }
 
+// WithHeartbeat sets the time between two heartbeats of a server.
+func WithHeartbeat(d time.Duration) Option { return func(s *Service) { s.heartbeat = d } }
+
 // WithClock sets the clock by which the age of the tables and of the list of servers is measured.
 func WithClock(c *uptime.Clock) Option { return func(s *Service) { s.clock = c } }
 
@@ -83,6 +86,8 @@
 	// tableBound and serverBound are how soon changes must be in force.
 	tableBound  time.Duration
 	serverBound time.Duration
+	// heartbeat is the time between two heartbeats of a server.
+	heartbeat time.Duration
 
 	clock   *uptime.Clock
 	tables  *follower.Follower
@@ -114,20 +119,22 @@
 // New returns a catalog that reads from the store.
 func New(log hclog.Logger, store follower.Log, codec Codec, opts ...Option) *Service {
 	s := &Service{
-		log: log.Named(Name), codec: codec, roster: roster.New(),
+		log: log.Named(Name), codec: codec,
 		serverRecords: map[string]record.Record{}, balancers: map[string]*balance.Balancer{},
 		board: notice.NewBoard(nil), onNotice: func() {}, clock: uptime.NewClock(), read: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.roster = roster.New(roster.WithHeartbeat(s.heartbeat))
 	tables, servers := codec.Topics()
 	s.tables = follower.New(s.log, store, record.Partition{Topic: tables}, tableHandler{s}, follower.WithResyncOnError(), follower.WithClock(s.clock),
 		follower.WithPace(func() follower.Pace {
 			poll := max(follower.DefaultPollTimeout, time.Duration(tablePollShare*float64(s.tableBound)))
 			return follower.Pace{MinInterval: follower.DefaultMinInterval, PollTimeout: poll}
 		}))
-	s.servers = follower.New(s.log, store, record.Partition{Topic: servers}, serverHandler{s}, follower.WithResyncOnError(), follower.WithClock(s.clock),
+	timed := &timedLog{log: store}
+	s.servers = follower.New(s.log, timed, record.Partition{Topic: servers}, serverHandler{s: s, reads: timed}, follower.WithResyncOnError(), follower.WithClock(s.clock),
 		follower.WithPace(func() follower.Pace {
 			interval := max(follower.DefaultMinInterval, time.Duration(serverReadShare*float64(s.serverBound)))
 			return follower.Pace{MinInterval: interval, PollTimeout: follower.DefaultPollTimeout}
@@ -230,12 +237,12 @@
 	return drains || news
 }
 
-// Confirmed reports whether the process behind a connection that was opened at the given time is the listed start
-// of the server.
-func (s *Service) Confirmed(server roster.Server, openedAt time.Time) bool {
+// Confirmed returns what shows that the process behind a connection that was opened at the given time is the listed
+// start of the server.
+func (s *Service) Confirmed(server roster.Server, openedAt time.Time) roster.Evidence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.roster.Confirmed(server, openedAt, time.Now().Add(-s.servers.Age()))
+	return s.roster.Confirmed(server, openedAt)
 }
 
 // RecordStart records the start that a server named when it was asked, and reports whether it is that of the server as it was
@@ -377,49 +384,3 @@
 	defer h.s.mu.Unlock()
 	h.s.notifyRead()
 }
-
-// serverHandler applies the records of the servers' topic.
-type serverHandler struct{ s *Service }
-
-// Reset implements follower.Handler.
-func (h serverHandler) Reset(records []record.Record, next int64) {
-	s, now := h.s, time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.roster.ListAvailable(now)
-	// A peer's list may be newer than a response that this process handles late. Without eras, a lower
-	// offset may also mean that the store has returned from a copy.
-	if at := (record.Position{Era: s.servers.Era(), Next: next}); at.Era == 0 || !at.Before(s.position) {
-		s.setServers(records, at, now)
-	}
-}
-
-// Apply implements follower.Handler.
-func (h serverHandler) Apply(records []record.Record, next int64) {
-	s, now := h.s, time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.roster.ListAvailable(now)
-	era := s.servers.Era()
-	for _, r := range records {
-		if !(record.Position{Era: era, Next: r.Offset}).Before(s.position) {
-			s.putServer(r, now)
-		}
-	}
-	if at := (record.Position{Era: era, Next: next}); s.position.Before(at) {
-		s.position = at
-	}
-	s.refresh(now)
-}
-
-// SetReachable implements follower.Handler.
-func (h serverHandler) SetReachable(ok bool) {
-	h.s.mu.Lock()
-	defer h.s.mu.Unlock()
-	h.s.notifyRead()
-	if ok {
-		h.s.roster.ListAvailable(time.Now())
-		return
-	}
-	h.s.roster.ListUnavailable()
-}
