Count the silence of other gateways only while this one reads

After a pause of over 3 s each gateway took itself for the only one that lives, and its share of a server's limit for all of it, until it had read the next heartbeats: it had read none for as long as it had not run. When all were stopped, as their host was, all of them did.

Evidence, TestLimitInFleets with processes that are stopped for 4 s and keep their memory, on: 11 of its new cases fail, at 28 and 103 gateways, e.g. 369 requests in 4 s for 125 that are allowed, 103 for 26, 43 for 11 (all are stopped), 227 for 125 (half is stopped). With the change all cases pass, the ones from before unchanged.

notice.Fleet counts silence up to the time whose state was read last, and all gateways as seen if 1.5 s or more lie between two such times. The simulation reports each read, as the service does. Ruled out: counting from the read that follows the pause alone, as those that were stopped with this one have written no heartbeat that it could bring.

Tests: models/notice with the race detector, tests/faults for limits, pauses and backoffs, docs, linter.

--- a/models/notice/fleet.go
+++ b/models/notice/fleet.go
@@ -12,6 +12,9 @@
 	// maxHeartbeats the number of all gateways' heartbeats per second: each gateway reads all.
 	minHeartbeatInterval = time.Second
 	maxHeartbeats        = 100.0
+	// maxReadInterval is the longest time between the states of two reads in which the absence of
+	// heartbeats counts. While a server names a limit, each gateway reads at least its own.
+	maxReadInterval = 1500 * time.Millisecond
 	// missedHeartbeats is the number of heartbeats after whose absence a gateway has no share.
 	missedHeartbeats = 3
 	// disconnectedShare is the part of its share that a gateway uses while the others may have
@@ -31,18 +34,20 @@
 // Fleet is the set of gateways that live. It divides what servers allow to all gateways
 // together.
 //
-// A gateway lives until its heartbeats have been missing for a while in which the store could be
-// read: time without the store is no evidence. The loads that it answers are fleets in which a
-// share for each gateway would be far below one request, gateways that are killed, replaced or cut
-// off, and outages of the store.
+// A gateway lives until its heartbeats have been missing for a while in which the store was read:
+// time without the store, and time in which this process did not run, is no evidence. The loads that
+// it answers are fleets in which a share for each gateway would be far below one request, gateways that
+// are killed, stopped, replaced or cut off, and outages of the store.
 type Fleet struct {
 	self string
 	// seenAt is when each other gateway was last known to live.
 	seenAt map[string]time.Time
 	// known is whether the gateways are known.
 	known bool
-	// unreadableSince is when the store stopped responding, or the zero value.
-	unreadableSince time.Time
+	// unreadable is whether the store stopped responding, and readAt the time whose state was read last,
+	// or the zero value.
+	unreadable bool
+	readAt     time.Time
 	// confirmedAt is when the last heartbeat of this gateway that the store accepted was sent.
 	confirmedAt time.Time
 }
@@ -77,25 +82,30 @@
 
 // Watch begins to wait for heartbeats, which gateways write only while there is a limit.
 func (f *Fleet) Watch(now time.Time) {
-	for instance := range f.seenAt {
-		f.seenAt[instance] = now
+	for instance, seenAt := range f.seenAt {
+		if now.After(seenAt) {
+			f.seenAt[instance] = now
+		}
 	}
 }
 
 // Confirm records that the store accepted this gateway's heartbeat that was sent at the time.
 func (f *Fleet) Confirm(sentAt time.Time) { f.confirmedAt = sentAt }
 
-// SetReadable records whether the store responds to reads.
-func (f *Fleet) SetReadable(now time.Time, readable bool) {
-	switch {
-	case !readable && f.unreadableSince.IsZero():
-		f.unreadableSince = now
-	case readable && !f.unreadableSince.IsZero():
-		f.unreadableSince = time.Time{}
-		f.Watch(now)
+// RecordRead records that the store's heartbeats were read up to those of the time.
+func (f *Fleet) RecordRead(at time.Time) {
+	if !f.readAt.IsZero() && (f.unreadable || at.Sub(f.readAt) > maxReadInterval) {
+		f.Watch(at)
+	}
+	f.unreadable = false
+	if at.After(f.readAt) {
+		f.readAt = at
 	}
 }
 
+// RecordUnreadable records that the store doesn't respond to reads.
+func (f *Fleet) RecordUnreadable() { f.unreadable = true }
+
 // HeartbeatInterval returns the time between two heartbeats of a gateway. It grows with the fleet,
 // so that what each gateway reads doesn't.
 func (f *Fleet) HeartbeatInterval() time.Duration {
@@ -124,14 +134,10 @@
 	if !f.known {
 		return Share{Rate: disconnectedShare * limit / unknownGateways, Sharers: unknownGateways}
 	}
-	readAt := now
-	if !f.unreadableSince.IsZero() {
-		readAt = f.unreadableSince
-	}
 	own := score(server, f.self)
 	living, rank := 1, 0
 	for instance, seenAt := range f.seenAt {
-		if readAt.Sub(seenAt) >= f.expiry() {
+		if f.readAt.Sub(seenAt) >= f.expiry() {
 			continue
 		}
 		living++
--- a/models/notice/fleet_test.go
+++ b/models/notice/fleet_test.go
@@ -49,6 +49,9 @@
 	// downUntil is when the process starts, and cut whether the store is unreachable.
 	downUntil time.Duration
 	gone, cut bool
+	// stoppedUntil is when the process runs on, and unread what it reads a while after that.
+	stoppedUntil time.Duration
+	unread       []func(b *notice.Board)
 }
 
 // simFleet simulates gateways that send what they may to one server, which names a limit.
@@ -79,7 +82,9 @@
 // restart starts a process that knows nothing, after the time.
 func (f *simFleet) restart(g *simGateway, after time.Duration) {
 	fleet := notice.NewFleet(g.name)
-	fleet.SetReadable(f.time(), !g.cut)
+	if !g.cut {
+		fleet.RecordRead(f.time())
+	}
 	g.board, g.heartbeatAt, g.downUntil = notice.NewBoard(fleet), time.Time{}, f.now+after
 	f.later(after, func() {
 		if f.statement != nil && !g.cut {
@@ -96,23 +101,48 @@
 func (f *simFleet) broadcast(do func(b *notice.Board)) {
 	f.later(shareDelay, func() {
 		for _, g := range f.gateways {
-			if !g.cut && !g.gone {
+			switch {
+			case g.cut || g.gone:
+			case f.now < g.stoppedUntil:
+				g.unread = append(g.unread, do)
+			default:
 				do(g.board)
 			}
 		}
 	})
 }
 
+// stop stops the process for the time. The response that was under way is read when it runs on, the records of
+// the meantime with the next read.
+func (f *simFleet) stop(g *simGateway, d time.Duration) {
+	before := f.time()
+	g.stoppedUntil = f.now + d
+	f.later(d, func() {
+		if !g.cut {
+			g.board.Fleet().RecordRead(before)
+		}
+	})
+	f.later(d+shareDelay, func() {
+		unread := g.unread
+		g.unread = nil
+		for _, do := range unread {
+			do(g.board)
+		}
+	})
+}
+
 func (f *simFleet) setCut(g *simGateway, cut bool) {
 	g.cut = cut
-	g.board.Fleet().SetReadable(f.time(), !cut)
-	switch {
-	case cut:
-	case f.statement == nil:
+	if cut {
+		g.board.Fleet().RecordUnreadable()
+		return
+	}
+	g.board.Fleet().RecordRead(f.time())
+	if f.statement == nil {
 		g.board.LearnEnd(f.time(), server.ID)
-	default:
-		g.board.Learn(f.time(), *f.statement)
+		return
 	}
+	g.board.Learn(f.time(), *f.statement)
 }
 
 // share does what a gateway does in the store.
@@ -121,6 +151,7 @@
 		return
 	}
 	now := f.time()
+	g.board.Fleet().RecordRead(now)
 	g.board.Fleet().SetMembers(now, f.members)
 	g.board.SetListed(now, []roster.Server{server})
 	for _, s := range g.board.Unpublished(now) {
@@ -176,7 +207,7 @@
 		}
 	}
 	for _, g := range f.gateways {
-		if g.gone || f.now < g.downUntil {
+		if g.gone || f.now < g.downUntil || f.now < g.stoppedUntil {
 			continue
 		}
 		if f.every(shareInterval) {
@@ -274,6 +305,25 @@
 				}
 			}
 		}},
+		{"half is stopped", minUsedCut, func(f *simFleet) {
+			if f.every(10 * time.Second) {
+				for _, g := range f.gateways[len(f.gateways)/2:] {
+					f.stop(g, 4*time.Second)
+				}
+			}
+		}},
+		{"all are stopped", minUsedCut, func(f *simFleet) {
+			if f.every(10 * time.Second) {
+				for _, g := range f.gateways {
+					f.stop(g, 4*time.Second)
+				}
+			}
+		}},
+		{"stopped one after the other", minUsedCut, func(f *simFleet) {
+			if f.every(10 * time.Second) {
+				f.stop(f.gateways[int(f.now/(10*time.Second))%len(f.gateways)], 4*time.Second)
+			}
+		}},
 		{"cut off and killed", minUsedCut, func(f *simFleet) {
 			if f.every(5 * time.Second) {
 				for _, g := range f.gateways {
--- a/services/notice/notice.go
+++ b/services/notice/notice.go
@@ -244,5 +244,11 @@
 
 // SetReachable implements follower.Handler.
 func (s *Service) SetReachable(ok bool) {
-	s.boards.WithBoard(func(b *notice.Board) { b.Fleet().SetReadable(time.Now(), ok) })
+	s.boards.WithBoard(func(b *notice.Board) {
+		if !ok {
+			b.Fleet().RecordUnreadable()
+			return
+		}
+		b.Fleet().RecordRead(time.Now().Add(-s.follower.Age()))
+	})
 }
