--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -52,6 +52,9 @@
 	return !c.outdated
 }
 
+func (*fakeCatalog) AwaitTables(context.Context) bool  { return false }
+func (*fakeCatalog) AwaitServers(context.Context) bool { return false }
+
 func (c *fakeCatalog) WithBalancer(pool string, f func(*balance.Balancer)) {
 	if c.stall != nil {
 		c.stall()
