End the work on a stream before another attempt continues it

A caller whose connection breaks resumes its stream at once, at another gateway or the same one, while the first gateway may not have noticed: it waits for the processor, or read a byte after the request, after which net/http no longer watches the connection.

Each request of a stream that may be resumed is now registered (models/takeover, services/takeover). One that continues a stream first ends those before it: in this process, and over the peers' port at the gateway whose record has the stream (the key names the instance, records are unchanged) and at the one that this names as the last to resume it. They answer once the sockets to their servers are closed: exchange.Request.Released, and the client waits for the close itself where the end of a context closes a connection. A gateway that refuses the connection has ended; one that isn't reached in 0.25 s or doesn't respond in 1 s no longer holds the stream up. One call for each resumed stream, none for others.

Ruled out: a send that begins before the close of the one before within a response. The test of the peer handler gets one more argument.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/crocusline/crocusline/services/prepaid"
 	"github.com/crocusline/crocusline/services/quarantine"
 	"github.com/crocusline/crocusline/services/relay"
+	"github.com/crocusline/crocusline/services/takeover"
 )
 
 const (
@@ -108,6 +109,7 @@
 	quarantine   *quarantine.Service
 	notices      *notice.Service
 	lineage      *lineage.Service
+	takeover     *takeover.Service
 	relay        *relay.Service
 	lag          *schedlag.Meter
 	handler      *front.Handler
@@ -137,9 +139,10 @@
 	g.notices = notice.New(logger, g.store, platform.Codec{}.NoticesTopic(), s.Instance, g.catalog, g.directory)
 	g.lineage = lineage.New(logger, g.store, platform.Codec{}.LineageTopic(), s.Instance,
 		lineage.WithFleet(g.directory, g.peers), lineage.WithWritesPerSecond(s.StoreWrites), lineage.WithMetrics(g.metrics))
+	g.takeover = takeover.New(logger, s.Listen.Peers, g.peers, g.lineage, g.metrics)
 	g.relay = relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
 		append(retryOptions(s), relay.WithMemory(s.Memory), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine),
-			relay.WithLineage(g.lineage), relay.WithReports(platform.NewReports(g.client)), relay.WithMetrics(g.metrics))...)
+			relay.WithLineage(g.lineage), relay.WithTakeover(g.takeover), relay.WithReports(platform.NewReports(g.client)), relay.WithMetrics(g.metrics))...)
 	g.lag = schedlag.New()
 	g.handler = front.New(logger, platform.HeaderCodec{}, g.relay, g.catalog,
 		front.WithBandwidth(s.Bandwidth), front.WithProcessorDelay(g.lag.Delay))
@@ -211,7 +214,7 @@
 
 func (g *gateway) listenPeers() (closer, error) {
 	mux := http.NewServeMux()
-	mux.Handle("/peer/", front.NewPeerHandler(g.log, g.catalog, g.prepaid, g.lineage))
+	mux.Handle("/peer/", front.NewPeerHandler(g.log, g.catalog, g.prepaid, g.lineage, g.takeover))
 	mux.Handle("GET /metrics", g.metrics)
 	return web.NewServer(g.settings.Listen.Peers, mux, web.WithDrainTimeout(g.stopPlan().DrainFor), web.WithErrorLog(serverErrorLog(g.log)))
 }
--- a/models/refusal/reason.go
+++ b/models/refusal/reason.go
@@ -41,13 +41,14 @@
 	Quarantined                         // quarantined
 	OriginUnknown                       // originUnknown
 	VersionGone                         // versionGone
+	Superseded                          // superseded
 )
 
 // Reasons returns all reasons, so that counters can be created before their first
 // use.
 func Reasons() []Reason {
-	all := make([]Reason, 0, int(VersionGone)+1)
-	for r := Unspecified; r <= VersionGone; r++ {
+	all := make([]Reason, 0, int(Superseded)+1)
+	for r := Unspecified; r <= Superseded; r++ {
 		all = append(all, r)
 	}
 	return all
--- a/models/refusal/reason_string.go
+++ b/models/refusal/reason_string.go
@@ -39,11 +39,12 @@
 	_ = x[Quarantined-28]
 	_ = x[OriginUnknown-29]
 	_ = x[VersionGone-30]
+	_ = x[Superseded-31]
 }
 
-const _Reason_name = "unspecifiedinvalidRequestbodyTooLargeunauthenticatedunknownWorkspaceunknownKinddeadlineExpiredmissingIdempotencyKeykeyReusedbudgetExhaustedbudgetUnreachableregistryUnreachablequeueFulldeadlineUnreachableshareExceededtooManyStreamsnotReadynoServerdrainingfencedwrongIncarnationnotFoundretryBudgetserverFailedserverRejectedoutcomeUnknownshuttingDownoverloadedquarantinedoriginUnknownversionGone"
+const _Reason_name = "unspecifiedinvalidRequestbodyTooLargeunauthenticatedunknownWorkspaceunknownKinddeadlineExpiredmissingIdempotencyKeykeyReusedbudgetExhaustedbudgetUnreachableregistryUnreachablequeueFulldeadlineUnreachableshareExceededtooManyStreamsnotReadynoServerdrainingfencedwrongIncarnationnotFoundretryBudgetserverFailedserverRejectedoutcomeUnknownshuttingDownoverloadedquarantinedoriginUnknownversionGonesuperseded"
 
-var _Reason_index = [...]uint16{0, 11, 25, 37, 52, 68, 79, 94, 115, 124, 139, 156, 175, 184, 203, 216, 230, 238, 246, 254, 260, 276, 284, 295, 307, 321, 335, 347, 357, 368, 381, 392}
+var _Reason_index = [...]uint16{0, 11, 25, 37, 52, 68, 79, 94, 115, 124, 139, 156, 175, 184, 203, 216, 230, 238, 246, 254, 260, 276, 284, 295, 307, 321, 335, 347, 357, 368, 381, 392, 402}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/models/takeover/search.go
@@ -0,0 +1,44 @@
+package takeover
+
+import (
+	"net/netip"
+	"slices"
+)
+
+// maxAsked bounds the gateways that are asked for one stream.
+const maxAsked = 8
+
+// Search selects the gateways that may still work on a stream: those that recorded it, and those that they name as
+// successors.
+type Search struct {
+	seen    []netip.AddrPort
+	pending []netip.AddrPort
+}
+
+// NewSearch returns the search of a gateway that begins with the others given.
+func NewSearch(self netip.AddrPort, first ...netip.AddrPort) *Search {
+	s := &Search{seen: []netip.AddrPort{self}}
+	for _, g := range first {
+		s.Add(g)
+	}
+	return s
+}
+
+// Add adds a gateway, unless it is invalid or was added before.
+func (s *Search) Add(g netip.AddrPort) {
+	if !g.IsValid() || slices.Contains(s.seen, g) || len(s.seen) > maxAsked {
+		return
+	}
+	s.seen = append(s.seen, g)
+	s.pending = append(s.pending, g)
+}
+
+// Next returns the next gateway to ask, and whether there is one.
+func (s *Search) Next() (netip.AddrPort, bool) {
+	if len(s.pending) == 0 {
+		return netip.AddrPort{}, false
+	}
+	next := s.pending[0]
+	s.pending = s.pending[1:]
+	return next, true
+}
--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -172,7 +172,7 @@
 
 // roundTrip writes the request and reads the status line and header of its response.
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*http.Response, error) {
-	stop := context.AfterFunc(ctx, c.hangUp)
+	stop := c.hangUpAfter(ctx, r)
 	writer := &trackingWriter{Conn: c.netConn}
 	writeResult := make(chan error, 1)
 	write := func() error {
@@ -188,6 +188,7 @@
 		if err != nil {
 			stop()
 			c.abandon()
+			r.released()
 			return nil, &NoResponseError{Address: c.address, Written: writer.written, Reused: c.reused, Err: contextCauseOr(ctx, err)}
 		}
 	}
@@ -195,17 +196,37 @@
 	if err != nil {
 		stop()
 		c.abandon()
+		r.released()
 		// Part of a body that is written concurrently may already have been sent.
 		written := len(r.Body) > maxInlineBody || writer.written
 		return nil, &NoResponseError{Address: c.address, Written: written, Reused: c.reused, Err: contextCauseOr(ctx, err)}
 	}
 	c.idleTimeout = min(c.client.idleTimeout, keepAliveTimeout(resp.Header, c.client.idleTimeout))
 	resp.Body = &body{
-		conn: c, reader: resp.Body, writeResult: writeResult, stopCancel: stop, ctx: ctx, reusable: allowsReuse(resp),
+		conn: c, request: r, reader: resp.Body, writeResult: writeResult, stopCancel: stop, ctx: ctx, reusable: allowsReuse(resp),
 	}
 	return resp, nil
 }
 
+// hangUpAfter closes the connection at the end of the context. The function that it returns stops that. If it returns
+// false, the connection has been closed.
+func (c *conn) hangUpAfter(ctx context.Context, r *Request) (stop func() bool) {
+	closed := make(chan struct{})
+	cancel := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		c.hangUp()
+		r.released()
+	})
+	return func() bool {
+		if cancel() {
+			return true
+		}
+		// A read that fails may return before the socket is closed.
+		<-closed
+		return false
+	}
+}
+
 // contextCauseOr returns the cause of the context's end if the context has ended,
 // and err otherwise.
 func contextCauseOr(ctx context.Context, err error) error {
@@ -287,8 +308,9 @@
 // body is a response body. When it is closed, its connection is either returned to
 // the pool or closed.
 type body struct {
-	conn   *conn
-	reader io.ReadCloser
+	conn    *conn
+	request *Request
+	reader  io.ReadCloser
 	// writeResult receives the result of writing the request.
 	writeResult chan error
 	// stopCancel stops closing the connection at the end of the context. It returns
@@ -321,6 +343,7 @@
 		return nil
 	}
 	b.closed = true
+	defer b.request.released()
 	open := b.stopCancel()
 	if open && b.reusable && b.complete && b.requestWritten() && b.conn.reader.Buffered() == 0 {
 		b.conn.reused = true
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -137,6 +137,15 @@
 	// response is skipped. reused is whether the connection has carried earlier requests. It
 	// may be nil.
 	IsForeign func(h http.Header, reused bool) bool
+	// Released is called once no connection carries the request any more: it was closed, is kept for others, or there
+	// was none. It may be called more than once, and may be nil.
+	Released func()
+}
+
+func (r *Request) released() {
+	if r.Released != nil {
+		r.Released()
+	}
 }
 
 // Do sends the request once and returns the response as soon as its header is read.
@@ -145,10 +154,12 @@
 func (c *Client) Do(ctx context.Context, r *Request) (*http.Response, error) {
 	conn, err := c.acquire(ctx, r)
 	if err != nil {
+		r.released()
 		return nil, err
 	}
 	if ctx.Err() != nil {
 		c.putIdle(conn)
+		r.released()
 		return nil, &NoResponseError{Address: r.Address, Reused: conn.reused, Err: errors.WithStack(context.Cause(ctx))}
 	}
 	return conn.roundTrip(ctx, r)
--- a/routers/front/front_test.go
+++ b/routers/front/front_test.go
@@ -233,7 +233,7 @@
 
 func TestPeers(t *testing.T) {
 	lender := halfLender{returned: map[string]int64{}}
-	server := httptest.NewServer(front.NewPeerHandler(hclog.NewNullLogger(), fixedSnapshot{}, lender, oneOrigin{}))
+	server := httptest.NewServer(front.NewPeerHandler(hclog.NewNullLogger(), fixedSnapshot{}, lender, oneOrigin{}, nil))
 	defer server.Close()
 	client := front.NewPeerClient(nil)
 	if _, err := client.Snapshot(t.Context(), 0, catalog.Known{}); err == nil {
--- a/routers/front/peers.go
+++ b/routers/front/peers.go
@@ -29,11 +29,13 @@
 	returnPath   = "/peer/v1/tokens/return"
 	// originPath is where they ask for the origin of the stream whose id follows.
 	originPath = "/peer/v1/origins/"
+	// supersedePath is where they say that a caller has resumed the stream whose id follows.
+	supersedePath = "/peer/v1/superseded/"
 )
 
 const (
-	// maxLoanBytes limits the body of a request for tokens and of its response.
-	maxLoanBytes = 4 << 10
+	// maxSmallBytes limits the bodies of requests and of responses other than snapshots.
+	maxSmallBytes = 4 << 10
 	// maxSnapshotBytes limits the body of a peer's snapshot.
 	maxSnapshotBytes = 16 << 20
 	peerIdleTimeout  = 10 * time.Second
@@ -85,7 +87,7 @@
 }
 
 // NewPeerHandler returns the handler for requests of other gateways.
-func NewPeerHandler(log hclog.Logger, snapshots SnapshotSource, lender Lender, origins OriginSource) http.Handler {
+func NewPeerHandler(log hclog.Logger, snapshots SnapshotSource, lender Lender, origins OriginSource, attempts Attempts) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
@@ -113,16 +115,11 @@
 		}
 	})
 	mux.HandleFunc("GET "+originPath+"{id}", func(w http.ResponseWriter, r *http.Request) {
-		id, err := hex.DecodeString(r.PathValue("id"))
-		if err != nil || len(id) != len(lineage.ID{}) {
-			http.Error(w, "the id of a stream has "+strconv.Itoa(len(lineage.ID{}))+" bytes in hexadecimal", http.StatusBadRequest)
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(origin(origins.Known(lineage.ID(id)))); err != nil {
-			log.Debug("peer disconnected", "error", err)
+		if id, ok := decodeStreamID(w, r); ok {
+			writeJSON(log, w, origin(origins.Known(id)))
 		}
 	})
+	mux.HandleFunc("POST "+supersedePath+"{id}", func(w http.ResponseWriter, r *http.Request) { supersede(log, w, r, attempts) })
 	return mux
 }
 
@@ -154,7 +151,7 @@
 // decodeLoan decodes the body of a request. If that fails it writes the error response.
 func decodeLoan(log hclog.Logger, w http.ResponseWriter, r *http.Request) (loan, bool) {
 	var l loan
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxLoanBytes)).Decode(&l); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSmallBytes)).Decode(&l); err != nil {
 		log.Warn("cannot decode loan request", "from", r.RemoteAddr, "error", err)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return loan{}, false
@@ -213,14 +210,14 @@
 		return prepaid.Lent{}, errors.WithStack(err)
 	}
 	var result lent
-	err = c.do(ctx, http.MethodPost, peer, tokensPath, body, maxLoanBytes, &result)
+	err = c.do(ctx, http.MethodPost, peer, tokensPath, body, &result)
 	return prepaid.Lent(result), err
 }
 
 // Origin implements lineage.Peers.
 func (c *PeerClient) Origin(ctx context.Context, peer netip.AddrPort, id lineage.ID) (lineage.Origin, error) {
 	var result origin
-	err := c.do(ctx, http.MethodGet, peer, originPath+hex.EncodeToString(id[:]), nil, maxLoanBytes, &result)
+	err := c.do(ctx, http.MethodGet, peer, originPath+hex.EncodeToString(id[:]), nil, &result)
 	return lineage.Origin(result), err
 }
 
@@ -232,19 +229,19 @@
 		return errors.WithStack(err)
 	}
 	var empty struct{}
-	return c.do(ctx, http.MethodPost, peer, returnPath, body, maxLoanBytes, &empty)
+	return c.do(ctx, http.MethodPost, peer, returnPath, body, &empty)
 }
 
 // do sends a request to a peer and decodes the JSON body of the response into result.
 func (c *PeerClient) do(
-	ctx context.Context, method string, peer netip.AddrPort, path string, body []byte, maxBytes int64, result any,
+	ctx context.Context, method string, peer netip.AddrPort, path string, body []byte, result any,
 ) error {
 	resp, err := c.send(ctx, method, peer, path, body)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return decodeResponse(peer, resp.Body, maxBytes, result)
+	return decodeResponse(peer, resp.Body, maxSmallBytes, result)
 }
 
 // send sends a request to a peer. The caller closes the body of the response, whose status is
--- /dev/null
+++ b/routers/front/supersede.go
@@ -0,0 +1,88 @@
+package front
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/models/lineage"
+)
+
+// connectTimeout bounds the time for a connection to a gateway that may still work on a stream. The system of a
+// machine that is up accepts it without the process.
+const connectTimeout = 250 * time.Millisecond
+
+var errNotConnected = errors.Errorf("no connection within %v", connectTimeout)
+
+// Attempts are the attempts at streams of this gateway.
+type Attempts interface {
+	// Supersede ends the attempts at the stream, which the successor resumes. It returns the gateway that resumed the
+	// stream before, which is invalid if there is none, once no server works for these attempts.
+	Supersede(ctx context.Context, id lineage.ID, successor netip.AddrPort) (netip.AddrPort, error)
+}
+
+// succession is the body of a request to end the attempts at a stream, with the gateway that resumes it, and of the
+// response, with the one that resumed it before.
+type succession struct {
+	Successor netip.AddrPort `json:"successor"`
+}
+
+// supersede handles a request to end the attempts at a stream.
+func supersede(log hclog.Logger, w http.ResponseWriter, r *http.Request, attempts Attempts) {
+	id, ok := decodeStreamID(w, r)
+	if !ok {
+		return
+	}
+	var s succession
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSmallBytes)).Decode(&s); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	before, err := attempts.Supersede(r.Context(), id, s.Successor)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(log, w, succession{Successor: before})
+}
+
+// decodeStreamID returns the id of the stream in the path. If that fails it writes the error response.
+func decodeStreamID(w http.ResponseWriter, r *http.Request) (lineage.ID, bool) {
+	id, err := hex.DecodeString(r.PathValue("id"))
+	if err != nil || len(id) != len(lineage.ID{}) {
+		http.Error(w, "the id of a stream has "+strconv.Itoa(len(lineage.ID{}))+" bytes in hexadecimal", http.StatusBadRequest)
+		return lineage.ID{}, false
+	}
+	return lineage.ID(id), true
+}
+
+func writeJSON(log hclog.Logger, w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		log.Debug("peer disconnected", "error", err)
+	}
+}
+
+// Supersede implements takeover.Peers.
+func (c *PeerClient) Supersede(ctx context.Context, peer netip.AddrPort, id lineage.ID, successor netip.AddrPort) (netip.AddrPort, error) {
+	body, err := json.Marshal(succession{Successor: successor})
+	if err != nil {
+		return netip.AddrPort{}, errors.WithStack(err)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	timer := time.AfterFunc(connectTimeout, func() { cancel(errNotConnected) })
+	defer timer.Stop()
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { timer.Stop() }})
+	var result succession
+	err = c.do(traced, http.MethodPost, peer, supersedePath+hex.EncodeToString(id[:]), body, &result)
+	return result.Successor, err
+}
--- /dev/null
+++ b/routers/front/supersede_test.go
@@ -0,0 +1,52 @@
+package front_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/models/lineage"
+	"github.com/crocusline/crocusline/routers/front"
+)
+
+// fakeAttempts records what was superseded.
+type fakeAttempts struct {
+	id        lineage.ID
+	successor netip.AddrPort
+	before    netip.AddrPort
+	err       error
+}
+
+func (a *fakeAttempts) Supersede(_ context.Context, id lineage.ID, successor netip.AddrPort) (netip.AddrPort, error) {
+	a.id, a.successor = id, successor
+	return a.before, a.err
+}
+
+// TestSupersede checks that a gateway has another one end its attempts at a stream.
+func TestSupersede(t *testing.T) {
+	attempts := &fakeAttempts{}
+	server := httptest.NewServer(front.NewPeerHandler(hclog.NewNullLogger(), fixedSnapshot{}, nil, oneOrigin{}, attempts))
+	defer server.Close()
+	client := front.NewPeerClient(nil)
+	defer func() { _ = client.Close() }()
+	peer, id, self := addresses(t, server)[0], lineage.NewID("clinics", "r1"), netip.MustParseAddrPort("10.0.0.2:80")
+	for _, before := range []netip.AddrPort{{}, netip.MustParseAddrPort("10.0.0.3:80")} {
+		attempts.before = before
+		got, err := client.Supersede(t.Context(), peer, id, self)
+		if err != nil || got != before || attempts.id != id || attempts.successor != self {
+			t.Errorf("got %v and %v, the gateway got %+v", got, err, attempts)
+		}
+	}
+	attempts.err = errors.New("its server's connection is open")
+	if _, err := client.Supersede(t.Context(), peer, id, self); err == nil {
+		t.Error("got no error of a gateway that could not end its attempts")
+	}
+	server.Close()
+	if _, err := client.Supersede(t.Context(), peer, id, self); err == nil {
+		t.Error("got no error of a gateway that has ended")
+	}
+}
--- a/routers/front/thin_link_test.go
+++ b/routers/front/thin_link_test.go
@@ -101,7 +101,7 @@
 func newPeer(t *testing.T, store *site.Store, link *site.Link) (*catalog.Service, *countingHandler, *front.PeerClient) {
 	t.Helper()
 	c := newThinGateway(t, store, site.NewLink(1e9))
-	h := &countingHandler{handler: front.NewPeerHandler(hclog.NewNullLogger(), c, nil, nil)}
+	h := &countingHandler{handler: front.NewPeerHandler(hclog.NewNullLogger(), c, nil, nil, nil)}
 	transport := site.NewTransport(h, 2*time.Millisecond, site.WithLink(link))
 	return c, h, front.NewPeerClient([]netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:80")}, front.WithTransport(transport))
 }
--- a/services/lineage/find.go
+++ b/services/lineage/find.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -161,7 +162,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	answers := make(chan lineage.Origin, maxPeers)
+	type answer struct {
+		origin lineage.Origin
+		peer   netip.AddrPort
+	}
+	answers := make(chan answer, maxPeers)
 	peers := gateway.Nearest(s.fleet.Members(), s.instance, maxPeers)
 	for _, peer := range peers {
 		go func() {
@@ -169,15 +174,18 @@
 			if err != nil {
 				s.log.Debug("peer not asked for the origin of a stream", "peer", peer, "error", err)
 			}
-			answers <- o
+			answers <- answer{o, peer}
 		}()
 	}
 	all := lineage.NewIndex()
+	var told []netip.AddrPort
 	for range peers {
-		if o := <-answers; o.Known() {
-			all.Add(lineage.Entry{ID: id, Origin: o})
+		if a := <-answers; a.origin.Known() {
+			all.Add(lineage.Entry{ID: id, Origin: a.origin})
+			told = append(told, a.peer)
 		}
 	}
+	s.recordTold(id, told)
 	o, _ := all.Find(id)
 	return o
 }
@@ -220,9 +228,9 @@
 				errs[n] = err
 				return
 			}
-			x := s.index(snapshot.Records)
+			x, recorders := s.index(snapshot.Records)
 			s.mu.Lock()
-			s.stored[n] = x
+			s.stored[n], s.recorders[n] = x, recorders
 			s.mu.Unlock()
 		})
 	}
--- a/services/lineage/lineage.go
+++ b/services/lineage/lineage.go
@@ -107,8 +107,12 @@
 	// era is the store's era in which the records were written, once loaded is set.
 	era    int64
 	loaded bool
-	// stored holds the streams of each partition, as of the last reads.
-	stored [partitions]*lineage.Index
+	// stored holds the streams of each partition, as of the last reads, and recorders the instances that recorded
+	// them.
+	stored    [partitions]*lineage.Index
+	recorders [partitions]map[lineage.ID]string
+	// told holds the gateways that knew of a stream when they were asked.
+	told map[lineage.ID][]netip.AddrPort
 	// reading is the last read, or nil.
 	reading *read
 
@@ -128,7 +132,7 @@
 func New(log hclog.Logger, store Store, topic, instance string, opts ...Option) *Service {
 	s := &Service{
 		log: log.Named(Name), store: store, topic: topic, instance: instance, writesPerSecond: defaultWritesPerSecond, metrics: metric.New(),
-		began: map[lineage.ID]begun{}, writer: lineage.NewWriter(instance), changed: make(chan struct{}), wake: make(chan struct{}, 1),
+		began: map[lineage.ID]begun{}, told: map[lineage.ID][]netip.AddrPort{}, writer: lineage.NewWriter(instance), changed: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 	for i := range s.stored {
 		s.stored[i] = lineage.NewIndex()
@@ -281,7 +285,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stored[own] = s.index(snapshot.Records)
+	s.stored[own], s.recorders[own] = s.index(snapshot.Records)
 	until := time.Now().Add(earlierLifetime)
 	for _, r := range snapshot.Records {
 		// Damaged records were logged by index. Their slots aren't used either.
@@ -292,19 +296,21 @@
 	return true
 }
 
-// index returns the streams of the records.
-func (s *Service) index(records []record.Record) *lineage.Index {
-	x := lineage.NewIndex()
+// index returns the streams of the records, and the instances that recorded them.
+func (s *Service) index(records []record.Record) (*lineage.Index, map[lineage.ID]string) {
+	x, recorders := lineage.NewIndex(), map[lineage.ID]string{}
 	for _, r := range records {
 		entries, err := lineage.ParseRecord(r)
 		if err != nil {
 			s.log.Error("cannot decode origins of streams", "key", r.Key, "offset", r.Offset, "error", err)
 		}
+		instance := lineage.InstanceOf(r.Key)
 		for _, e := range entries {
 			x.Add(e)
+			recorders[e.ID] = instance
 		}
 	}
-	return x
+	return x, recorders
 }
 
 // forgetExpired forgets streams that can't be resumed any more, and what was read long ago.
@@ -319,7 +325,7 @@
 	if s.reading != nil && now.Sub(s.reading.beganAt) > readLifetime {
 		s.reading = nil
 		for n := range s.stored {
-			s.stored[n] = lineage.NewIndex()
+			s.stored[n], s.recorders[n] = lineage.NewIndex(), nil
 		}
 	}
 }
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -17,6 +17,7 @@
 	"github.com/crocusline/crocusline/models/retry"
 	"github.com/crocusline/crocusline/models/route"
 	"github.com/crocusline/crocusline/services/prepaid"
+	"github.com/crocusline/crocusline/services/takeover"
 )
 
 // Retry delays suggested to callers.
@@ -76,6 +77,8 @@
 	// server is the id of the server that the request was last sent to, and version that of its software.
 	server  string
 	version string
+	// attempt is the one at a stream that callers may resume, or nil.
+	attempt *takeover.Attempt
 	// buffers hold what the job has read of responses.
 	buffers []*responseBuffer
 }
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -28,6 +28,7 @@
 	"github.com/crocusline/crocusline/modules/metric"
 	"github.com/crocusline/crocusline/services/prepaid"
 	"github.com/crocusline/crocusline/services/quarantine"
+	"github.com/crocusline/crocusline/services/takeover"
 )
 
 // HeaderCodec translates between requests and the headers used by servers.
@@ -175,6 +176,7 @@
 	quarantine  Quarantine
 	lineage     Lineage
 	reports     Reports
+	takeover    *takeover.Service
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.WindowBudget
@@ -222,10 +224,15 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
+	ctx, supersede := context.WithCancelCause(ctx)
+	defer supersede(nil)
 	if err := j.findOrigin(ctx); err != nil {
 		s.recordRefusal(r, j, err)
 		return err
 	}
+	j.beginAttempt(supersede)
+	defer func() { _ = j.attempt.Close() }()
+	j.endOthers(ctx)
 	j.retryBudget.RecordRequest(time.Now())
 	j.hold, err = s.reserve(ctx, j)
 	if err != nil {
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -48,7 +48,7 @@
 	j.spendReservation()
 	prompt.silence = j.watchSilence(choice, sends, cancel)
 	defer prompt.silence.stop()
-	resp, err := j.service.client.Do(ctx, j.buildRequest(choice))
+	resp, err := j.exchange(ctx, choice)
 	var result sendResult
 	if err != nil {
 		result = j.classifyError(err)
@@ -66,6 +66,17 @@
 	return result
 }
 
+// exchange sends the request, unless its caller has resumed the stream with another one.
+func (j *job) exchange(ctx context.Context, choice balance.Choice) (*http.Response, error) {
+	req := j.buildRequest(choice)
+	released, err := j.attempt.Send()
+	if err != nil {
+		return nil, &exchange.NoResponseError{Address: req.Address, Err: err}
+	}
+	req.Released = released
+	return j.service.client.Do(ctx, req)
+}
+
 // buildRequest returns the request to send to the server.
 func (j *job) buildRequest(choice balance.Choice) *exchange.Request {
 	r := j.request
--- /dev/null
+++ b/services/takeover/takeover.go
@@ -0,0 +1,182 @@
+// Package takeover ends the work on a stream before another attempt continues it: attempts in this process, and those
+// at the gateways that recorded or resumed the stream.
+package takeover
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/models/lineage"
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/takeover"
+	"github.com/crocusline/crocusline/modules/metric"
+)
+
+// answerTimeout bounds the time for which a request that resumes a stream waits for other gateways. A gateway that is
+// short of processor time responds within some 0.2 s, one that is cut off doesn't respond.
+const answerTimeout = time.Second
+
+// errSuperseded is the cause of the end of an attempt that another one follows.
+var errSuperseded = refusal.New(refusal.Superseded, 0, "the caller has resumed the stream with another request")
+
+// Peers calls other gateways.
+type Peers interface {
+	// Supersede has the gateway end its attempts at the stream, as the successor resumes it. It returns the gateway that
+	// resumed the stream before, which is invalid if there is none, once no server works for these attempts.
+	Supersede(ctx context.Context, peer netip.AddrPort, id lineage.ID, successor netip.AddrPort) (netip.AddrPort, error)
+}
+
+// Recorders knows which gateways recorded a stream.
+type Recorders interface {
+	// Recorders returns the other gateways that may have begun the stream.
+	Recorders(id lineage.ID) []netip.AddrPort
+}
+
+// Service holds the attempts at streams of this process.
+type Service struct {
+	log       hclog.Logger
+	self      netip.AddrPort
+	peers     Peers
+	recorders Recorders
+	metrics   *metric.Set
+
+	mu       sync.Mutex
+	registry *takeover.Registry
+	attempts map[int64]*Attempt
+}
+
+// New returns the service of the gateway whose address for others is self.
+func New(log hclog.Logger, self netip.AddrPort, peers Peers, recorders Recorders, metrics *metric.Set) *Service {
+	return &Service{
+		log: log.Named("takeover"), self: self, peers: peers, recorders: recorders, metrics: metrics,
+		registry: takeover.NewRegistry(), attempts: map[int64]*Attempt{},
+	}
+}
+
+// Attempt is one at a stream by one request of a caller. The methods of a nil Attempt do nothing.
+type Attempt struct {
+	service *Service
+	id      lineage.ID
+	number  int64
+	cancel  context.CancelCauseFunc
+
+	mu    sync.Mutex
+	ended bool
+	// released is closed once no connection carries the last send.
+	released chan struct{}
+}
+
+// Begin registers an attempt at the stream, whose request is cancelled when another one follows. The caller closes it.
+func (s *Service) Begin(id lineage.ID, cancel context.CancelCauseFunc) *Attempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := &Attempt{service: s, id: id, number: s.registry.Begin(id), cancel: cancel, released: make(chan struct{})}
+	close(a.released)
+	s.attempts[a.number] = a
+	return a
+}
+
+// Close removes the attempt, which sends nothing more.
+func (a *Attempt) Close() error {
+	if a == nil {
+		return nil
+	}
+	s := a.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registry.End(a.id, a.number)
+	delete(s.attempts, a.number)
+	return nil
+}
+
+// Send is called before each send. It returns an error if another attempt has followed, and otherwise a function that
+// must be called once no connection carries the send any more.
+func (a *Attempt) Send() (released func(), err error) {
+	if a == nil {
+		return func() {}, nil
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended {
+		return nil, errors.WithStack(errSuperseded)
+	}
+	done := make(chan struct{})
+	a.released = done
+	return sync.OnceFunc(func() { close(done) }), nil
+}
+
+// end cancels the attempt and returns a channel that is closed once no server works for it.
+func (a *Attempt) end() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
+	a.cancel(errSuperseded)
+	return a.released
+}
+
+// EndOthers ends the attempts at the stream that began before this one, here and at other gateways. It returns when
+// no server works for them, or after a time in which the others don't say so.
+func (a *Attempt) EndOthers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	s := a.service
+	s.mu.Lock()
+	numbers, successor := s.registry.Before(a.id, a.number), s.registry.Successor(a.id)
+	s.mu.Unlock()
+	if err := s.end(ctx, numbers); err != nil {
+		s.log.Warn("attempt not ended", "error", err)
+	}
+	search := takeover.NewSearch(s.self, append(s.recorders.Recorders(a.id), successor)...)
+	for peer, ok := search.Next(); ok; peer, ok = search.Next() {
+		start := time.Now()
+		before, err := s.peers.Supersede(ctx, peer, a.id, s.self)
+		if err != nil {
+			s.metrics.Counter(gatewaysAsked + unanswered).Inc()
+			s.log.Info("gateway not asked to end a stream", "peer", peer, "took", time.Since(start).Round(time.Millisecond), "error", err)
+			continue
+		}
+		s.metrics.Counter(gatewaysAsked + answered).Inc()
+		search.Add(before)
+	}
+}
+
+// Counters of the gateways that were asked to end their work on a stream, and of the attempts that ended here.
+const (
+	gatewaysAsked    = "crocusline_stream_takeovers_total"
+	answered         = `{result="answered"}`
+	unanswered       = `{result="unanswered"}`
+	attemptsReplaced = "crocusline_attempts_superseded_total"
+)
+
+// Supersede ends the attempts at the stream, which the successor resumes. It returns the gateway that resumed the
+// stream before, which is invalid if there is none, once no server works for these attempts.
+func (s *Service) Supersede(ctx context.Context, id lineage.ID, successor netip.AddrPort) (netip.AddrPort, error) {
+	s.mu.Lock()
+	numbers, before := s.registry.Supersede(time.Now(), id, successor)
+	s.mu.Unlock()
+	return before, s.end(ctx, numbers)
+}
+
+// end ends the attempts and waits until no server works for them.
+func (s *Service) end(ctx context.Context, numbers []int64) error {
+	for _, n := range numbers {
+		s.mu.Lock()
+		a := s.attempts[n]
+		s.mu.Unlock()
+		if a == nil {
+			continue
+		}
+		s.metrics.Counter(attemptsReplaced).Inc()
+		select {
+		case <-a.end():
+		case <-ctx.Done():
+			return errors.WithStack(context.Cause(ctx))
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/services/takeover/takeover_test.go
@@ -0,0 +1,134 @@
+package takeover_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/models/lineage"
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/modules/metric"
+	"github.com/crocusline/crocusline/services/takeover"
+)
+
+// fleet calls gateways after a delay. Those without a service don't respond.
+type fleet struct {
+	gateways map[netip.AddrPort]*takeover.Service
+	delay    time.Duration
+	began    netip.AddrPort
+}
+
+// Supersede implements takeover.Peers.
+func (f *fleet) Supersede(ctx context.Context, peer netip.AddrPort, id lineage.ID, successor netip.AddrPort) (netip.AddrPort, error) {
+	s, exists := f.gateways[peer]
+	if !exists {
+		<-ctx.Done()
+		return netip.AddrPort{}, context.Cause(ctx)
+	}
+	time.Sleep(f.delay)
+	return s.Supersede(ctx, id, successor)
+}
+
+// Recorders implements takeover.Recorders.
+func (f *fleet) Recorders(lineage.ID) []netip.AddrPort { return []netip.AddrPort{f.began} }
+
+func address(n byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80)
+}
+
+func newFleet(n byte) *fleet {
+	f := &fleet{gateways: map[netip.AddrPort]*takeover.Service{}, delay: time.Millisecond, began: address(0)}
+	for i := range n {
+		f.gateways[address(i)] = takeover.New(hclog.NewNullLogger(), address(i), f, f, metric.New())
+	}
+	return f
+}
+
+// attempt is one whose server notices its end after a delay.
+type attempt struct {
+	*takeover.Attempt
+	ctx     context.Context
+	stopped bool
+}
+
+// begin begins an attempt at the gateway. If its work on the stream is ended, the connection is closed after the delay.
+func (f *fleet) begin(t *testing.T, gateway byte, closing time.Duration) *attempt {
+	t.Helper()
+	ctx, cancel := context.WithCancelCause(t.Context())
+	a := &attempt{Attempt: f.gateways[address(gateway)].Begin(lineage.NewID("clinics", "r1"), cancel), ctx: ctx}
+	released, err := a.Send()
+	if err != nil {
+		t.Fatal(err)
+	}
+	context.AfterFunc(ctx, func() {
+		time.Sleep(closing)
+		a.stopped = true
+		released()
+	})
+	t.Cleanup(func() {
+		cancel(nil)
+		_ = a.Close()
+		time.Sleep(2 * closing)
+	})
+	return a
+}
+
+// TestAttemptOpenElsewhere guards against an attempt that begins while the server of an earlier one still works, at the
+// gateway that began the stream, at one that resumed it in between, or at the same gateway.
+func TestAttemptOpenElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		var before *attempt
+		for i, gateway := range []byte{0, 1, 2, 1, 1, 0, 2} {
+			a := f.begin(t, gateway, 300*time.Millisecond)
+			if before != nil {
+				a.EndOthers(t.Context())
+				if !before.stopped {
+					t.Errorf("attempt %d began while the server of the one before worked", i)
+				}
+				if e, refused := refusal.As(context.Cause(before.ctx)); !refused || e.Reason != refusal.Superseded {
+					t.Errorf("attempt %d ended with %v", i-1, context.Cause(before.ctx))
+				}
+				if _, err := before.Send(); err == nil {
+					t.Errorf("attempt %d was sent again after its end", i-1)
+				}
+			}
+			if a.ctx.Err() != nil {
+				t.Errorf("attempt %d was ended: %v", i, context.Cause(a.ctx))
+			}
+			before = a
+		}
+	})
+}
+
+// TestGatewayDoesNotRespond checks that a stream waits for a gateway that doesn't respond, but not for long.
+func TestGatewayDoesNotRespond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.began = address(9)
+		a := f.begin(t, 1, 0)
+		start := time.Now()
+		a.EndOthers(t.Context())
+		if waited := time.Since(start); waited < 500*time.Millisecond || waited > 1500*time.Millisecond {
+			t.Errorf("waited %v", waited)
+		}
+	})
+}
+
+// TestServerNotReleased checks that a gateway doesn't report the end of an attempt whose connection is still open.
+func TestServerNotReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(2)
+		f.begin(t, 0, time.Hour)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := f.gateways[address(0)].Supersede(ctx, lineage.NewID("clinics", "r1"), address(1)); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("got %v", err)
+		}
+	})
+}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -112,7 +112,9 @@
 	behaviours []Behaviour
 	requests   []ReceivedRequest
 	executions map[string]int
-	cancelled  int
+	// ends holds when the server ended its work on a request.
+	ends      map[string]time.Time
+	cancelled int
 	// leaving is the value of Server-Leaving in all responses, and retryAfter that of Retry-After
 	// in the rejections of a server that turns all requests away. Empty values aren't sent.
 	leaving    string
@@ -273,6 +275,7 @@
 		b = PacedEvents
 	}
 	s.countExecution(id)
+	defer s.recordEnd(id)
 	w.Header().Set("Response-Seal", "seal-of-"+s.ID)
 	s.respond(w, r, b)
 }
