--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -56,8 +56,9 @@
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
-	// reused is set once the connection has carried a request.
+	// reused is set once the connection has carried a request, and ids are those of the last ones.
 	reused bool
+	ids    recentIDs
 	// writing is set while a request is written.
 	writing   atomic.Bool
 	closeOnce sync.Once
@@ -172,7 +173,15 @@
 
 // roundTrip writes the request and reads the status line and header of its response.
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*http.Response, error) {
+	c.ids.add(r.ID)
 	stop := c.hangUpAfter(ctx, r)
+	// Checked again, as the process may have stood still since then.
+	if err := Ended(ctx); err != nil {
+		stop()
+		c.close()
+		r.released()
+		return nil, &NotSentError{Address: c.address, Err: err}
+	}
 	writer := &trackingWriter{Conn: c.netConn}
 	writeResult := make(chan error, 1)
 	write := func() error {
