Play gateways with little processor time against what servers ran

TestScarceProcessor runs gateways as processes that SIGSTOP and SIGCONT hold to their share of each 100 ms (0.144 to 0.8), under overlapping faults of servers, the store and gateways. Servers record start and end of each execution. REFUSED, TWICE and ORDER are checked from these records and from what the clients received, and each break is printed with attempts, executions, starts of servers and disturbances.

--- a/Makefile
+++ b/Makefile
@@ -64,3 +64,11 @@
 faults: SEEDS ?= 1
 faults:
 	$(GO) test ./tests/faults -run TestFaults -count=1 -timeout 6h -v -args -from=$(SEED) -seeds=$(SEEDS) -gateways=$(GATEWAYS)
+
+# Gateways with little processor time, checked against what servers ran. BINARY plays an earlier build.
+.PHONY: scarce
+scarce: SEEDS ?= 1
+scarce: SERVERS ?= 18
+scarce: LENGTH ?= 20s
+scarce:
+	$(GO) test ./tests/faults -run TestScarceProcessor -count=1 -timeout 6h -v -args -from=$(SEED) -seeds=$(SEEDS) -gateways=$(GATEWAYS) -servers=$(SERVERS) -length=$(LENGTH) -binary=$(BINARY)
--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -59,6 +59,7 @@
 	*testing.T
 	binary        string
 	store         *site.Store
+	storeAddress  netip.AddrPort
 	gateways      []*gateway
 	servers       []*site.Server
 	serverProxies []*proxy
@@ -114,6 +115,7 @@
 	servers := len(versions)
 	f := &fleet{T: t, binary: binary, store: site.NewStore(), prepaidTokens: prepaidTokens, versions: versions, serverStates: make([]string, servers), serverStarts: make([]int, servers)}
 	web := httptest.NewServer(f.store)
+	f.storeAddress = parseAddress(web.URL)
 	t.Cleanup(func() {
 		web.CloseClientConnections()
 		web.Close()
@@ -127,27 +129,33 @@
 		f.setServerState(i, "ready")
 	}
 	f.publish()
-	dir := t.TempDir()
+	f.addGateways(gateways, func(i int) float64 { return cpuShare(i, gateways) })
+	return f
+}
+
+// addGateways starts gateways with the processor shares, and stops them at the end of the test.
+func (f *fleet) addGateways(gateways int, cpuShare func(i int) float64) {
+	f.Helper()
+	dir := f.TempDir()
 	var seeds []string
 	const listeners = 3
 	stores := make([]*proxy, gateways)
 	for i := range stores {
-		stores[i] = newProxy(t, parseAddress(web.URL))
+		stores[i] = newProxy(f.T, f.storeAddress)
 	}
-	free := freeAddresses(t, listeners*gateways)
+	free := freeAddresses(f.T, listeners*gateways)
 	for i := range gateways {
 		own := free[listeners*i:]
 		g := &gateway{name: fmt.Sprintf("front-%d", i), callerAddress: own[0], readyAddress: own[1], peerAddress: own[2], storeProxy: stores[i]}
 		seeds = append(seeds, g.peerAddress.String())
 		g.settingsFile = filepath.Join(dir, g.name+".json")
-		writeSettings(t, g, seeds, cpuShare(i, gateways))
+		writeSettings(f.T, g, seeds, cpuShare(i))
 		f.gateways = append(f.gateways, g)
 	}
 	for _, g := range f.gateways {
 		f.start(g)
-		t.Cleanup(func() { g.terminate(t) })
+		f.Cleanup(func() { g.terminate(f.T) })
 	}
-	return f
 }
 
 // cpuShare returns the processor share of a gateway. The last one of the fleet is too weak
