Let the run with little processor time scale shares and clients

-shares multiplies the processor shares, so that few gateways are as busy as under a larger load, and -clients sets the clients for each gateway.

--- a/tests/faults/scarce_check_test.go
+++ b/tests/faults/scarce_check_test.go
@@ -21,6 +21,8 @@
 	byStream  map[string][]*execution
 	// found holds a description of each break by rule and by request or stream.
 	found map[string]map[string]string
+	// longestOverlap is the longest time for which a server worked on after a stream went on elsewhere.
+	longestOverlap time.Duration
 }
 
 // check compares the records of servers and clients.
@@ -166,7 +168,7 @@
 	}
 	over := end.Sub(next.from)
 	a, later := r.attempts[e.id], r.attempts[next.id]
-	if over <= workTolerance || !e.worked() || !next.worked() || e.server == next.server || a == nil || later == nil {
+	if over <= 0 || !e.worked() || !next.worked() || e.server == next.server || a == nil || later == nil {
 		return ""
 	}
 	if a == later && next.from.Before(e.from) || later.from.Before(a.from) {
@@ -175,6 +177,10 @@
 	if r.fleet.disturbed(a.gateway.name, next.from.Add(-inTouchTime), next.from.Add(workTolerance)) != "" {
 		return ""
 	}
+	r.longestOverlap = max(r.longestOverlap, over)
+	if over <= workTolerance {
+		return ""
+	}
 	note := r.fleet.disturbed("store", next.from.Add(-inTouchTime), next.from.Add(workTolerance))
 	return fmt.Sprintf("%s went on at %s as %s, and %s worked %.3f s longer for %s %s", streamName(e.id), next.server.id, next.id, e.server.id, over.Seconds(), a.gateway.name, note)
 }
@@ -196,6 +202,7 @@
 	}
 	text := fmt.Sprintf("began %s, %d gateways, %d servers: %d attempts, %d streams, %d taken up, %d complete, statuses %v, %d returns from a copy;",
 		r.fleet.began.Format(time.TimeOnly+".000"), len(r.fleet.gateways), len(r.fleet.servers), len(r.attempts), len(r.streams), resumed, complete, statuses, r.fleet.eras)
+	text += fmt.Sprintf(" longest overlap %s;", r.longestOverlap.Round(time.Millisecond))
 	for _, rule := range rules {
 		text += fmt.Sprintf(" %s %d", rule, len(r.found[rule]))
 	}
--- a/tests/faults/scarce_fleet_test.go
+++ b/tests/faults/scarce_fleet_test.go
@@ -174,7 +174,7 @@
 func (f *scarceFleet) throttle(seed uint64) {
 	for i, g := range f.gateways {
 		r := rand.New(rand.NewPCG(seed, uint64(i)))
-		share := minShare + r.Float64()*(maxShare-minShare)
+		share := (minShare + r.Float64()*(maxShare-minShare)) * *shareFactor
 		phase := quotaPeriod * time.Duration(i) / time.Duration(len(f.gateways))
 		f.background.Go(func() {
 			for n := 0; ; n++ {
--- a/tests/faults/scarce_test.go
+++ b/tests/faults/scarce_test.go
@@ -20,15 +20,14 @@
 var (
 	gatewayBinary  = flag.String("binary", "", "gateway binary to run; default: build it")
 	modelServers   = flag.Int("servers", 18, "number of model servers; a sixth as many plain servers are added")
+	shareFactor    = flag.Float64("shares", 1, "factor on the processor shares, below 1 for gateways as busy as under a larger load")
+	gatewayClients = flag.Int("clients", 24, "number of clients for each gateway of a small fleet, and a quarter as many of a large one")
 	excludedFaults = flag.String("without", "", "faults not to inject, separated by commas")
 )
 
 const (
 	// minScarceGateways is the least number of gateways.
 	minScarceGateways = 4
-	// clientsPerGateway is the number of clients for each gateway.
-	clientsPerGateway = 24
-	maxClients        = 400
 	// shownBreaks is the number of breaks of a rule that are printed.
 	shownBreaks = 10
 	// scarceInterval is the longest time between two faults of a fleet of minScarceGateways.
@@ -55,7 +54,7 @@
 	f.throttle(seed)
 	c := &scarceClients{fleet: f, attempts: map[string]*attempt{}}
 	ctx, cancel := context.WithCancel(t.Context())
-	c.start(ctx, min(maxClients, clientsPerGateway*len(f.gateways)), seed)
+	c.start(ctx, clientCountOf(len(f.gateways)), seed)
 	f.injectFaults(rand.New(rand.NewPCG(seed, 1<<32)))
 	cancel()
 	c.workers.Wait()
@@ -128,3 +127,9 @@
 		saveLog(f.T, g.name, text)
 	}
 }
+
+// clientCountOf returns the number of clients of a fleet.
+func clientCountOf(gateways int) int {
+	small := min(gateways, 2*minScarceGateways)
+	return *gatewayClients*small + *gatewayClients*(gateways-small)/4
+}
