--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -45,6 +45,8 @@
 	Fail
 	// FailLarge executes the request and responds 500 with a body of LargeBodySize.
 	FailLarge
+	// FailAsRefused executes the request and responds 503 without Not-Executed.
+	FailAsRefused
 	// Reject executes the request and responds 404 with a JSON body.
 	Reject
 	// RespondWhole executes the request and responds 200 with a body that is no stream.
@@ -287,6 +289,9 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = w.Write(make([]byte, LargeBodySize))
 		return
+	case FailAsRefused:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case Reject:
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(http.StatusNotFound)
--- a/tests/faults/client_test.go
+++ b/tests/faults/client_test.go
@@ -54,11 +54,12 @@
 func (o outcome) eventCount() int64 { return int64(strings.Count(o.body, "\n\n")) }
 
 // guaranteesNotRun reports whether the response guarantees that the request was not
-// executed.
+// executed. Callers read that in some statuses whoever has signed the response.
 func (o outcome) guaranteesNotRun() bool {
 	switch o.status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusPaymentRequired,
-		http.StatusUnauthorized, http.StatusNotFound, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	case http.StatusPaymentRequired, http.StatusUnauthorized, http.StatusNotFound:
 		return o.seal == ""
 	}
 	return false
--- a/tests/faults/faults_test.go
+++ b/tests/faults/faults_test.go
@@ -178,7 +178,7 @@
 
 // serverBehaviours are faults of a server in single requests.
 var serverBehaviours = []site.Behaviour{
-	site.Fail, site.FailLarge, site.Reject, site.Shed, site.Misdirect, site.AbortResponse, site.Unsigned, site.WrongRequestID, site.Reset,
+	site.Fail, site.FailLarge, site.FailAsRefused, site.Reject, site.Shed, site.Misdirect, site.AbortResponse, site.Unsigned, site.WrongRequestID, site.Reset,
 }
 
 // noticeValues are values of the headers in which a server notice received, most of them invalid.
