--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -281,17 +281,14 @@
 
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, b Behaviour) {
 	switch b {
-	case Fail:
-		w.WriteHeader(http.StatusInternalServerError)
+	case Fail, FailAsRefused:
+		w.WriteHeader(map[Behaviour]int{Fail: http.StatusInternalServerError, FailAsRefused: http.StatusServiceUnavailable}[b])
 		_, _ = w.Write([]byte("failed"))
 		return
 	case FailLarge:
 		w.WriteHeader(http.StatusInternalServerError)
 		_, _ = w.Write(make([]byte, LargeBodySize))
 		return
-	case FailAsRefused:
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
 	case Reject:
 		w.Header().Set("Content-Type", "application/json")
 		w.WriteHeader(http.StatusNotFound)
