--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -11,10 +11,12 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -55,8 +57,10 @@
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
 	// reused is set once the connection has carried a request, and ids are those of the last ones.
-	reused    bool
-	ids       recentIDs
+	reused bool
+	ids    recentIDs
+	// writing is set while a request is written.
+	writing   atomic.Bool
 	closeOnce sync.Once
 }
 
@@ -103,6 +107,34 @@
 	})
 }
 
+// abandon closes the connection while it carries a request.
+func (c *conn) abandon() {
+	c.hangUp()
+	c.close()
+}
+
+// hangUp closes the socket while it carries a request. An orderly close waits behind bytes that the server has not
+// read, which is why it resets the connection then. A reset that is lost isn't repeated, so that it is used only then.
+func (c *conn) hangUp() {
+	if tcp, ok := c.netConn.(*net.TCPConn); ok && (c.writing.Load() || hasUnacknowledged(tcp)) {
+		// If this fails, the close is orderly.
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.netConn.Close()
+}
+
+// hasUnacknowledged reports whether the peer's system may lack bytes that were written.
+func hasUnacknowledged(tcp *net.TCPConn) bool {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var queued int
+	var ioctlErr error
+	err = raw.Control(func(fd uintptr) { queued, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err != nil || ioctlErr != nil || queued > 0
+}
+
 // usable reports whether the connection is still open and no unsolicited bytes have
 // arrived on it.
 func (c *conn) usable() bool {
@@ -142,41 +174,68 @@
 // roundTrip writes the request and reads the status line and header of its response.
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*http.Response, error) {
 	c.ids.add(r.ID)
-	stop := context.AfterFunc(ctx, func() { _ = c.netConn.Close() })
+	stop := c.hangUpAfter(ctx, r)
 	// Checked again, as the process may have stood still since then.
 	if err := Ended(ctx); err != nil {
 		stop()
 		c.close()
+		r.released()
 		return nil, &NotSentError{Address: c.address, Err: err}
 	}
 	writer := &trackingWriter{Conn: c.netConn}
 	writeResult := make(chan error, 1)
+	write := func() error {
+		defer c.writing.Store(false)
+		return writeRequest(writer, r)
+	}
+	c.writing.Store(true)
 	if len(r.Body) > maxInlineBody {
-		go func() { writeResult <- writeRequest(writer, r) }()
+		go func() { writeResult <- write() }()
 	} else {
-		err := writeRequest(writer, r)
+		err := write()
 		writeResult <- err
 		if err != nil {
 			stop()
-			c.close()
+			c.abandon()
+			r.released()
 			return nil, &NoResponseError{Address: c.address, Written: writer.written, Reused: c.reused, Err: contextCauseOr(ctx, err)}
 		}
 	}
 	resp, err := c.readResponse(r)
 	if err != nil {
 		stop()
-		c.close()
+		c.abandon()
+		r.released()
 		// Part of a body that is written concurrently may already have been sent.
 		written := len(r.Body) > maxInlineBody || writer.written
 		return nil, &NoResponseError{Address: c.address, Written: written, Reused: c.reused, Err: contextCauseOr(ctx, err)}
 	}
 	c.idleTimeout = min(c.client.idleTimeout, keepAliveTimeout(resp.Header, c.client.idleTimeout))
 	resp.Body = &body{
-		conn: c, reader: resp.Body, writeResult: writeResult, stopCancel: stop, ctx: ctx, reusable: allowsReuse(resp),
+		conn: c, request: r, reader: resp.Body, writeResult: writeResult, stopCancel: stop, ctx: ctx, reusable: allowsReuse(resp),
 	}
 	return resp, nil
 }
 
+// hangUpAfter closes the connection at the end of the context. The function that it returns stops that. If it returns
+// false, the connection has been closed.
+func (c *conn) hangUpAfter(ctx context.Context, r *Request) (stop func() bool) {
+	closed := make(chan struct{})
+	cancel := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		c.hangUp()
+		r.released()
+	})
+	return func() bool {
+		if cancel() {
+			return true
+		}
+		// A read that fails may return before the socket is closed.
+		<-closed
+		return false
+	}
+}
+
 // contextCauseOr returns the cause of the context's end if the context has ended,
 // and err otherwise.
 func contextCauseOr(ctx context.Context, err error) error {
@@ -258,8 +317,9 @@
 // body is a response body. When it is closed, its connection is either returned to
 // the pool or closed.
 type body struct {
-	conn   *conn
-	reader io.ReadCloser
+	conn    *conn
+	request *Request
+	reader  io.ReadCloser
 	// writeResult receives the result of writing the request.
 	writeResult chan error
 	// stopCancel stops closing the connection at the end of the context. It returns
@@ -292,13 +352,18 @@
 		return nil
 	}
 	b.closed = true
+	defer b.request.released()
 	open := b.stopCancel()
 	if open && b.reusable && b.complete && b.requestWritten() && b.conn.reader.Buffered() == 0 {
 		b.conn.reused = true
 		b.conn.client.putIdle(b.conn)
 		return nil
 	}
-	b.conn.close()
+	if b.complete {
+		b.conn.close()
+		return nil
+	}
+	b.conn.abandon()
 	return nil
 }
 
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -18,6 +18,7 @@
 	"github.com/crocusline/crocusline/models/record"
 	"github.com/crocusline/crocusline/models/roster"
 	"github.com/crocusline/crocusline/models/route"
+	"github.com/crocusline/crocusline/modules/uptime"
 	"github.com/crocusline/crocusline/services/follower"
 )
 
@@ -61,6 +62,12 @@
 	return func(s *Service) { s.board = notice.NewBoard(notice.NewFleet(name)) }
 }
 
+// WithHeartbeat sets the time between two heartbeats of a server.
+func WithHeartbeat(d time.Duration) Option { return func(s *Service) { s.heartbeat = d } }
+
+// WithClock sets the clock by which the age of the tables and of the list of servers is measured.
+func WithClock(c *uptime.Clock) Option { return func(s *Service) { s.clock = c } }
+
 // WithPeers sets the source of snapshots while the store is unreachable.
 func WithPeers(p Peers) Option { return func(s *Service) { s.peers = p } }
 
@@ -79,7 +86,10 @@
 	// tableBound and serverBound are how soon changes must be in force.
 	tableBound  time.Duration
 	serverBound time.Duration
+	// heartbeat is the time between two heartbeats of a server.
+	heartbeat time.Duration
 
+	clock   *uptime.Clock
 	tables  *follower.Follower
 	servers *follower.Follower
 	table   atomic.Pointer[route.Table]
@@ -90,11 +100,14 @@
 	serversLoaded bool
 	serverRecords map[string]record.Record
 	tableRecord   record.Record
-	// currentAt is when the tables were those of a peer that knew them to be current.
-	currentAt time.Time
-	// nextOffset is the offset up to which the servers' topic was read.
-	nextOffset int64
-	balancers  map[string]*balance.Balancer
+	// peerCurrentAt is when the tables were those of a peer that knew them to be current, by the clock,
+	// or nil.
+	peerCurrentAt *time.Duration
+	// position is how far the servers' topic was read, by this gateway or a peer.
+	position  record.Position
+	balancers map[string]*balance.Balancer
+	// read is closed after the next read of the tables or the servers.
+	read chan struct{}
 	// board holds what servers announce, and onNotice is called after anything new.
 	board    *notice.Board
 	onNotice func()
@@ -106,20 +119,22 @@
 // New returns a catalog that reads from the store.
 func New(log hclog.Logger, store follower.Log, codec Codec, opts ...Option) *Service {
 	s := &Service{
-		log: log.Named(Name), codec: codec, roster: roster.New(),
+		log: log.Named(Name), codec: codec,
 		serverRecords: map[string]record.Record{}, balancers: map[string]*balance.Balancer{},
-		board: notice.NewBoard(nil), onNotice: func() {},
+		board: notice.NewBoard(nil), onNotice: func() {}, clock: uptime.NewClock(), read: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.roster = roster.New(roster.WithHeartbeat(s.heartbeat))
 	tables, servers := codec.Topics()
-	s.tables = follower.New(s.log, store, record.Partition{Topic: tables}, tableHandler{s}, follower.WithResyncOnError(),
+	s.tables = follower.New(s.log, store, record.Partition{Topic: tables}, tableHandler{s}, follower.WithResyncOnError(), follower.WithClock(s.clock),
 		follower.WithPace(func() follower.Pace {
 			poll := max(follower.DefaultPollTimeout, time.Duration(tablePollShare*float64(s.tableBound)))
 			return follower.Pace{MinInterval: follower.DefaultMinInterval, PollTimeout: poll}
 		}))
-	s.servers = follower.New(s.log, store, record.Partition{Topic: servers}, serverHandler{s}, follower.WithResyncOnError(),
+	timed := &timedLog{log: store}
+	s.servers = follower.New(s.log, timed, record.Partition{Topic: servers}, serverHandler{s: s, reads: timed}, follower.WithResyncOnError(), follower.WithClock(s.clock),
 		follower.WithPace(func() follower.Pace {
 			interval := max(follower.DefaultMinInterval, time.Duration(serverReadShare*float64(s.serverBound)))
 			return follower.Pace{MinInterval: interval, PollTimeout: follower.DefaultPollTimeout}
@@ -161,13 +176,11 @@
 func (s *Service) Age() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return min(s.tables.Age(), time.Since(s.currentAt))
-}
-
-// Current reports whether the routing tables hold all that the operators' bound requires.
-// Tables that are not current may lack routes and API keys.
-func (s *Service) Current() bool {
-	return s.tableBound == 0 || s.Age() < time.Duration(currentShare*float64(s.tableBound))
+	age := s.tables.Age()
+	if s.peerCurrentAt != nil {
+		age = min(age, s.clock.Elapsed()-*s.peerCurrentAt)
+	}
+	return age
 }
 
 // Ready reports whether routing tables and servers have been loaded.
@@ -224,12 +237,12 @@
 	return drains || news
 }
 
-// Confirmed reports whether the process behind a connection that was opened at the given time is the listed start
-// of the server.
-func (s *Service) Confirmed(server roster.Server, openedAt time.Time) bool {
+// Confirmed returns what shows that the process behind a connection that was opened at the given time is the listed
+// start of the server.
+func (s *Service) Confirmed(server roster.Server, openedAt time.Time) roster.Evidence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.roster.Confirmed(server, openedAt, time.Now().Add(-s.servers.Age()))
+	return s.roster.Confirmed(server, openedAt)
 }
 
 // RecordStart records the start that a server named when it was asked, and reports whether it is that of the server as it was
@@ -325,6 +338,22 @@
 	s.roster.Put(server, now)
 }
 
+// setServers replaces the list of servers by one that was read up to the position.
+func (s *Service) setServers(records []record.Record, at record.Position, now time.Time) {
+	listed := map[string]bool{}
+	for _, r := range records {
+		listed[r.Key] = true
+		s.putServer(r, now)
+	}
+	for id := range s.serverRecords {
+		if !listed[id] {
+			s.removeServer(id, now)
+		}
+	}
+	s.serversLoaded, s.position = true, at
+	s.refresh(now)
+}
+
 func (s *Service) removeServer(id string, now time.Time) {
 	if _, listed := s.serverRecords[id]; !listed {
 		return
@@ -350,51 +379,8 @@
 }
 
 // SetReachable implements follower.Handler.
-func (tableHandler) SetReachable(bool) {}
-
-// serverHandler applies the records of the servers' topic.
-type serverHandler struct{ s *Service }
-
-// Reset implements follower.Handler.
-func (h serverHandler) Reset(records []record.Record, next int64) {
-	s, now := h.s, time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.roster.ListAvailable(now)
-	listed := map[string]bool{}
-	for _, r := range records {
-		listed[r.Key] = true
-		s.putServer(r, now)
-	}
-	for id := range s.serverRecords {
-		if !listed[id] {
-			s.removeServer(id, now)
-		}
-	}
-	s.serversLoaded, s.nextOffset = true, next
-	s.refresh(now)
-}
-
-// Apply implements follower.Handler.
-func (h serverHandler) Apply(records []record.Record, next int64) {
-	s, now := h.s, time.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.roster.ListAvailable(now)
-	for _, r := range records {
-		s.putServer(r, now)
-	}
-	s.nextOffset = max(s.nextOffset, next)
-	s.refresh(now)
-}
-
-// SetReachable implements follower.Handler.
-func (h serverHandler) SetReachable(ok bool) {
+func (h tableHandler) SetReachable(bool) {
 	h.s.mu.Lock()
 	defer h.s.mu.Unlock()
-	if ok {
-		h.s.roster.ListAvailable(time.Now())
-		return
-	}
-	h.s.roster.ListUnavailable()
+	h.s.notifyRead()
 }
--- /dev/null
+++ b/services/catalog/servers.go
@@ -0,0 +1,79 @@
+package catalog
+
+import (
+	"context"
+	"time"
+
+	"github.com/crocusline/crocusline/models/record"
+	"github.com/crocusline/crocusline/services/follower"
+)
+
+// timedLog records when its last read began. It is used by one goroutine.
+type timedLog struct {
+	log     follower.Log
+	beganAt time.Time
+}
+
+// Read implements follower.Log.
+func (l *timedLog) Read(ctx context.Context, r record.Read) (record.Batch, error) {
+	l.beganAt = time.Now()
+	return l.log.Read(ctx, r)
+}
+
+// Snapshot implements follower.Log.
+func (l *timedLog) Snapshot(ctx context.Context, p record.Partition) (record.Snapshot, error) {
+	l.beganAt = time.Now()
+	return l.log.Snapshot(ctx, p)
+}
+
+// serverHandler applies the records of the servers' topic.
+type serverHandler struct {
+	s     *Service
+	reads *timedLog
+}
+
+// Reset implements follower.Handler.
+func (h serverHandler) Reset(records []record.Record, next int64) {
+	s, now := h.s, time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.ListAvailable(now)
+	s.roster.ResetReads()
+	// A peer's list may be newer than a response that this process handles late. Without eras, a lower
+	// offset may also mean that the store has returned from a copy.
+	if at := (record.Position{Era: s.servers.Era(), Next: next}); at.Era == 0 || !at.Before(s.position) {
+		s.setServers(records, at, now)
+	}
+	s.roster.RecordRead(h.reads.beganAt)
+}
+
+// Apply implements follower.Handler.
+func (h serverHandler) Apply(records []record.Record, next int64) {
+	s, now := h.s, time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.roster.ListAvailable(now)
+	era := s.servers.Era()
+	for _, r := range records {
+		if !(record.Position{Era: era, Next: r.Offset}).Before(s.position) {
+			s.putServer(r, now)
+		}
+	}
+	s.roster.RecordRead(h.reads.beganAt)
+	if at := (record.Position{Era: era, Next: next}); s.position.Before(at) {
+		s.position = at
+	}
+	s.refresh(now)
+}
+
+// SetReachable implements follower.Handler.
+func (h serverHandler) SetReachable(ok bool) {
+	h.s.mu.Lock()
+	defer h.s.mu.Unlock()
+	h.s.notifyRead()
+	if ok {
+		h.s.roster.ListAvailable(time.Now())
+		return
+	}
+	h.s.roster.ListUnavailable()
+}
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -18,6 +18,7 @@
 	"github.com/crocusline/crocusline/models/route"
 	"github.com/crocusline/crocusline/modules/exchange"
 	"github.com/crocusline/crocusline/services/prepaid"
+	"github.com/crocusline/crocusline/services/takeover"
 )
 
 // Retry delays suggested to callers.
@@ -77,6 +78,8 @@
 	// server is the id of the server that the request was last sent to, and version that of its software.
 	server  string
 	version string
+	// attempt is the one at a stream that callers may resume, or nil.
+	attempt *takeover.Attempt
 	// buffers hold what the job has read of responses.
 	buffers []*responseBuffer
 }
@@ -144,7 +147,7 @@
 		if err := j.checkQuarantine(); err != nil {
 			return j.fail(w, fallback, err)
 		}
-		choice, ok := j.chooseServer()
+		choice, ok := j.chooseServer(ctx)
 		if !ok {
 			return j.fail(w, fallback, j.finalRefusal())
 		}
@@ -330,7 +333,8 @@
 
 // chooseServer chooses the server for the next send and records the send with the
 // balancer.
-func (j *job) chooseServer() (balance.Choice, bool) {
+func (j *job) chooseServer(ctx context.Context) (balance.Choice, bool) {
+	j.service.countWait(j.service.catalog.AwaitServers(ctx))
 	var choice balance.Choice
 	var ok bool
 	req := j.balanceRequest()
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -28,6 +28,7 @@
 	"github.com/crocusline/crocusline/modules/metric"
 	"github.com/crocusline/crocusline/services/prepaid"
 	"github.com/crocusline/crocusline/services/quarantine"
+	"github.com/crocusline/crocusline/services/takeover"
 )
 
 // HeaderCodec translates between requests and the headers used by servers.
@@ -55,12 +56,16 @@
 	Age() time.Duration
 	// Current reports whether the tables can lack no route or API key.
 	Current() bool
+	// AwaitTables and AwaitServers wait for the next read of the tables or of the list of servers if this
+	// process has not run for a while, and report whether they have waited.
+	AwaitTables(ctx context.Context) bool
+	AwaitServers(ctx context.Context) bool
 	WithBalancer(pool string, f func(*balance.Balancer))
 	// RecordNotice records what a server announces about itself, and reports whether that was new.
 	RecordNotice(s roster.Server, r notice.Response) bool
-	// Confirmed reports whether the process behind a connection that was opened at the given time is the listed
-	// start of the server.
-	Confirmed(s roster.Server, openedAt time.Time) bool
+	// Confirmed returns what shows that the process behind a connection that was opened at the given time is the
+	// listed start of the server.
+	Confirmed(s roster.Server, openedAt time.Time) roster.Evidence
 	// RecordStart records the start that a server named when it was asked, and reports whether it is that of the server as
 	// it was chosen.
 	RecordStart(s roster.Server, askedAt time.Time, started int64) bool
@@ -175,6 +180,8 @@
 	quarantine  Quarantine
 	lineage     Lineage
 	reports     Reports
+	takeover    *takeover.Service
+	starts      *startCalls
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.WindowBudget
@@ -189,6 +196,7 @@
 		log: log.Named("relay"), codec: codec, catalog: catalog, budget: budget, client: client,
 		metrics: metric.New(), retryWindow: DefaultRetryWindow, retryRatio: DefaultRetryRatio, retryExtra: DefaultRetryExtra,
 		retryBudgets: map[string]*retry.WindowBudget{}, quarantine: noQuarantine{}, lineage: noLineage{}, reports: noReports{},
+		starts: newStartCalls(),
 	}
 	s.buffers.SetMemory(defaultMemory)
 	for _, opt := range opts {
@@ -210,6 +218,7 @@
 // *refusal.Error if nothing was written, and an *AbortedError if the response was
 // aborted.
 func (s *Service) Relay(ctx context.Context, w http.ResponseWriter, r *call.Request) error {
+	s.countWait(s.catalog.AwaitTables(ctx))
 	j, err := s.admit(r)
 	if err != nil {
 		s.recordRefusal(r, nil, err)
@@ -222,10 +231,15 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
+	ctx, supersede := context.WithCancelCause(ctx)
+	defer supersede(nil)
 	if err := j.findOrigin(ctx); err != nil {
 		s.recordRefusal(r, j, err)
 		return err
 	}
+	j.beginAttempt(supersede)
+	defer func() { _ = j.attempt.Close() }()
+	j.endOthers(ctx)
 	j.retryBudget.RecordRequest(time.Now())
 	j.hold, err = s.reserve(ctx, j)
 	if err != nil {
@@ -247,6 +261,15 @@
 	return err
 }
 
+// viewsAwaited counts the waits for a newer view after the process has not run for a while.
+const viewsAwaited = "crocusline_views_awaited_total"
+
+func (s *Service) countWait(waited bool) {
+	if waited {
+		s.metrics.Counter(viewsAwaited).Inc()
+	}
+}
+
 // admit finds the route and workspace of the request.
 func (s *Service) admit(r *call.Request) (*job, error) {
 	for {
@@ -292,6 +315,9 @@
 		fingerprint: r.Fingerprint(cmp.Or(workspace.Name, r.APIKey)), deadline: r.ArrivedAt.Add(timeout),
 		log: s.log.With("requestId", r.ID),
 	}
+	if rt.Kind.Streams() {
+		j.LastEventID = r.LastEventID
+	}
 	j.usePool(table.PoolFor(rt, r.ID))
 	return j
 }
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -48,7 +48,7 @@
 	j.spendReservation()
 	prompt.silence = j.watchSilence(choice, sends, cancel)
 	defer prompt.silence.stop()
-	resp, err := j.service.client.Do(ctx, j.buildRequest(choice))
+	resp, err := j.exchange(ctx, choice)
 	var result sendResult
 	if err != nil {
 		result = j.classifyError(err)
@@ -62,22 +62,29 @@
 	j.reservation = prompt.silence.stop()
 	j.reportToBalancer(ctx, id, prompt, result)
 	j.reportToQuarantine(ctx, choice.Server, prompt, result)
-	j.logSend(choice, sends, time.Since(start), result)
+	j.logSend(choice, sends, time.Since(start), result, abandonCause(ctx, result))
 	return result
 }
 
+// exchange sends the request, unless its caller has resumed the stream with another one.
+func (j *job) exchange(ctx context.Context, choice balance.Choice) (*http.Response, error) {
+	req := j.buildRequest(choice)
+	released, err := j.attempt.Send()
+	if err != nil {
+		return nil, &exchange.NotSentError{Address: req.Address, Err: err}
+	}
+	req.Released = released
+	return j.service.client.Do(ctx, req)
+}
+
 // buildRequest returns the request to send to the server.
 func (j *job) buildRequest(choice balance.Choice) *exchange.Request {
 	r := j.request
-	lastEvent := r.LastEventID
-	if j.Begun {
-		lastEvent = j.LastEventID
-	}
 	return &exchange.Request{
 		Address: choice.Server.Address, Method: r.Method, Target: r.Target, Host: r.Host, Body: r.Body,
 		Header: j.service.codec.Encode(r, call.DispatchParams{
 			Server: choice.Server.ID, TimeLeft: time.Until(j.deadline), Workspace: j.workspace.Name,
-			Priority: j.priority(), LastEventID: lastEvent,
+			Priority: j.priority(), LastEventID: j.lastEvent(),
 		}),
 		// On a connection that has carried others, a copy of an earlier response could be taken for the
 		// response to a request without an id.
@@ -87,6 +94,14 @@
 	}
 }
 
+// lastEvent returns the id of the last event that the caller has received, or "" if there is none.
+func (j *job) lastEvent() string {
+	if j.route.Kind.Streams() {
+		return j.LastEventID
+	}
+	return j.request.LastEventID
+}
+
 // classifyError returns the result of a send without a response.
 func (j *job) classifyError(err error) sendResult {
 	var notSent *exchange.NotSentError
@@ -291,7 +306,7 @@
 		case serverError:
 			b.RecordFailure(id)
 		case notRun:
-			if result.reason != refusal.QueueFull && result.evidence != call.NotBegun {
+			if result.reason != refusal.QueueFull && result.evidence != call.NotBegun && !cancelled {
 				b.RecordUnreachable(now, id)
 			}
 		case unknownOutcome:
@@ -323,8 +338,12 @@
 	}
 }
 
-// logSend logs a send without a response for the caller.
-func (j *job) logSend(choice balance.Choice, sends int, elapsed time.Duration, result sendResult) {
+// logSend logs a send without a response for the caller, and counts those that were given up for the cause. Their
+// connections are closed by now.
+func (j *job) logSend(choice balance.Choice, sends int, elapsed time.Duration, result sendResult, abandoned string) {
+	if abandoned != "" {
+		j.service.metrics.Counter(sendsAbandoned + `{cause="` + abandoned + `"}`).Inc()
+	}
 	pairs := []any{
 		"server", choice.Server.ID, "version", choice.Server.Version, "send", sends, "took", elapsed.Round(time.Millisecond),
 		"predicted", choice.PredictedLatency.Round(time.Millisecond), "trial", choice.Trial, "events", j.Events,
@@ -340,11 +359,11 @@
 		j.log.Info("send not run", pairs...)
 	case unknownOutcome:
 		j.log.Info("send outcome unknown", append(pairs, "workspace", j.workspace.Name, "segments", j.segments, "fingerprint", j.fingerprint,
-			"first", j.timeToFirstEvent.Round(time.Millisecond), "reason", result.reason, "error", result.err)...)
+			"first", j.timeToFirstEvent.Round(time.Millisecond), "reason", result.reason, "abandoned", abandoned, "error", result.err)...)
 	case endUnproven:
 		j.log.Info("end of stream not proven", append(pairs, "lastEvent", j.LastEventID, "tokens", j.tokensOf(j.Events), "outputTokens", j.request.OutputTokens)...)
 	case callerDisconnected:
-		j.log.Info("caller disconnected", append(pairs, "error", result.err)...)
+		j.log.Info("caller disconnected", append(pairs, "abandoned", abandoned, "error", result.err)...)
 	case serverError:
 		j.log.Info("send failed", append(pairs, "status", result.status)...)
 	}
