--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -45,6 +45,8 @@
 	Fail
 	// FailLarge executes the request and responds 500 with a body of LargeBodySize.
 	FailLarge
+	// FailAsRefused executes the request and responds 503 without Not-Executed.
+	FailAsRefused
 	// Reject executes the request and responds 404 with a JSON body.
 	Reject
 	// RespondWhole executes the request and responds 200 with a body that is no stream.
@@ -289,8 +291,8 @@
 
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, b Behaviour) {
 	switch b {
-	case Fail:
-		w.WriteHeader(http.StatusInternalServerError)
+	case Fail, FailAsRefused:
+		w.WriteHeader(map[Behaviour]int{Fail: http.StatusInternalServerError, FailAsRefused: http.StatusServiceUnavailable}[b])
 		_, _ = w.Write([]byte("failed"))
 		return
 	case FailLarge:
