Keep the later of two confirmations of a server's start

Answers of a server may arrive in another order than that in which it was asked, and the earlier call then replaced the time of the later one, so that connections opened between the two were asked about again. TestAnswersInAnotherOrder: the connection opened at 2 counts as confirmed by the call at 3, also if the answer to the call at 1 comes last; on the code before it had no evidence (seen by reverting the line).

--- a/models/roster/start.go
+++ b/models/roster/start.go
@@ -48,7 +48,7 @@
 // is the start of the server as it was chosen.
 func (r *Roster) RecordStart(s Server, askedAt time.Time, started int64) bool {
 	confirmed := started != 0 && started == s.Started
-	if listed, exists := r.servers[s.ID]; confirmed && exists && listed.Started == started {
+	if listed, exists := r.servers[s.ID]; confirmed && exists && listed.Started == started && askedAt.After(listed.confirmedAt) {
 		listed.confirmedAt = askedAt
 		r.servers[s.ID] = listed
 	}
--- a/models/roster/start_test.go
+++ b/models/roster/start_test.go
@@ -157,3 +157,18 @@
 		}
 	}
 }
+
+// TestAnswersInAnotherOrder checks that an earlier answer that comes later takes nothing back.
+func TestAnswersInAnotherOrder(t *testing.T) {
+	s := roster.Server{ID: "s1", Pool: "models", Version: "v1", Started: 17}
+	r := roster.New()
+	r.Put(s, at(0))
+	for _, askedAt := range []float64{3, 1} {
+		if !r.RecordStart(s, at(askedAt), 17) {
+			t.Errorf("the answer to the call at %v isn't the listed start", askedAt)
+		}
+	}
+	if got := r.Confirmed(s, at(2)); got != roster.ReportEvidence {
+		t.Errorf("evidence %s of a connection opened before the later call", got)
+	}
+}
