Replace no holder of tokens that was silent while this gateway stood still

A holder that hasn't reported for 3 s is replaced. After a pause of the observer all others had been silent for as long, so that it took itself for the only holder of each workspace and planned grants for that, until the next reports were read. Grants are conditional, so that no budget was exceeded; tokens went to the wrong gateways.

gateway.Presence is the one view of which gateways still write, for holders as well as for the shares of a server's limit: silence counts while this gateway reads, up to the time whose state was read last, and not across 1.5 s without a read. While the view isn't current the selection of holders stays, as it did while the store is away.

Evidence: TestGatewaysCountedOutAfterPause, stops of 1, 2, 4 and 10 s of the observer alone and of all together: without the limit on the time between two reads a living gateway counts as silent after 4 and 10 s in both. A gateway that ended counts as silent 3 to 3.3 s after its last report as before. services/prepaid with TestNeverOverspends and the tests of kills pass.

Tests: models/gateway, models/notice and docs with the race detector, services/prepaid and directory without, the linter.

--- a/models/notice/fleet.go
+++ b/models/notice/fleet.go
@@ -2,9 +2,12 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/crocusline/crocusline/models/gateway"
 )
 
 const (
@@ -12,9 +15,6 @@
 	// maxHeartbeats the number of all gateways' heartbeats per second: each gateway reads all.
 	minHeartbeatInterval = time.Second
 	maxHeartbeats        = 100.0
-	// maxReadInterval is the longest time between the states of two reads in which the absence of
-	// heartbeats counts. While a server names a limit, each gateway reads at least its own.
-	maxReadInterval = 1500 * time.Millisecond
 	// missedHeartbeats is the number of heartbeats after whose absence a gateway has no share.
 	missedHeartbeats = 3
 	// disconnectedShare is the part of its share that a gateway uses while the others may have
@@ -34,82 +34,52 @@
 // Fleet is the set of gateways that live. It divides what servers allow to all gateways
 // together.
 //
-// A gateway lives until its heartbeats have been missing for a while in which the store was read:
-// time without the store, and time in which this process did not run, is no evidence. The loads that
-// it answers are fleets in which a share for each gateway would be far below one request, gateways that
-// are killed, stopped, replaced or cut off, and outages of the store.
+// A gateway lives until its heartbeats have been missing for a while in which they were read
+// (gateway.Presence). The loads that it answers are fleets in which a share for each gateway would be
+// far below one request, and gateways that are killed, stopped, replaced or cut off.
 type Fleet struct {
 	self string
-	// seenAt is when each other gateway was last known to live.
-	seenAt map[string]time.Time
+	// others are the other gateways that are registered.
+	others *gateway.Presence
 	// known is whether the gateways are known.
 	known bool
-	// unreadable is whether the store stopped responding, and readAt the time whose state was read last,
-	// or the zero value.
-	unreadable bool
-	readAt     time.Time
 	// confirmedAt is when the last heartbeat of this gateway that the store accepted was sent.
 	confirmedAt time.Time
 }
 
 // NewFleet returns the fleet of the gateway, whose others are unknown.
-func NewFleet(self string) *Fleet { return &Fleet{self: self, seenAt: map[string]time.Time{}} }
+func NewFleet(self string) *Fleet { return &Fleet{self: self, others: gateway.NewPresence()} }
 
 // SetMembers replaces the gateways that are registered. One that was not known before counts as
 // alive.
 func (f *Fleet) SetMembers(now time.Time, instances []string) {
 	f.known = true
-	current := make(map[string]time.Time, len(instances))
-	for _, instance := range instances {
-		if instance == f.self {
-			continue
-		}
-		seenAt, known := f.seenAt[instance]
-		if !known {
-			seenAt = now
-		}
-		current[instance] = seenAt
-	}
-	f.seenAt = current
+	f.others.Keep(now, slices.DeleteFunc(slices.Clone(instances), func(instance string) bool { return instance == f.self }))
 }
 
 // RecordHeartbeat records that a heartbeat of the gateway was read.
 func (f *Fleet) RecordHeartbeat(now time.Time, instance string) {
-	if _, known := f.seenAt[instance]; known {
-		f.seenAt[instance] = now
+	if f.others.Known(instance) {
+		f.others.Record(now, instance)
 	}
 }
 
 // Watch begins to wait for heartbeats, which gateways write only while there is a limit.
-func (f *Fleet) Watch(now time.Time) {
-	for instance, seenAt := range f.seenAt {
-		if now.After(seenAt) {
-			f.seenAt[instance] = now
-		}
-	}
-}
+func (f *Fleet) Watch(now time.Time) { f.others.Watch(now) }
 
 // Confirm records that the store accepted this gateway's heartbeat that was sent at the time.
 func (f *Fleet) Confirm(sentAt time.Time) { f.confirmedAt = sentAt }
 
 // RecordRead records that the store's heartbeats were read up to those of the time.
-func (f *Fleet) RecordRead(at time.Time) {
-	if !f.readAt.IsZero() && (f.unreadable || at.Sub(f.readAt) > maxReadInterval) {
-		f.Watch(at)
-	}
-	f.unreadable = false
-	if at.After(f.readAt) {
-		f.readAt = at
-	}
-}
+func (f *Fleet) RecordRead(at time.Time) { f.others.RecordRead(at) }
 
 // RecordUnreadable records that the store doesn't respond to reads.
-func (f *Fleet) RecordUnreadable() { f.unreadable = true }
+func (f *Fleet) RecordUnreadable() { f.others.RecordUnreadable() }
 
 // HeartbeatInterval returns the time between two heartbeats of a gateway. It grows with the fleet,
 // so that what each gateway reads doesn't.
 func (f *Fleet) HeartbeatInterval() time.Duration {
-	return max(minHeartbeatInterval, time.Duration(float64(len(f.seenAt)+1)/maxHeartbeats*float64(time.Second)))
+	return max(minHeartbeatInterval, time.Duration(float64(f.others.Len()+1)/maxHeartbeats*float64(time.Second)))
 }
 
 func (f *Fleet) expiry() time.Duration { return missedHeartbeats * f.HeartbeatInterval() }
@@ -136,8 +106,8 @@
 	}
 	own := score(server, f.self)
 	living, rank := 1, 0
-	for instance, seenAt := range f.seenAt {
-		if f.readAt.Sub(seenAt) >= f.expiry() {
+	for instance := range f.others.All() {
+		if f.others.Silence(instance) >= f.expiry() {
 			continue
 		}
 		living++
--- a/services/prepaid/holder.go
+++ b/services/prepaid/holder.go
@@ -28,10 +28,10 @@
 }
 
 // selectHolders returns the gateways that hold the workspace's tokens. While the store is
-// unreachable the selection doesn't change.
+// unreachable, and until it is read after a pause of this process, the selection doesn't change.
 func (s *Service) selectHolders(workspace string, now time.Time) []string {
 	last, exists := s.holders[workspace]
-	if exists && (!s.reportWriter.reachable || now.Sub(last.selectedAt) < selectionTTL) {
+	if exists && (!s.reportWriter.others.Current(now) || now.Sub(last.selectedAt) < selectionTTL) {
 		return last.instances
 	}
 	if now.Sub(s.able.selectedAt) >= selectionTTL {
@@ -47,8 +47,7 @@
 func (s *Service) ableGateways(now time.Time) []string {
 	members := s.directory.Members()
 	maps.DeleteFunc(members, func(instance string, _ gateway.Member) bool {
-		reportedAt, reported := s.reportWriter.reportedAt[instance]
-		return instance != s.instance && reported && now.Sub(reportedAt) > holderTimeout
+		return instance != s.instance && s.reportWriter.others.Silent(now, instance, holderTimeout)
 	})
 	return gateway.Able(members)
 }
--- a/services/prepaid/report.go
+++ b/services/prepaid/report.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/crocusline/crocusline/models/gateway"
 	"github.com/crocusline/crocusline/models/prepaid"
 	"github.com/crocusline/crocusline/models/record"
 	"github.com/crocusline/crocusline/modules/delay"
@@ -43,16 +44,14 @@
 	superseded bool
 	// loaded is set once the topic was read. The service's lock guards it.
 	loaded bool
-	// reportedAt is when a report of another instance was read last. Outages of the store
-	// don't count: all times are set to the time of the first read after one. The
-	// service's lock guards it.
-	reportedAt map[string]time.Time
+	// others are the instances whose reports were read. The service's lock guards it.
+	others *gateway.Presence
 	// reachable is whether the last read succeeded. The service's lock guards it.
 	reachable bool
 }
 
 func newReportWriter(s *Service) *reportWriter {
-	r := &reportWriter{service: s, reportedAt: map[string]time.Time{}, pacer: newPacer()}
+	r := &reportWriter{service: s, others: gateway.NewPresence(), pacer: newPacer()}
 	r.follower = follower.New(s.log, s.store, r.partition(), r, follower.WithPace(r.readPace))
 	return r
 }
@@ -78,7 +77,7 @@
 
 // currentInterval returns the interval with the service locked.
 func (r *reportWriter) currentInterval() time.Duration {
-	gateways := len(r.reportedAt)
+	gateways := r.others.Len()
 	return min(max(reportInterval, reportInterval*time.Duration(gateways)/smallFleetSize), maxReportInterval)
 }
 
@@ -242,7 +241,7 @@
 		if isVoid(report.Era, s.accounts[workspace].Reports[instance].Era) {
 			continue
 		}
-		r.reportedAt[instance] = now
+		r.others.Record(now, instance)
 		if s.witnesses.Record(instance, report) && s.witnesses.Awaited() {
 			s.triggerGrants()
 		}
@@ -251,7 +250,7 @@
 			delete(b.observed, instance)
 		}
 		s.latestWallTime = max(s.latestWallTime, report.SentAt.Wall)
-		if report.Shortfall > 0 && rand.Float64() < responders/float64(len(r.reportedAt)) {
+		if report.Shortfall > 0 && rand.Float64() < responders/float64(r.others.Len()) {
 			s.grantWriter(workspace).pacer.trigger()
 		}
 	}
@@ -263,9 +262,11 @@
 	defer r.service.mu.Unlock()
 	if ok && !r.reachable {
 		r.service.witnesses.RecordOutage()
-		for instance := range r.reportedAt {
-			r.reportedAt[instance] = time.Now()
-		}
+	}
+	if ok {
+		r.others.RecordRead(time.Now().Add(-r.follower.Age()))
+	} else {
+		r.others.RecordUnreadable()
 	}
 	r.reachable = ok
 }
