Quarantine no prompts by answers that a stopped gateway hasn't read

A gateway that ran on after a pause quarantined the segments of prompts for an hour, before it had read that other gateways had got answers to them: the second in which such answers become known had passed on its clock, and it had read nothing in it. Callers would get 503 for all prompts with these segments.

Tracker.Conclude now needs the evidence of the others up to 0.5 s after the crash that suffices. While there are suspects reads are held for 0.3 s, so that a conclusion isn't late: that is at most three reads a second more at a gateway, and only then.

Ruled out: counting the time between two steps of the service, which a slow write stretches as well, so that nothing would be quarantined while the store fails.

--- a/models/quarantine/quarantine.go
+++ b/models/quarantine/quarantine.go
@@ -43,6 +43,8 @@
 	// publicationSkew makes short delays rare, so that most gateways of a large fleet learn of
 	// an answer before they would publish theirs.
 	publicationSkew = 8
+	// minKnownTime is the time from that crash up to which the evidence of the others must be known.
+	minKnownTime = 500 * time.Millisecond
 	// EvidenceLifetime is how long a crash counts.
 	EvidenceLifetime = time.Minute
 	// Duration is how long a segment stays in quarantine.
@@ -178,12 +180,13 @@
 // Conclude adds an entry for each segment that explains at least minCrashes crashes and minShare
 // of all since, and more than any other segment explains of these. Segments that explain the same crashes form one
 // entry, which applies to prompts with all of them. It adds one for each request that explains at
-// least minRequestCrashes, see requestExplains.
-func (t *Tracker) Conclude(now time.Time) []Entry {
+// least minRequestCrashes, see requestExplains. The evidence of the others is known up to knownAt: a process
+// that stood still has missed their answers.
+func (t *Tracker) Conclude(now, knownAt time.Time) []Entry {
 	var concluded []Entry
 	for _, id := range slices.Sorted(maps.Keys(t.suspects)) {
 		s, exists := t.suspects[id]
-		if !exists || s.reachedAt.IsZero() || now.Sub(s.reachedAt) < settleTime {
+		if !exists || s.reachedAt.IsZero() || now.Sub(s.reachedAt) < settleTime || knownAt.Sub(s.reachedAt) < minKnownTime {
 			continue
 		}
 		if isRequest(id) {
--- a/models/quarantine/quarantine_test.go
+++ b/models/quarantine/quarantine_test.go
@@ -194,7 +194,7 @@
 		}
 	}
 	f.tracker.Expire(f.time())
-	f.tracker.Conclude(f.time())
+	f.tracker.Conclude(f.time(), f.time())
 	for n := f.requestRate * tick.Seconds(); f.rand.Float64() < n; n-- {
 		f.send(f.request(fmt.Sprintf("b%d", f.rand.IntN(f.segments)), false))
 	}
@@ -357,7 +357,7 @@
 				tracker.RecordCrash(epoch, quarantine.Crash{Server: fmt.Sprintf("s%d", n), Segments: subjects})
 			}
 			var got [][]string
-			for _, e := range tracker.Conclude(epoch.Add(time.Second)) {
+			for _, e := range tracker.Conclude(epoch.Add(time.Second), epoch.Add(time.Second)) {
 				got = append(got, e.Segments)
 			}
 			if fmt.Sprint(got) != fmt.Sprint(tt.want) {
@@ -405,7 +405,7 @@
 				}
 				for range 2 {
 					now = now.Add(time.Second)
-					for _, e := range tracker.Conclude(now) {
+					for _, e := range tracker.Conclude(now, now) {
 						got = append(got, e.Segments)
 					}
 				}
@@ -416,3 +416,27 @@
 		})
 	}
 }
+
+// TestQuarantineAfterPause guards against prompts that a process quarantines when it runs on after a pause, as it hasn't
+// read yet that other gateways got answers to them.
+func TestQuarantineAfterPause(t *testing.T) {
+	for _, stop := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 10 * time.Second} {
+		for _, answered := range []bool{true, false} {
+			tracker := quarantine.NewTracker()
+			for _, server := range []string{"1", "2", "3", "4"} {
+				tracker.RecordCrash(epoch, quarantine.Crash{Server: server, Segments: []string{"a"}})
+			}
+			// The last read before the pause was sent just after the crash.
+			readAt, resumed := epoch.Add(100*time.Millisecond), epoch.Add(stop+200*time.Millisecond)
+			if got := tracker.Conclude(resumed, readAt); len(got) > 0 {
+				t.Errorf("%s: %v is in quarantine before the answers of the others were read", stop, got)
+			}
+			if answered {
+				tracker.RecordAnswer("a")
+			}
+			if got := tracker.Conclude(resumed, resumed); (len(got) > 0) == answered {
+				t.Errorf("%s, answered %t: %v is in quarantine once they were read", stop, answered, got)
+			}
+		}
+	}
+}
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,8 +32,10 @@
 const Name = "quarantine"
 
 const (
-	// pollTimeout is how long the store may hold a read open.
-	pollTimeout = time.Second
+	// pollTimeout is how long the store may hold a read open, and suspectedPollTimeout that while there are
+	// suspects: the end of such a read shows that the others have no further evidence.
+	pollTimeout          = time.Second
+	suspectedPollTimeout = 300 * time.Millisecond
 	// gatherTime is how long broken responses are gathered before the servers are called.
 	gatherTime = 100 * time.Millisecond
 	// stepInterval is the time between two steps while there are suspects.
@@ -103,6 +106,9 @@
 	unwritten []record.Record
 	slot      int
 
+	// suspected is whether there are suspects.
+	suspected atomic.Bool
+
 	wake    chan struct{}
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -119,7 +125,11 @@
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.follower = follower.New(s.log, store, s.partition(), s, follower.WithPace(func() follower.Pace {
-		return follower.Pace{MinInterval: stepInterval, PollTimeout: pollTimeout}
+		pace := follower.Pace{MinInterval: stepInterval, PollTimeout: pollTimeout}
+		if s.suspected.Load() {
+			pace.PollTimeout = suspectedPollTimeout
+		}
+		return pace
 	}))
 	return s
 }
@@ -314,6 +324,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	suspected := s.tracker.Expire(time.Now())
+	s.suspected.Store(suspected)
 	if err != nil {
 		s.log.Debug("observations not written", "records", len(queued), "error", err)
 		// Evidence that is written twice has no further effect.
@@ -337,7 +348,11 @@
 // conclude puts segments in quarantine. The gateways that observed one of the crashes record
 // it for those that start later.
 func (s *Service) conclude(now time.Time) {
-	for _, e := range s.tracker.Conclude(now) {
+	knownAt := now
+	if s.follower.Reachable() {
+		knownAt = now.Add(-s.follower.Age())
+	}
+	for _, e := range s.tracker.Conclude(now, knownAt) {
 		s.log.Warn("prompt segments quarantined", "segments", e.Segments, "until", e.Until)
 		if len(s.crashed) > 0 {
 			s.writeEntry(e)
