Take a list that lacks its newest records for no evidence of a server's start

A read returns a part of the records if more were written than fit, as after a pause of the process. The list then counted as read up to the beginning of that read, and confirmed the start and version of servers whose restart may be in the part that is missing.

Evidence, virtual time: TestListReadInPart, a store that has one record more than each read returns: evidence 'list' before, none with the change.

--- a/services/catalog/servers.go
+++ b/services/catalog/servers.go
@@ -12,17 +12,21 @@
 type timedLog struct {
 	log     follower.Log
 	beganAt time.Time
+	// partial is whether the store has more records than were read.
+	partial bool
 }
 
 // Read implements follower.Log.
 func (l *timedLog) Read(ctx context.Context, r record.Read) (record.Batch, error) {
 	l.beganAt = time.Now()
-	return l.log.Read(ctx, r)
+	b, err := l.log.Read(ctx, r)
+	l.partial = b.Next < b.End
+	return b, err
 }
 
 // Snapshot implements follower.Log.
 func (l *timedLog) Snapshot(ctx context.Context, p record.Partition) (record.Snapshot, error) {
-	l.beganAt = time.Now()
+	l.beganAt, l.partial = time.Now(), false
 	return l.log.Snapshot(ctx, p)
 }
 
@@ -59,9 +63,11 @@
 			s.putServer(r, now)
 		}
 	}
-	s.roster.RecordRead(h.reads.beganAt)
-	if at := (record.Position{Era: era, Next: next}); s.position.Before(at) {
-		s.position = at
+	if !h.reads.partial {
+		s.roster.RecordRead(h.reads.beganAt)
+	}
+	if position := (record.Position{Era: era, Next: next}); s.position.Before(position) {
+		s.position = position
 	}
 	s.refresh(now)
 }
--- a/services/catalog/servers_test.go
+++ b/services/catalog/servers_test.go
@@ -63,3 +63,32 @@
 		})
 	}
 }
+
+// partialLog returns a part of the records that the store has.
+type partialLog struct{ slowLog }
+
+func (l *partialLog) Read(ctx context.Context, r record.Read) (record.Batch, error) {
+	b, err := l.slowLog.Read(ctx, r)
+	b.End = b.Next + 1
+	return b, err
+}
+
+// TestListReadInPart guards against a list whose newest records weren't read, and that counts as the present one.
+func TestListReadInPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &partialLog{slowLog{readTime: 700 * time.Millisecond}}
+		c := catalog.New(hclog.NewNullLogger(), log, platform.Codec{}, catalog.WithHeartbeat(1200*time.Millisecond))
+		if err := c.Start(t.Context(), nil); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		openedAt := time.Now()
+		time.Sleep(8500 * time.Millisecond)
+		if got := c.Confirmed(roster.Server{ID: "i-1", Started: 17}, openedAt); got != roster.NoEvidence {
+			t.Errorf("evidence %s by a list that lacks records", got)
+		}
+		if err := c.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+}
