Keep servers whose entries a late read may still bring

After an outage of the store a server whose entry expired is kept for 2.2 s, in which it writes its entry again. That time ran while the gateway read nothing: one that stood still, or whose read came late, took all such servers for gone before it read their entries. Callers got 503 until then, and what was known of the servers' load and cached prompts was lost.

Evidence, virtual time: TestServerGoneByLateRead has no usable server after reads that come 4 and 10 s late before, and one all the while with the change; a server that is missing is gone as before.

The roster is asked by the time up to which the list is known, which differs from the present one only if the list isn't current though no read has failed (roster.View). Ruled out: a longer time for all, by which servers that are gone would be kept after each outage.

Tests: services/catalog, docs, the linter.

--- a/services/catalog/await.go
+++ b/services/catalog/await.go
@@ -25,6 +25,15 @@
 	return roster.View{Age: s.servers.Age(), Bound: bounded(s.serverBound), Reachable: s.servers.Reachable()}
 }
 
+// listTime returns the time up to which the list of servers is known: the present one, unless the process has not read
+// for a while. Entries that weren't seen in that time may have been written.
+func (s *Service) listTime(now time.Time) time.Time {
+	if v := s.serversView(); v.UpdateExpected() {
+		return now.Add(-v.Age)
+	}
+	return now
+}
+
 // Current reports whether the routing tables hold all that the operators' bound requires.
 // Tables that are not current may lack routes and API keys.
 func (s *Service) Current() bool { return s.tablesView().Current() }
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -296,7 +296,7 @@
 // refresh passes the usable servers of each pool to its balancer.
 func (s *Service) refresh(now time.Time) {
 	byPool := map[string][]roster.Server{}
-	usable := s.roster.Usable(now)
+	usable := s.roster.Usable(s.listTime(now))
 	s.board.SetListed(now, usable)
 	for _, server := range usable {
 		byPool[server.Pool] = append(byPool[server.Pool], server)
--- a/services/catalog/servers.go
+++ b/services/catalog/servers.go
@@ -57,10 +57,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.roster.ListAvailable(now)
-	era := s.servers.Era()
+	era, at := s.servers.Era(), s.listTime(now)
 	for _, r := range records {
 		if !(record.Position{Era: era, Next: r.Offset}).Before(s.position) {
-			s.putServer(r, now)
+			s.putServer(r, at)
 		}
 	}
 	if !h.reads.partial {
