Find the gateways that resumed a stream whose first gateway has ended

A stream that was resumed at a second gateway after the first one was killed, and is resumed at a third one, went on there while the second gateway's server worked on it: only the process that began a stream knew who resumed it, and the record names only that one.

A gateway says whether its process recorded the stream. If none of those asked did, the one that resumes the stream reads the records again, unless they were read since its request arrived, asks those that it finds there, and records the stream in its own name before it sends. The record is the same fact, so its form and its meaning for the origin are unchanged. Each gateway is waited for by itself, at most 1 s, all together 2 s: one that didn't respond took the time of the others before.

Cost: a read and a write for each stream that is resumed after its first gateway ended, none otherwise.

--- a/models/takeover/search.go
+++ b/models/takeover/search.go
@@ -8,11 +8,20 @@
 // maxAsked bounds the gateways that are asked for one stream.
 const maxAsked = 8
 
+// Answer is what a gateway says that has ended its attempts at a stream.
+type Answer struct {
+	// Successor is the gateway that resumed the stream before, which is invalid if there is none.
+	Successor netip.AddrPort
+	// Recorded is whether the process recorded the stream, so that each gateway that resumed it since has asked it.
+	Recorded bool
+}
+
 // Search selects the gateways that may still work on a stream: those that recorded it, and those that they name as
 // successors.
 type Search struct {
-	seen    []netip.AddrPort
-	pending []netip.AddrPort
+	seen     []netip.AddrPort
+	pending  []netip.AddrPort
+	complete bool
 }
 
 // NewSearch returns the search of a gateway that begins with the others given.
@@ -33,6 +42,16 @@
 	s.pending = append(s.pending, g)
 }
 
+// Record records the answer of a gateway.
+func (s *Search) Record(a Answer) {
+	s.complete = s.complete || a.Recorded
+	s.Add(a.Successor)
+}
+
+// Complete reports whether the gateways found are all that resumed the stream. If the process that recorded it has
+// ended, they aren't.
+func (s *Search) Complete() bool { return s.complete }
+
 // Next returns the next gateway to ask, and whether there is one.
 func (s *Search) Next() (netip.AddrPort, bool) {
 	if len(s.pending) == 0 {
--- a/models/takeover/takeover_test.go
+++ b/models/takeover/takeover_test.go
@@ -44,7 +44,7 @@
 			for g, ok := search.Next(); ok; g, ok = search.Next() {
 				i := int(g.Addr().As4()[3]) - 1
 				attempts, successor := registries[i].Supersede(now, id, gateway(at))
-				search.Add(successor)
+				search.Record(takeover.Answer{Successor: successor, Recorded: i == began})
 				for _, a := range attempts {
 					registries[i].End(id, a)
 				}
--- a/routers/front/supersede.go
+++ b/routers/front/supersede.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/models/lineage"
+	"github.com/crocusline/crocusline/models/takeover"
 )
 
 // connectTimeout bounds the time for a connection to a gateway that may still work on a stream. The system of a
@@ -24,17 +25,22 @@
 
 // Attempts are the attempts at streams of this gateway.
 type Attempts interface {
-	// Supersede ends the attempts at the stream, which the successor resumes. It returns the gateway that resumed the
-	// stream before, which is invalid if there is none, once no server works for these attempts.
-	Supersede(ctx context.Context, id lineage.ID, successor netip.AddrPort) (netip.AddrPort, error)
+	// Supersede ends the attempts at the stream, which the successor resumes. It returns once no server works for these
+	// attempts.
+	Supersede(ctx context.Context, id lineage.ID, successor netip.AddrPort) (takeover.Answer, error)
 }
 
-// succession is the body of a request to end the attempts at a stream, with the gateway that resumes it, and of the
-// response, with the one that resumed it before.
+// succession is the body of a request to end the attempts at a stream, with the gateway that resumes it.
 type succession struct {
 	Successor netip.AddrPort `json:"successor"`
 }
 
+// succeeded is the body of the response, with the gateway that resumed the stream before.
+type succeeded struct {
+	Successor netip.AddrPort `json:"successor"`
+	Recorded  bool           `json:"recorded,omitempty"`
+}
+
 // supersede handles a request to end the attempts at a stream.
 func supersede(log hclog.Logger, w http.ResponseWriter, r *http.Request, attempts Attempts) {
 	id, ok := decodeStreamID(w, r)
@@ -46,12 +52,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	before, err := attempts.Supersede(r.Context(), id, s.Successor)
+	answer, err := attempts.Supersede(r.Context(), id, s.Successor)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(log, w, succession{Successor: before})
+	writeJSON(log, w, succeeded(answer))
 }
 
 // decodeStreamID returns the id of the stream in the path. If that fails it writes the error response.
@@ -72,17 +78,17 @@
 }
 
 // Supersede implements takeover.Peers.
-func (c *PeerClient) Supersede(ctx context.Context, peer netip.AddrPort, id lineage.ID, successor netip.AddrPort) (netip.AddrPort, error) {
+func (c *PeerClient) Supersede(ctx context.Context, peer netip.AddrPort, id lineage.ID, successor netip.AddrPort) (takeover.Answer, error) {
 	body, err := json.Marshal(succession{Successor: successor})
 	if err != nil {
-		return netip.AddrPort{}, errors.WithStack(err)
+		return takeover.Answer{}, errors.WithStack(err)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	timer := time.AfterFunc(connectTimeout, func() { cancel(errNotConnected) })
 	defer timer.Stop()
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { timer.Stop() }})
-	var result succession
+	var result succeeded
 	err = c.do(traced, http.MethodPost, peer, supersedePath+hex.EncodeToString(id[:]), body, &result)
-	return result.Successor, err
+	return takeover.Answer(result), err
 }
--- a/routers/front/supersede_test.go
+++ b/routers/front/supersede_test.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/models/lineage"
+	"github.com/crocusline/crocusline/models/takeover"
 	"github.com/crocusline/crocusline/routers/front"
 )
 
@@ -17,13 +18,13 @@
 type fakeAttempts struct {
 	id        lineage.ID
 	successor netip.AddrPort
-	before    netip.AddrPort
+	answer    takeover.Answer
 	err       error
 }
 
-func (a *fakeAttempts) Supersede(_ context.Context, id lineage.ID, successor netip.AddrPort) (netip.AddrPort, error) {
+func (a *fakeAttempts) Supersede(_ context.Context, id lineage.ID, successor netip.AddrPort) (takeover.Answer, error) {
 	a.id, a.successor = id, successor
-	return a.before, a.err
+	return a.answer, a.err
 }
 
 // TestSupersede checks that a gateway has another one end its attempts at a stream.
@@ -34,10 +35,10 @@
 	client := front.NewPeerClient(nil)
 	defer func() { _ = client.Close() }()
 	peer, id, self := addresses(t, server)[0], lineage.NewID("clinics", "r1"), netip.MustParseAddrPort("10.0.0.2:80")
-	for _, before := range []netip.AddrPort{{}, netip.MustParseAddrPort("10.0.0.3:80")} {
-		attempts.before = before
+	for _, answer := range []takeover.Answer{{}, {Successor: netip.MustParseAddrPort("10.0.0.3:80"), Recorded: true}} {
+		attempts.answer = answer
 		got, err := client.Supersede(t.Context(), peer, id, self)
-		if err != nil || got != before || attempts.id != id || attempts.successor != self {
+		if err != nil || got != answer || attempts.id != id || attempts.successor != self {
 			t.Errorf("got %v and %v, the gateway got %+v", got, err, attempts)
 		}
 	}
--- a/services/lineage/lineage.go
+++ b/services/lineage/lineage.go
@@ -110,7 +110,7 @@
 	// stored holds the streams of each partition, as of the last reads, and recorders the instances that recorded
 	// them.
 	stored    [partitions]*lineage.Index
-	recorders [partitions]map[lineage.ID]string
+	recorders [partitions]map[lineage.ID][]string
 	// told holds the gateways that knew of a stream when they were asked.
 	told map[lineage.ID][]netip.AddrPort
 	// reading is the last read, or nil.
@@ -297,8 +297,8 @@
 }
 
 // index returns the streams of the records, and the instances that recorded them.
-func (s *Service) index(records []record.Record) (*lineage.Index, map[lineage.ID]string) {
-	x, recorders := lineage.NewIndex(), map[lineage.ID]string{}
+func (s *Service) index(records []record.Record) (*lineage.Index, map[lineage.ID][]string) {
+	x, recorders := lineage.NewIndex(), map[lineage.ID][]string{}
 	for _, r := range records {
 		entries, err := lineage.ParseRecord(r)
 		if err != nil {
@@ -307,7 +307,7 @@
 		instance := lineage.InstanceOf(r.Key)
 		for _, e := range entries {
 			x.Add(e)
-			recorders[e.ID] = instance
+			recorders[e.ID] = append(recorders[e.ID], instance)
 		}
 	}
 	return x, recorders
--- a/services/lineage/recorders.go
+++ b/services/lineage/recorders.go
@@ -1,8 +1,12 @@
 package lineage
 
 import (
+	"context"
 	"net/netip"
 	"slices"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/models/lineage"
 )
@@ -10,8 +14,39 @@
 // maxTold bounds the streams of which gateways are remembered that knew them.
 const maxTold = 4096
 
-// Recorders returns the other gateways that may have begun the stream: the one that recorded it, or those that knew it
-// when they were asked. One that is no longer registered has ended.
+// Recorded reports whether this process recorded the stream.
+func (s *Service) Recorded(id lineage.ID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, recorded := s.began[id]
+	return recorded
+}
+
+// Refresh reads all partitions, unless that was done since the given time.
+func (s *Service) Refresh(ctx context.Context, since time.Time) error {
+	for {
+		s.mu.Lock()
+		r := s.reading
+		s.mu.Unlock()
+		if r == nil || r.beganAt.Before(since) {
+			var err error
+			if r, err = s.joinRead(since); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-r.done:
+		case <-ctx.Done():
+			return errors.WithStack(ctx.Err())
+		}
+		if r.err != nil || !r.beganAt.Before(since) {
+			return r.err
+		}
+	}
+}
+
+// Recorders returns the other gateways that recorded the stream, or that knew it when they were asked. One that is no
+// longer registered has ended.
 func (s *Service) Recorders(id lineage.ID) []netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -21,13 +56,14 @@
 	}
 	members := s.fleet.Members()
 	for _, recorders := range s.recorders {
-		instance, exists := recorders[id]
-		if !exists || instance == s.instance {
-			continue
-		}
-		// Members of older releases have no address.
-		if address, err := netip.ParseAddrPort(members[instance].Address); err == nil {
-			all = append(all, address)
+		for _, instance := range recorders[id] {
+			if instance == s.instance {
+				continue
+			}
+			// Members of older releases have no address.
+			if address, err := netip.ParseAddrPort(members[instance].Address); err == nil {
+				all = append(all, address)
+			}
 		}
 	}
 	return all
--- a/services/relay/takeover.go
+++ b/services/relay/takeover.go
@@ -24,7 +24,9 @@
 
 // endOthers ends the attempts at the stream that the request continues.
 func (j *job) endOthers(ctx context.Context) {
-	if j.attempt != nil && j.request.ContinuesStream() {
-		j.attempt.EndOthers(ctx)
+	if j.attempt == nil || !j.request.ContinuesStream() || j.attempt.EndOthers(ctx, j.request.ArrivedAt) {
+		return
 	}
+	// The process that recorded the stream has ended, so that others find this one by a record only.
+	j.service.lineage.Begin(ctx, lineage.NewID(j.workspace.Name, j.request.Resumes), j.origin, lifetimeRatio*j.route.Timeout)
 }
--- a/services/takeover/takeover.go
+++ b/services/takeover/takeover.go
@@ -17,24 +17,32 @@
 	"github.com/crocusline/crocusline/modules/metric"
 )
 
-// answerTimeout bounds the time for which a request that resumes a stream waits for other gateways. A gateway that is
-// short of processor time responds within some 0.2 s, one that is cut off doesn't respond.
-const answerTimeout = time.Second
+const (
+	// answerTimeout bounds the time for which a request that resumes a stream waits for another gateway. A gateway that
+	// is short of processor time responds within some 0.2 s, one that is cut off doesn't respond.
+	answerTimeout = time.Second
+	// searchTimeout bounds the time for which it waits for all gateways.
+	searchTimeout = 2 * answerTimeout
+)
 
 // errSuperseded is the cause of the end of an attempt that another one follows.
 var errSuperseded = refusal.New(refusal.Superseded, 0, "the caller has resumed the stream with another request")
 
 // Peers calls other gateways.
 type Peers interface {
-	// Supersede has the gateway end its attempts at the stream, as the successor resumes it. It returns the gateway that
-	// resumed the stream before, which is invalid if there is none, once no server works for these attempts.
-	Supersede(ctx context.Context, peer netip.AddrPort, id lineage.ID, successor netip.AddrPort) (netip.AddrPort, error)
+	// Supersede has the gateway end its attempts at the stream, as the successor resumes it. It returns once no server
+	// works for these attempts.
+	Supersede(ctx context.Context, peer netip.AddrPort, id lineage.ID, successor netip.AddrPort) (takeover.Answer, error)
 }
 
 // Recorders knows which gateways recorded a stream.
 type Recorders interface {
-	// Recorders returns the other gateways that may have begun the stream.
+	// Recorded reports whether this process recorded the stream.
+	Recorded(id lineage.ID) bool
+	// Recorders returns the other gateways that recorded the stream, as far as is known.
 	Recorders(id lineage.ID) []netip.AddrPort
+	// Refresh reads the records, unless they were read since the given time.
+	Refresh(ctx context.Context, since time.Time) error
 }
 
 // Service holds the attempts at streams of this process.
@@ -120,9 +128,10 @@
 }
 
 // EndOthers ends the attempts at the stream that began before this one, here and at other gateways. It returns when
-// no server works for them, or after a time in which the others don't say so.
-func (a *Attempt) EndOthers(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+// no server works for them, or after a time in which the others don't say so. It reports whether the gateways that
+// resume the stream later will find this one; otherwise it has to record the stream too.
+func (a *Attempt) EndOthers(ctx context.Context, since time.Time) bool {
+	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
 	s := a.service
 	s.mu.Lock()
@@ -131,17 +140,36 @@
 	if err := s.end(ctx, numbers); err != nil {
 		s.log.Warn("attempt not ended", "error", err)
 	}
-	search := takeover.NewSearch(s.self, append(s.recorders.Recorders(a.id), successor)...)
+	search := takeover.NewSearch(s.self, s.recorders.Recorders(a.id)...)
+	search.Record(takeover.Answer{Successor: successor, Recorded: s.recorders.Recorded(a.id)})
+	s.ask(ctx, a.id, search)
+	if search.Complete() {
+		return true
+	}
+	if err := s.recorders.Refresh(ctx, since); err != nil {
+		s.log.Info("gateways that resumed a stream not read", "error", err)
+	}
+	for _, peer := range s.recorders.Recorders(a.id) {
+		search.Add(peer)
+	}
+	s.ask(ctx, a.id, search)
+	return search.Complete()
+}
+
+// ask has the gateways of the search end their attempts at the stream.
+func (s *Service) ask(ctx context.Context, id lineage.ID, search *takeover.Search) {
 	for peer, ok := search.Next(); ok; peer, ok = search.Next() {
 		start := time.Now()
-		before, err := s.peers.Supersede(ctx, peer, a.id, s.self)
+		askCtx, cancel := context.WithTimeout(ctx, answerTimeout)
+		answer, err := s.peers.Supersede(askCtx, peer, id, s.self)
+		cancel()
 		if err != nil {
 			s.metrics.Counter(gatewaysAsked + unanswered).Inc()
 			s.log.Info("gateway not asked to end a stream", "peer", peer, "took", time.Since(start).Round(time.Millisecond), "error", err)
 			continue
 		}
 		s.metrics.Counter(gatewaysAsked + answered).Inc()
-		search.Add(before)
+		search.Record(answer)
 	}
 }
 
@@ -153,13 +181,13 @@
 	attemptsReplaced = "crocusline_attempts_superseded_total"
 )
 
-// Supersede ends the attempts at the stream, which the successor resumes. It returns the gateway that resumed the
-// stream before, which is invalid if there is none, once no server works for these attempts.
-func (s *Service) Supersede(ctx context.Context, id lineage.ID, successor netip.AddrPort) (netip.AddrPort, error) {
+// Supersede ends the attempts at the stream, which the successor resumes. It returns once no server works for these
+// attempts.
+func (s *Service) Supersede(ctx context.Context, id lineage.ID, successor netip.AddrPort) (takeover.Answer, error) {
 	s.mu.Lock()
 	numbers, before := s.registry.Supersede(time.Now(), id, successor)
 	s.mu.Unlock()
-	return before, s.end(ctx, numbers)
+	return takeover.Answer{Successor: before, Recorded: s.recorders.Recorded(id)}, s.end(ctx, numbers)
 }
 
 // end ends the attempts and waits until no server works for them.
--- a/services/takeover/takeover_test.go
+++ b/services/takeover/takeover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/crocusline/crocusline/models/lineage"
 	"github.com/crocusline/crocusline/models/refusal"
+	models "github.com/crocusline/crocusline/models/takeover"
 	"github.com/crocusline/crocusline/modules/metric"
 	"github.com/crocusline/crocusline/services/takeover"
 )
@@ -20,35 +22,61 @@
 type fleet struct {
 	gateways map[netip.AddrPort]*takeover.Service
 	delay    time.Duration
-	began    netip.AddrPort
+	// recorded are the gateways that recorded the stream. ended is one whose process has ended.
+	recorded []netip.AddrPort
+	ended    netip.AddrPort
+}
+
+// recorders is what a gateway knows of the records, as of the last read.
+type recorders struct {
+	fleet *fleet
+	self  netip.AddrPort
+	read  []netip.AddrPort
+}
+
+// Recorded implements takeover.Recorders.
+func (r *recorders) Recorded(lineage.ID) bool {
+	return slices.Contains(r.fleet.recorded, r.self) && r.self != r.fleet.ended
+}
+
+// Recorders implements takeover.Recorders.
+func (r *recorders) Recorders(lineage.ID) []netip.AddrPort { return r.read }
+
+// Refresh implements takeover.Recorders.
+func (r *recorders) Refresh(context.Context, time.Time) error {
+	r.read = slices.Clone(r.fleet.recorded)
+	return nil
 }
 
 // Supersede implements takeover.Peers.
-func (f *fleet) Supersede(ctx context.Context, peer netip.AddrPort, id lineage.ID, successor netip.AddrPort) (netip.AddrPort, error) {
+func (f *fleet) Supersede(ctx context.Context, peer netip.AddrPort, id lineage.ID, successor netip.AddrPort) (models.Answer, error) {
 	s, exists := f.gateways[peer]
 	if !exists {
 		<-ctx.Done()
-		return netip.AddrPort{}, context.Cause(ctx)
+		return models.Answer{}, context.Cause(ctx)
 	}
 	time.Sleep(f.delay)
 	return s.Supersede(ctx, id, successor)
 }
 
-// Recorders implements takeover.Recorders.
-func (f *fleet) Recorders(lineage.ID) []netip.AddrPort { return []netip.AddrPort{f.began} }
-
 func address(n byte) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80)
 }
 
 func newFleet(n byte) *fleet {
-	f := &fleet{gateways: map[netip.AddrPort]*takeover.Service{}, delay: time.Millisecond, began: address(0)}
+	f := &fleet{gateways: map[netip.AddrPort]*takeover.Service{}, delay: time.Millisecond, recorded: []netip.AddrPort{address(0)}}
 	for i := range n {
-		f.gateways[address(i)] = takeover.New(hclog.NewNullLogger(), address(i), f, f, metric.New())
+		f.start(i)
 	}
 	return f
 }
 
+// start starts the process of a gateway, which has read the records.
+func (f *fleet) start(n byte) {
+	r := &recorders{fleet: f, self: address(n), read: slices.Clone(f.recorded)}
+	f.gateways[address(n)] = takeover.New(hclog.NewNullLogger(), address(n), f, r, metric.New())
+}
+
 // attempt is one whose server notices its end after a delay.
 type attempt struct {
 	*takeover.Attempt
@@ -87,7 +115,7 @@
 		for i, gateway := range []byte{0, 1, 2, 1, 1, 0, 2} {
 			a := f.begin(t, gateway, 300*time.Millisecond)
 			if before != nil {
-				a.EndOthers(t.Context())
+				a.EndOthers(t.Context(), time.Now())
 				if !before.stopped {
 					t.Errorf("attempt %d began while the server of the one before worked", i)
 				}
@@ -106,14 +134,44 @@
 	})
 }
 
+// TestAttemptOpenAfterFirstGatewayEnded guards against an attempt that begins while the server of an earlier one works
+// at a gateway which resumed the stream after the process that began it had ended, started again or not.
+func TestAttemptOpenAfterFirstGatewayEnded(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(4)
+			f.ended = address(0)
+			delete(f.gateways, f.ended)
+			if restarted {
+				f.start(0)
+			}
+			var before *attempt
+			for i, gateway := range []byte{1, 2, 3, 1} {
+				a := f.begin(t, gateway, 10*time.Millisecond)
+				if !a.EndOthers(t.Context(), time.Now()) {
+					f.recorded = append(f.recorded, address(gateway))
+				}
+				if before != nil && !before.stopped {
+					t.Errorf("restarted %t: attempt %d began while the server of the one before worked", restarted, i)
+				}
+				before = a
+			}
+			if len(f.recorded) != 2 {
+				t.Errorf("restarted %t: %d gateways recorded the stream", restarted, len(f.recorded))
+			}
+		})
+	}
+}
+
 // TestGatewayDoesNotRespond checks that a stream waits for a gateway that doesn't respond, but not for long.
 func TestGatewayDoesNotRespond(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(2)
-		f.began = address(9)
+		f.recorded = []netip.AddrPort{address(9)}
+		f.start(1)
 		a := f.begin(t, 1, 0)
 		start := time.Now()
-		a.EndOthers(t.Context())
+		a.EndOthers(t.Context(), time.Now())
 		if waited := time.Since(start); waited < 500*time.Millisecond || waited > 1500*time.Millisecond {
 			t.Errorf("waited %v", waited)
 		}
