--- a/services/catalog/servers.go
+++ b/services/catalog/servers.go
@@ -70,6 +70,7 @@
 func (h serverHandler) SetReachable(ok bool) {
 	h.s.mu.Lock()
 	defer h.s.mu.Unlock()
+	h.s.notifyRead()
 	if ok {
 		h.s.roster.ListAvailable(time.Now())
 		return
