Keep half of the gateways in touch, and servers silent behind unread bodies

Faults of gateways concern half of the fleet, so that the others stay in touch. Servers that answer before they read a body are many at a time and fall silent, and a third of the bodies is long, since a close can wait behind them.

--- a/tests/faults/scarce_client_test.go
+++ b/tests/faults/scarce_client_test.go
@@ -18,7 +18,7 @@
 	// longBody is a body that doesn't fit into the buffers of a connection, which one of
 	// longBodyEvery requests has.
 	longBody      = 1 << 20
-	longBodyEvery = 6
+	longBodyEvery = 3
 	// dropEvery is the number of streams of which the client drops one connection.
 	dropEvery = 3
 	// minGap and maxGap bound the gap after which clients give a stream up, in ms.
--- a/tests/faults/scarce_fleet_test.go
+++ b/tests/faults/scarce_fleet_test.go
@@ -233,6 +233,11 @@
 	inject    func(f *scarceFleet, r *rand.Rand)
 }
 
+// faultyGateway returns a gateway of the half that faults concern. The others stay in touch.
+func (f *scarceFleet) faultyGateway(r *rand.Rand) *gateway {
+	return f.gateways[r.IntN(len(f.gateways)/2)]
+}
+
 func (f *scarceFleet) anyGateway(r *rand.Rand) *gateway { return f.gateways[r.IntN(len(f.gateways))] }
 
 func (f *scarceFleet) anyServer(r *rand.Rand) *scarceServer { return f.servers[r.IntN(len(f.servers))] }
@@ -298,14 +303,23 @@
 
 var scarceFaults = []scarceFault{
 	{"release", 2, true, func(f *scarceFleet, r *rand.Rand) { f.release(r) }},
-	{"release-unlisted", 2, true, func(f *scarceFleet, r *rand.Rand) {
-		f.failStore(site.Unavailable, between(r, 1000, 5000))
+	{"release-unlisted", 4, true, func(f *scarceFleet, r *rand.Rand) {
+		f.failStore(site.Unavailable, between(r, 1000, 8000))
 		f.release(r)
 	}},
 	{"silence", 4, false, func(f *scarceFleet, r *rand.Rand) { f.anyServer(r).silence(between(r, 200, 4000)) }},
 	behaviourFault("shed", shedRequests), behaviourFault("fail", failSealed), behaviourFault("abort", abortResponses),
 	behaviourFault("drop", dropRequests), behaviourFault("repeat", repeatRefusals), behaviourFault("repeat-unnamed", repeatUnnamed),
-	behaviourFault("early", answerEarly), behaviourFault("repeat-events", repeatEvents),
+
+	{"early", 3, false, func(f *scarceFleet, r *rand.Rand) {
+		for range len(f.servers) / 2 {
+			s := f.anyServer(r)
+			s.behave(answerEarly, between(r, 2000, 5000))
+			pause, silence := between(r, 300, 1500), between(r, 200, 4000)
+			time.AfterFunc(pause, func() { s.silence(silence) })
+		}
+	}},
+	behaviourFault("repeat-events", repeatEvents),
 	{"reset", 2, false, func(f *scarceFleet, r *rand.Rand) { f.anyServer(r).reset() }},
 	{"leave", 1, false, func(f *scarceFleet, r *rand.Rand) {
 		s := f.anyServer(r)
@@ -325,12 +339,12 @@
 	}},
 	{"copy", 1, true, func(f *scarceFleet, _ *rand.Rand) { f.returnFromCopy() }},
 	{"cut", 3, false, func(f *scarceFleet, r *rand.Rand) {
-		g, d := f.anyGateway(r), between(r, 200, 4000)
+		g, d := f.faultyGateway(r), between(r, 200, 4000)
 		f.disturb(g.name, "cut off from the store", d)
 		g.storeProxy.setMode([]proxyMode{delay, reset, stall, stallReplies}[r.IntN(4)])
 		time.AfterFunc(d, func() { g.storeProxy.setMode(forward) })
 	}},
-	{"stop", 4, false, func(f *scarceFleet, r *rand.Rand) { f.hold(f.anyGateway(r), between(r, 200, 5000)) }},
-	{"kill", 1, false, func(f *scarceFleet, r *rand.Rand) { f.restartGateway(f.anyGateway(r), syscall.SIGKILL) }},
-	{"term", 1, false, func(f *scarceFleet, r *rand.Rand) { f.restartGateway(f.anyGateway(r), syscall.SIGTERM) }},
+	{"stop", 4, false, func(f *scarceFleet, r *rand.Rand) { f.hold(f.faultyGateway(r), between(r, 200, 5000)) }},
+	{"kill", 1, false, func(f *scarceFleet, r *rand.Rand) { f.restartGateway(f.faultyGateway(r), syscall.SIGKILL) }},
+	{"term", 1, false, func(f *scarceFleet, r *rand.Rand) { f.restartGateway(f.faultyGateway(r), syscall.SIGTERM) }},
 }
