Watch what a server's system acknowledges instead of the user timeout

Callers' streams went on at another server while the first one worked on, and sound servers that read a long body late were reset.

While a body of over 16 KiB is under way, a goroutine looks twice a second at what TCP_INFO says: only segments or probes that stay unanswered for 3 s end the request, and that resets the connection. Where the system says nothing about its connections, the user timeout stays. Ruled out: a longer user timeout, which would find gone servers later and tell the others no sooner.

TestServerWorksOnBehindClosedWindow: without the watch the server learns nothing in 8 s, now with the end of the request.

--- a/modules/exchange/abandon_test.go
+++ b/modules/exchange/abandon_test.go
@@ -72,6 +72,40 @@
 	}
 }
 
+// TestServerWorksOnBehindClosedWindow guards against connections that the kernel closes without telling a server which
+// works and has not read a long body: its request goes on elsewhere meanwhile.
+func TestServerWorksOnBehindClosedWindow(t *testing.T) {
+	t.Parallel()
+	const deadline = exchange.DefaultUserTimeout + time.Second
+	noticed := make(chan time.Duration, 1)
+	s := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+		if _, err := http.ReadRequest(requests); err != nil {
+			return
+		}
+		start := time.Now()
+		if awaitHangup(t, conn, 2*deadline) {
+			noticed <- time.Since(start)
+			return
+		}
+		noticed <- 0
+	})
+	c := exchange.New()
+	defer func() { _ = c.Close() }()
+	r := s.request("1")
+	r.Body = make([]byte, longBodySize)
+	ctx, cancel := context.WithTimeout(t.Context(), deadline)
+	defer cancel()
+	start := time.Now()
+	if resp, err := c.Do(ctx, r); err == nil {
+		_ = resp.Body.Close()
+		t.Error("got a response")
+	}
+	ended := time.Since(start)
+	if after := <-noticed; after == 0 || after > ended+noticeTimeout/4 {
+		t.Errorf("the request ended after %v, and the server learned that after %v", ended, after)
+	}
+}
+
 // awaitHangup reports whether the peer closes or resets the connection within the timeout, without reading from it.
 func awaitHangup(t *testing.T, conn net.Conn, timeout time.Duration) bool {
 	t.Helper()
--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -60,7 +60,9 @@
 	reused bool
 	ids    recentIDs
 	// writing is set while a request is written.
-	writing   atomic.Bool
+	writing atomic.Bool
+	// watching is for the goroutine that watches what the server's system acknowledges.
+	watching  sync.WaitGroup
 	closeOnce sync.Once
 }
 
@@ -174,7 +176,11 @@
 // roundTrip writes the request and reads the status line and header of its response.
 func (c *conn) roundTrip(ctx context.Context, r *Request) (*http.Response, error) {
 	c.ids.add(r.ID)
-	stop := c.hangUpAfter(ctx, r)
+	end := func(error) {}
+	if len(r.Body) > maxInlineBody {
+		ctx, end = context.WithCancelCause(ctx)
+	}
+	stop := c.hangUpAfter(ctx, r, end)
 	// Checked again, as the process may have stood still since then.
 	if err := Ended(ctx); err != nil {
 		stop()
@@ -191,24 +197,27 @@
 	c.writing.Store(true)
 	if len(r.Body) > maxInlineBody {
 		go func() { writeResult <- write() }()
+		c.watchAcknowledgements(ctx, end)
 	} else {
 		err := write()
 		writeResult <- err
 		if err != nil {
+			err = contextCauseOr(ctx, err)
 			stop()
 			c.abandon()
 			r.released()
-			return nil, &NoResponseError{Address: c.address, Written: writer.written, Reused: c.reused, Err: contextCauseOr(ctx, err)}
+			return nil, &NoResponseError{Address: c.address, Written: writer.written, Reused: c.reused, Err: err}
 		}
 	}
 	resp, err := c.readResponse(r)
 	if err != nil {
+		err = contextCauseOr(ctx, err)
 		stop()
 		c.abandon()
 		r.released()
 		// Part of a body that is written concurrently may already have been sent.
 		written := len(r.Body) > maxInlineBody || writer.written
-		return nil, &NoResponseError{Address: c.address, Written: written, Reused: c.reused, Err: contextCauseOr(ctx, err)}
+		return nil, &NoResponseError{Address: c.address, Written: written, Reused: c.reused, Err: err}
 	}
 	c.idleTimeout = min(c.client.idleTimeout, keepAliveTimeout(resp.Header, c.client.idleTimeout))
 	resp.Body = &body{
@@ -217,9 +226,9 @@
 	return resp, nil
 }
 
-// hangUpAfter closes the connection at the end of the context. The function that it returns stops that. If it returns
-// false, the connection has been closed.
-func (c *conn) hangUpAfter(ctx context.Context, r *Request) (stop func() bool) {
+// hangUpAfter closes the connection at the end of the context. The function that it returns stops that and ends the
+// context. If it returns false, the connection has been closed.
+func (c *conn) hangUpAfter(ctx context.Context, r *Request, end context.CancelCauseFunc) (stop func() bool) {
 	closed := make(chan struct{})
 	cancel := context.AfterFunc(ctx, func() {
 		defer close(closed)
@@ -227,12 +236,14 @@
 		r.released()
 	})
 	return func() bool {
-		if cancel() {
-			return true
+		stopped := cancel()
+		end(nil)
+		if !stopped {
+			// A read that fails may return before the socket is closed.
+			<-closed
 		}
-		// A read that fails may return before the socket is closed.
-		<-closed
-		return false
+		c.watching.Wait()
+		return stopped
 	}
 }
 
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 )
 
 // Defaults of the options.
@@ -267,14 +266,7 @@
 // setUserTimeout makes the kernel close a connection if sent bytes stay unacknowledged
 // for DefaultUserTimeout.
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var err error
-	controlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(DefaultUserTimeout.Milliseconds()))
-	})
-	if controlErr != nil {
-		return errors.WithStack(controlErr)
-	}
-	return errors.Wrap(err, "set TCP_USER_TIMEOUT")
+	return setUserTimeoutOf(raw, DefaultUserTimeout)
 }
 
 // takeIdle removes the most recently used connection that can carry the request from the pool and
