Let a connection that was returned unused keep its idle time

Since a send that isn't begun returns its connection to the pool, the time of the return counted as that of the last use: the server's keep-alive timeout seemed to begin anew, and a request that runs once could be written to a connection that the server was closing, whose caller then gets 502.

idleSince is set where a request ends and where a connection is established, and putIdle leaves it. Connections in the pool are no longer ordered by it, so that an expired one is passed over instead of ending the search.

TestIdleTimeOfUnusedConnection failed before: one connection was used 0.6 s after its last request, with 0.5 s allowed by the server's timeout of 1 s less the margin; a second one is established now.

--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -52,7 +52,7 @@
 	reader  *bufio.Reader
 	// openedAt is when the connection was established.
 	openedAt time.Time
-	// idleSince is the time at which the last request ended.
+	// idleSince is the time at which the last request ended, or at which the connection was established.
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle.
 	idleTimeout time.Duration
@@ -66,8 +66,9 @@
 
 func newConn(c *Client, address netip.AddrPort, netConn net.Conn) *conn {
 	limit := &limitedReader{reader: netConn}
+	now := time.Now()
 	return &conn{
-		client: c, address: address, netConn: netConn, limit: limit, openedAt: time.Now(),
+		client: c, address: address, netConn: netConn, limit: limit, openedAt: now, idleSince: now,
 		reader: bufio.NewReaderSize(limit, readBufferSize), idleTimeout: c.idleTimeout,
 	}
 }
@@ -355,7 +356,7 @@
 	defer b.request.released()
 	open := b.stopCancel()
 	if open && b.reusable && b.complete && b.requestWritten() && b.conn.reader.Buffered() == 0 {
-		b.conn.reused = true
+		b.conn.reused, b.conn.idleSince = true, time.Now()
 		b.conn.client.putIdle(b.conn)
 		return nil
 	}
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -123,7 +123,7 @@
 
 // pool holds the connections to one address.
 type pool struct {
-	// idle is ordered by the time of the last use, oldest first.
+	// idle is ordered by the time at which the connections were returned, oldest first.
 	idle []*conn
 	// open is the number of connections, including those in use or being dialed.
 	open int
@@ -300,10 +300,7 @@
 		return nil
 	}
 	for i, conn := range slices.Backward(p.idle) {
-		if now.Sub(conn.idleSince) > min(c.idleTimeout, conn.idleTimeout) {
-			return nil
-		}
-		if !conn.ids.contains(r.ID) {
+		if now.Sub(conn.idleSince) <= min(c.idleTimeout, conn.idleTimeout) && !conn.ids.contains(r.ID) {
 			p.idle = slices.Delete(p.idle, i, i+1)
 			return conn
 		}
@@ -361,7 +358,8 @@
 	}
 }
 
-// putIdle returns a connection to its pool, or closes it if the client is closed.
+// putIdle returns a connection to its pool, or closes it if the client is closed. It has been idle since its last
+// request or since it was established.
 func (c *Client) putIdle(conn *conn) {
 	c.mu.Lock()
 	p := c.pools[conn.address]
@@ -370,7 +368,6 @@
 		conn.close()
 		return
 	}
-	conn.idleSince = time.Now()
 	p.idle = append(p.idle, conn)
 	c.mu.Unlock()
 }
--- a/modules/exchange/stall_test.go
+++ b/modules/exchange/stall_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -91,3 +92,49 @@
 		}
 	}
 }
+
+// leavingContext ends after it was found to be open once.
+type leavingContext struct {
+	context.Context
+	asked *int
+}
+
+// Err implements context.Context.
+func (c leavingContext) Err() error {
+	if *c.asked++; *c.asked > 1 {
+		return context.Canceled
+	}
+	return nil
+}
+
+// TestIdleTimeOfUnusedConnection guards against connections that are used after the server's keep-alive timeout, as a request
+// that wasn't sent over them counts as their last one.
+func TestIdleTimeOfUnusedConnection(t *testing.T) {
+	const step = 300 * time.Millisecond
+	s := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+		for {
+			if _, ok := readRequestID(requests); !ok {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	c := exchange.New()
+	defer func() { _ = c.Close() }()
+	if _, err := call(c, s.request("1")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(step)
+	var notSent *exchange.NotSentError
+	resp, err := c.Do(leavingContext{t.Context(), new(int)}, s.request("2"))
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	if !errors.As(err, &notSent) {
+		t.Fatalf("got %v, want NotSentError", err)
+	}
+	time.Sleep(step)
+	if _, err := call(c, s.request("3")); err != nil || c.Dialed() != 2 {
+		t.Errorf("got %v over %d connections, want a second one", err, c.Dialed())
+	}
+}
