--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -75,6 +75,8 @@
 	versions       []string
 	serverStarts   []int
 	serverSequence atomic.Int64
+	// silent holds the servers that started again and have not written that, and when they do.
+	silent map[int]time.Time
 	// copiedAt is when the store was copied last, or the zero value.
 	copiedAt time.Time
 	// eras is how often the store returned from a copy.
--- a/tests/faults/outofstep_test.go
+++ b/tests/faults/outofstep_test.go
@@ -165,3 +165,31 @@
 		t.Error(problem)
 	}
 }
+
+// TestStreamsResumedByGatewayThatStoodStill guards against streams that break off while their gateway stands
+// still, and that it resumes, by the list that it had before, at servers of another version.
+func TestStreamsResumedByGatewayThatStoodStill(t *testing.T) {
+	const stoodStill = 800 * time.Millisecond
+	f := newVersionFleet(t, 2, oldVersion, oldVersion, oldVersion, newVersion, newVersion)
+	f.setVersionState(newVersion, "")
+	time.Sleep(settleTime)
+	f.behaveAll(site.PacedEvents)
+	streams := newClientStreams("own", 2*streamCount)
+	wait := begin(t.Context(), streams, f.others(), 1)
+	for _, g := range f.others() {
+		g.signal(syscall.SIGSTOP)
+	}
+	f.joinNewVersion()
+	f.behaveAll(site.Serve)
+	time.Sleep(stoodStill)
+	for _, g := range f.others() {
+		g.signal(syscall.SIGCONT)
+	}
+	wait()
+	within := completed(streams)
+	takeUp(t.Context(), streams, f.gateways, takeUpAttempts)
+	t.Logf("%d of %d streams got all events within their response, and %d when they were resumed", within, len(streams), completed(streams))
+	if problem := joined(streams); problem != "" {
+		t.Error(problem)
+	}
+}
--- a/tests/faults/soak_version_test.go
+++ b/tests/faults/soak_version_test.go
@@ -18,6 +18,8 @@
 	maxTries            = 6
 	// maxRetryPause is the longest pause before a further attempt.
 	maxRetryPause = 300 * time.Millisecond
+	// maxSilence is the longest time for which a server that started again can't write its entry.
+	maxSilence = 3500 * time.Millisecond
 	// soakPause is the pause between the events of their streams.
 	soakPause = 30 * time.Millisecond
 )
@@ -112,13 +114,43 @@
 	return fmt.Sprintf("%d of %d streams began, %d were taken up, %d of these went on to their end", began, len(c.streams), taken, wentOn)
 }
 
-// injectVersionFault kills all gateways at once, or starts a server again as another version.
+// injectVersionFault kills all gateways at once, or starts a server again as another version, which
+// writes its entry at once or some time later.
 func injectVersionFault(f *fleet, r *rand.Rand) {
+	f.registerServers(time.Now())
 	switch r.IntN(12) {
 	case 0, 1:
 		f.killAll()
 	case 2, 3:
 		f.restartServerAs(r.IntN(serverCount), soakVersions[r.IntN(len(soakVersions))])
+	case 4, 5:
+		registersAt := time.Now().Add(time.Duration(r.Int64N(int64(maxSilence))))
+		f.restartServerSilently(r.IntN(serverCount), soakVersions[r.IntN(len(soakVersions))], registersAt)
+	}
+}
+
+// restartServerSilently starts a server again under its identifier and address as another version. It
+// writes its entry at the given time, unless another fault makes it do so before.
+func (f *fleet) restartServerSilently(i int, version string, registersAt time.Time) {
+	f.servers[i].RejectAll(true, "")
+	f.serverProxies[i].resetOpen()
+	f.servers[i].SetVersion(version)
+	f.serverStarts[i]++
+	f.servers[i].SetStarted(startTime(f.serverStarts[i]))
+	f.servers[i].RejectAll(false, "")
+	if f.silent == nil {
+		f.silent = map[int]time.Time{}
+	}
+	f.silent[i] = registersAt
+}
+
+// registerServers writes the entries of the servers whose time has come.
+func (f *fleet) registerServers(now time.Time) {
+	for i, registersAt := range f.silent {
+		if now.After(registersAt) {
+			delete(f.silent, i)
+			f.setServerState(i, f.serverStates[i])
+		}
 	}
 }
 
