--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -106,6 +106,8 @@
 	// position is how far the servers' topic was read, by this gateway or a peer.
 	position  record.Position
 	balancers map[string]*balance.Balancer
+	// read is closed after the next read of the tables or the servers.
+	read chan struct{}
 	// board holds what servers announce, and onNotice is called after anything new.
 	board    *notice.Board
 	onNotice func()
@@ -119,7 +121,7 @@
 	s := &Service{
 		log: log.Named(Name), codec: codec,
 		serverRecords: map[string]record.Record{}, balancers: map[string]*balance.Balancer{},
-		board: notice.NewBoard(nil), onNotice: func() {}, clock: uptime.NewClock(),
+		board: notice.NewBoard(nil), onNotice: func() {}, clock: uptime.NewClock(), read: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -181,12 +183,6 @@
 	return age
 }
 
-// Current reports whether the routing tables hold all that the operators' bound requires.
-// Tables that are not current may lack routes and API keys.
-func (s *Service) Current() bool {
-	return s.tableBound == 0 || s.Age() < time.Duration(currentShare*float64(s.tableBound))
-}
-
 // Ready reports whether routing tables and servers have been loaded.
 func (s *Service) Ready() bool {
 	s.mu.Lock()
@@ -300,7 +296,7 @@
 // refresh passes the usable servers of each pool to its balancer.
 func (s *Service) refresh(now time.Time) {
 	byPool := map[string][]roster.Server{}
-	usable := s.roster.Usable(now)
+	usable := s.roster.Usable(s.listTime(now))
 	s.board.SetListed(now, usable)
 	for _, server := range usable {
 		byPool[server.Pool] = append(byPool[server.Pool], server)
@@ -383,4 +379,8 @@
 }
 
 // SetReachable implements follower.Handler.
-func (tableHandler) SetReachable(bool) {}
+func (h tableHandler) SetReachable(bool) {
+	h.s.mu.Lock()
+	defer h.s.mu.Unlock()
+	h.s.notifyRead()
+}
--- a/standin/site/server.go
+++ b/standin/site/server.go
@@ -45,6 +45,8 @@
 	Fail
 	// FailLarge executes the request and responds 500 with a body of LargeBodySize.
 	FailLarge
+	// FailAsRefused executes the request and responds 503 without Not-Executed.
+	FailAsRefused
 	// Reject executes the request and responds 404 with a JSON body.
 	Reject
 	// RespondWhole executes the request and responds 200 with a body that is no stream.
@@ -119,7 +121,9 @@
 	behaviours []Behaviour
 	requests   []ReceivedRequest
 	executions map[string]int
-	cancelled  int
+	// ends holds when the server ended its work on a request.
+	ends      map[string]time.Time
+	cancelled int
 	// leaving is the value of Server-Leaving in all responses, and retryAfter that of Retry-After
 	// in the rejections of a server that turns all requests away. Empty values aren't sent.
 	leaving    string
@@ -280,14 +284,15 @@
 		b = PacedEvents
 	}
 	s.countExecution(id)
+	defer s.recordEnd(id)
 	w.Header().Set("Response-Seal", "seal-of-"+s.ID)
 	s.respond(w, r, b)
 }
 
 func (s *Server) respond(w http.ResponseWriter, r *http.Request, b Behaviour) {
 	switch b {
-	case Fail:
-		w.WriteHeader(http.StatusInternalServerError)
+	case Fail, FailAsRefused:
+		w.WriteHeader(map[Behaviour]int{Fail: http.StatusInternalServerError, FailAsRefused: http.StatusServiceUnavailable}[b])
 		_, _ = w.Write([]byte("failed"))
 		return
 	case FailLarge:
