Count a spend limit from no earlier than its report says

A gateway that stood still, or waited for a lock, between the beginning of a report's plan and the reading of its clock let requests spend more than its successor would count: it counted the limit from the first moment, the record names the second, and limits grow with the time without a report. Killed then, it would have left tokens to be granted again that were spent.

The process takes its time after the clock of the report, so that a pause between the two permits less. Ruled out, by reading: a pause between the store's answer and its handling, during which both limits apply; one between a reservation's time and its check, which makes the time earlier; other records, as only reports carry a time from which tokens grow.

--- a/services/prepaid/report.go
+++ b/services/prepaid/report.go
@@ -62,7 +62,7 @@
 
 func (r *reportWriter) run(ctx context.Context) {
 	for !r.superseded && r.pacer.wait(ctx, r.interval()) {
-		if b := r.plan(time.Now()); b != nil {
+		if b := r.plan(); b != nil {
 			r.write(ctx, b)
 		}
 	}
@@ -93,7 +93,7 @@
 }
 
 // plan returns the reports that should be written, or nil if there are none.
-func (r *reportWriter) plan(now time.Time) *batch {
+func (r *reportWriter) plan() *batch {
 	s := r.service
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -102,7 +102,10 @@
 		return nil
 	}
 	b := &batch{reports: map[string]prepaid.Report{}}
+	// A successor counts from the clock. The limits of this process must not begin earlier, also if it is stopped
+	// meanwhile.
 	clock := s.clockReading()
+	now := time.Now()
 	for _, w := range table.Workspaces {
 		if !w.Limited {
 			continue
