--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -168,6 +168,15 @@
 	// response is skipped. reused is whether the connection has carried earlier requests. It
 	// may be nil.
 	IsForeign func(h http.Header, reused bool) bool
+	// Released is called once no connection carries the request any more: it was closed, is kept for others, or there
+	// was none. It may be called more than once, and may be nil.
+	Released func()
+}
+
+func (r *Request) released() {
+	if r.Released != nil {
+		r.Released()
+	}
 }
 
 // Do sends the request once and returns the response as soon as its header is read.
@@ -175,14 +184,17 @@
 // whose context has ended isn't sent. The caller must close the body.
 func (c *Client) Do(ctx context.Context, r *Request) (*http.Response, error) {
 	if err := Ended(ctx); err != nil {
+		r.released()
 		return nil, &NotSentError{Address: r.Address, Err: err}
 	}
 	conn, err := c.acquire(ctx, r)
 	if err != nil {
+		r.released()
 		return nil, err
 	}
 	if err := Ended(ctx); err != nil {
 		c.putIdle(conn)
+		r.released()
 		return nil, &NotSentError{Address: r.Address, Err: err}
 	}
 	return conn.roundTrip(ctx, r)
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -28,6 +28,7 @@
 	"github.com/crocusline/crocusline/modules/metric"
 	"github.com/crocusline/crocusline/services/prepaid"
 	"github.com/crocusline/crocusline/services/quarantine"
+	"github.com/crocusline/crocusline/services/takeover"
 )
 
 // HeaderCodec translates between requests and the headers used by servers.
@@ -179,6 +180,7 @@
 	quarantine  Quarantine
 	lineage     Lineage
 	reports     Reports
+	takeover    *takeover.Service
 	starts      *startCalls
 
 	mu           sync.Mutex
@@ -229,10 +231,15 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, j.deadline)
 	defer cancel()
+	ctx, supersede := context.WithCancelCause(ctx)
+	defer supersede(nil)
 	if err := j.findOrigin(ctx); err != nil {
 		s.recordRefusal(r, j, err)
 		return err
 	}
+	j.beginAttempt(supersede)
+	defer func() { _ = j.attempt.Close() }()
+	j.endOthers(ctx)
 	j.retryBudget.RecordRequest(time.Now())
 	j.hold, err = s.reserve(ctx, j)
 	if err != nil {
@@ -265,39 +272,54 @@
 
 // admit finds the route and workspace of the request.
 func (s *Service) admit(r *call.Request) (*job, error) {
-	table := s.catalog.Table()
-	if table == nil {
-		return nil, refusal.New(refusal.NotReady, notReadyRetryAfter, "this entry has no tables yet: try another one")
+	for {
+		table := s.catalog.Table()
+		if table == nil {
+			return nil, refusal.New(refusal.NotReady, notReadyRetryAfter, "this entry has no tables yet: try another one")
+		}
+		rt, workspace, err := authorize(table, r)
+		if err == nil {
+			return s.newJob(r, table, rt, workspace), nil
+		}
+		// Callers treat an unknown route or API key as final, so it is answered only by the current table.
+		if !s.catalog.Current() {
+			return nil, refusal.New(refusal.NotReady, notReadyRetryAfter, err.Advice+", by tables that may be outdated: try another entry")
+		}
+		if s.catalog.Table() == table {
+			return nil, err
+		}
 	}
+}
+
+// authorize finds the route and workspace of the request in the table, or returns the refusal.
+func authorize(table *route.Table, r *call.Request) (route.Route, route.Workspace, *refusal.Error) {
 	rt, err := table.Find(r.Host, r.Path)
 	if err != nil {
-		return nil, s.refuseUnknown(refusal.UnknownKind, err)
+		return rt, route.Workspace{}, refusal.New(refusal.UnknownKind, 0, err.Error())
 	}
 	workspace, err := table.Authorize(rt, r.APIKey)
 	if err != nil {
-		return nil, s.refuseUnknown(refusal.Unauthenticated, err)
+		return rt, workspace, refusal.New(refusal.Unauthenticated, 0, err.Error())
 	}
+	return rt, workspace, nil
+}
+
+// newJob returns the job of an admitted request.
+func (s *Service) newJob(r *call.Request, table *route.Table, rt route.Route, workspace route.Workspace) *job {
 	timeout := rt.Timeout
 	if r.Timeout > 0 && (timeout == 0 || r.Timeout < timeout) {
 		timeout = r.Timeout
 	}
-	fingerprint := r.Fingerprint(cmp.Or(workspace.Name, r.APIKey))
 	j := &job{
 		service: s, request: r, table: table, route: rt, workspace: workspace,
-		fingerprint: fingerprint, deadline: r.ArrivedAt.Add(timeout),
+		fingerprint: r.Fingerprint(cmp.Or(workspace.Name, r.APIKey)), deadline: r.ArrivedAt.Add(timeout),
 		log: s.log.With("requestId", r.ID),
 	}
-	j.usePool(table.PoolFor(rt, r.ID))
-	return j, nil
-}
-
-// refuseUnknown refuses a request whose route or API key the tables lack. Callers treat the
-// reason as final, so it is given only if the tables are current.
-func (s *Service) refuseUnknown(reason refusal.Reason, err error) error {
-	if !s.catalog.Current() {
-		return refusal.New(refusal.NotReady, notReadyRetryAfter, err.Error()+", by tables that may be outdated: try another entry")
+	if rt.Kind.Streams() {
+		j.LastEventID = r.LastEventID
 	}
-	return refusal.New(reason, 0, err.Error())
+	j.usePool(table.PoolFor(rt, r.ID))
+	return j
 }
 
 // reserve reserves the tokens of requests to model engines.
