Tell executions of requests that a silent server read late

A server that falls silent reads what lies in its connections when it goes on, and begins requests whose connections are closed. They count for REFUSED and TWICE of requests, but no stream went on or worked on there.

--- a/tests/faults/scarce_server_test.go
+++ b/tests/faults/scarce_server_test.go
@@ -65,6 +65,8 @@
 	after    int
 	outcome  string
 	from, to time.Time
+	// late is whether the connection was closed before the server read the request.
+	late bool
 }
 
 // scarceServer is a backend server that records when it worked on which request. It stops its work
@@ -307,6 +309,7 @@
 	if e == nil {
 		return respondHead(conn, http.StatusServiceUnavailable, id, "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
 	}
+	e.late = !isOpen(conn)
 	outcome := "closed"
 	defer func() { s.end(e, outcome) }()
 	seal := "Response-Seal: seal-of-" + s.id + "\r\n"
@@ -365,6 +368,9 @@
 	if !e.to.IsZero() {
 		end = fmt.Sprintf("%s at %.3f", e.outcome, e.to.Sub(start).Seconds())
 	}
+	if e.late {
+		end += ", read late"
+	}
 	return fmt.Sprintf("%s ran at %s.%d (%s) after event %d from %.3f, %s", e.id, e.server.id, e.start, e.version, e.after, e.from.Sub(start).Seconds(), end)
 }
 
