Begin no long body after the request has ended

Servers got requests with bodies over 16 KiB whose time was over or whose caller had left, if the process stood still between the start of the goroutine that writes them and the write: the check before a send was made by another goroutine, earlier. They ran for nobody (GONE); none was answered as not run, as a concurrent write counts as one that may have been received.

The goroutine asks exchange.Ended itself before it writes. Short bodies are written by the goroutine that has just checked.

--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -191,7 +191,15 @@
 	}
 	c.writing.Store(true)
 	if len(r.Body) > maxInlineBody {
-		go func() { writeResult <- write() }()
+		go func() {
+			// The goroutine may run late.
+			if err := Ended(ctx); err != nil {
+				c.writing.Store(false)
+				writeResult <- err
+				return
+			}
+			writeResult <- write()
+		}()
 	} else {
 		err := write()
 		writeResult <- err
--- a/modules/exchange/stall_test.go
+++ b/modules/exchange/stall_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -138,3 +139,64 @@
 		t.Errorf("got %v over %d connections, want a second one", err, c.Dialed())
 	}
 }
+
+// latelyEndedContext ends when its error is asked for the last of a number of times.
+type latelyEndedContext struct {
+	context.Context
+	end   func()
+	times *atomic.Int64
+}
+
+// Err implements context.Context.
+func (c latelyEndedContext) Err() error {
+	if c.times.Add(-1) == 0 {
+		c.end()
+	}
+	return c.Context.Err()
+}
+
+// TestLongBodySentTooLate guards against requests with long bodies that are sent although they ended before the goroutine ran
+// that writes them.
+func TestLongBodySentTooLate(t *testing.T) {
+	const requests, longBody = 100, 100 << 10
+	// Asked before a connection is taken, before it is used, before the goroutine is started, and in it.
+	const times = 4
+	var arrived atomic.Int64
+	s := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+		for {
+			line, err := requests.Peek(1)
+			if err != nil || len(line) == 0 {
+				return
+			}
+			r, err := http.ReadRequest(requests)
+			if err != nil || r.Header.Get("Request-Id") == "late" {
+				arrived.Add(1)
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(conn, response("1", "to 1"))
+		}
+	})
+	c := exchange.New()
+	defer func() { _ = c.Close() }()
+	for range requests {
+		if _, err := call(c, s.request("1")); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var left atomic.Int64
+		left.Store(times)
+		r := s.request("late")
+		r.Body = make([]byte, longBody)
+		resp, err := c.Do(latelyEndedContext{ctx, cancel, &left}, r)
+		cancel()
+		if err == nil {
+			_ = resp.Body.Close()
+			t.Fatal("got a response")
+		}
+	}
+	time.Sleep(20 * time.Millisecond)
+	if got := arrived.Load(); got > 0 {
+		t.Errorf("%d of %d requests arrived", got, requests)
+	}
+}
