--- a/modules/exchange/stall_test.go
+++ b/modules/exchange/stall_test.go
@@ -140,19 +140,20 @@
 	}
 }
 
-// latelyEndedContext ends when its error is asked for the last of a number of times.
+// latelyEndedContext ends when its deadline is asked for the last of a number of times.
 type latelyEndedContext struct {
 	context.Context
 	end   func()
 	times *atomic.Int64
 }
 
-// Err implements context.Context.
-func (c latelyEndedContext) Err() error {
-	if c.times.Add(-1) == 0 {
-		c.end()
+// Deadline implements context.Context.
+func (c latelyEndedContext) Deadline() (time.Time, bool) {
+	if c.times.Add(-1) > 0 {
+		return time.Time{}, false
 	}
-	return c.Context.Err()
+	c.end()
+	return time.Now().Add(-time.Second), true
 }
 
 // TestLongBodySentTooLate guards against requests with long bodies that are sent although they ended before the goroutine ran
