Restart servers as another version while only they can't reach the store

For up to three heartbeats the store still names the start before, and gateways read it without a fault.

--- a/tests/faults/scarce_fleet_test.go
+++ b/tests/faults/scarce_fleet_test.go
@@ -27,6 +27,8 @@
 	scarceTimeout = 8 * time.Second
 	// heartbeatDelay is the longest time after which a server that started writes its entry.
 	heartbeatDelay = 1200 * time.Millisecond
+	// expiryTime is the time after which the entry of a server that doesn't write is removed.
+	expiryTime = 3 * heartbeatDelay
 )
 
 // span is a time in which a gateway or the store was disturbed.
@@ -49,8 +51,10 @@
 	// writableAt is when servers reach the store again, and sequence the number of their last record.
 	writableAt time.Time
 	sequence   int
-	background sync.WaitGroup
-	stopped    chan struct{}
+	// storeBackAt is when the last fault of the store ends.
+	storeBackAt time.Time
+	background  sync.WaitGroup
+	stopped     chan struct{}
 }
 
 func newScarceFleet(t *testing.T, binary string, gateways, servers int) *scarceFleet {
@@ -247,17 +251,25 @@
 	return time.Duration(low+r.IntN(high-low)) * time.Millisecond
 }
 
+// cutServers keeps servers from writing their entries for a time.
+func (f *scarceFleet) cutServers(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.writableAt = latest(f.writableAt, time.Now().Add(d))
+}
+
 // failStore makes the store fail for a time, in which servers can't write their entries.
 func (f *scarceFleet) failStore(fault site.Fault, d time.Duration) {
 	f.disturb("store", fmt.Sprintf("fault %d", fault), d)
+	f.cutServers(d)
 	f.mu.Lock()
-	f.writableAt = latest(f.writableAt, time.Now().Add(d))
+	f.storeBackAt = latest(f.storeBackAt, time.Now().Add(d))
 	f.mu.Unlock()
 	f.store.SetFault(fault)
 	time.AfterFunc(d, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if !time.Now().Before(f.writableAt) {
+		if !time.Now().Before(f.storeBackAt) {
 			f.store.SetFault(site.NoFault)
 		}
 	})
@@ -303,10 +315,14 @@
 
 var scarceFaults = []scarceFault{
 	{"release", 2, true, func(f *scarceFleet, r *rand.Rand) { f.release(r) }},
-	{"release-unlisted", 4, true, func(f *scarceFleet, r *rand.Rand) {
+	{"release-unlisted", 2, true, func(f *scarceFleet, r *rand.Rand) {
 		f.failStore(site.Unavailable, between(r, 1000, 8000))
 		f.release(r)
 	}},
+	{"release-cut", 3, true, func(f *scarceFleet, r *rand.Rand) {
+		f.cutServers(between(r, 1000, int(expiryTime.Milliseconds())))
+		f.release(r)
+	}},
 	{"silence", 4, false, func(f *scarceFleet, r *rand.Rand) { f.anyServer(r).silence(between(r, 200, 4000)) }},
 	behaviourFault("shed", shedRequests), behaviourFault("fail", failSealed), behaviourFault("abort", abortResponses),
 	behaviourFault("drop", dropRequests), behaviourFault("repeat", repeatRefusals), behaviourFault("repeat-unnamed", repeatUnnamed),
