--- a/models/notice/fleet.go
+++ b/models/notice/fleet.go
@@ -2,9 +2,12 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/crocusline/crocusline/models/gateway"
 )
 
 const (
@@ -31,75 +34,52 @@
 // Fleet is the set of gateways that live. It divides what servers allow to all gateways
 // together.
 //
-// A gateway lives until its heartbeats have been missing for a while in which the store could be
-// read: time without the store is no evidence. The loads that it answers are fleets in which a
-// share for each gateway would be far below one request, gateways that are killed, replaced or cut
-// off, and outages of the store.
+// A gateway lives until its heartbeats have been missing for a while in which they were read
+// (gateway.Presence). The loads that it answers are fleets in which a share for each gateway would be
+// far below one request, and gateways that are killed, stopped, replaced or cut off.
 type Fleet struct {
 	self string
-	// seenAt is when each other gateway was last known to live.
-	seenAt map[string]time.Time
+	// others are the other gateways that are registered.
+	others *gateway.Presence
 	// known is whether the gateways are known.
 	known bool
-	// unreadableSince is when the store stopped responding, or the zero value.
-	unreadableSince time.Time
 	// confirmedAt is when the last heartbeat of this gateway that the store accepted was sent.
 	confirmedAt time.Time
 }
 
 // NewFleet returns the fleet of the gateway, whose others are unknown.
-func NewFleet(self string) *Fleet { return &Fleet{self: self, seenAt: map[string]time.Time{}} }
+func NewFleet(self string) *Fleet { return &Fleet{self: self, others: gateway.NewPresence()} }
 
 // SetMembers replaces the gateways that are registered. One that was not known before counts as
 // alive.
 func (f *Fleet) SetMembers(now time.Time, instances []string) {
 	f.known = true
-	current := make(map[string]time.Time, len(instances))
-	for _, instance := range instances {
-		if instance == f.self {
-			continue
-		}
-		seenAt, known := f.seenAt[instance]
-		if !known {
-			seenAt = now
-		}
-		current[instance] = seenAt
-	}
-	f.seenAt = current
+	f.others.Keep(now, slices.DeleteFunc(slices.Clone(instances), func(instance string) bool { return instance == f.self }))
 }
 
 // RecordHeartbeat records that a heartbeat of the gateway was read.
 func (f *Fleet) RecordHeartbeat(now time.Time, instance string) {
-	if _, known := f.seenAt[instance]; known {
-		f.seenAt[instance] = now
+	if f.others.Known(instance) {
+		f.others.Record(now, instance)
 	}
 }
 
 // Watch begins to wait for heartbeats, which gateways write only while there is a limit.
-func (f *Fleet) Watch(now time.Time) {
-	for instance := range f.seenAt {
-		f.seenAt[instance] = now
-	}
-}
+func (f *Fleet) Watch(now time.Time) { f.others.Watch(now) }
 
 // Confirm records that the store accepted this gateway's heartbeat that was sent at the time.
 func (f *Fleet) Confirm(sentAt time.Time) { f.confirmedAt = sentAt }
 
-// SetReadable records whether the store responds to reads.
-func (f *Fleet) SetReadable(now time.Time, readable bool) {
-	switch {
-	case !readable && f.unreadableSince.IsZero():
-		f.unreadableSince = now
-	case readable && !f.unreadableSince.IsZero():
-		f.unreadableSince = time.Time{}
-		f.Watch(now)
-	}
-}
+// RecordRead records that the store's heartbeats were read up to those of the time.
+func (f *Fleet) RecordRead(at time.Time) { f.others.RecordRead(at) }
+
+// RecordUnreadable records that the store doesn't respond to reads.
+func (f *Fleet) RecordUnreadable() { f.others.RecordUnreadable() }
 
 // HeartbeatInterval returns the time between two heartbeats of a gateway. It grows with the fleet,
 // so that what each gateway reads doesn't.
 func (f *Fleet) HeartbeatInterval() time.Duration {
-	return max(minHeartbeatInterval, time.Duration(float64(len(f.seenAt)+1)/maxHeartbeats*float64(time.Second)))
+	return max(minHeartbeatInterval, time.Duration(float64(f.others.Len()+1)/maxHeartbeats*float64(time.Second)))
 }
 
 func (f *Fleet) expiry() time.Duration { return missedHeartbeats * f.HeartbeatInterval() }
@@ -124,14 +104,10 @@
 	if !f.known {
 		return Share{Rate: disconnectedShare * limit / unknownGateways, Sharers: unknownGateways}
 	}
-	readAt := now
-	if !f.unreadableSince.IsZero() {
-		readAt = f.unreadableSince
-	}
 	own := score(server, f.self)
 	living, rank := 1, 0
-	for instance, seenAt := range f.seenAt {
-		if readAt.Sub(seenAt) >= f.expiry() {
+	for instance := range f.others.All() {
+		if f.others.Silence(instance) >= f.expiry() {
 			continue
 		}
 		living++
--- a/services/relay/origin.go
+++ b/services/relay/origin.go
@@ -10,6 +10,7 @@
 	"github.com/crocusline/crocusline/models/balance"
 	"github.com/crocusline/crocusline/models/lineage"
 	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/roster"
 	"github.com/crocusline/crocusline/models/route"
 	lineages "github.com/crocusline/crocusline/services/lineage"
 )
@@ -66,8 +67,10 @@
 		return nil
 	}
 	prompt.originChecked = true
-	err := j.confirmServer(ctx, prompt)
+	evidence, err := j.confirmServer(ctx, prompt)
 	if j.origin.Known() {
+		j.log.Info("stream continues", "server", j.server, "version", j.version, "began", j.origin.Version, "evidence", evidence,
+			"connectionAge", time.Since(prompt.openedAt).Round(time.Millisecond), "lastEvent", j.lastEvent(), "error", err)
 		return err
 	}
 	if err != nil {
@@ -81,25 +84,50 @@
 	return nil
 }
 
-// confirmServer returns an error if the server that responds isn't known to be the start of it that is
-// listed. It is asked if the list can't show that yet.
-func (j *job) confirmServer(ctx context.Context, prompt *promptTracker) error {
+// confirmServer returns what shows that the server that responds is the start of it that is listed, or an
+// error. The server is asked if nothing shows that yet.
+func (j *job) confirmServer(ctx context.Context, prompt *promptTracker) (roster.Evidence, error) {
 	catalog := j.service.catalog
-	if catalog.Confirmed(prompt.server, prompt.openedAt) {
-		return nil
+	if evidence := catalog.Confirmed(prompt.server, prompt.openedAt); evidence != roster.NoEvidence {
+		return evidence, nil
+	}
+	if err := j.askStart(ctx, prompt, prompt.openedAt); err != nil {
+		return roster.NoEvidence, err
 	}
-	askedAt := time.Now()
-	started, err := j.service.reports.Started(ctx, prompt.server, j.maxConns())
-	j.service.metrics.Counter(serverStartsAsked).Inc()
+	return roster.ReportEvidence, nil
+}
+
+// askStart returns an error if the server, asked after the given time, isn't the start of it that is
+// listed.
+func (j *job) askStart(ctx context.Context, prompt *promptTracker, after time.Time) error {
+	call, err := j.service.starts.ask(ctx, prompt.server, after, func(ctx context.Context) (int64, error) {
+		j.service.metrics.Counter(serverStartsAsked).Inc()
+		return j.service.reports.Started(ctx, prompt.server, j.maxConns())
+	})
 	if err != nil {
 		return err
 	}
-	if !catalog.RecordStart(prompt.server, askedAt, started) {
-		return errors.Errorf("server %s started at %d, and is listed with %d", prompt.server.ID, started, prompt.server.Started)
+	if !j.service.catalog.RecordStart(prompt.server, call.askedAt, call.started) {
+		return errors.Errorf("server %s started at %d, and is listed with %d", prompt.server.ID, call.started, prompt.server.Started)
 	}
 	return nil
 }
 
+// endConfirmed reports whether the server, which has ended the stream in order but without framing,
+// confirms that it is complete. A process that crashes ends its streams in the same way, so that the server
+// must still run.
+func (j *job) endConfirmed(ctx context.Context, prompt *promptTracker, last string) bool {
+	endedAt := time.Now()
+	if !j.ConfirmsEnd(last) {
+		return false
+	}
+	err := j.askStart(ctx, prompt, endedAt)
+	if err != nil {
+		j.log.Info("end of stream not confirmed", "server", j.server, "lastEvent", last, "error", err)
+	}
+	return err == nil
+}
+
 // serverStartsAsked counts the calls that ask servers when they started.
 const serverStartsAsked = "crocusline_server_starts_asked_total"
 
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -48,13 +48,13 @@
 	j.spendReservation()
 	prompt.silence = j.watchSilence(choice, sends, cancel)
 	defer prompt.silence.stop()
-	resp, err := j.service.client.Do(ctx, j.buildRequest(choice))
+	resp, err := j.exchange(ctx, choice)
 	var result sendResult
 	if err != nil {
 		result = j.classifyError(err)
 	} else {
 		j.recordNotice(choice.Server, resp, start)
-		prompt.openedAt = exchange.OpenedAt(resp)
+		prompt.openedAt, prompt.reused = exchange.OpenedAt(resp), exchange.Reused(resp)
 		resp.Body = prompt.watch(resp.Body)
 		result = j.handleResponse(ctx, w, resp, prompt)
 		_ = resp.Body.Close()
@@ -62,40 +62,62 @@
 	j.reservation = prompt.silence.stop()
 	j.reportToBalancer(ctx, id, prompt, result)
 	j.reportToQuarantine(ctx, choice.Server, prompt, result)
-	j.logSend(choice, sends, time.Since(start), result)
+	j.logSend(choice, sends, time.Since(start), result, abandonCause(ctx, result))
 	return result
 }
 
+// exchange sends the request, unless its caller has resumed the stream with another one.
+func (j *job) exchange(ctx context.Context, choice balance.Choice) (*http.Response, error) {
+	req := j.buildRequest(choice)
+	released, err := j.attempt.Send()
+	if err != nil {
+		return nil, &exchange.NotSentError{Address: req.Address, Err: err}
+	}
+	req.Released = released
+	return j.service.client.Do(ctx, req)
+}
+
 // buildRequest returns the request to send to the server.
 func (j *job) buildRequest(choice balance.Choice) *exchange.Request {
 	r := j.request
-	lastEvent := r.LastEventID
-	if j.Begun {
-		lastEvent = j.LastEventID
-	}
 	return &exchange.Request{
 		Address: choice.Server.Address, Method: r.Method, Target: r.Target, Host: r.Host, Body: r.Body,
 		Header: j.service.codec.Encode(r, call.DispatchParams{
 			Server: choice.Server.ID, TimeLeft: time.Until(j.deadline), Workspace: j.workspace.Name,
-			Priority: j.priority(), LastEventID: lastEvent,
+			Priority: j.priority(), LastEventID: j.lastEvent(),
 		}),
+		// On a connection that has carried others, a copy of an earlier response could be taken for the
+		// response to a request without an id.
+		ID: r.ID, NewConnection: r.ID == "",
 		MaxConns:  j.maxConns(),
 		IsForeign: func(h http.Header, reused bool) bool { return j.service.codec.OriginOf(r, h).Skippable(reused) },
 	}
 }
 
+// lastEvent returns the id of the last event that the caller has received, or "" if there is none.
+func (j *job) lastEvent() string {
+	if j.route.Kind.Streams() {
+		return j.LastEventID
+	}
+	return j.request.LastEventID
+}
+
 // classifyError returns the result of a send without a response.
 func (j *job) classifyError(err error) sendResult {
+	var notSent *exchange.NotSentError
+	if errors.As(err, &notSent) {
+		return notRun{reason: refusal.DeadlineExpired, evidence: call.NotBegun, err: err}
+	}
 	var dial *exchange.DialError
 	if errors.As(err, &dial) {
 		if dial.PoolExhausted {
-			return notRun{reason: refusal.QueueFull, unsent: true, err: err}
+			return notRun{reason: refusal.QueueFull, evidence: call.NotConnected, err: err}
 		}
-		return notRun{reason: refusal.ServerFailed, unsent: true, err: err}
+		return notRun{reason: refusal.ServerFailed, evidence: call.NotConnected, err: err}
 	}
 	var noResponse *exchange.NoResponseError
 	if errors.As(err, &noResponse) && !noResponse.Written {
-		return notRun{reason: refusal.ServerFailed, unsent: true, err: err}
+		return notRun{reason: refusal.ServerFailed, evidence: call.NothingWritten, err: err}
 	}
 	return unknownOutcome{reason: refusal.ServerFailed, err: err}
 }
@@ -106,11 +128,11 @@
 	switch class := j.service.codec.ClassifyResponse(j.request, resp); class {
 	case call.NotRun:
 		drainBody(resp)
-		return notRun{reason: refusal.QueueFull}
+		return notRun{reason: refusal.QueueFull, evidence: call.ServerStatement, status: resp.StatusCode, reused: prompt.reused}
 	case call.Misdirected:
 		drainBody(resp)
-		return notRun{reason: refusal.WrongIncarnation}
-	case call.Succeeded, call.Failed:
+		return notRun{reason: refusal.WrongIncarnation, evidence: call.ServerMisdirected, status: resp.StatusCode, reused: prompt.reused}
+	case call.Succeeded, call.Failed, call.FailedAsRefused:
 		return j.relayResponse(ctx, w, resp, class, prompt)
 	default:
 		return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("status %d proves nothing: the response is %s, without a signature or without the request's id", resp.StatusCode, class)}
@@ -154,15 +176,17 @@
 }
 
 // relayResponse passes on a signed response, unless it can't follow what the caller has
-// received.
+// received, or says more than the server has stated.
 func (j *job) relayResponse(ctx context.Context, w http.ResponseWriter, resp *http.Response, class call.ResponseClass, prompt *promptTracker) sendResult {
 	events := isEventStream(resp)
 	switch {
 	case !j.Accepts(class, events):
 		// Its body isn't awaited, so that another server can continue at once.
-		j.log.Info("response does not continue the stream", "server", j.server, "status", resp.StatusCode, "class", class,
-			"contentType", resp.Header.Get("Content-Type"), "lastEvent", j.LastEventID)
-		return serverError{resp: &bufferedResponse{status: resp.StatusCode}}
+		if j.Begun {
+			j.log.Info("response does not continue the stream", "server", j.server, "status", resp.StatusCode, "class", class,
+				"contentType", resp.Header.Get("Content-Type"), "lastEvent", j.LastEventID)
+		}
+		return serverError{status: resp.StatusCode}
 	case class == call.Failed:
 		return j.relayServerError(w, resp)
 	case events:
@@ -244,7 +268,7 @@
 		j.possibleRuns++
 		return responseRelayed{}
 	}
-	return serverError{resp: buffered}
+	return serverError{status: resp.StatusCode, resp: buffered}
 }
 
 // writeResponse writes a complete response to the caller.
@@ -282,7 +306,7 @@
 		case serverError:
 			b.RecordFailure(id)
 		case notRun:
-			if result.reason != refusal.QueueFull {
+			if result.reason != refusal.QueueFull && result.evidence != call.NotBegun && !cancelled {
 				b.RecordUnreachable(now, id)
 			}
 		case unknownOutcome:
@@ -314,27 +338,34 @@
 	}
 }
 
-// logSend logs a send without a response for the caller.
-func (j *job) logSend(choice balance.Choice, sends int, elapsed time.Duration, result sendResult) {
+// logSend logs a send without a response for the caller, and counts those that were given up for the cause. Their
+// connections are closed by now.
+func (j *job) logSend(choice balance.Choice, sends int, elapsed time.Duration, result sendResult, abandoned string) {
+	if abandoned != "" {
+		j.service.metrics.Counter(sendsAbandoned + `{cause="` + abandoned + `"}`).Inc()
+	}
 	pairs := []any{
 		"server", choice.Server.ID, "version", choice.Server.Version, "send", sends, "took", elapsed.Round(time.Millisecond),
 		"predicted", choice.PredictedLatency.Round(time.Millisecond), "trial", choice.Trial, "events", j.Events,
 	}
 	switch result := result.(type) {
 	case notRun:
-		if result.err != nil {
+		pairs = append(pairs, "reason", result.reason, "evidence", result.evidence)
+		if result.evidence.Unsent() {
 			pairs = append(pairs, "error", result.err)
+		} else {
+			pairs = append(pairs, "status", result.status, "reused", result.reused)
 		}
-		j.log.Info("send not run", append(pairs, "reason", result.reason)...)
+		j.log.Info("send not run", pairs...)
 	case unknownOutcome:
 		j.log.Info("send outcome unknown", append(pairs, "workspace", j.workspace.Name, "segments", j.segments, "fingerprint", j.fingerprint,
-			"first", j.timeToFirstEvent.Round(time.Millisecond), "reason", result.reason, "error", result.err)...)
+			"first", j.timeToFirstEvent.Round(time.Millisecond), "reason", result.reason, "abandoned", abandoned, "error", result.err)...)
 	case endUnproven:
 		j.log.Info("end of stream not proven", append(pairs, "lastEvent", j.LastEventID, "tokens", j.tokensOf(j.Events), "outputTokens", j.request.OutputTokens)...)
 	case callerDisconnected:
-		j.log.Info("caller disconnected", append(pairs, "error", result.err)...)
+		j.log.Info("caller disconnected", append(pairs, "abandoned", abandoned, "error", result.err)...)
 	case serverError:
-		j.log.Info("send failed", append(pairs, "status", result.resp.status)...)
+		j.log.Info("send failed", append(pairs, "status", result.status)...)
 	}
 }
 
--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -65,6 +65,8 @@
 	serverProxies []*proxy
 	configVersion int
 	prepaidTokens int64
+	// addedKeys are the API keys that were added to those of the tenant without a budget.
+	addedKeys []string
 	// faultyPools are pools beside that of the servers.
 	faultyPools []string
 	// serverStates are the states last written, by server, and serverStarts how often each has
@@ -74,6 +76,8 @@
 	versions       []string
 	serverStarts   []int
 	serverSequence atomic.Int64
+	// silent holds the servers that started again and have not written that, and when they do.
+	silent map[int]time.Time
 	// copiedAt is when the store was copied last, or the zero value.
 	copiedAt time.Time
 	// eras is how often the store returned from a copy.
@@ -203,7 +207,7 @@
 	// It has all paths that no other route has.
 	rootRoute := route("root", "non_idempotent", "s", 2, false)
 	rootRoute["path_prefix"] = "/"
-	unlimited := map[string]any{"name": "mills", "api_keys": []string{unlimitedKey}}
+	unlimited := map[string]any{"name": "mills", "api_keys": append([]string{unlimitedKey}, f.addedKeys...)}
 	tenant := map[string]any{"name": "clinics", "api_keys": []string{apiKey}}
 	if f.prepaidTokens > 0 {
 		tenant["prepaid"] = f.prepaidTokens
