--- a/tests/faults/scarce_test.go
+++ b/tests/faults/scarce_test.go
@@ -28,6 +28,8 @@
 const (
 	// minScarceGateways is the least number of gateways.
 	minScarceGateways = 4
+	// minScarceDuration is the least duration of the faults, in which nearly all are injected.
+	minScarceDuration = 10 * time.Second
 	// shownBreaks is the number of breaks of a rule that are printed.
 	shownBreaks = 10
 	// scarceInterval is the longest time between two faults of a fleet of minScarceGateways.
@@ -88,7 +90,7 @@
 	}
 	r.Shuffle(len(faults), func(i, j int) { faults[i], faults[j] = faults[j], faults[i] })
 	interval := scarceInterval * minScarceGateways / time.Duration(len(f.gateways))
-	end := time.Now().Add(*faultDuration)
+	end := time.Now().Add(max(minScarceDuration, *faultDuration))
 	for n := 0; time.Now().Before(end); n++ {
 		fault := faults[n%len(faults)]
 		if fault.fleetWide && r.IntN(len(f.gateways)) >= minScarceGateways {
