Repeat a shared start call that ended with its caller for any reason

Streams that begin on a server whose start isn't confirmed share one call. If the stream that made it was superseded, given up as silent or out of time, the others broke off with its error: the call was repeated for context.Canceled only, and contexts end with causes and deadlines by now. The call records whether the context of its own caller has ended (exchange.Ended, which compares the deadline with the clock), and those that wait make a failed one again then.

A call under a context of its own was ruled out: it would outlive the streams that need it.

--- a/services/relay/starts.go
+++ b/services/relay/starts.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/models/roster"
+	"github.com/crocusline/crocusline/modules/exchange"
 )
 
 // startCalls shares the calls that ask servers when they started.
@@ -26,15 +27,17 @@
 type startCall struct {
 	askedAt time.Time
 	done    chan struct{}
-	// started and err are set before done is closed.
+	// The following are set before done is closed.
 	started int64
 	err     error
+	// callerEnded is whether the context of the stream that made the call had ended by then.
+	callerEnded bool
 }
 
 func newStartCalls() *startCalls { return &startCalls{running: map[startKey]*startCall{}} }
 
 // ask returns the answer of a call that began after the given time: of the one under way, or of one
-// that it makes itself with f. A call that ended with its caller is made again.
+// that it makes itself with f. A call that failed and whose caller has ended, for any reason, is made again.
 func (c *startCalls) ask(ctx context.Context, s roster.Server, after time.Time, f func(context.Context) (int64, error)) (*startCall, error) {
 	key := startKey{s.ID, s.Started}
 	for {
@@ -46,9 +49,9 @@
 		select {
 		case <-call.done:
 		case <-ctx.Done():
-			return nil, errors.WithStack(ctx.Err())
+			return nil, exchange.Ended(ctx)
 		}
-		if ctx.Err() != nil || !errors.Is(call.err, context.Canceled) {
+		if call.err == nil || !call.callerEnded || exchange.Ended(ctx) != nil {
 			return call, call.err
 		}
 	}
@@ -79,4 +82,5 @@
 		close(call.done)
 	}()
 	call.started, call.err = f(ctx)
+	call.callerEnded = exchange.Ended(ctx) != nil
 }
--- a/services/relay/starts_test.go
+++ b/services/relay/starts_test.go
@@ -59,3 +59,55 @@
 		running.Wait()
 	})
 }
+
+// TestStartCallEndsWithItsCaller guards against streams that break off because another one, whose call they share, has
+// ended.
+func TestStartCallEndsWithItsCaller(t *testing.T) {
+	for name, end := range map[string]func() (context.Context, func()){
+		"superseded": func() (context.Context, func()) {
+			ctx, cancel := context.WithCancelCause(context.Background())
+			return ctx, func() { cancel(errors.New("superseded")) }
+		},
+		"deadline": func() (context.Context, func()) {
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+			return ctx, func() { time.Sleep(20 * time.Millisecond); cancel() }
+		},
+		"silence": func() (context.Context, func()) {
+			ctx, cancel := context.WithCancelCause(context.Background())
+			return ctx, func() { cancel(errSilenceTimeout) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				calls, server := newStartCalls(), roster.Server{ID: "i-1", Started: 7}
+				after := time.Now()
+				time.Sleep(time.Millisecond)
+				ctx, stop := end()
+				f := func(ctx context.Context) (int64, error) {
+					select {
+					case <-ctx.Done():
+						return 0, errors.WithStack(context.Cause(ctx))
+					case <-time.After(100 * time.Millisecond):
+						return 7, nil
+					}
+				}
+				go func() { _, _ = calls.ask(ctx, server, after, f) }()
+				synctest.Wait()
+				type result struct {
+					call *startCall
+					err  error
+				}
+				done := make(chan result, 1)
+				go func() {
+					c, err := calls.ask(t.Context(), server, after, f)
+					done <- result{c, err}
+				}()
+				synctest.Wait()
+				stop()
+				if r := <-done; r.err != nil || r.call.started != 7 {
+					t.Errorf("the stream that still runs got %v", r.err)
+				}
+			})
+		})
+	}
+}
