Let work wait for tables whose response arrives

A view that isn't current was excused from waiting as soon as the first byte of a response had arrived, until it was applied, so that a long response over a thin link holds nobody up. Requests that came in that window went by the old tables just before the new ones were in force, and a gateway that lacks processor time widens the window. That a response takes long is now recorded by the first work that has waited for it in vain, 0.15 s at most; others wait no more for the same response. View.Arriving became View.Slow.

The table of TestView has the same cases, by the new name. An excuse by the age of the response was ruled out: a pause makes each response old.

--- a/models/roster/view.go
+++ b/models/roster/view.go
@@ -10,8 +10,8 @@
 	Bound time.Duration
 	// Reachable is whether the last read succeeded.
 	Reachable bool
-	// Arriving is whether a response arrives that may take long.
-	Arriving bool
+	// Slow is whether a response arrives that work has waited for already.
+	Slow bool
 }
 
 // Current reports whether the state holds all changes that must be in force. What can't be taken back, such as a
@@ -20,5 +20,6 @@
 
 // UpdateExpected reports whether a newer state is likely to arrive at once: the state isn't current though no read has
 // failed, as the process did not run, or the next read is about to fail. What begins should wait for it. Without
-// the store, and while a long response arrives over a thin link, work goes on with the state that is known.
-func (v View) UpdateExpected() bool { return !v.Current() && v.Reachable && !v.Arriving }
+// the store, and while a long response arrives over a thin link, work goes on with the state that is known. That a
+// response takes long is known only once it was waited for.
+func (v View) UpdateExpected() bool { return !v.Current() && v.Reachable && !v.Slow }
--- a/models/roster/view_test.go
+++ b/models/roster/view_test.go
@@ -18,7 +18,7 @@
 		{"just read", roster.View{Age: 0, Bound: bound, Reachable: true}, true, false},
 		{"calm", roster.View{Age: bound - 1, Bound: bound, Reachable: true}, true, false},
 		{"the process did not run", roster.View{Age: 4 * time.Second, Bound: bound, Reachable: true}, false, true},
-		{"a long response arrives", roster.View{Age: 4 * time.Second, Bound: bound, Reachable: true, Arriving: true}, false, false},
+		{"a response arrives slowly", roster.View{Age: 4 * time.Second, Bound: bound, Reachable: true, Slow: true}, false, false},
 		{"just disconnected", roster.View{Age: time.Second, Bound: bound}, true, false},
 		{"disconnected", roster.View{Age: 4 * time.Second, Bound: bound}, false, false},
 		{"without a bound", roster.View{Age: time.Hour, Reachable: true}, true, false},
--- a/services/catalog/await.go
+++ b/services/catalog/await.go
@@ -17,7 +17,7 @@
 
 func (s *Service) tablesView() roster.View {
 	return roster.View{
-		Age: s.Age(), Bound: bounded(s.tableBound), Reachable: s.tables.Reachable(), Arriving: s.tables.Arriving(),
+		Age: s.Age(), Bound: bounded(s.tableBound), Reachable: s.tables.Reachable(), Slow: s.tablesSlow.Load(),
 	}
 }
 
@@ -40,12 +40,21 @@
 
 // AwaitTables waits for the next read of the routing tables if this process has not run for a while, and reports
 // whether it has waited. It returns soon in any case.
-func (s *Service) AwaitTables(ctx context.Context) bool { return s.await(ctx, s.tablesView) }
+func (s *Service) AwaitTables(ctx context.Context) bool {
+	return s.await(ctx, s.tablesView, func() {
+		if s.tables.Arriving() && s.tablesView().UpdateExpected() {
+			s.tablesSlow.Store(true)
+		}
+	})
+}
 
 // AwaitServers does for the list of servers what AwaitTables does for the tables.
-func (s *Service) AwaitServers(ctx context.Context) bool { return s.await(ctx, s.serversView) }
+func (s *Service) AwaitServers(ctx context.Context) bool {
+	return s.await(ctx, s.serversView, func() {})
+}
 
-func (s *Service) await(ctx context.Context, view func() roster.View) bool {
+// await calls inVain if there was no read in time.
+func (s *Service) await(ctx context.Context, view func() roster.View, inVain func()) bool {
 	if !view().UpdateExpected() {
 		return false
 	}
@@ -61,6 +70,7 @@
 		select {
 		case <-read:
 		case <-timer.C:
+			inVain()
 			return true
 		case <-ctx.Done():
 			return true
--- a/services/catalog/await_test.go
+++ b/services/catalog/await_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"bytes"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -58,3 +59,56 @@
 		time.Sleep(bound)
 	})
 }
+
+// TestRequestGoesByTablesThatAreReplaced guards against work that begins with the tables from before a pause while the
+// response with newer ones arrives, and against work that waits again and again while a long one does.
+func TestRequestGoesByTablesThatAreReplaced(t *testing.T) {
+	const (
+		bound     = 2 * time.Second
+		roundTrip = 10 * time.Millisecond
+		bandwidth = 1_000_000
+	)
+	for name, transfer := range map[string]time.Duration{"short response": 100 * time.Millisecond, "long response": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var suspended atomic.Int64
+				clock := uptime.NewClockWith(func() time.Duration { return time.Duration(suspended.Load()) })
+				store := site.NewStore()
+				store.Put(operatorTopic, "config", config(1))
+				client := platform.NewStore(netip.MustParseAddrPort("10.0.0.1:80"), metric.New(),
+					platform.WithTransport(site.NewTransport(store, roundTrip, site.WithLink(site.NewLink(bandwidth)))))
+				c := catalog.New(hclog.NewNullLogger(), client, platform.Codec{}, catalog.WithBounds(bound, bound), catalog.WithClock(clock))
+				if err := c.Start(t.Context(), nil); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(5 * time.Second)
+				for version := 2; version < 6; version++ {
+					value := append(config(version), bytes.Repeat([]byte(" "), int(transfer.Seconds()*bandwidth))...)
+					store.Put(operatorTopic, "config", value)
+					time.Sleep(transfer / 2)
+					if got := int(c.Table().Version); got != version-1 {
+						t.Fatalf("version %d is in force while version %d arrives", got, version)
+					}
+					suspended.Add(int64(4 * time.Second))
+					start := time.Now()
+					waited := c.AwaitTables(t.Context())
+					if took := time.Since(start); !waited || took > 150*time.Millisecond {
+						t.Errorf("waited %t for %s for a response that arrives", waited, took)
+					}
+					if transfer < 150*time.Millisecond {
+						if got := int(c.Table().Version); got != version {
+							t.Errorf("work begins by version %d while version %d arrives", got, version)
+						}
+					} else if c.AwaitTables(t.Context()) {
+						t.Error("waited again for a response that takes long")
+					}
+					time.Sleep(3 * transfer)
+				}
+				if err := c.Close(); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(bound)
+			})
+		})
+	}
+}
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -93,6 +93,8 @@
 	tables  *follower.Follower
 	servers *follower.Follower
 	table   atomic.Pointer[route.Table]
+	// tablesSlow is whether work has waited in vain for the response of the tables that arrives.
+	tablesSlow atomic.Bool
 
 	mu     sync.Mutex
 	roster *roster.Roster
@@ -382,5 +384,6 @@
 func (h tableHandler) SetReachable(bool) {
 	h.s.mu.Lock()
 	defer h.s.mu.Unlock()
+	h.s.tablesSlow.Store(false)
 	h.s.notifyRead()
 }
