Keep the age of tables if a peer's newer ones can't be decoded

They counted as current for as long as the peer answered, and callers got 404 and 401 for good by tables known to be replaced. applyTable reports whether the tables are those of the record or newer ones, and only then is the peer's age taken over.

Undecodable tables of the store itself are the same question and are left: the gateway keeps the old ones, as documented.

--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -256,26 +256,27 @@
 }
 
 // applyTable replaces the routing tables unless the version of the current ones is the
-// same or newer.
-func (s *Service) applyTable(r record.Record, source string) {
+// same or newer. It reports whether the tables are now those of the record or newer ones.
+func (s *Service) applyTable(r record.Record, source string) bool {
 	table, err := s.codec.Table(r)
 	if err != nil {
 		s.log.Error("cannot decode routing tables", "offset", r.Offset, "source", source, "error", err)
-		return
+		return false
 	}
 	if table == nil {
-		return
+		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if current := s.table.Load(); current != nil && current.Version >= table.Version {
-		return
+		return true
 	}
 	s.table.Store(table)
 	s.tableRecord = r
 	s.refresh(time.Now())
 	s.log.Info("tables adopted", "version", table.Version, "routes", len(table.Routes),
 		"workspaces", len(table.Workspaces), "source", source)
+	return true
 }
 
 // refreshPeriodically updates the balancers until the context ends, so that servers
--- a/services/catalog/peers.go
+++ b/services/catalog/peers.go
@@ -104,12 +104,11 @@
 // mergeSnapshot applies the parts of a peer's snapshot, requested at a time, that are newer
 // than this catalog.
 func (s *Service) mergeSnapshot(snapshot Snapshot, requestedAt time.Duration) {
-	if snapshot.Tables.Value != nil {
-		s.applyTable(snapshot.Tables, "peer")
-	}
+	// Tables that can't be decoded are newer than those known here.
+	tablesKnown := snapshot.Tables.Value == nil || s.applyTable(snapshot.Tables, "peer")
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if age := snapshot.TablesAge; age != nil && s.table.Load() != nil {
+	if age := snapshot.TablesAge; age != nil && tablesKnown && s.table.Load() != nil {
 		if at := requestedAt - *age; s.peerCurrentAt == nil || at > *s.peerCurrentAt {
 			s.peerCurrentAt = &at
 		}
--- a/services/catalog/peers_test.go
+++ b/services/catalog/peers_test.go
@@ -210,3 +210,41 @@
 		})
 	}
 }
+
+// TestUndecodableTablesOfPeer guards against tables that count as current because a peer has sent newer ones that can't
+// be decoded.
+func TestUndecodableTablesOfPeer(t *testing.T) {
+	const bound = 3 * time.Second
+	for name, tt := range map[string]struct {
+		tables record.Record
+		want   bool
+	}{
+		"newer":       {record.Record{Key: "config", Value: config(2)}, true},
+		"none newer":  {record.Record{}, true},
+		"undecodable": {record.Record{Key: "config", Value: []byte(`{"version":"two"}`)}, false},
+		"other key":   {record.Record{Key: "other", Value: config(2)}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store, age := site.NewStore(), 10*time.Millisecond
+				store.Put(operatorTopic, "config", config(1))
+				client := platform.NewStore(netip.MustParseAddrPort("10.0.0.1:80"), metric.New(), platform.WithTransport(site.NewTransport(store, time.Millisecond)))
+				c := catalog.New(hclog.NewNullLogger(), client, platform.Codec{}, catalog.WithBounds(bound, bound),
+					catalog.WithPeers(fixedPeers{catalog.Snapshot{Tables: tt.tables, TablesAge: &age}}))
+				if err := c.Start(t.Context(), nil); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(2 * time.Second)
+				store.SetFault(site.Unavailable)
+				time.Sleep(2 * bound)
+				if got := c.Current(); got != tt.want {
+					t.Errorf("version %d counts as current: %t", c.Table().Version, got)
+				}
+				if err := c.Close(); err != nil {
+					t.Error(err)
+				}
+				time.Sleep(bound)
+			})
+		})
+	}
+}
