Tell servers the time that is left when the request is written

Deadline-Ms was encoded when the request was built. The header is now encoded right before it is written, by Request.CurrentHeader, which knows nothing of its fields; in the calm case it costs a closure.

To check the age of the request instead was ruled out: it would give up requests that have time left. What remains is a stall between the encoding and the system call.

--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -154,7 +154,9 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// CurrentHeader returns the header right before it is written, in place of Header. It may be nil.
+	CurrentHeader func() http.Header
+	Body          []byte
 	// ID is the id that tells responses to the request from those to others, or empty if there is none. A
 	// connection that has lately carried a request with the same id isn't used.
 	ID string
@@ -172,6 +174,14 @@
 	Released func()
 }
 
+// header returns the header to write.
+func (r *Request) header() http.Header {
+	if r.CurrentHeader != nil {
+		return r.CurrentHeader()
+	}
+	return r.Header
+}
+
 func (r *Request) released() {
 	if r.Released != nil {
 		r.Released()
--- a/modules/exchange/request.go
+++ b/modules/exchange/request.go
@@ -23,7 +23,7 @@
 	buffered := bufio.NewWriter(w)
 	// The writer keeps the first error until Flush.
 	_, _ = fmt.Fprintf(buffered, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
-	_ = r.Header.WriteSubset(buffered, framingFields)
+	_ = r.header().WriteSubset(buffered, framingFields)
 	if len(r.Body) > 0 || hasBody(r.Method) {
 		_, _ = buffered.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -79,13 +79,16 @@
 
 // buildRequest returns the request to send to the server.
 func (j *job) buildRequest(choice balance.Choice) *exchange.Request {
-	r := j.request
+	r, codec, deadline := j.request, j.service.codec, j.deadline
+	params := call.DispatchParams{
+		Server: choice.Server.ID, Workspace: j.workspace.Name, Priority: j.priority(), LastEventID: j.lastEvent(),
+	}
 	return &exchange.Request{
 		Address: choice.Server.Address, Method: r.Method, Target: r.Target, Host: r.Host, Body: r.Body,
-		Header: j.service.codec.Encode(r, call.DispatchParams{
-			Server: choice.Server.ID, TimeLeft: time.Until(j.deadline), Workspace: j.workspace.Name,
-			Priority: j.priority(), LastEventID: j.lastEvent(),
-		}),
+		CurrentHeader: func() http.Header {
+			params.TimeLeft = time.Until(deadline)
+			return codec.Encode(r, params)
+		},
 		// On a connection that has carried others, a copy of an earlier response could be taken for the
 		// response to a request without an id.
 		ID: r.ID, NewConnection: r.ID == "",
