Reset connections only if a close would have to wait

A request that is given up reset its connection if any byte was not acknowledged, which is usual for some ms after it was sent on a kept connection. A reset that a lossy link loses is not repeated, so that the server works on; an orderly close is repeated, as are the bytes before it. The reset is now confined to a write under way, bytes that are not sent (SIOCOUTQNSD), and a peer's window that has no room for the close (TCP_INFO). The code before closed in order there too, and the server wasn't told.

Loss on a link was not played.

--- a/modules/exchange/abandon_test.go
+++ b/modules/exchange/abandon_test.go
@@ -116,8 +116,16 @@
 	}
 	var polled int
 	var pollErr error
+	deadline := time.Now().Add(timeout)
 	err = raw.Control(func(fd uintptr) {
-		polled, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}, int(timeout.Milliseconds()))
+		for {
+			left := max(0, time.Until(deadline))
+			polled, pollErr = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}, int(left.Milliseconds()))
+			// The runtime's signals interrupt the call.
+			if !errors.Is(pollErr, unix.EINTR) {
+				return
+			}
+		}
 	})
 	if err != nil || pollErr != nil {
 		t.Errorf("poll: %v, %v", err, pollErr)
@@ -168,3 +176,120 @@
 		t.Errorf("the server received %d requests after their end", n)
 	}
 }
+
+// TestResetBehindSentBytes guards against a request whose connection is reset, which a lossy link may lose for good, though
+// an orderly close needs not wait: all its bytes are sent, and the server's system has not acknowledged them yet.
+func TestResetBehindSentBytes(t *testing.T) {
+	const attempts = 20
+	ends := make(chan error, attempts)
+	arrived := make(chan struct{}, 1)
+	s := newScriptedServer(t, func(conn net.Conn, requests *bufio.Reader) {
+		for {
+			id, ok := readRequestID(requests)
+			if !ok {
+				return
+			}
+			if id == "last" {
+				arrived <- struct{}{}
+				_, err := requests.ReadByte()
+				ends <- err
+				return
+			}
+			_, _ = io.WriteString(conn, response(id, "answer"))
+		}
+	})
+	c := exchange.New()
+	defer func() { _ = c.Close() }()
+	for range attempts {
+		// A system acknowledges late on a connection that carries requests and responses in turns.
+		for range 10 {
+			if _, err := call(c, s.request("1")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			<-arrived
+			// The write returns meanwhile.
+			time.Sleep(5 * time.Millisecond)
+			cancel()
+		}()
+		if resp, err := c.Do(ctx, s.request("last")); err == nil {
+			_ = resp.Body.Close()
+			t.Error("got a response")
+		}
+		cancel()
+	}
+	resets := 0
+	for range attempts {
+		if err := <-ends; !errors.Is(err, io.EOF) {
+			resets++
+		}
+	}
+	if resets > 0 {
+		t.Errorf("%d of %d connections were reset", resets, attempts)
+	}
+}
+
+// TestServerWorksOnWithFullBuffer guards against servers that don't learn of the end of a request which fills their receive
+// buffer, whether all of it could be sent or not.
+func TestServerWorksOnWithFullBuffer(t *testing.T) {
+	// The window is about 4 KiB. One of the sizes fills it exactly, so that nothing is left to send but the close.
+	sizes := []int{1, 1 << 10, 3 << 10, 5 << 10, 8 << 10, 12 << 10}
+	for size := 4020; size < 4080; size++ {
+		sizes = append(sizes, size)
+	}
+	noticed := make([]chan bool, len(sizes))
+	for i := range noticed {
+		noticed[i] = make(chan bool, 1)
+	}
+	began := make(chan struct{}, len(noticed))
+	lc := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		var optionErr error
+		err := raw.Control(func(fd uintptr) { optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4<<10) })
+		if err != nil {
+			return err
+		}
+		return optionErr
+	}}
+	listener, err := lc.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for i := range noticed {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				// The client fills the receive window meanwhile.
+				time.Sleep(60 * time.Millisecond)
+				began <- struct{}{}
+				noticed[i] <- awaitHangup(t, conn, noticeTimeout)
+			}()
+		}
+	}()
+	c := exchange.New()
+	defer func() { _ = c.Close() }()
+	for i, size := range sizes {
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			<-began
+			cancel()
+		}()
+		resp, err := c.Do(ctx, &exchange.Request{
+			Address: listener.Addr().(*net.TCPAddr).AddrPort(), Method: http.MethodPost, Target: "/a", Host: "a", Body: make([]byte, size),
+		})
+		if err == nil {
+			_ = resp.Body.Close()
+			t.Error("got a response")
+		}
+		cancel()
+		if !<-noticed[i] {
+			t.Errorf("%d bytes: the server did not learn within %v that the client closed the connection", size, noticeTimeout)
+		}
+	}
+}
--- a/modules/exchange/acknowledgement.go
+++ b/modules/exchange/acknowledgement.go
@@ -74,6 +74,48 @@
 	})
 }
 
+// hasUnacknowledged reports whether the peer's system may lack bytes that were written.
+func hasUnacknowledged(tcp *net.TCPConn) bool {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	queued, err := queuedBytes(raw, unix.SIOCOUTQ)
+	return err != nil || queued > 0
+}
+
+// closeWaits reports whether an orderly close may not be sent at once, as bytes before it aren't sent either or the
+// peer's window has no room for it. Where the system says nothing about its connections, unacknowledged bytes count too.
+func closeWaits(tcp *net.TCPConn) bool {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	if unsent, err := queuedBytes(raw, unix.SIOCOUTQNSD); err != nil || unsent > 0 {
+		return true
+	}
+	// Read before the window, which counts from the first byte that isn't acknowledged.
+	unacknowledged, err := queuedBytes(raw, unix.SIOCOUTQ)
+	if err != nil {
+		return true
+	}
+	info, err := tcpInfo(raw)
+	if err != nil {
+		return unacknowledged > 0
+	}
+	return unacknowledged >= int(info.Snd_wnd)
+}
+
+// queuedBytes returns the number of bytes in the connection's send queue that the request selects.
+func queuedBytes(raw syscall.RawConn, request uint) (int, error) {
+	var queued int
+	var queuedErr error
+	if err := raw.Control(func(fd uintptr) { queued, queuedErr = unix.IoctlGetInt(int(fd), request) }); err != nil {
+		return 0, errors.WithStack(err)
+	}
+	return queued, errors.WithStack(queuedErr)
+}
+
 // tcpInfo returns what the system knows about the connection, or an error if it is closed or the system doesn't say.
 func tcpInfo(raw syscall.RawConn) (*unix.TCPInfo, error) {
 	var info *unix.TCPInfo
--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -16,7 +16,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -116,28 +115,17 @@
 	c.close()
 }
 
-// hangUp closes the socket while it carries a request. An orderly close waits behind bytes that the server has not
-// read, which is why it resets the connection then. A reset that is lost isn't repeated, so that it is used only then.
+// hangUp closes the socket while it carries a request. An orderly close waits behind bytes that the server's system has
+// no room for, which is why it resets the connection then. A reset that is lost isn't repeated, so that it is used only
+// then.
 func (c *conn) hangUp() {
-	if tcp, ok := c.netConn.(*net.TCPConn); ok && (c.writing.Load() || hasUnacknowledged(tcp)) {
+	if tcp, ok := c.netConn.(*net.TCPConn); ok && (c.writing.Load() || closeWaits(tcp)) {
 		// If this fails, the close is orderly.
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.netConn.Close()
 }
 
-// hasUnacknowledged reports whether the peer's system may lack bytes that were written.
-func hasUnacknowledged(tcp *net.TCPConn) bool {
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return true
-	}
-	var queued int
-	var ioctlErr error
-	err = raw.Control(func(fd uintptr) { queued, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return err != nil || ioctlErr != nil || queued > 0
-}
-
 // usable reports whether the connection is still open and no unsolicited bytes have
 // arrived on it.
 func (c *conn) usable() bool {
