Read the records of a stream each time it is resumed at another gateway

A gateway that recorded a stream and answered counted as knowing all that resumed it since.

The records are now read for each resumption, unless a read began since its request arrived, and every recorder is asked. Answer.Recorded says only that later gateways find this one by that process. Asking more gateways than one needs two more changes, as one's silence took the time of the others: all are asked at once, beside the read and the end of the local attempts, which are all cancelled before the wait for any of them.

Weighed: B calling A until it answers. There is a window before the call gets through, and a call that comes late ends attempts at A that began after B's own. A process that is only frozen reads B's call once it runs, so that what is left is a network between two gateways that fails for both calls and store.

The wait for the records is 0.35 s at most.

--- a/models/takeover/search.go
+++ b/models/takeover/search.go
@@ -12,7 +12,8 @@
 type Answer struct {
 	// Successor is the gateway that resumed the stream before, which is invalid if there is none.
 	Successor netip.AddrPort
-	// Recorded is whether the process recorded the stream, so that each gateway that resumed it since has asked it.
+	// Recorded is whether the process recorded the stream, so that gateways that resume it later find it by its record,
+	// and from its answer those that it answered.
 	Recorded bool
 }
 
@@ -48,8 +49,8 @@
 	s.Add(a.Successor)
 }
 
-// Complete reports whether the gateways found are all that resumed the stream. If the process that recorded it has
-// ended, they aren't.
+// Complete reports whether a process that recorded the stream has answered, or is this one. Others find the gateway that
+// searches by that one. It doesn't say that all gateways that resumed the stream were found.
 func (s *Search) Complete() bool { return s.complete }
 
 // Next returns the next gateway to ask, and whether there is one.
--- a/services/relay/takeover.go
+++ b/services/relay/takeover.go
@@ -27,6 +27,6 @@
 	if j.attempt == nil || !j.request.ContinuesStream() || j.attempt.EndOthers(ctx, j.request.ArrivedAt) {
 		return
 	}
-	// The process that recorded the stream has ended, so that others find this one by a record only.
+	// No process that recorded the stream has answered, so that others find this one by a record only.
 	j.service.lineage.Begin(ctx, lineage.NewID(j.workspace.Name, j.request.Resumes), j.origin, lifetimeRatio*j.route.Timeout)
 }
--- a/services/takeover/takeover.go
+++ b/services/takeover/takeover.go
@@ -23,6 +23,8 @@
 	answerTimeout = time.Second
 	// searchTimeout bounds the time for which it waits for all gateways.
 	searchTimeout = 2 * answerTimeout
+	// recordsTimeout bounds the time for which it waits for the records. A slow store responds in some 0.25 s.
+	recordsTimeout = 350 * time.Millisecond
 )
 
 // errSuperseded is the cause of the end of an attempt that another one follows.
@@ -129,7 +131,8 @@
 
 // EndOthers ends the attempts at the stream that began before this one, here and at other gateways. It returns when
 // no server works for them, or after a time in which the others don't say so. It reports whether the gateways that
-// resume the stream later will find this one; otherwise it has to record the stream too.
+// resume the stream later will find this one; otherwise it has to record the stream too. Records written before the
+// given time, at which the request arrived, are read.
 func (a *Attempt) EndOthers(ctx context.Context, since time.Time) bool {
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
@@ -137,42 +140,68 @@
 	s.mu.Lock()
 	numbers, successor := s.registry.Before(a.id, a.number), s.registry.Successor(a.id)
 	s.mu.Unlock()
-	if err := s.end(ctx, numbers); err != nil {
-		s.log.Warn("attempt not ended", "error", err)
-	}
+	ended := make(chan error, 1)
+	go func() { ended <- s.end(ctx, numbers) }()
 	search := takeover.NewSearch(s.self, s.recorders.Recorders(a.id)...)
 	search.Record(takeover.Answer{Successor: successor, Recorded: s.recorders.Recorded(a.id)})
-	s.ask(ctx, a.id, search)
-	if search.Complete() {
-		return true
-	}
-	if err := s.recorders.Refresh(ctx, since); err != nil {
-		s.log.Info("gateways that resumed a stream not read", "error", err)
-	}
-	for _, peer := range s.recorders.Recorders(a.id) {
-		search.Add(peer)
+	s.ask(ctx, a.id, since, search)
+	if err := <-ended; err != nil {
+		s.log.Warn("attempt not ended", "error", err)
 	}
-	s.ask(ctx, a.id, search)
 	return search.Complete()
 }
 
-// ask has the gateways of the search end their attempts at the stream.
-func (s *Service) ask(ctx context.Context, id lineage.ID, search *takeover.Search) {
-	for peer, ok := search.Next(); ok; peer, ok = search.Next() {
-		start := time.Now()
-		askCtx, cancel := context.WithTimeout(ctx, answerTimeout)
-		answer, err := s.peers.Supersede(askCtx, peer, id, s.self)
-		cancel()
-		if err != nil {
-			s.metrics.Counter(gatewaysAsked + unanswered).Inc()
-			s.log.Info("gateway not asked to end a stream", "peer", peer, "took", time.Since(start).Round(time.Millisecond), "error", err)
-			continue
+// ask has the gateways of the search end their attempts at the stream, all at once, and reads the records meanwhile: a
+// gateway that recorded the stream may have missed a resumption by another one, which has recorded it too.
+func (s *Service) ask(ctx context.Context, id lineage.ID, since time.Time, search *takeover.Search) {
+	refreshed := make(chan error, 1)
+	go func() { refreshed <- s.refresh(ctx, since) }()
+	answers, open := make(chan takeover.Answer), 0
+	for reading := true; ; {
+		for peer, ok := search.Next(); ok; peer, ok = search.Next() {
+			open++
+			go func() { answers <- s.askOne(ctx, id, peer) }()
+		}
+		if open == 0 && !reading {
+			return
+		}
+		select {
+		case answer := <-answers:
+			open--
+			search.Record(answer)
+		case err := <-refreshed:
+			reading = false
+			if err != nil {
+				s.log.Info("gateways that resumed a stream not read", "error", err)
+			}
+			for _, peer := range s.recorders.Recorders(id) {
+				search.Add(peer)
+			}
 		}
-		s.metrics.Counter(gatewaysAsked + answered).Inc()
-		search.Record(answer)
 	}
 }
 
+func (s *Service) refresh(ctx context.Context, since time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, recordsTimeout)
+	defer cancel()
+	return s.recorders.Refresh(ctx, since)
+}
+
+// askOne has the gateway end its attempts at the stream. Without a response, the answer is empty.
+func (s *Service) askOne(ctx context.Context, id lineage.ID, peer netip.AddrPort) takeover.Answer {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	answer, err := s.peers.Supersede(ctx, peer, id, s.self)
+	if err != nil {
+		s.metrics.Counter(gatewaysAsked + unanswered).Inc()
+		s.log.Info("gateway not asked to end a stream", "peer", peer, "took", time.Since(start).Round(time.Millisecond), "error", err)
+		return takeover.Answer{}
+	}
+	s.metrics.Counter(gatewaysAsked + answered).Inc()
+	return answer
+}
+
 // Counters of the gateways that were asked to end their work on a stream, and of the attempts that ended here.
 const (
 	gatewaysAsked    = "crocusline_stream_takeovers_total"
@@ -192,6 +221,7 @@
 
 // end ends the attempts and waits until no server works for them.
 func (s *Service) end(ctx context.Context, numbers []int64) error {
+	var released []<-chan struct{}
 	for _, n := range numbers {
 		s.mu.Lock()
 		a := s.attempts[n]
@@ -200,8 +230,11 @@
 			continue
 		}
 		s.metrics.Counter(attemptsReplaced).Inc()
+		released = append(released, a.end())
+	}
+	for _, r := range released {
 		select {
-		case <-a.end():
+		case <-r:
 		case <-ctx.Done():
 			return errors.WithStack(context.Cause(ctx))
 		}
--- a/services/takeover/takeover_test.go
+++ b/services/takeover/takeover_test.go
@@ -190,3 +190,38 @@
 		}
 	})
 }
+
+// TestFirstGatewayMissedAResumption guards against an attempt at a gateway in touch that isn't found, as the gateway that
+// began the stream did not get the call of that one for a while, and counts as knowing all that resumed it.
+func TestFirstGatewayMissedAResumption(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(3)
+		first := f.gateways[address(0)]
+		delete(f.gateways, address(0))
+		second := f.begin(t, 1, 10*time.Millisecond)
+		if !second.EndOthers(t.Context(), time.Now()) {
+			f.recorded = append(f.recorded, address(1))
+		}
+		f.gateways[address(0)] = first
+		third := f.begin(t, 2, 0)
+		third.EndOthers(t.Context(), time.Now())
+		if !second.stopped {
+			t.Error("the attempt at the second gateway, which recorded the stream, was not ended")
+		}
+	})
+}
+
+// TestGatewaysDoNotRespond guards against an attempt at a gateway in touch that isn't ended, as others, or an attempt
+// here whose server's connection stays open, take the time of the search.
+func TestGatewaysDoNotRespond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(4)
+		open := f.begin(t, 3, 10*time.Millisecond)
+		f.begin(t, 1, 10*time.Second)
+		f.recorded = []netip.AddrPort{address(7), address(8), address(9), address(3)}
+		f.begin(t, 1, 0).EndOthers(t.Context(), time.Now())
+		if !open.stopped {
+			t.Error("the attempt at the gateway that responds was not ended")
+		}
+	})
+}
