Ask the gateways that take part in a stream while the store is away

A gateway that resumes a stream while the store is away asks others for its origin, and took each that knew it for one that recorded it.

The answer to a request for an origin now says whether the gateway takes part in the stream: its process recorded it, or it has attempts or knows another gateway that resumed it. One that doesn't know the origin may take part too. The answer of an older release doesn't say it; there, who knows the stream counts, as before. The map of them was emptied at its bound; the streams asked for first are forgotten now, and others after 2 minutes.

TestPeers now compares whole answers, for two more streams; its handler gets attempts, which the request for an origin reads.

--- a/models/lineage/lineage.go
+++ b/models/lineage/lineage.go
@@ -19,6 +19,15 @@
 // Known reports whether the version is known. A stream of unknown origin can't be continued.
 func (o Origin) Known() bool { return o.Version != "" }
 
+// Answer is what a gateway says about a stream to another one.
+type Answer struct {
+	// Origin is unknown if the gateway doesn't know it.
+	Origin Origin
+	// Participant is whether its process began the stream, or has or knows attempts at it. A gateway that has only read
+	// of the stream is none.
+	Participant bool
+}
+
 // ID identifies a stream.
 type ID [16]byte
 
--- a/models/takeover/registry.go
+++ b/models/takeover/registry.go
@@ -71,6 +71,11 @@
 // Successor returns the other gateway that resumed the stream last, which is invalid if there is none.
 func (r *Registry) Successor(id lineage.ID) netip.AddrPort { return r.successors[id].gateway }
 
+// Holds reports whether there are attempts at the stream, or another gateway that resumed it.
+func (r *Registry) Holds(id lineage.ID) bool {
+	return len(r.attempts[id]) > 0 || r.Successor(id).IsValid()
+}
+
 func (r *Registry) prune(now time.Time) {
 	if now.Sub(r.lastPrunedAt) < pruneInterval {
 		return
--- a/routers/front/front_test.go
+++ b/routers/front/front_test.go
@@ -232,9 +232,11 @@
 	return lineage.Origin{Pool: "models", Version: "v1"}
 }
 
+func (oneOrigin) Recorded(id lineage.ID) bool { return id == lineage.NewID("clinics", "recorded") }
+
 func TestPeers(t *testing.T) {
 	lender := halfLender{returned: map[string]int64{}}
-	server := httptest.NewServer(front.NewPeerHandler(hclog.NewNullLogger(), fixedSnapshot{}, lender, oneOrigin{}, nil))
+	server := httptest.NewServer(front.NewPeerHandler(hclog.NewNullLogger(), fixedSnapshot{}, lender, oneOrigin{}, &fakeAttempts{id: lineage.NewID("clinics", "resumed")}))
 	defer server.Close()
 	client := front.NewPeerClient(nil)
 	if _, err := client.Snapshot(t.Context(), 0, catalog.Known{}); err == nil {
@@ -257,12 +259,15 @@
 	if err := client.Return(t.Context(), peer, "clinics", 300); err != nil || lender.returned["clinics"] != 300 {
 		t.Errorf("returned %d tokens, want 300: %v", lender.returned["clinics"], err)
 	}
-	known, unknown := lineage.NewID("clinics", "known"), lineage.NewID("clinics", "unknown")
-	if o, err := client.Origin(t.Context(), peer, known); err != nil || o != (lineage.Origin{Pool: "models", Version: "v1"}) {
-		t.Errorf("got the origin %+v and %v", o, err)
-	}
-	if o, err := client.Origin(t.Context(), peer, unknown); err != nil || o.Known() {
-		t.Errorf("got the origin %+v and %v of an unknown stream", o, err)
+	for name, want := range map[string]lineage.Answer{
+		"known":    {Origin: lineage.Origin{Pool: "models", Version: "v1"}},
+		"unknown":  {},
+		"recorded": {Participant: true},
+		"resumed":  {Participant: true},
+	} {
+		if got, err := client.Origin(t.Context(), peer, lineage.NewID("clinics", name)); err != nil || got != want {
+			t.Errorf("%s: got %+v and %v, want %+v", name, got, err, want)
+		}
 	}
 	resp, err := http.Post(server.URL+"/peer/v1/tokens", "application/json", strings.NewReader("{"))
 	if err != nil {
--- a/routers/front/peers.go
+++ b/routers/front/peers.go
@@ -63,12 +63,25 @@
 type OriginSource interface {
 	// Known returns the origin of the stream, or an unknown one.
 	Known(id lineage.ID) lineage.Origin
+	// Recorded reports whether this process recorded the stream.
+	Recorded(id lineage.ID) bool
 }
 
-// origin is the body of the response to a request for the origin of a stream. It is empty if that is unknown.
-type origin struct {
-	Pool    string `json:"pool,omitempty"`
-	Version string `json:"version,omitempty"`
+// originResponse is the body of the response to a request for the origin of a stream. Pool and version are empty if that
+// is unknown. Gateways of older releases don't say whether they take part in the stream.
+type originResponse struct {
+	Pool        string `json:"pool,omitempty"`
+	Version     string `json:"version,omitempty"`
+	Participant *bool  `json:"participant,omitempty"`
+}
+
+// answer returns the content of the response. A gateway that may take part in the stream counts as one that does.
+func (r originResponse) answer() lineage.Answer {
+	o := lineage.Origin{Pool: r.Pool, Version: r.Version}
+	if r.Participant == nil {
+		return lineage.Answer{Origin: o, Participant: o.Known()}
+	}
+	return lineage.Answer{Origin: o, Participant: *r.Participant}
 }
 
 // loan is the body of a request for tokens and of a return.
@@ -116,7 +129,8 @@
 	})
 	mux.HandleFunc("GET "+originPath+"{id}", func(w http.ResponseWriter, r *http.Request) {
 		if id, ok := decodeStreamID(w, r); ok {
-			writeJSON(log, w, origin(origins.Known(id)))
+			o, participant := origins.Known(id), origins.Recorded(id) || attempts.Holds(id)
+			writeJSON(log, w, originResponse{Pool: o.Pool, Version: o.Version, Participant: &participant})
 		}
 	})
 	mux.HandleFunc("POST "+supersedePath+"{id}", func(w http.ResponseWriter, r *http.Request) { supersede(log, w, r, attempts) })
@@ -220,10 +234,10 @@
 }
 
 // Origin implements lineage.Peers.
-func (c *PeerClient) Origin(ctx context.Context, peer netip.AddrPort, id lineage.ID) (lineage.Origin, error) {
-	var result origin
+func (c *PeerClient) Origin(ctx context.Context, peer netip.AddrPort, id lineage.ID) (lineage.Answer, error) {
+	var result originResponse
 	err := c.do(ctx, http.MethodGet, peer, originPath+hex.EncodeToString(id[:]), nil, &result)
-	return lineage.Origin(result), err
+	return result.answer(), err
 }
 
 // Return implements prepaid.Peers. net/http doesn't repeat a POST that may have been
--- a/routers/front/supersede.go
+++ b/routers/front/supersede.go
@@ -28,6 +28,8 @@
 	// Supersede ends the attempts at the stream, which the successor resumes. It returns once no server works for these
 	// attempts.
 	Supersede(ctx context.Context, id lineage.ID, successor netip.AddrPort) (takeover.Answer, error)
+	// Holds reports whether this gateway has attempts at the stream, or knows another one that resumed it.
+	Holds(id lineage.ID) bool
 }
 
 // succession is the body of a request to end the attempts at a stream, with the gateway that resumes it.
--- a/routers/front/supersede_test.go
+++ b/routers/front/supersede_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"testing"
@@ -27,6 +29,8 @@
 	return a.answer, a.err
 }
 
+func (a *fakeAttempts) Holds(id lineage.ID) bool { return id == a.id }
+
 // TestSupersede checks that a gateway has another one end its attempts at a stream.
 func TestSupersede(t *testing.T) {
 	attempts := &fakeAttempts{}
@@ -51,3 +55,20 @@
 		t.Error("got no error of a gateway that has ended")
 	}
 }
+
+// TestOriginAtOlderRelease checks that a gateway which doesn't say whether it takes part in a stream counts as one that
+// does if it knows the stream.
+func TestOriginAtOlderRelease(t *testing.T) {
+	for body, want := range map[string]lineage.Answer{
+		`{"pool":"models","version":"v1"}`: {Origin: lineage.Origin{Pool: "models", Version: "v1"}, Participant: true},
+		`{}`:                               {},
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) }))
+		client := front.NewPeerClient(nil)
+		if got, err := client.Origin(t.Context(), addresses(t, server)[0], lineage.NewID("clinics", "r1")); err != nil || got != want {
+			t.Errorf("%s: got %+v and %v, want %+v", body, got, err, want)
+		}
+		_ = client.Close()
+		server.Close()
+	}
+}
--- a/services/lineage/find.go
+++ b/services/lineage/find.go
@@ -178,29 +178,32 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	type answer struct {
-		origin lineage.Origin
-		peer   netip.AddrPort
+		lineage.Answer
+		peer netip.AddrPort
 	}
 	answers := make(chan answer, maxPeers)
 	peers := gateway.Nearest(s.fleet.Members(), s.instance, maxPeers)
 	for _, peer := range peers {
 		go func() {
-			o, err := s.peers.Origin(ctx, peer, id)
+			a, err := s.peers.Origin(ctx, peer, id)
 			if err != nil {
 				s.log.Debug("peer not asked for the origin of a stream", "peer", peer, "error", err)
 			}
-			answers <- answer{o, peer}
+			answers <- answer{a, peer}
 		}()
 	}
 	all := lineage.NewIndex()
-	var told []netip.AddrPort
+	var gateways []netip.AddrPort
 	for range peers {
-		if a := <-answers; a.origin.Known() {
-			all.Add(lineage.Entry{ID: id, Origin: a.origin})
-			told = append(told, a.peer)
+		a := <-answers
+		if a.Origin.Known() {
+			all.Add(lineage.Entry{ID: id, Origin: a.Origin})
+		}
+		if a.Participant {
+			gateways = append(gateways, a.peer)
 		}
 	}
-	s.recordTold(id, told)
+	s.recordParticipants(time.Now(), id, gateways)
 	o, _ := all.Find(id)
 	return o
 }
--- a/services/lineage/lineage.go
+++ b/services/lineage/lineage.go
@@ -62,8 +62,8 @@
 
 // Peers calls other gateways.
 type Peers interface {
-	// Origin returns the origin of a stream that the gateway at the address knows, or an unknown one.
-	Origin(ctx context.Context, peer netip.AddrPort, id lineage.ID) (lineage.Origin, error)
+	// Origin asks the gateway at the address for the origin of a stream.
+	Origin(ctx context.Context, peer netip.AddrPort, id lineage.ID) (lineage.Answer, error)
 }
 
 // Option changes a Service at construction.
@@ -111,8 +111,8 @@
 	// them.
 	stored    [partitions]*lineage.Index
 	recorders [partitions]map[lineage.ID][]string
-	// told holds the gateways that knew of a stream when they were asked.
-	told map[lineage.ID][]netip.AddrPort
+	// participants holds the gateways that took part in a stream when they were asked.
+	participants map[lineage.ID]participants
 	// reading is the last read, or nil.
 	reading *read
 
@@ -132,7 +132,7 @@
 func New(log hclog.Logger, store Store, topic, instance string, opts ...Option) *Service {
 	s := &Service{
 		log: log.Named(Name), store: store, topic: topic, instance: instance, writesPerSecond: defaultWritesPerSecond, metrics: metric.New(),
-		began: map[lineage.ID]begun{}, told: map[lineage.ID][]netip.AddrPort{}, writer: lineage.NewWriter(instance), changed: make(chan struct{}), wake: make(chan struct{}, 1),
+		began: map[lineage.ID]begun{}, participants: map[lineage.ID]participants{}, writer: lineage.NewWriter(instance), changed: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 	for i := range s.stored {
 		s.stored[i] = lineage.NewIndex()
@@ -326,6 +326,11 @@
 			delete(s.began, id)
 		}
 	}
+	for id, p := range s.participants {
+		if now.Sub(p.since) > participantsLifetime {
+			delete(s.participants, id)
+		}
+	}
 	if s.reading != nil && now.Sub(s.reading.beganAt) > readLifetime {
 		s.reading = nil
 		for n := range s.stored {
--- a/services/lineage/lineage_test.go
+++ b/services/lineage/lineage_test.go
@@ -45,8 +45,9 @@
 }
 
 // Origin implements lineage.Peers.
-func (f *fixture) Origin(_ context.Context, peer netip.AddrPort, id models.ID) (models.Origin, error) {
-	return f.gateways[peer].Known(id), nil
+func (f *fixture) Origin(_ context.Context, peer netip.AddrPort, id models.ID) (models.Answer, error) {
+	s := f.gateways[peer]
+	return models.Answer{Origin: s.Known(id), Participant: s.Recorded(id)}, nil
 }
 
 func run(t *testing.T, test func(f *fixture)) {
--- a/services/lineage/recorders.go
+++ b/services/lineage/recorders.go
@@ -11,8 +11,18 @@
 	"github.com/crocusline/crocusline/models/lineage"
 )
 
-// maxTold bounds the streams of which gateways are remembered that knew them.
-const maxTold = 4096
+const (
+	// maxParticipants bounds the streams whose participants are known from other gateways.
+	maxParticipants = 4096
+	// participantsLifetime is longer than callers resume a stream.
+	participantsLifetime = 2 * time.Minute
+)
+
+// participants are gateways that began a stream, or have or know attempts at it.
+type participants struct {
+	gateways []netip.AddrPort
+	since    time.Time
+}
 
 // Recorded reports whether this process recorded the stream.
 func (s *Service) Recorded(id lineage.ID) bool {
@@ -45,12 +55,12 @@
 	}
 }
 
-// Recorders returns the other gateways that recorded the stream, or that knew it when they were asked. One that is no
-// longer registered has ended.
+// Recorders returns the other gateways that recorded the stream, or that took part in it when they were asked. One that
+// is no longer registered has ended.
 func (s *Service) Recorders(id lineage.ID) []netip.AddrPort {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	all := slices.Clone(s.told[id])
+	all := slices.Clone(s.participants[id].gateways)
 	if s.fleet == nil {
 		return all
 	}
@@ -69,15 +79,23 @@
 	return all
 }
 
-// recordTold records which gateways knew of a stream.
-func (s *Service) recordTold(id lineage.ID, gateways []netip.AddrPort) {
+// recordParticipants records which gateways took part in a stream. At the bound it forgets the streams asked for
+// first.
+func (s *Service) recordParticipants(now time.Time, id lineage.ID, gateways []netip.AddrPort) {
 	if len(gateways) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.told) >= maxTold {
-		clear(s.told)
+	if _, exists := s.participants[id]; !exists && len(s.participants) >= maxParticipants {
+		var first lineage.ID
+		since := now
+		for other, p := range s.participants {
+			if !p.since.After(since) {
+				first, since = other, p.since
+			}
+		}
+		delete(s.participants, first)
 	}
-	s.told[id] = gateways
+	s.participants[id] = participants{gateways: gateways, since: now}
 }
--- a/services/takeover/takeover.go
+++ b/services/takeover/takeover.go
@@ -219,6 +219,13 @@
 	return takeover.Answer{Successor: before, Recorded: s.recorders.Recorded(id)}, s.end(ctx, numbers)
 }
 
+// Holds reports whether this process has attempts at the stream, or knows another gateway that resumed it.
+func (s *Service) Holds(id lineage.ID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.registry.Holds(id)
+}
+
 // end ends the attempts and waits until no server works for them.
 func (s *Service) end(ctx context.Context, numbers []int64) error {
 	var released []<-chan struct{}
