Keep all gateways that resumed a stream, not the last one only

A gateway kept only the last one that resumed a stream.

Expired ones were removed only when another takeover came; now also when an attempt begins.

Bodies between gateways name the field successors, and their types are supersedeRequest and supersedeResponse: "succeeded" read like a result.

--- a/models/takeover/search.go
+++ b/models/takeover/search.go
@@ -10,8 +10,8 @@
 
 // Answer is what a gateway says that has ended its attempts at a stream.
 type Answer struct {
-	// Successor is the gateway that resumed the stream before, which is invalid if there is none.
-	Successor netip.AddrPort
+	// Successors are the other gateways that resumed the stream before, the last one first.
+	Successors []netip.AddrPort
 	// Recorded is whether the process recorded the stream, so that gateways that resume it later find it by its record,
 	// and from its answer those that it answered.
 	Recorded bool
@@ -28,25 +28,25 @@
 // NewSearch returns the search of a gateway that begins with the others given.
 func NewSearch(self netip.AddrPort, first ...netip.AddrPort) *Search {
 	s := &Search{seen: []netip.AddrPort{self}}
-	for _, g := range first {
-		s.Add(g)
-	}
+	s.Add(first...)
 	return s
 }
 
-// Add adds a gateway, unless it is invalid or was added before.
-func (s *Search) Add(g netip.AddrPort) {
-	if !g.IsValid() || slices.Contains(s.seen, g) || len(s.seen) > maxAsked {
-		return
+// Add adds gateways, but for those that are invalid or were added before.
+func (s *Search) Add(gateways ...netip.AddrPort) {
+	for _, g := range gateways {
+		if !g.IsValid() || slices.Contains(s.seen, g) || len(s.seen) > maxAsked {
+			continue
+		}
+		s.seen = append(s.seen, g)
+		s.pending = append(s.pending, g)
 	}
-	s.seen = append(s.seen, g)
-	s.pending = append(s.pending, g)
 }
 
 // Record records the answer of a gateway.
 func (s *Search) Record(a Answer) {
 	s.complete = s.complete || a.Recorded
-	s.Add(a.Successor)
+	s.Add(a.Successors...)
 }
 
 // Complete reports whether a process that recorded the stream has answered, or is this one. Others find the gateway that
--- a/routers/front/supersede.go
+++ b/routers/front/supersede.go
@@ -32,15 +32,15 @@
 	Holds(id lineage.ID) bool
 }
 
-// succession is the body of a request to end the attempts at a stream, with the gateway that resumes it.
-type succession struct {
+// supersedeRequest is the body of a request to end the attempts at a stream, with the gateway that resumes it.
+type supersedeRequest struct {
 	Successor netip.AddrPort `json:"successor"`
 }
 
-// succeeded is the body of the response, with the gateway that resumed the stream before.
-type succeeded struct {
-	Successor netip.AddrPort `json:"successor"`
-	Recorded  bool           `json:"recorded,omitempty"`
+// supersedeResponse is the body of the response, with the gateways that resumed the stream before.
+type supersedeResponse struct {
+	Successors []netip.AddrPort `json:"successors,omitempty"`
+	Recorded   bool             `json:"recorded,omitempty"`
 }
 
 // supersede handles a request to end the attempts at a stream.
@@ -49,7 +49,7 @@
 	if !ok {
 		return
 	}
-	var s succession
+	var s supersedeRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSmallBytes)).Decode(&s); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -59,7 +59,7 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(log, w, succeeded(answer))
+	writeJSON(log, w, supersedeResponse(answer))
 }
 
 // decodeStreamID returns the id of the stream in the path. If that fails it writes the error response.
@@ -81,7 +81,7 @@
 
 // Supersede implements takeover.Peers.
 func (c *PeerClient) Supersede(ctx context.Context, peer netip.AddrPort, id lineage.ID, successor netip.AddrPort) (takeover.Answer, error) {
-	body, err := json.Marshal(succession{Successor: successor})
+	body, err := json.Marshal(supersedeRequest{Successor: successor})
 	if err != nil {
 		return takeover.Answer{}, errors.WithStack(err)
 	}
@@ -90,7 +90,7 @@
 	timer := time.AfterFunc(connectTimeout, func() { cancel(errNotConnected) })
 	defer timer.Stop()
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { timer.Stop() }})
-	var result succeeded
+	var result supersedeResponse
 	err = c.do(traced, http.MethodPost, peer, supersedePath+hex.EncodeToString(id[:]), body, &result)
 	return takeover.Answer(result), err
 }
--- a/routers/front/supersede_test.go
+++ b/routers/front/supersede_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"reflect"
 	"testing"
 
 	"github.com/hashicorp/go-hclog"
@@ -39,10 +40,10 @@
 	client := front.NewPeerClient(nil)
 	defer func() { _ = client.Close() }()
 	peer, id, self := addresses(t, server)[0], lineage.NewID("clinics", "r1"), netip.MustParseAddrPort("10.0.0.2:80")
-	for _, answer := range []takeover.Answer{{}, {Successor: netip.MustParseAddrPort("10.0.0.3:80"), Recorded: true}} {
+	for _, answer := range []takeover.Answer{{}, {Successors: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.3:80"), netip.MustParseAddrPort("10.0.0.4:80")}, Recorded: true}} {
 		attempts.answer = answer
 		got, err := client.Supersede(t.Context(), peer, id, self)
-		if err != nil || got != answer || attempts.id != id || attempts.successor != self {
+		if err != nil || !reflect.DeepEqual(got, answer) || attempts.id != id || attempts.successor != self {
 			t.Errorf("got %v and %v, the gateway got %+v", got, err, attempts)
 		}
 	}
--- a/services/takeover/takeover.go
+++ b/services/takeover/takeover.go
@@ -85,6 +85,7 @@
 func (s *Service) Begin(id lineage.ID, cancel context.CancelCauseFunc) *Attempt {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.registry.Prune(time.Now())
 	a := &Attempt{service: s, id: id, number: s.registry.Begin(id), cancel: cancel, released: make(chan struct{})}
 	close(a.released)
 	s.attempts[a.number] = a
@@ -138,12 +139,12 @@
 	defer cancel()
 	s := a.service
 	s.mu.Lock()
-	numbers, successor := s.registry.Before(a.id, a.number), s.registry.Successor(a.id)
+	numbers, successors := s.registry.Before(a.id, a.number), s.registry.Successors(a.id)
 	s.mu.Unlock()
 	ended := make(chan error, 1)
 	go func() { ended <- s.end(ctx, numbers) }()
 	search := takeover.NewSearch(s.self, s.recorders.Recorders(a.id)...)
-	search.Record(takeover.Answer{Successor: successor, Recorded: s.recorders.Recorded(a.id)})
+	search.Record(takeover.Answer{Successors: successors, Recorded: s.recorders.Recorded(a.id)})
 	s.ask(ctx, a.id, since, search)
 	if err := <-ended; err != nil {
 		s.log.Warn("attempt not ended", "error", err)
@@ -174,9 +175,7 @@
 			if err != nil {
 				s.log.Info("gateways that resumed a stream not read", "error", err)
 			}
-			for _, peer := range s.recorders.Recorders(id) {
-				search.Add(peer)
-			}
+			search.Add(s.recorders.Recorders(id)...)
 		}
 	}
 }
@@ -216,7 +215,7 @@
 	s.mu.Lock()
 	numbers, before := s.registry.Supersede(time.Now(), id, successor)
 	s.mu.Unlock()
-	return takeover.Answer{Successor: before, Recorded: s.recorders.Recorded(id)}, s.end(ctx, numbers)
+	return takeover.Answer{Successors: before, Recorded: s.recorders.Recorded(id)}, s.end(ctx, numbers)
 }
 
 // Holds reports whether this process has attempts at the stream, or knows another gateway that resumed it.
