Don't take an own pause for the silence of a gateway

A gateway that doesn't run for 0.25 s while it connects to another one, or for 1 s while it waits for its answer, finds its own timer over when it runs on, though the connection or the response is there.

The times for a connection, an answer, the records and the whole search are now kept by transfer.Guard, which has the rule: a timer that fires more than 0.1 s late is extended by 0.1 s, three times at most. Release lifts its limits once there is a connection. With this use the race detector showed that Watch set the timer without the lock: a process that stands still between its start and the assignment would have extended a timer that is nil.

--- a/modules/transfer/transfer.go
+++ b/modules/transfer/transfer.go
@@ -77,6 +77,7 @@
 	extensions int
 	began      time.Time
 	received   int64
+	released   bool
 }
 
 // Watch returns a guard of a call that starts now, and the context of the call. Stop must
@@ -85,6 +86,8 @@
 	now := time.Now()
 	g := &Guard{limits: limits, started: now, due: now.Add(limits.Begin)}
 	g.ctx, g.cancel = context.WithCancelCause(ctx)
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.timer = time.AfterFunc(limits.Begin, g.expire)
 	return g.ctx, g
 }
@@ -92,6 +95,9 @@
 func (g *Guard) expire() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.released {
+		return
+	}
 	now := time.Now()
 	if now.Sub(g.due) > maxLateness && g.extensions < maxExtensions {
 		g.extensions++
@@ -138,6 +144,14 @@
 	return errors.WithStack(err)
 }
 
+// Release lifts the limits, while the context goes on.
+func (g *Guard) Release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.released = true
+	g.timer.Stop()
+}
+
 // Stop ends the guard and cancels the context.
 func (g *Guard) Stop() {
 	g.timer.Stop()
--- a/modules/transfer/transfer_test.go
+++ b/modules/transfer/transfer_test.go
@@ -47,3 +47,16 @@
 		})
 	}
 }
+
+// TestReleased checks that a call whose limits are lifted goes on.
+func TestReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, g := Watch(t.Context(), Limits{Begin: time.Second})
+		defer g.Stop()
+		g.Release()
+		time.Sleep(time.Hour)
+		if ctx.Err() != nil {
+			t.Error("the call was given up")
+		}
+	})
+}
--- a/routers/front/supersede.go
+++ b/routers/front/supersede.go
@@ -15,14 +15,13 @@
 
 	"github.com/crocusline/crocusline/models/lineage"
 	"github.com/crocusline/crocusline/models/takeover"
+	"github.com/crocusline/crocusline/modules/transfer"
 )
 
 // connectTimeout bounds the time for a connection to a gateway that may still work on a stream. The system of a
 // machine that is up accepts it without the process.
 const connectTimeout = 250 * time.Millisecond
 
-var errNotConnected = errors.Errorf("no connection within %v", connectTimeout)
-
 // Attempts are the attempts at streams of this gateway.
 type Attempts interface {
 	// Supersede ends the attempts at the stream, which the successor resumes. It returns once no server works for these
@@ -85,12 +84,13 @@
 	if err != nil {
 		return takeover.Answer{}, errors.WithStack(err)
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := time.AfterFunc(connectTimeout, func() { cancel(errNotConnected) })
-	defer timer.Stop()
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { timer.Stop() }})
+	ctx, guard := transfer.Watch(ctx, transfer.Limits{Begin: connectTimeout})
+	defer guard.Stop()
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { guard.Release() }})
 	var result supersedeResponse
 	err = c.do(traced, http.MethodPost, peer, supersedePath+hex.EncodeToString(id[:]), body, &result)
-	return takeover.Answer(result), err
+	if err != nil {
+		return takeover.Answer{}, guard.Cause(err)
+	}
+	return takeover.Answer(result), nil
 }
--- a/services/takeover/takeover.go
+++ b/services/takeover/takeover.go
@@ -15,8 +15,10 @@
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/takeover"
 	"github.com/crocusline/crocusline/modules/metric"
+	"github.com/crocusline/crocusline/modules/transfer"
 )
 
+// These are times in which this process ran: guards extend them if their timers fire late.
 const (
 	// answerTimeout bounds the time for which a request that resumes a stream waits for another gateway. A gateway that
 	// is short of processor time responds within some 0.2 s, one that is cut off doesn't respond.
@@ -135,8 +137,8 @@
 // resume the stream later will find this one; otherwise it has to record the stream too. Records written before the
 // given time, at which the request arrived, are read.
 func (a *Attempt) EndOthers(ctx context.Context, since time.Time) bool {
-	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
-	defer cancel()
+	ctx, guard := transfer.Watch(ctx, transfer.Limits{Begin: searchTimeout})
+	defer guard.Stop()
 	s := a.service
 	s.mu.Lock()
 	numbers, successors := s.registry.Before(a.id, a.number), s.registry.Successors(a.id)
@@ -181,16 +183,16 @@
 }
 
 func (s *Service) refresh(ctx context.Context, since time.Time) error {
-	ctx, cancel := context.WithTimeout(ctx, recordsTimeout)
-	defer cancel()
+	ctx, guard := transfer.Watch(ctx, transfer.Limits{Begin: recordsTimeout})
+	defer guard.Stop()
 	return s.recorders.Refresh(ctx, since)
 }
 
 // askOne has the gateway end its attempts at the stream. Without a response, the answer is empty.
 func (s *Service) askOne(ctx context.Context, id lineage.ID, peer netip.AddrPort) takeover.Answer {
 	start := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-	defer cancel()
+	ctx, guard := transfer.Watch(ctx, transfer.Limits{Begin: answerTimeout})
+	defer guard.Stop()
 	answer, err := s.peers.Supersede(ctx, peer, id, s.self)
 	if err != nil {
 		s.metrics.Counter(gatewaysAsked + unanswered).Inc()
