--- a/routers/front/supersede.go
+++ b/routers/front/supersede.go
@@ -15,30 +15,31 @@
 
 	"github.com/crocusline/crocusline/models/lineage"
 	"github.com/crocusline/crocusline/models/takeover"
+	"github.com/crocusline/crocusline/modules/transfer"
 )
 
 // connectTimeout bounds the time for a connection to a gateway that may still work on a stream. The system of a
 // machine that is up accepts it without the process.
 const connectTimeout = 250 * time.Millisecond
 
-var errNotConnected = errors.Errorf("no connection within %v", connectTimeout)
-
 // Attempts are the attempts at streams of this gateway.
 type Attempts interface {
 	// Supersede ends the attempts at the stream, which the successor resumes. It returns once no server works for these
 	// attempts.
 	Supersede(ctx context.Context, id lineage.ID, successor netip.AddrPort) (takeover.Answer, error)
+	// Holds reports whether this gateway has attempts at the stream, or knows another one that resumed it.
+	Holds(id lineage.ID) bool
 }
 
-// succession is the body of a request to end the attempts at a stream, with the gateway that resumes it.
-type succession struct {
+// supersedeRequest is the body of a request to end the attempts at a stream, with the gateway that resumes it.
+type supersedeRequest struct {
 	Successor netip.AddrPort `json:"successor"`
 }
 
-// succeeded is the body of the response, with the gateway that resumed the stream before.
-type succeeded struct {
-	Successor netip.AddrPort `json:"successor"`
-	Recorded  bool           `json:"recorded,omitempty"`
+// supersedeResponse is the body of the response, with the gateways that resumed the stream before.
+type supersedeResponse struct {
+	Successors []netip.AddrPort `json:"successors,omitempty"`
+	Recorded   bool             `json:"recorded,omitempty"`
 }
 
 // supersede handles a request to end the attempts at a stream.
@@ -47,7 +48,7 @@
 	if !ok {
 		return
 	}
-	var s succession
+	var s supersedeRequest
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSmallBytes)).Decode(&s); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -57,7 +58,7 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(log, w, succeeded(answer))
+	writeJSON(log, w, supersedeResponse(answer))
 }
 
 // decodeStreamID returns the id of the stream in the path. If that fails it writes the error response.
@@ -79,16 +80,17 @@
 
 // Supersede implements takeover.Peers.
 func (c *PeerClient) Supersede(ctx context.Context, peer netip.AddrPort, id lineage.ID, successor netip.AddrPort) (takeover.Answer, error) {
-	body, err := json.Marshal(succession{Successor: successor})
+	body, err := json.Marshal(supersedeRequest{Successor: successor})
 	if err != nil {
 		return takeover.Answer{}, errors.WithStack(err)
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := time.AfterFunc(connectTimeout, func() { cancel(errNotConnected) })
-	defer timer.Stop()
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { timer.Stop() }})
-	var result succeeded
+	ctx, guard := transfer.Watch(ctx, transfer.Limits{Begin: connectTimeout})
+	defer guard.Stop()
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { guard.Release() }})
+	var result supersedeResponse
 	err = c.do(traced, http.MethodPost, peer, supersedePath+hex.EncodeToString(id[:]), body, &result)
-	return takeover.Answer(result), err
+	if err != nil {
+		return takeover.Answer{}, guard.Cause(err)
+	}
+	return takeover.Answer(result), nil
 }
