Test that a list from a copy says nothing about earlier reads

services/catalog stayed green without its call of Roster.ResetReads, by which reads of the list before the store returned from a copy don't count as evidence of which servers are heard from after it. Only the roster's own test had that case.

TestListReadBeforeCopy reads a list in which a server would count as heard from; without the call it does although the store has returned from a copy (3 of 3 runs fail, evidence list instead of none); with it there is no evidence. Its other case has no copy and keeps the evidence, so that the reads themselves suffice.

--- a/services/catalog/servers_test.go
+++ b/services/catalog/servers_test.go
@@ -92,3 +92,59 @@
 		}
 	})
 }
+
+// copyLog lists one server. Its store returns from a copy once, at the time.
+type copyLog struct {
+	slowLog
+	returnsAt time.Time
+}
+
+func (l *copyLog) era() int64 {
+	if time.Now().Before(l.returnsAt) {
+		return 1
+	}
+	return 2
+}
+
+func (l *copyLog) Read(ctx context.Context, r record.Read) (record.Batch, error) {
+	b, err := l.slowLog.Read(ctx, r)
+	b.Era = l.era()
+	return b, err
+}
+
+func (l *copyLog) Snapshot(ctx context.Context, p record.Partition) (record.Snapshot, error) {
+	s, err := l.slowLog.Snapshot(ctx, p)
+	s.Era = l.era()
+	return s, err
+}
+
+// TestListReadBeforeCopy guards against a list that the store has from a copy, and that shows which servers are heard from
+// as if it had been read all the while.
+func TestListReadBeforeCopy(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		returns time.Duration
+		want    roster.Evidence
+	}{
+		{"no copy", time.Hour, roster.ListEvidence}, {"returned from a copy", 6 * time.Second, roster.NoEvidence},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				log := &copyLog{slowLog{readTime: 700 * time.Millisecond}, time.Now().Add(tt.returns)}
+				c := catalog.New(hclog.NewNullLogger(), log, platform.Codec{}, catalog.WithHeartbeat(1200*time.Millisecond))
+				if err := c.Start(t.Context(), nil); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				openedAt := time.Now()
+				time.Sleep(8500 * time.Millisecond)
+				if got := c.Confirmed(roster.Server{ID: "i-1", Started: 17}, openedAt); got != tt.want {
+					t.Errorf("evidence %s, want %s", got, tt.want)
+				}
+				if err := c.Close(); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
