--- a/routers/front/thin_link_test.go
+++ b/routers/front/thin_link_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -77,22 +78,22 @@
 // countingHandler counts requests and the bytes of their responses.
 type countingHandler struct {
 	handler  http.Handler
-	requests int
-	bytes    int
+	requests atomic.Int64
+	bytes    atomic.Int64
 }
 
 func (h *countingHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.requests++
+	h.requests.Add(1)
 	h.handler.ServeHTTP(&countingWriter{w, &h.bytes}, r)
 }
 
 type countingWriter struct {
 	http.ResponseWriter
-	bytes *int
+	bytes *atomic.Int64
 }
 
 func (w *countingWriter) Write(p []byte) (int, error) {
-	*w.bytes += len(p)
+	w.bytes.Add(int64(len(p)))
 	return w.ResponseWriter.Write(p)
 }
 
@@ -117,8 +118,8 @@
 		time.Sleep(2 * time.Second)
 		store.Put(operatorTopic, "config", manyRoutes(2))
 		time.Sleep(5 * time.Second)
-		if v := c.Table().Version; v != 2 || h.requests != 0 {
-			t.Errorf("version %d is in force after %d snapshots of peers, want version 2 without any", v, h.requests)
+		if v := c.Table().Version; v != 2 || h.requests.Load() != 0 {
+			t.Errorf("version %d is in force after %d snapshots of peers, want version 2 without any", v, h.requests.Load())
 		}
 		closeAll(t, c, other)
 	})
@@ -140,8 +141,8 @@
 		if table := c.Table(); table == nil || table.Version != 2 {
 			t.Error("the tables of the peer are not in force after 10 s")
 		}
-		if size := len(manyRoutes(2)); h.bytes > 2*size {
-			t.Errorf("the peer sent %d bytes in %d snapshots, want little more than the tables once, of %d bytes", h.bytes, h.requests, size)
+		if size := int64(len(manyRoutes(2))); h.bytes.Load() > 2*size {
+			t.Errorf("the peer sent %d bytes in %d snapshots, want little more than the tables once, of %d bytes", h.bytes.Load(), h.requests.Load(), size)
 		}
 		closeAll(t, c, other)
 	})
