Wrap the comment of ConfirmsEnd

One line of the comment on Progress.ConfirmsEnd was far wider than the others. The text is the same, and no code is changed; models/call passed 3 times, and the linter has no issues on the whole tree.

--- a/models/call/progress.go
+++ b/models/call/progress.go
@@ -47,8 +47,8 @@
 
 // ConfirmsEnd reports whether an orderly end without framing, after the event with the id, shows that
 // the stream may be complete: another server must have ended it there too. Each such end may be a
-// crash between two events or after the head. The load that it answers are servers that send streams without framing and are asked for what is left of
-// a complete one.
+// crash between two events or after the head. The load that it answers are servers that send streams
+// without framing and are asked for what is left of a complete one.
 func (p *Progress) ConfirmsEnd(eventID string) bool {
 	if eventID == "" || eventID != p.LastEventID {
 		return false
