Count suspensions of the machine between reads of the list

The roster takes the list as available all the while if two reads begin within 2 s, and compared monotonic times, which leave out the time for which the machine was suspended. An outage of the list within that time wasn't seen, and the list counted as evidence of the start of a server that it may have lost meanwhile. The catalog measures the time between two reads by the clock of the tables' age too, and resets the reads after a longer one.

--- a/models/roster/start.go
+++ b/models/roster/start.go
@@ -9,9 +9,9 @@
 	expiryHeartbeats = 3
 	// registrationMargin covers heartbeats that the list executes late, and entries that it removes late.
 	registrationMargin = 2 * time.Second
-	// maxReadInterval is the longest time between the beginnings of two reads after which the list counts
+	// MaxReadInterval is the longest time between the beginnings of two reads after which the list counts
 	// as available all the while. A longer one may hide an outage.
-	maxReadInterval = 2 * time.Second
+	MaxReadInterval = 2 * time.Second
 )
 
 // Option changes a Roster at construction.
@@ -31,7 +31,7 @@
 // that it shows which ones are still heard from. What a process reads late is as old as the beginning
 // of the read.
 func (r *Roster) RecordRead(beganAt time.Time) {
-	if r.readsSince.IsZero() || beganAt.Sub(r.readAt) > maxReadInterval {
+	if r.readsSince.IsZero() || beganAt.Sub(r.readAt) > MaxReadInterval {
 		r.readsSince = beganAt
 	}
 	r.readAt = beganAt
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -135,7 +135,7 @@
 			poll := max(follower.DefaultPollTimeout, time.Duration(tablePollShare*float64(s.tableBound)))
 			return follower.Pace{MinInterval: follower.DefaultMinInterval, PollTimeout: poll}
 		}))
-	timed := &timedLog{log: store}
+	timed := &timedLog{log: store, clock: s.clock}
 	s.servers = follower.New(s.log, timed, record.Partition{Topic: servers}, serverHandler{s: s, reads: timed}, follower.WithResyncOnError(), follower.WithClock(s.clock),
 		follower.WithPace(func() follower.Pace {
 			interval := max(follower.DefaultMinInterval, time.Duration(serverReadShare*float64(s.serverBound)))
--- a/services/catalog/servers.go
+++ b/services/catalog/servers.go
@@ -5,20 +5,25 @@
 	"time"
 
 	"github.com/crocusline/crocusline/models/record"
+	"github.com/crocusline/crocusline/models/roster"
+	"github.com/crocusline/crocusline/modules/uptime"
 	"github.com/crocusline/crocusline/services/follower"
 )
 
 // timedLog records when its last read began. It is used by one goroutine.
 type timedLog struct {
 	log     follower.Log
+	clock   *uptime.Clock
 	beganAt time.Time
+	// elapsed is when the last read began, and recorded when the last one did that was recorded, by the clock.
+	elapsed, recorded time.Duration
 	// partial is whether the store has more records than were read.
 	partial bool
 }
 
 // Read implements follower.Log.
 func (l *timedLog) Read(ctx context.Context, r record.Read) (record.Batch, error) {
-	l.beganAt = time.Now()
+	l.beganAt, l.elapsed = time.Now(), l.clock.Elapsed()
 	b, err := l.log.Read(ctx, r)
 	l.partial = b.Next < b.End
 	return b, err
@@ -26,7 +31,7 @@
 
 // Snapshot implements follower.Log.
 func (l *timedLog) Snapshot(ctx context.Context, p record.Partition) (record.Snapshot, error) {
-	l.beganAt, l.partial = time.Now(), false
+	l.beganAt, l.elapsed, l.partial = time.Now(), l.clock.Elapsed(), false
 	return l.log.Snapshot(ctx, p)
 }
 
@@ -36,6 +41,16 @@
 	reads *timedLog
 }
 
+// recordRead records the last read in the roster, with the service locked. The roster's times leave out those in which
+// the machine was suspended.
+func (h serverHandler) recordRead() {
+	if h.reads.elapsed-h.reads.recorded > roster.MaxReadInterval {
+		h.s.roster.ResetReads()
+	}
+	h.reads.recorded = h.reads.elapsed
+	h.s.roster.RecordRead(h.reads.beganAt)
+}
+
 // Reset implements follower.Handler.
 func (h serverHandler) Reset(records []record.Record, next int64) {
 	s, now := h.s, time.Now()
@@ -48,7 +63,7 @@
 	if at := (record.Position{Era: s.servers.Era(), Next: next}); at.Era == 0 || !at.Before(s.position) {
 		s.setServers(records, at, now)
 	}
-	s.roster.RecordRead(h.reads.beganAt)
+	h.recordRead()
 }
 
 // Apply implements follower.Handler.
@@ -64,7 +79,7 @@
 		}
 	}
 	if !h.reads.partial {
-		s.roster.RecordRead(h.reads.beganAt)
+		h.recordRead()
 	}
 	if position := (record.Position{Era: era, Next: next}); s.position.Before(position) {
 		s.position = position
--- a/services/catalog/servers_test.go
+++ b/services/catalog/servers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/crocusline/crocusline/models/record"
 	"github.com/crocusline/crocusline/models/roster"
+	"github.com/crocusline/crocusline/modules/uptime"
 	"github.com/crocusline/crocusline/platform"
 	"github.com/crocusline/crocusline/services/catalog"
 )
@@ -148,3 +150,37 @@
 		})
 	}
 }
+
+// TestListReadBeforeSuspension guards against a list that counts as read all the while, although the machine was suspended, so
+// that an outage of the list could not be seen.
+func TestListReadBeforeSuspension(t *testing.T) {
+	for _, tt := range []struct {
+		suspended time.Duration
+		want      roster.Evidence
+	}{
+		{0, roster.ListEvidence}, {time.Second, roster.ListEvidence}, {4 * time.Second, roster.NoEvidence},
+	} {
+		t.Run(tt.suspended.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var suspended atomic.Int64
+				clock := uptime.NewClockWith(func() time.Duration { return time.Duration(suspended.Load()) })
+				c := catalog.New(hclog.NewNullLogger(), &slowLog{readTime: 700 * time.Millisecond}, platform.Codec{},
+					catalog.WithHeartbeat(1200*time.Millisecond), catalog.WithClock(clock))
+				if err := c.Start(t.Context(), nil); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Second)
+				openedAt := time.Now()
+				time.Sleep(5 * time.Second)
+				suspended.Store(int64(tt.suspended))
+				time.Sleep(3500 * time.Millisecond)
+				if got := c.Confirmed(roster.Server{ID: "i-1", Started: 17}, openedAt); got != tt.want {
+					t.Errorf("evidence %s, want %s", got, tt.want)
+				}
+				if err := c.Close(); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
