Stop draining gateways of the soak for less than their time to exit

Cause, from its log: SIGTERM at 2.5 s reached a process that the soak had stopped; it drained from 8.5 s on, was stopped again by the soak at 11.05 s for up to 5 s, and was killed at 14.5 s, 6 s after it had run on: the last line is of 11.03 s. The process was not running for more than half of that time, so that the test failed by its own stop. Stops of a process that is being replaced now last 0.5 s at most; the time to exit is unchanged.

--- a/tests/faults/scarce_fleet_test.go
+++ b/tests/faults/scarce_fleet_test.go
@@ -210,8 +210,16 @@
 	return time.Now().Before(f.heldUntil[g.name])
 }
 
+// maxDrainHold limits how long a gateway stands still that is being replaced, so that it can exit within exitTimeout.
+const maxDrainHold = 500 * time.Millisecond
+
 // hold makes a gateway stand still.
 func (f *scarceFleet) hold(g *gateway, d time.Duration) {
+	if g.restartMu.TryLock() {
+		g.restartMu.Unlock()
+	} else {
+		d = min(d, maxDrainHold)
+	}
 	f.disturb(g.name, "stopped", d)
 	f.mu.Lock()
 	f.heldUntil[g.name] = latest(f.heldUntil[g.name], time.Now().Add(d))
