Pass no first event on of a send that was given up

Cause: the first event arrived while the silence monitor gave the send up. It was passed on over a connection that was closed already, and the server's start couldn't be confirmed any more, so that no other server could go on.

--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -139,6 +139,10 @@
 			}
 			continue
 		}
+		if passed == 0 && ctx.Err() != nil {
+			// Nothing can follow this event over a connection that was given up.
+			return unknownOutcome{reason: refusal.ServerFailed, err: errors.WithStack(context.Cause(ctx))}
+		}
 		if passed == 0 && !j.Continues(id) {
 			return unknownOutcome{reason: refusal.ServerFailed, err: errors.Errorf("event %q does not continue the stream after event %q", id, j.LastEventID)}
 		}
