--- a/modules/exchange/acknowledgement.go
+++ b/modules/exchange/acknowledgement.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// acknowledgementInterval is the time between two looks at what the server's system acknowledges.
+// acknowledgementInterval is the time between two checks of what the server's system acknowledges.
 const acknowledgementInterval = 500 * time.Millisecond
 
 // errUnacknowledged ends a request whose server's system acknowledges nothing.
