--- a/models/roster/roster.go
+++ b/models/roster/roster.go
@@ -49,8 +49,8 @@
 	// confirmedAt is when the server was asked last and confirmed that it is the listed start, or the
 	// zero value.
 	confirmedAt time.Time
-	// heardAt is a time after which an expired server was heard from.
-	heardAt time.Time
+	// aliveAt is a time after which an expired server was alive.
+	aliveAt time.Time
 	// regressed is whether the list had a later start of the server before.
 	regressed bool
 }
@@ -86,8 +86,8 @@
 	// readAt is when the last read began, and readsSince when the first one did of those through which
 	// the list was available all the while.
 	readAt, readsSince time.Time
-	// heardAt is a time after which all listed servers that haven't expired were heard from.
-	heardAt time.Time
+	// aliveAt is a time after which all listed servers that haven't expired were alive.
+	aliveAt time.Time
 }
 
 // New returns an empty roster.
@@ -177,7 +177,7 @@
 		return
 	}
 	if !s.expired {
-		s.expired, s.heardAt = true, r.heardAt
+		s.expired, s.aliveAt = true, r.aliveAt
 	}
 	r.servers[id] = s
 }
--- a/models/roster/start.go
+++ b/models/roster/start.go
@@ -28,16 +28,16 @@
 
 // RecordRead records that a read of the list that began at the time succeeded, after its changes were
 // applied. Servers that were silent for long have left a list that has been available since then, so
-// that it shows which ones are still heard from. What a process reads late is as old as the beginning
+// that it shows which ones still live. What a process reads late is as old as the beginning
 // of the read.
 func (r *Roster) RecordRead(beganAt time.Time) {
 	if r.readsSince.IsZero() || beganAt.Sub(r.readAt) > MaxReadInterval {
 		r.readsSince = beganAt
 	}
 	r.readAt = beganAt
-	heardAt := beganAt.Add(-expiryHeartbeats*r.heartbeat - registrationMargin)
-	if !heardAt.Before(r.readsSince) && heardAt.After(r.heardAt) {
-		r.heardAt = heardAt
+	aliveAt := beganAt.Add(-expiryHeartbeats*r.heartbeat - registrationMargin)
+	if !aliveAt.Before(r.readsSince) && aliveAt.After(r.aliveAt) {
+		r.aliveAt = aliveAt
 	}
 }
 
@@ -73,7 +73,7 @@
 // Confirmed returns what shows that the process behind a connection that was opened at the given time
 // is the listed start of the server. A server may start again under its id and address, as another
 // version, which the list shows some time later, and not at all while the server can't write to it. A
-// connection ends with its process, so that the listed start must have been heard from after the
+// connection ends with its process, so that the listed start must have been alive after the
 // connection was opened. The load that it answers are servers that start again during an outage of
 // the list, or cut off from it.
 func (r *Roster) Confirmed(s Server, openedAt time.Time) Evidence {
@@ -84,16 +84,16 @@
 	switch {
 	case listed.confirmedAt.After(openedAt):
 		return ReportEvidence
-	case !listed.regressed && r.heardAtOf(listed).After(openedAt):
+	case !listed.regressed && r.aliveAtOf(listed).After(openedAt):
 		return ListEvidence
 	}
 	return NoEvidence
 }
 
-// heardAtOf returns a time after which the server was heard from, as the list shows.
-func (r *Roster) heardAtOf(s listedServer) time.Time {
+// aliveAtOf returns a time after which the server was alive, as the list shows.
+func (r *Roster) aliveAtOf(s listedServer) time.Time {
 	if s.expired {
-		return s.heardAt
+		return s.aliveAt
 	}
-	return r.heardAt
+	return r.aliveAt
 }
--- a/services/catalog/servers_test.go
+++ b/services/catalog/servers_test.go
@@ -120,7 +120,7 @@
 	return s, err
 }
 
-// TestListReadBeforeCopy guards against a list that the store has from a copy, and that shows which servers are heard from
+// TestListReadBeforeCopy guards against a list that the store has from a copy, and that shows which servers live
 // as if it had been read all the while.
 func TestListReadBeforeCopy(t *testing.T) {
 	for _, tt := range []struct {
