Lift quarantines that answers refute, and conclude alone only for oneself

Cause: while the store was away, a gateway took its own view for that of all: knownAt was the present time if the store couldn't be read. After 14 servers had crashed together in an outage, it quarantined a segment that a quarter of the prompts of one kind share, for an hour and for all gateways, though 27 gateways that were cut off got answers to it all the while. Change: what a gateway concludes without the others' evidence applies to itself, until the next contact; then a settling time begins again. A gateway that has got an answer to a quarantined prompt since the conclusion removes the quarantine. TestConcludedWhileCutOff and TestQuarantineRefuted failed before.

--- a/models/quarantine/quarantine.go
+++ b/models/quarantine/quarantine.go
@@ -88,6 +88,19 @@
 	Until    time.Time
 }
 
+// Refuted reports whether a server has answered a prompt with all segments of the entry since about the
+// time of the conclusion, by the times of the last answers to each segment. Segments that one answer
+// has in common have the same time.
+func (e Entry) Refuted(answeredAt func(id string) time.Time) bool {
+	since := e.Until.Add(-Duration - settleTime)
+	for _, id := range e.Segments {
+		if at := answeredAt(id); !at.After(since) || !at.Equal(answeredAt(e.Segments[0])) {
+			return false
+		}
+	}
+	return len(e.Segments) > 0
+}
+
 // matches reports whether the entry applies to a prompt with the segments.
 func (e Entry) matches(segments []string) bool {
 	for _, id := range e.Segments {
@@ -113,6 +126,10 @@
 	crashed  map[string]time.Time
 	suspects map[string]*suspect
 	entries  map[string]Entry
+	// provisional are the entries that this gateway concluded on its own.
+	provisional []Entry
+	// contactAt is when the evidence of the others became readable again, or the zero value.
+	contactAt time.Time
 }
 
 // NewTracker returns a tracker without evidence.
@@ -122,7 +139,7 @@
 
 // RecordCrash records that a server crashed. Evidence that is recorded again has no effect.
 func (t *Tracker) RecordCrash(now time.Time, c Crash) {
-	if _, explained := t.Find(now, c.Segments); explained {
+	if _, explained := t.findEntry(now, c.Segments); explained {
 		return
 	}
 	if _, known := t.crashed[c.Server]; !known {
@@ -186,7 +203,15 @@
 	var concluded []Entry
 	for _, id := range slices.Sorted(maps.Keys(t.suspects)) {
 		s, exists := t.suspects[id]
-		if !exists || s.reachedAt.IsZero() || now.Sub(s.reachedAt) < settleTime || knownAt.Sub(s.reachedAt) < minKnownTime {
+		if !exists || s.reachedAt.IsZero() {
+			continue
+		}
+		// Others that were cut off as well publish their answers after the contact.
+		since := s.reachedAt
+		if t.contactAt.After(since) {
+			since = t.contactAt
+		}
+		if now.Sub(since) < settleTime || knownAt.Sub(since) < minKnownTime {
 			continue
 		}
 		if isRequest(id) {
@@ -205,6 +230,30 @@
 	return concluded
 }
 
+// ConcludeAlone concludes from the evidence of this gateway while that of the others can't be read, and
+// returns the entries that are new. They apply to this gateway until the next contact, since others may
+// have got answers. The load that it answers is a prompt that crashes servers during an outage of the store.
+func (t *Tracker) ConcludeAlone(now time.Time) []Entry {
+	before := t.provisional
+	t.provisional = t.clone().Conclude(now, now)
+	return slices.DeleteFunc(slices.Clone(t.provisional), func(e Entry) bool {
+		return slices.ContainsFunc(before, func(b Entry) bool { return b.Key() == e.Key() })
+	})
+}
+
+// RecordContact records that the evidence of the others is readable again. What this gateway concluded on
+// its own has no effect any more.
+func (t *Tracker) RecordContact(now time.Time) { t.provisional, t.contactAt = nil, now }
+
+// clone returns a tracker with the same evidence.
+func (t *Tracker) clone() *Tracker {
+	c := &Tracker{crashed: maps.Clone(t.crashed), suspects: make(map[string]*suspect, len(t.suspects)), entries: maps.Clone(t.entries)}
+	for id, s := range t.suspects {
+		c.suspects[id] = &suspect{crashes: maps.Clone(s.crashes), reachedAt: s.reachedAt}
+	}
+	return c
+}
+
 // requestExplains reports whether the crashes under a request are explained by it: no other request
 // that shares one of them has more. If one has as many, the next crashes must tell them apart first.
 func (t *Tracker) requestExplains(s *suspect) bool {
@@ -314,6 +363,16 @@
 
 // Find returns the entry that applies to a prompt with the segments, if there is one.
 func (t *Tracker) Find(now time.Time, segments []string) (Entry, bool) {
+	for _, e := range t.provisional {
+		if e.matches(segments) {
+			return e, true
+		}
+	}
+	return t.findEntry(now, segments)
+}
+
+// findEntry is Find without what this gateway concluded on its own.
+func (t *Tracker) findEntry(now time.Time, segments []string) (Entry, bool) {
 	for _, e := range t.entries {
 		if now.Before(e.Until) && e.matches(segments) {
 			return e, true
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -108,6 +108,9 @@
 
 	// suspected is whether there are suspects.
 	suspected atomic.Bool
+	// reachable is whether the last read succeeded, and era the store's era of the last full read.
+	reachable bool
+	era       int64
 
 	wake    chan struct{}
 	ctx     context.Context
@@ -180,6 +183,7 @@
 		s.answered[id] = now
 	}
 	s.clearAnswered()
+	s.liftRefuted()
 }
 
 // RecordBroken records that a server broke off the response to a prompt with the segments
@@ -348,11 +352,13 @@
 // conclude puts segments in quarantine. The gateways that observed one of the crashes record
 // it for those that start later.
 func (s *Service) conclude(now time.Time) {
-	knownAt := now
-	if s.follower.Reachable() {
-		knownAt = now.Add(-s.follower.Age())
+	if !s.reachable {
+		for _, e := range s.tracker.ConcludeAlone(now) {
+			s.log.Warn("prompt segments quarantined until the store is reachable", "segments", e.Segments)
+		}
+		return
 	}
-	for _, e := range s.tracker.Conclude(now, knownAt) {
+	for _, e := range s.tracker.Conclude(now, now.Add(-s.follower.Age())) {
 		s.log.Warn("prompt segments quarantined", "segments", e.Segments, "until", e.Until)
 		if len(s.crashed) > 0 {
 			s.writeEntry(e)
@@ -374,6 +380,24 @@
 	s.write(record.Record{Key: e.Key(), Value: data})
 }
 
+// liftRefuted lifts the quarantines that answers refute which this gateway got, for instance while it
+// was cut off and didn't know of them.
+func (s *Service) liftRefuted() {
+	answeredAt := func(id string) time.Time {
+		if at, exists := s.answered[id]; exists {
+			return at
+		}
+		return s.answeredBefore[id]
+	}
+	for _, e := range s.tracker.Entries() {
+		if e.Refuted(answeredAt) {
+			s.log.Warn("quarantine lifted, as a server answered", "segments", e.Segments, "until", e.Until)
+			s.tracker.Remove(e.Key())
+			s.write(record.Record{Key: e.Key()})
+		}
+	}
+}
+
 // considered returns the ids of the first segments, as they are stored. Long ids are replaced
 // by their hash.
 func considered(segments []string) []string {
@@ -400,7 +424,8 @@
 func (s *Service) Reset(records []record.Record, _ int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	known := s.tracker.Entries()
+	known, restored := s.tracker.Entries(), s.follower.Era() > s.era
+	s.era = s.follower.Era()
 	records = slices.Clone(records)
 	slices.SortFunc(records, func(a, b record.Record) int { return int(a.Offset - b.Offset) })
 	listed := map[string]bool{}
@@ -409,12 +434,17 @@
 		s.apply(r)
 	}
 	for _, e := range known {
-		if !listed[e.Key()] {
+		switch {
+		case listed[e.Key()]:
+		case restored:
 			// The store may have returned from an older copy.
 			s.writeEntry(e)
+		default:
+			s.tracker.Remove(e.Key())
 		}
 	}
 	s.clearAnswered()
+	s.liftRefuted()
 	s.wakeUp()
 }
 
@@ -429,6 +459,7 @@
 		s.apply(r)
 	}
 	s.clearAnswered()
+	s.liftRefuted()
 	s.wakeUp()
 }
 
@@ -473,4 +504,11 @@
 }
 
 // SetReachable implements follower.Handler.
-func (s *Service) SetReachable(bool) {}
+func (s *Service) SetReachable(ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ok && !s.reachable {
+		s.tracker.RecordContact(time.Now())
+	}
+	s.reachable = ok
+}
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -183,3 +183,46 @@
 		}
 	})
 }
+
+// TestConcludedWhileCutOff guards against prompts that a gateway puts in quarantine for the whole fleet by its own
+// evidence only, as it couldn't read that others got answers. While it is cut off, it sends them no more.
+func TestConcludedWhileCutOff(t *testing.T) {
+	run(t, func(f *fixture) {
+		a, b := f.start("a"), f.start("b")
+		f.store.SetFault(site.Unavailable)
+		time.Sleep(2 * time.Second)
+		for n := range 4 {
+			f.crash(a, n, "common", "own")
+			b.RecordAnswer([]string{"common"})
+		}
+		time.Sleep(2 * time.Second)
+		f.expect("cut off", a, true, "common", "own")
+		b.RecordAnswer([]string{"common", "own"})
+		f.store.SetFault(site.NoFault)
+		time.Sleep(4 * time.Second)
+		for who, s := range map[string]*quarantine.Service{"observer": a, "answered": b, "started later": f.start("c")} {
+			f.expect(who, s, false, "common", "own")
+		}
+	})
+}
+
+// TestQuarantineRefuted guards against a quarantine that lasts though a gateway which didn't know of it has got an
+// answer to such a prompt, and against one that ends by answers to a part of its segments.
+func TestQuarantineRefuted(t *testing.T) {
+	run(t, func(f *fixture) {
+		a, b := f.start("a"), f.start("b")
+		for n := range 4 {
+			f.crash(a, n, "common", "own")
+		}
+		time.Sleep(2 * time.Second)
+		f.expect("before", b, true, "common", "own")
+		b.RecordAnswer([]string{"common"})
+		time.Sleep(time.Second)
+		f.expect("another prompt answered", a, true, "common", "own")
+		b.RecordAnswer([]string{"common", "own"})
+		time.Sleep(time.Second)
+		for who, s := range map[string]*quarantine.Service{"observer": a, "answered": b, "started later": f.start("c")} {
+			f.expect(who, s, false, "common", "own")
+		}
+	})
+}
