Refuse at once what only evacuated servers could run

Cause: a pool whose servers are all evacuated looks like one without servers. Requests would reserve tokens first, and resumed streams would be refused for good, as no server has their version.

Change: the balancer knows the evacuated servers of its pool. If there are no others, or none of the stream's version, requests get 503 (noServer) before tokens are reserved, with a retry time of 1 to 1.5 s. A server that was evacuated after it had been chosen isn't asked for its start, as such a call is a request.

--- a/models/balance/balance.go
+++ b/models/balance/balance.go
@@ -83,6 +83,7 @@
 	board       *notice.Board
 	cacheTokens int64
 	servers     map[string]*server
+	evacuated   []roster.Server
 }
 
 // New returns a balancer without servers.
@@ -131,6 +132,26 @@
 	b.servers = current
 }
 
+// SetEvacuated sets the servers of the pool that are not among its servers because their failure domains are evacuated.
+func (b *Balancer) SetEvacuated(servers []roster.Server) { b.evacuated = servers }
+
+// Evacuated reports whether the server gets nothing because its failure domain is evacuated.
+func (b *Balancer) Evacuated(id string) bool {
+	return slices.ContainsFunc(b.evacuated, func(s roster.Server) bool { return s.ID == id })
+}
+
+// AllEvacuated reports whether evacuated servers have the software version and no others do. Without a version, it
+// considers all servers.
+func (b *Balancer) AllEvacuated(version string) bool {
+	has := func(s roster.Server) bool { return version == "" || s.Version == version }
+	for _, s := range b.servers {
+		if has(s.Server) {
+			return false
+		}
+	}
+	return slices.ContainsFunc(b.evacuated, has)
+}
+
 // Request describes a request for which a server is selected.
 type Request struct {
 	ID           string
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -31,6 +31,9 @@
 	overloadRetryAfter = 500 * time.Millisecond
 	// noServerRetryAfter is about the time that it takes to detect a failed server.
 	noServerRetryAfter = 300 * time.Millisecond
+	// evacuatedRetryAfter is about the time within which gateways learn that an evacuation was withdrawn. It lasts for
+	// as long as operators want it to, and other gateways have no more servers.
+	evacuatedRetryAfter = time.Second
 )
 
 // maxSends is the maximum number of sends of one request, including those to
@@ -192,9 +195,28 @@
 	if err := j.checkQuarantine(); err != nil {
 		return err
 	}
+	return j.serversRefusal()
+}
+
+// serversRefusal returns a refusal if the pool has no server that takes a request of this gateway now: all are
+// evacuated, or by what they announce.
+func (j *job) serversRefusal() *refusal.Error {
+	if err := j.evacuationRefusal(); err != nil {
+		return err
+	}
 	return j.noticeRefusal()
 }
 
+// evacuationRefusal returns a refusal if all servers that could run the request are evacuated.
+func (j *job) evacuationRefusal() *refusal.Error {
+	evacuated := false
+	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) { evacuated = b.AllEvacuated(j.origin.Version) })
+	if !evacuated {
+		return nil
+	}
+	return refusal.New(refusal.NoServer, refusal.Spread(evacuatedRetryAfter, rand.Float64()), "the failure domains of all backend servers are evacuated")
+}
+
 // noticeRefusal returns a refusal if no server of the pool takes a request of this gateway now, by
 // what they announce.
 func (j *job) noticeRefusal() *refusal.Error {
@@ -209,7 +231,7 @@
 // finalRefusal returns the refusal of a request that isn't sent again.
 func (j *job) finalRefusal() *refusal.Error {
 	if j.possibleRuns == 0 {
-		if err := j.noticeRefusal(); err != nil {
+		if err := j.serversRefusal(); err != nil {
 			return err
 		}
 	}
--- a/services/relay/origin.go
+++ b/services/relay/origin.go
@@ -42,6 +42,10 @@
 	serves := false
 	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) { serves = b.Serves(origin.Version) })
 	if !serves {
+		// The version isn't gone if the evacuation may be withdrawn.
+		if err := j.evacuationRefusal(); err != nil {
+			return err
+		}
 		return refusal.New(refusal.VersionGone, 0, "no backend server has version "+origin.Version+", which began the stream")
 	}
 	return nil
@@ -98,8 +102,13 @@
 }
 
 // askStart returns an error if the server, asked after the given time, isn't the start of it that is
-// listed.
+// listed. An evacuated server isn't asked, as that is a request like any other.
 func (j *job) askStart(ctx context.Context, prompt *promptTracker, after time.Time) error {
+	evacuated := false
+	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) { evacuated = b.Evacuated(prompt.server.ID) })
+	if evacuated {
+		return errors.Errorf("server %s is evacuated", prompt.server.ID)
+	}
 	call, err := j.service.starts.ask(ctx, prompt.server, after, func(ctx context.Context) (int64, error) {
 		j.service.metrics.Counter(serverStartsAsked).Inc()
 		return j.service.reports.Started(ctx, prompt.server, j.maxConns())
