Send nothing to evacuated failure domains

Change: the catalog applies the evacuations of keyed.op before the tables of the same read, tells peers its evacuations with their position, and leaves servers of evacuated failure domains out of the balancers. AwaitServers also waits for the next read of that topic if it is older than 3/4 of evacuate_ms. The store holds reads of the topic for at most 0.3 of the lower bound. A process that starts in a later era than the first asks peers for 8 s what the store lost.

Ruled out: the same polls in every era. They compete with the tables for a thin link (TestPeerSnapshotCompetesWithTables failed), and a store in its first era has lost nothing.

Result: the tests in evacuation_test.go pass, and fail if the balancers keep the servers, peers are not merged, older peers withdraw, the wait or the polls are left out, or tables are adopted first. go test of services/catalog, routers/front, cmd and docs passes.

--- a/services/catalog/await.go
+++ b/services/catalog/await.go
@@ -41,21 +41,21 @@
 // AwaitTables waits for the next read of the routing tables if this process has not run for a while, and reports
 // whether it has waited. It returns soon in any case.
 func (s *Service) AwaitTables(ctx context.Context) bool {
-	return s.await(ctx, s.tablesView, func() {
-		if s.tables.Arriving() && s.tablesView().UpdateExpected() {
-			s.tablesSlow.Store(true)
-		}
-	})
+	return s.await(ctx, func() bool { return s.tablesView().UpdateExpected() })
 }
 
-// AwaitServers does for the list of servers what AwaitTables does for the tables.
+// AwaitServers does for the list of servers, and for the evacuations if operators have set a bound for them, what
+// AwaitTables does for the tables.
 func (s *Service) AwaitServers(ctx context.Context) bool {
-	return s.await(ctx, s.serversView, func() {})
+	return s.await(ctx, func() bool {
+		return s.serversView().UpdateExpected() || s.evacuationsView().UpdateExpected()
+	})
 }
 
-// await calls inVain if there was no read in time.
-func (s *Service) await(ctx context.Context, view func() roster.View, inVain func()) bool {
-	if !view().UpdateExpected() {
+// await waits while an update is expected. If there was no read in time and the tables' response arrives, no other work
+// waits for that.
+func (s *Service) await(ctx context.Context, expected func() bool) bool {
+	if !expected() {
 		return false
 	}
 	timer := time.NewTimer(maxViewWait)
@@ -64,13 +64,15 @@
 		s.mu.Lock()
 		read := s.read
 		s.mu.Unlock()
-		if !view().UpdateExpected() {
+		if !expected() {
 			return true
 		}
 		select {
 		case <-read:
 		case <-timer.C:
-			inVain()
+			if s.tables.Arriving() && (s.tablesView().UpdateExpected() || s.evacuationsView().UpdateExpected()) {
+				s.tablesSlow.Store(true)
+			}
 			return true
 		case <-ctx.Done():
 			return true
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 
 	"github.com/crocusline/crocusline/kernel"
 	"github.com/crocusline/crocusline/models/balance"
+	"github.com/crocusline/crocusline/models/evacuation"
 	"github.com/crocusline/crocusline/models/notice"
 	"github.com/crocusline/crocusline/models/record"
 	"github.com/crocusline/crocusline/models/roster"
@@ -47,6 +49,9 @@
 	// Table decodes the record of the routing tables. It returns nil if the record has
 	// another key.
 	Table(r record.Record) (*route.Table, error)
+	// Evacuation decodes the record of an evacuation, which the topic of the routing tables has too. It returns false
+	// if the record has another key.
+	Evacuation(r record.Record) (evacuation.Change, bool)
 	// Server decodes the record of a server.
 	Server(r record.Record) (roster.Server, error)
 }
@@ -77,15 +82,19 @@
 	return func(s *Service) { s.tableBound, s.serverBound = tables, servers }
 }
 
+// WithEvacuationBound sets the operators' bound on how soon the evacuation of a failure domain must be in force.
+func WithEvacuationBound(d time.Duration) Option { return func(s *Service) { s.evacuationBound = d } }
+
 // Service is the catalog.
 type Service struct {
 	log    hclog.Logger
 	codec  Codec
 	domain string
 	peers  Peers
-	// tableBound and serverBound are how soon changes must be in force.
-	tableBound  time.Duration
-	serverBound time.Duration
+	// tableBound, serverBound and evacuationBound are how soon changes must be in force.
+	tableBound      time.Duration
+	serverBound     time.Duration
+	evacuationBound time.Duration
 	// heartbeat is the time between two heartbeats of a server.
 	heartbeat time.Duration
 
@@ -108,6 +117,9 @@
 	// position is how far the servers' topic was read, by this gateway or a peer.
 	position  record.Position
 	balancers map[string]*balance.Balancer
+	// evacuations is what is known of evacuations, and evacuated the failure domains whose servers the balancers lack.
+	evacuations *evacuation.State
+	evacuated   []string
 	// read is closed after the next read of the tables or the servers.
 	read chan struct{}
 	// board holds what servers announce, and onNotice is called after anything new.
@@ -123,7 +135,7 @@
 	s := &Service{
 		log: log.Named(Name), codec: codec,
 		serverRecords: map[string]record.Record{}, balancers: map[string]*balance.Balancer{},
-		board: notice.NewBoard(nil), onNotice: func() {}, clock: uptime.NewClock(), read: make(chan struct{}),
+		evacuations: evacuation.New(), board: notice.NewBoard(nil), onNotice: func() {}, clock: uptime.NewClock(), read: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(s)
@@ -132,8 +144,7 @@
 	tables, servers := codec.Topics()
 	s.tables = follower.New(s.log, store, record.Partition{Topic: tables}, tableHandler{s}, follower.WithResyncOnError(), follower.WithClock(s.clock),
 		follower.WithPace(func() follower.Pace {
-			poll := max(follower.DefaultPollTimeout, time.Duration(tablePollShare*float64(s.tableBound)))
-			return follower.Pace{MinInterval: follower.DefaultMinInterval, PollTimeout: poll}
+			return follower.Pace{MinInterval: follower.DefaultMinInterval, PollTimeout: s.tablePollTimeout()}
 		}))
 	timed := &timedLog{log: store, clock: s.clock}
 	s.servers = follower.New(s.log, timed, record.Partition{Topic: servers}, serverHandler{s: s, reads: timed}, follower.WithResyncOnError(), follower.WithClock(s.clock),
@@ -296,12 +307,17 @@
 	}
 }
 
-// refresh passes the usable servers of each pool to its balancer.
+// refresh passes the usable servers of each pool to its balancer, other than those of evacuated failure domains.
 func (s *Service) refresh(now time.Time) {
-	byPool := map[string][]roster.Server{}
+	byPool, evacuated := map[string][]roster.Server{}, map[string][]roster.Server{}
+	s.updateEvacuated(now)
 	usable := s.roster.Usable(s.listTime(now))
 	s.board.SetListed(now, usable)
 	for _, server := range usable {
+		if slices.Contains(s.evacuated, server.FailureDomain) {
+			evacuated[server.Pool] = append(evacuated[server.Pool], server)
+			continue
+		}
 		byPool[server.Pool] = append(byPool[server.Pool], server)
 	}
 	table := s.table.Load()
@@ -317,6 +333,7 @@
 			memory = table.Pools[pool].Engine.Memory
 		}
 		b.SetServers(byPool[pool], memory)
+		b.SetEvacuated(evacuated[pool])
 	}
 }
 
@@ -369,11 +386,20 @@
 // tableHandler applies the records of the routing tables' topic.
 type tableHandler struct{ s *Service }
 
-// Reset implements follower.Handler.
-func (h tableHandler) Reset(records []record.Record, next int64) { h.Apply(records, next) }
+// Reset implements follower.Handler. Evacuations come first: a process that starts serves no request by
+// tables before it knows them.
+func (h tableHandler) Reset(records []record.Record, next int64) {
+	h.s.resetEvacuations(records, next)
+	h.applyTables(records)
+}
 
 // Apply implements follower.Handler.
-func (h tableHandler) Apply(records []record.Record, _ int64) {
+func (h tableHandler) Apply(records []record.Record, next int64) {
+	h.s.applyEvacuations(records, next)
+	h.applyTables(records)
+}
+
+func (h tableHandler) applyTables(records []record.Record) {
 	for _, r := range records {
 		if r.Value != nil {
 			h.s.applyTable(r, "store")
--- a/services/catalog/peers.go
+++ b/services/catalog/peers.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
+	"github.com/crocusline/crocusline/models/evacuation"
 	"github.com/crocusline/crocusline/models/record"
 )
 
@@ -25,6 +27,9 @@
 	Servers record.Position
 }
 
+// allKnown makes a peer leave out the tables and the servers.
+var allKnown = Known{TablesVersion: math.MaxInt64, Servers: record.Position{Era: math.MaxInt64, Next: math.MaxInt64}}
+
 // Snapshot is the state of a gateway's catalog, as records of the store.
 type Snapshot struct {
 	// Tables is empty if they are not newer than those that the caller knows.
@@ -38,6 +43,8 @@
 	// TablesAge is the time since the sender's tables were known to be the newest ones, or
 	// nil if the sender doesn't tell.
 	TablesAge *time.Duration `json:"tablesAgeNs,omitempty"`
+	// Evacuations is nil if the sender doesn't tell, or has read none.
+	Evacuations *evacuation.Snapshot `json:"evacuations,omitempty"`
 }
 
 func (s Snapshot) position() record.Position { return record.Position{Era: s.Era, Next: s.NextOffset} }
@@ -54,7 +61,7 @@
 	age := s.Age()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	snapshot := Snapshot{NextOffset: s.position.Next, Era: s.position.Era, TablesAge: &age}
+	snapshot := Snapshot{NextOffset: s.position.Next, Era: s.position.Era, TablesAge: &age, Evacuations: s.evacuations.Snapshot(time.Now())}
 	if t := s.table.Load(); t != nil && t.Version > known.TablesVersion {
 		snapshot.Tables = s.tableRecord
 	}
@@ -77,33 +84,48 @@
 	return known
 }
 
-// pollPeers requests snapshots from the peers in rotation while the store is
-// unreachable.
+// pollPeers requests snapshots from the peers in rotation.
 func (s *Service) pollPeers(ctx context.Context) {
 	ticker := time.NewTicker(peerPollInterval)
 	defer ticker.Stop()
 	for attempt := 0; ; attempt++ {
 		select {
 		case <-ticker.C:
+			s.pollPeer(ctx, attempt)
 		case <-ctx.Done():
 			return
 		}
-		if s.tables.Silence() < maxStoreSilence && s.servers.Silence() < maxStoreSilence {
-			continue
-		}
-		requestedAt := s.clock.Elapsed()
-		snapshot, err := s.peers.Snapshot(ctx, attempt, s.known())
-		if err != nil {
-			s.log.Debug("peer snapshot not available", "turn", attempt, "error", err)
-			continue
-		}
+	}
+}
+
+// pollPeer requests a snapshot from a peer if the store is unreachable, or if peers may know evacuations that the store
+// lost before this process started. Of a reachable store's state, the peer has nothing else to tell.
+func (s *Service) pollPeer(ctx context.Context, attempt int) {
+	silent := s.tables.Silence() >= maxStoreSilence || s.servers.Silence() >= maxStoreSilence
+	if !silent && !s.joining() {
+		return
+	}
+	known := allKnown
+	if silent {
+		known = s.known()
+	}
+	requestedAt := s.clock.Elapsed()
+	snapshot, err := s.peers.Snapshot(ctx, attempt, known)
+	switch {
+	case err != nil:
+		s.log.Debug("peer snapshot not available", "turn", attempt, "error", err)
+	case silent:
 		s.mergeSnapshot(snapshot, requestedAt)
+	default:
+		s.mergeEvacuations(snapshot.Evacuations)
 	}
 }
 
 // mergeSnapshot applies the parts of a peer's snapshot, requested at a time, that are newer
 // than this catalog.
 func (s *Service) mergeSnapshot(snapshot Snapshot, requestedAt time.Duration) {
+	// Evacuations come first, as in a read of the store.
+	s.mergeEvacuations(snapshot.Evacuations)
 	// Tables that can't be decoded are newer than those known here.
 	tablesKnown := snapshot.Tables.Value == nil || s.applyTable(snapshot.Tables, "peer")
 	s.mu.Lock()
