--- a/services/catalog/evacuation_test.go
+++ b/services/catalog/evacuation_test.go
@@ -25,17 +25,17 @@
 // readTime is longer than gateways take to read a change of the store, or a snapshot of a peer.
 const readTime = 3 * time.Second
 
-// zoneServer returns the record of a server in a failure domain.
-func zoneServer(zone string) []byte {
-	return fmt.Appendf(nil, `{"service":"s1","address":"10.128.0.9:8080","zone":%q,"version":"v1","max_concurrency":4,"state":"ready","warmup_left_ms":0,"sequence":4,"born":1}`, zone)
+// domainServer returns the record of a server in a failure domain.
+func domainServer(domain string) []byte {
+	return fmt.Appendf(nil, `{"service":"s1","address":"10.128.0.9:8080","zone":%q,"version":"v1","max_concurrency":4,"state":"ready","warmup_left_ms":0,"sequence":4,"born":1}`, domain)
 }
 
-// newZoneStore returns a store with a server in each of the failure domains y and z.
-func newZoneStore() *site.Store {
+// newDomainStore returns a store with a server in each of the failure domains y and z.
+func newDomainStore() *site.Store {
 	store := site.NewStore()
 	store.Put(operatorTopic, "config", config(1))
-	store.Put(serversTopic, "i-y", zoneServer("y"))
-	store.Put(serversTopic, "i-z", zoneServer("z"))
+	store.Put(serversTopic, "i-y", domainServer("y"))
+	store.Put(serversTopic, "i-z", domainServer("z"))
 	return store
 }
 
@@ -89,7 +89,7 @@
 // change or starts later, and after the store has returned from a copy that lacks the evacuation or its withdrawal.
 func TestEvacuatedDomainGetsRequests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := newZoneStore()
+		store := newDomainStore()
 		c := startCatalog(t, store)
 		time.Sleep(readTime)
 		checkUsed(t, "before", c, "i-y", "i-z")
@@ -148,7 +148,7 @@
 // has lost the evacuation.
 func TestEvacuationKnownToPeers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store, away := newZoneStore(), site.NewStore()
+		store, away := newDomainStore(), site.NewStore()
 		other := startCatalog(t, store)
 		away.SetFault(site.Unavailable)
 		var older atomic.Bool
@@ -188,7 +188,7 @@
 
 func (l stalledLog) Snapshot(_ context.Context, p record.Partition) (record.Snapshot, error) {
 	if p.Topic == serversTopic {
-		return record.Snapshot{Records: []record.Record{{Key: "i-z", Value: zoneServer("z")}}, Next: 1}, nil
+		return record.Snapshot{Records: []record.Record{{Key: "i-z", Value: domainServer("z")}}, Next: 1}, nil
 	}
 	return record.Snapshot{Records: []record.Record{{Key: "config", Value: config(1)}}, Next: 1}, nil
 }
@@ -245,7 +245,7 @@
 func TestTablesAdoptedBeforeEvacuations(t *testing.T) {
 	for _, fault := range []site.Fault{site.NoFault, site.Unavailable} {
 		synctest.Test(t, func(t *testing.T) {
-			store, own := newZoneStore(), newZoneStore()
+			store, own := newDomainStore(), newDomainStore()
 			for _, s := range []*site.Store{store, own} {
 				s.Put(operatorTopic, "evacuate/z", []byte("{}"))
 			}
--- a/tests/faults/evacuation_test.go
+++ b/tests/faults/evacuation_test.go
@@ -43,8 +43,8 @@
 	g.storeProxy.setMode(delay)
 	conns := dialAll(t, g, stoppedRequests)
 	time.Sleep(settleTime)
-	evacuate := func(zone string, value []byte) func() {
-		return func() { f.store.Put("keyed.op", "evacuate/"+zone, value) }
+	evacuate := func(domain string, value []byte) func() {
+		return func() { f.store.Put("keyed.op", "evacuate/"+domain, value) }
 	}
 	statuses := sendWhileStopped(t, g, conns, "stopped", unlimitedKey, evacuate("z", []byte("{}")))
 	if late := requestCount("stopped", f.servers[1:]...); late > 0 || statuses[http.StatusOK] == 0 {
