Ask peers for evacuations behind large tables

Cause: the topic has the tables as well. Over a link of 100 kB/s an evacuation behind tables of 0.8 MB was not known 5 s after its record, with a bound of 5 s. Peers with better links knew it.

Change: if the state of the topic is older than half of evacuate_ms, peers are asked once a second, without tables and servers. The first poll after the start comes after 250 ms instead of 1 s, so that a process that starts behind a copy without an evacuation learns earlier what its peers keep.

Result: TestEvacuationBehindLargeTables failed before and passes now.

--- a/routers/front/thin_link_test.go
+++ b/routers/front/thin_link_test.go
@@ -125,6 +125,30 @@
 	})
 }
 
+// TestEvacuationBehindLargeTables guards against an evacuation that a gateway reads too late, as large tables arrive before
+// it over a thin link, although peers have read it.
+func TestEvacuationBehindLargeTables(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const bound = 5 * time.Second
+		store, link := site.NewStore(), site.NewLink(100_000)
+		store.Put(operatorTopic, "config", fewRoutes(1))
+		other, _, peers := newPeer(t, store, site.NewLink(1e9))
+		c := newThinGateway(t, store, link, catalog.WithPeers(peers), catalog.WithEvacuationBound(bound))
+		time.Sleep(2 * time.Second)
+		store.Put(operatorTopic, "config", manyRoutes(2))
+		time.Sleep(time.Second)
+		store.Put(operatorTopic, "evacuate/z", []byte("{}"))
+		time.Sleep(bound)
+		if v := c.Table().Version; v != 1 {
+			t.Errorf("version %d has arrived already, the test needs a thinner link", v)
+		}
+		if got := c.Evacuated(); len(got) != 1 {
+			t.Errorf("%q are evacuated %s after the record", got, bound)
+		}
+		closeAll(t, c, other)
+	})
+}
+
 // TestPeerSnapshotNeverArrivesOverThinLink guards against snapshots of peers that are larger
 // than the link carries in the time that a peer has to respond, and that are repeated though
 // nothing changed.
--- a/services/catalog/evacuation.go
+++ b/services/catalog/evacuation.go
@@ -76,6 +76,16 @@
 	s.refresh(now)
 }
 
+// latePollShare is the part of the bound of evacuations after which peers are asked for them. The rest covers the interval
+// of these polls, and the response.
+const latePollShare = 0.5
+
+// evacuationsLate reports whether the read of the operators' topic takes long, as large tables arrive over a thin link.
+func (s *Service) evacuationsLate() bool {
+	late := max(maxStoreSilence, time.Duration(latePollShare*float64(s.evacuationBound)))
+	return s.evacuationBound > 0 && s.tables.Age() > late
+}
+
 // joining reports whether peers may know evacuations that the store lost before this process started.
 func (s *Service) joining() bool {
 	s.mu.Lock()
--- a/services/catalog/peers.go
+++ b/services/catalog/peers.go
@@ -14,6 +14,9 @@
 	// snapshots are requested from peers.
 	maxStoreSilence  = 1200 * time.Millisecond
 	peerPollInterval = time.Second
+	// firstPeerPoll is when peers are first asked after the start. The store has responded by then, unless it is slow
+	// or unreachable.
+	firstPeerPoll = 250 * time.Millisecond
 )
 
 // NoVersion is the version of tables that were never loaded.
@@ -86,11 +89,12 @@
 
 // pollPeers requests snapshots from the peers in rotation.
 func (s *Service) pollPeers(ctx context.Context) {
-	ticker := time.NewTicker(peerPollInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(firstPeerPoll)
+	defer timer.Stop()
 	for attempt := 0; ; attempt++ {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(peerPollInterval)
 			s.pollPeer(ctx, attempt)
 		case <-ctx.Done():
 			return
@@ -98,11 +102,11 @@
 	}
 }
 
-// pollPeer requests a snapshot from a peer if the store is unreachable, or if peers may know evacuations that the store
-// lost before this process started. Of a reachable store's state, the peer has nothing else to tell.
+// pollPeer requests a snapshot from a peer if the store is unreachable. While it is reachable, the peer is asked for
+// evacuations only, if it may know some that this process doesn't.
 func (s *Service) pollPeer(ctx context.Context, attempt int) {
 	silent := s.tables.Silence() >= maxStoreSilence || s.servers.Silence() >= maxStoreSilence
-	if !silent && !s.joining() {
+	if !silent && !s.joining() && !s.evacuationsLate() {
 		return
 	}
 	known := allKnown
