Limit the requests of all gateways to cold servers

Cause: a server that has just started fails if it gets too many requests. Its entry says how long it is cold and its pool how many requests per second it takes then, but gateways sent it its full share at once.

Change: platform decodes warmup_s and cold_per_s of services, cold_over and cold_slack of the settings. notice.Board gives a cold server a limit until its warm-up has passed, counted from when its record was first read. coldQuota computes from the four values how many gateways share the limit and save up a request. Shares by the list of all registered gateways apply while a gateway isn't connected: by the living ones, gateways whose heartbeats the store doesn't take each saw all others fall silent, and each took half of the whole limit. That holds for limits that servers name, too. Lost shares are void, gained ones begin 1.5 s later, and a gateway counts as connected 0.5 s after its heartbeat was accepted. The notice service writes heartbeats while a server is cold, and knows the gateways before.

Result: TestColdServersInFleets at 1, 4, 29 and 103 gateways passes for each of 5 limits and 15 patterns, with at most 9 requests within a second for 5.2, 1.5 and 5 (12.8 are allowed), and so do TestLimitInFleets and the tests of models/balance, services/catalog, services/relay, platform and docs. Broken on purpose: shares by the living ones while cut off give 309 requests within a second, the whole share while cut off 10 of 9.24 and 103 of 95, and no new bucket for a server that is cold again fails TestColdAgain. Removing the waiting times for gained shares and for heartbeats failed no test yet.

In fleet_test.go, gateways learn of new ones 0.2 s late, as in the platform, and Confirm takes the time of the store's response.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -127,6 +127,7 @@
 	g.client = exchange.New()
 	g.catalog = catalog.New(logger, g.store, platform.Codec{},
 		catalog.WithInstance(s.Instance), catalog.WithFailureDomain(s.FailureDomain), catalog.WithPeers(g.peers),
+		catalog.WithColdTolerance(s.Parameters.ColdOver, s.Parameters.ColdSlack),
 		catalog.WithBounds(s.Parameters.TableBound, s.Parameters.DrainBound), catalog.WithHeartbeat(s.Heartbeat))
 	g.directory = directory.New(logger, g.store, platform.Codec{}.GatewaysTopic(), s.Instance, s.Capacity,
 		directory.WithStart(prepaid.ClockReading(logger)), directory.WithAddress(s.Listen.Peers, s.FailureDomain),
@@ -149,6 +150,7 @@
 	g.readiness = front.NewReadiness(g.handler, g.catalog.Ready, g.prepaid.Ready)
 	g.metrics.Gauge("crocusline_log_lines_dropped", func() float64 { return float64(logWriter.Dropped()) })
 	g.metrics.Gauge("crocusline_requests_open", func() float64 { return float64(g.handler.OpenRequests()) })
+	g.metrics.Gauge("crocusline_servers_cold", func() float64 { return float64(g.catalog.ColdServers()) })
 	g.metrics.Gauge("crocusline_connections_opened", func() float64 { return float64(g.client.Dialed()) })
 	g.metrics.Gauge("crocusline_connections_reused", func() float64 { return float64(g.client.Reused()) })
 	return g
--- a/models/notice/board.go
+++ b/models/notice/board.go
@@ -11,6 +11,7 @@
 
 	"github.com/crocusline/crocusline/models/call"
 	"github.com/crocusline/crocusline/models/roster"
+	"github.com/crocusline/crocusline/models/route"
 )
 
 const (
@@ -43,14 +44,32 @@
 // Board holds the notices of all servers. All times are from the caller's clock.
 //
 // The loads that it answers are servers in need, which name a limit of requests for a fleet of any
-// size, and servers that turn requests away.
+// size, servers that turn requests away, and servers that have just started and are slow.
 type Board struct {
 	fleet   *Fleet
 	servers map[incarnation]*terms
+	pools   map[string]route.Pool
+	// coldOver and coldSlack are what a cold server takes beyond its limit within a second.
+	coldOver, coldSlack float64
+}
+
+// Option configures a Board.
+type Option func(*Board)
+
+// WithColdTolerance sets how many requests all gateways together may send a cold server within any
+// second: over times its limit, and slack.
+func WithColdTolerance(over, slack float64) Option {
+	return func(b *Board) { b.coldOver, b.coldSlack = over, slack }
 }
 
 // NewBoard returns a board without notices for a gateway of the fleet, or for one without others.
-func NewBoard(f *Fleet) *Board { return &Board{fleet: f, servers: map[incarnation]*terms{}} }
+func NewBoard(f *Fleet, opts ...Option) *Board {
+	b := &Board{fleet: f, servers: map[incarnation]*terms{}, coldOver: DefaultColdOver, coldSlack: DefaultColdSlack}
+	for _, opt := range opts {
+		opt(b)
+	}
+	return b
+}
 
 // Fleet returns the gateways that share limits, or nil.
 func (b *Board) Fleet() *Fleet { return b.fleet }
@@ -61,7 +80,7 @@
 func (b *Board) termsOf(now time.Time, key incarnation) *terms {
 	t, exists := b.servers[key]
 	if !exists {
-		t = &terms{listedAt: now}
+		t = &terms{listedAt: now, cold: coldTerms{sequence: noSequence}}
 		b.servers[key] = t
 	}
 	return t
@@ -99,7 +118,7 @@
 func (t *terms) observe(now time.Time, limit float64) {
 	t.own, t.observedAt = true, now
 	if limit != t.limit {
-		t.setLimit(limit)
+		t.setLimit(now, limit)
 	}
 }
 
@@ -121,7 +140,7 @@
 	}
 	t.own = false
 	t.namedAt = now
-	t.setLimit(s.Limit)
+	t.setLimit(now, s.Limit)
 }
 
 // LearnEnd records that the gateways no longer know of a limit of the server.
@@ -162,36 +181,44 @@
 	return all
 }
 
-// Limited reports whether a listed server names a limit.
+// Limited reports whether a listed server names a limit or is cold.
 func (b *Board) Limited(now time.Time) bool {
 	for _, t := range b.servers {
-		if t.limit > 0 && now.Sub(t.listedAt) < forgetAfter {
+		if !t.quota(now).unlimited() && now.Sub(t.listedAt) < forgetAfter {
 			return true
 		}
 	}
 	return false
 }
 
-// SetListed records which servers are listed, and forgets those that have not been listed for long.
-func (b *Board) SetListed(now time.Time, servers []roster.Server) {
-	if len(b.servers) == 0 {
-		return
-	}
+// SetListed records which servers are listed, and forgets those that have not been listed for long. It
+// returns those that have become cold.
+func (b *Board) SetListed(now time.Time, servers []roster.Server) []roster.Server {
+	var becameCold []roster.Server
 	for _, s := range servers {
-		if t, known := b.servers[keyOf(s)]; known {
-			t.listedAt = now
+		t, known := b.servers[keyOf(s)]
+		if !known && s.WarmUp == 0 {
+			continue
+		}
+		if !known {
+			t = b.termsOf(now, keyOf(s))
+		}
+		t.listedAt = now
+		if b.recordWarmUp(now, t, s) {
+			becameCold = append(becameCold, s)
 		}
 	}
 	for key, t := range b.servers {
 		switch {
 		case now.Sub(t.listedAt) < forgetAfter:
-		case t.shared > 0 && b.fleet != nil && b.fleet.Share(now, key.id, 0).Rank == 0:
+		case t.shared > 0 && b.fleet != nil && b.fleet.Share(now, key.id, namedQuota(0)).Rank == 0:
 			// One gateway removes the statement from the store.
 			t.limit, t.own = 0, true
 		default:
 			delete(b.servers, key)
 		}
 	}
+	return becameCold
 }
 
 // Admits reports whether this gateway may send the server a request now.
@@ -203,25 +230,31 @@
 	if !known {
 		return 0
 	}
-	if t.limit > 0 {
-		t.update(now, b.fleet, s.ID)
+	q := t.quota(now)
+	if !q.unlimited() {
+		t.update(now, b.fleet, s.ID, q)
 	}
-	return max(t.backoffUntil.Sub(now), t.wait(), 0)
+	return max(t.backoffUntil.Sub(now), t.wait(now, q), 0)
 }
 
-// Limits reports whether the server names a limit, and whether that was not confirmed for a while.
+// Limits reports whether the server names a limit or is cold, and whether the limit that it names was not
+// confirmed for a while.
 func (b *Board) Limits(now time.Time, s roster.Server) (limited, unconfirmed bool) {
 	t, known := b.servers[keyOf(s)]
-	if !known || t.limit == 0 {
+	if !known || t.quota(now).unlimited() {
 		return false, false
 	}
-	return true, now.Sub(t.namedAt) >= confirmInterval
+	return true, t.limit > 0 && now.Sub(t.namedAt) >= confirmInterval
 }
 
 // RecordSent records that a request is sent to the server.
 func (b *Board) RecordSent(now time.Time, s roster.Server) {
-	if t, known := b.servers[keyOf(s)]; known && t.limit > 0 {
-		t.update(now, b.fleet, s.ID)
+	t, known := b.servers[keyOf(s)]
+	if !known {
+		return
+	}
+	if q := t.quota(now); !q.unlimited() {
+		t.update(now, b.fleet, s.ID, q)
 		t.level--
 	}
 }
--- a/models/notice/fleet_test.go
+++ b/models/notice/fleet_test.go
@@ -56,11 +56,15 @@
 
 // simFleet simulates gateways that send what they may to one server, which names a limit.
 type simFleet struct {
-	rand     *rand.Rand
-	limit    float64
-	now      time.Duration
-	gateways []*simGateway
-	members  []string
+	rand    *rand.Rand
+	limit   float64
+	options []notice.Option
+	// writesFail is whether the store takes no heartbeats.
+	writesFail bool
+	now        time.Duration
+	gateways   []*simGateway
+	members    []string
+	joinedAt   []time.Duration
 	// statement is the server's record in the store.
 	statement *notice.Statement
 	delayed   []func()
@@ -74,7 +78,7 @@
 
 func (f *simFleet) add() {
 	g := &simGateway{name: fmt.Sprintf("g%d", len(f.members))}
-	f.members = append(f.members, g.name)
+	f.members, f.joinedAt = append(f.members, g.name), append(f.joinedAt, f.now)
 	f.gateways = append(f.gateways, g)
 	f.restart(g, 0)
 }
@@ -85,7 +89,7 @@
 	if !g.cut {
 		fleet.RecordRead(f.time())
 	}
-	g.board, g.heartbeatAt, g.downUntil = notice.NewBoard(fleet), time.Time{}, f.now+after
+	g.board, g.heartbeatAt, g.downUntil = notice.NewBoard(fleet, f.options...), time.Time{}, f.now+after
 	f.later(after, func() {
 		if f.statement != nil && !g.cut {
 			g.board.Learn(f.time(), *f.statement)
@@ -145,6 +149,17 @@
 	g.board.Learn(f.time(), *f.statement)
 }
 
+// membersKnownTo returns the gateways that are registered, as far as the gateway has read it.
+func (f *simFleet) membersKnownTo(g *simGateway) []string {
+	var members []string
+	for i, name := range f.members {
+		if name == g.name || f.joinedAt[i] == 0 || f.now-f.joinedAt[i] >= shareDelay {
+			members = append(members, name)
+		}
+	}
+	return members
+}
+
 // share does what a gateway does in the store.
 func (f *simFleet) share(g *simGateway) {
 	if g.cut {
@@ -152,7 +167,7 @@
 	}
 	now := f.time()
 	g.board.Fleet().RecordRead(now)
-	g.board.Fleet().SetMembers(now, f.members)
+	g.board.Fleet().SetMembers(now, f.membersKnownTo(g))
 	g.board.SetListed(now, []roster.Server{server})
 	for _, s := range g.board.Unpublished(now) {
 		f.statement = &s
@@ -173,9 +188,9 @@
 	if g.heartbeatAt.IsZero() {
 		g.board.Fleet().Watch(now)
 	}
-	if now.Sub(g.heartbeatAt) >= g.board.Fleet().HeartbeatInterval() {
+	if now.Sub(g.heartbeatAt) >= g.board.Fleet().HeartbeatInterval() && !f.writesFail {
 		g.heartbeatAt = now
-		g.board.Fleet().Confirm(now)
+		g.board.Fleet().Confirm(now, now)
 		f.broadcast(func(b *notice.Board) { b.Fleet().RecordHeartbeat(f.time(), g.name) })
 	}
 }
@@ -198,7 +213,7 @@
 	f.later(tick, func() { g.board.Record(f.time(), server, r) })
 }
 
-func (f *simFleet) step() {
+func (f *simFleet) runDelayed() {
 	for i := 0; i < len(f.delayed); i++ {
 		if f.dueAt[i] <= f.now {
 			f.delayed[i]()
@@ -206,6 +221,10 @@
 			i--
 		}
 	}
+}
+
+func (f *simFleet) step() {
+	f.runDelayed()
 	for _, g := range f.gateways {
 		if g.gone || f.now < g.downUntil || f.now < g.stoppedUntil {
 			continue
--- a/models/notice/terms.go
+++ b/models/notice/terms.go
@@ -9,6 +9,12 @@
 	shareTTL = 250 * time.Millisecond
 	// burstTime is the time for which a gateway may save up its share of a large limit.
 	burstTime = 250 * time.Millisecond
+	// settleTime is how long a gateway waits that takes the share of another one of a quota of which
+	// each second counts: the other one stops within learnTime, and has sent nothing in the second before
+	// the first request of this one.
+	settleTime = time.Second + learnTime
+	// refusedRetry is the time after which callers return to a server that takes no requests at all.
+	refusedRetry = time.Second
 	// oneRequest is a whole request, less what rounding may lose.
 	oneRequest = 1 - 1e-9
 )
@@ -31,6 +37,7 @@
 	publishedAt time.Time
 	// listedAt is when the server was last known to be listed.
 	listedAt time.Time
+	cold     coldTerms
 	bucket
 }
 
@@ -44,44 +51,81 @@
 }
 
 // setLimit sets the limit. A gateway that begins to keep to one starts with its place among the
-// sharers, so that they don't all send at once.
-func (t *terms) setLimit(limit float64) {
-	if t.limit == 0 || limit == 0 {
+// sharers, so that they don't all send at once. The limit of a cold server goes on meanwhile.
+func (t *terms) setLimit(now time.Time, limit float64) {
+	if (t.limit == 0 || limit == 0) && !t.isCold(now) {
 		t.bucket = bucket{}
 	}
 	t.sharedAt = time.Time{}
 	t.limit = limit
 }
 
+// quota returns what the server allows now.
+func (t *terms) quota(now time.Time) quota {
+	var q quota
+	if t.limit > 0 {
+		q = namedQuota(t.limit)
+	}
+	if t.isCold(now) {
+		q = q.and(t.cold.quota)
+	}
+	return q
+}
+
 // update adds what the share allows since the last update.
-func (t *terms) update(now time.Time, f *Fleet, server string) {
-	first := t.updatedAt.IsZero()
-	if !first {
-		t.level += t.share.Rate * max(0, now.Sub(t.updatedAt).Seconds())
+func (b *bucket) update(now time.Time, f *Fleet, server string, q quota) {
+	first := b.updatedAt.IsZero()
+	if first || now.After(b.updatedAt) {
+		if !first {
+			b.level += b.share.Rate * now.Sub(b.updatedAt).Seconds()
+		}
+		b.updatedAt = now
+	}
+	if b.sharedAt.IsZero() || now.Sub(b.sharedAt) >= shareTTL {
+		b.setShare(now, f, server, q, first)
 	}
-	t.updatedAt = now
-	if t.sharedAt.IsZero() || now.Sub(t.sharedAt) >= shareTTL {
-		t.sharedAt = now
-		t.share = Share{Rate: t.limit, Sharers: 1}
-		if f != nil {
-			t.share = f.Share(now, server, t.limit)
+	b.level = min(b.level, q.saved(b.share))
+}
+
+// setShare determines the share. What a gateway without a share had saved up is void.
+func (b *bucket) setShare(now time.Time, f *Fleet, server string, q quota, first bool) {
+	before := b.share
+	b.sharedAt = now
+	b.share = Share{Rate: q.rate, Sharers: 1}
+	if f != nil {
+		b.share = f.Share(now, server, q)
+	}
+	switch {
+	case b.share.Rate == 0:
+		b.level = 0
+	case first:
+		b.level = float64(b.share.Rank) / float64(b.share.Sharers)
+		if f != nil && q.exact() {
+			b.holdUntil(f.knownAt.Add(settleTime))
 		}
+	case before.Rate == 0 && q.exact():
+		b.holdUntil(now.Add(settleTime))
 	}
-	if first && t.share.Rate > 0 {
-		t.level = float64(t.share.Rank) / float64(t.share.Sharers)
+}
+
+// holdUntil delays what the share allows until the time.
+func (b *bucket) holdUntil(at time.Time) {
+	if at.After(b.updatedAt) {
+		b.updatedAt = at
 	}
-	t.level = min(t.level, max(1, t.share.Rate*burstTime.Seconds()))
 }
 
 // wait returns the time until this gateway may send a request or, if it has no share, until another
 // one may.
-func (t *terms) wait() time.Duration {
+func (b *bucket) wait(now time.Time, q quota) time.Duration {
 	switch {
-	case t.limit == 0 || t.level >= oneRequest:
+	case q.unlimited() || b.level >= oneRequest:
 		return 0
-	case t.share.Rate == 0:
-		return time.Duration(float64(time.Second) / t.limit)
+	case q.rate == 0:
+		return refusedRetry
+	case b.share.Rate == 0:
+		return time.Duration(float64(time.Second) / q.rate)
 	default:
-		return time.Duration((1 - t.level) / t.share.Rate * float64(time.Second))
+		return max(0, b.updatedAt.Sub(now)) + time.Duration((1-b.level)/b.share.Rate*float64(time.Second))
 	}
 }
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -59,7 +59,13 @@
 
 // WithInstance sets the name of the gateway, which shares limits with others.
 func WithInstance(name string) Option {
-	return func(s *Service) { s.board = notice.NewBoard(notice.NewFleet(name)) }
+	return func(s *Service) { s.fleet = notice.NewFleet(name) }
+}
+
+// WithColdTolerance sets what all gateways together may send a cold server within any second beyond its
+// limit.
+func WithColdTolerance(over, slack float64) Option {
+	return func(s *Service) { s.boardOptions = append(s.boardOptions, notice.WithColdTolerance(over, slack)) }
 }
 
 // WithHeartbeat sets the time between two heartbeats of a server.
@@ -111,8 +117,10 @@
 	// read is closed after the next read of the tables or the servers.
 	read chan struct{}
 	// board holds what servers announce, and onNotice is called after anything new.
-	board    *notice.Board
-	onNotice func()
+	fleet        *notice.Fleet
+	boardOptions []notice.Option
+	board        *notice.Board
+	onNotice     func()
 
 	cancel  context.CancelFunc
 	running sync.WaitGroup
@@ -123,11 +131,12 @@
 	s := &Service{
 		log: log.Named(Name), codec: codec,
 		serverRecords: map[string]record.Record{}, balancers: map[string]*balance.Balancer{},
-		board: notice.NewBoard(nil), onNotice: func() {}, clock: uptime.NewClock(), read: make(chan struct{}),
+		onNotice: func() {}, clock: uptime.NewClock(), read: make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(s)
 	}
+	s.board = notice.NewBoard(s.fleet, s.boardOptions...)
 	s.roster = roster.New(roster.WithHeartbeat(s.heartbeat))
 	tables, servers := codec.Topics()
 	s.tables = follower.New(s.log, store, record.Partition{Topic: tables}, tableHandler{s}, follower.WithResyncOnError(), follower.WithClock(s.clock),
@@ -215,6 +224,13 @@
 	f(s.board)
 }
 
+// ColdServers returns the number of servers that are cold and limited.
+func (s *Service) ColdServers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.board.Cold(time.Now())
+}
+
 // OnNotice sets the function that is called after a server announced anything new.
 func (s *Service) OnNotice(f func()) {
 	s.mu.Lock()
@@ -300,11 +316,11 @@
 func (s *Service) refresh(now time.Time) {
 	byPool := map[string][]roster.Server{}
 	usable := s.roster.Usable(s.listTime(now))
-	s.board.SetListed(now, usable)
+	table := s.table.Load()
+	s.setListed(now, table, usable)
 	for _, server := range usable {
 		byPool[server.Pool] = append(byPool[server.Pool], server)
 	}
-	table := s.table.Load()
 	if table != nil {
 		// Entries may name pools that the tables don't have.
 		for pool := range table.Pools {
@@ -320,6 +336,21 @@
 	}
 }
 
+// setListed passes the listed servers to the board, and has heartbeats written once one becomes cold.
+func (s *Service) setListed(now time.Time, table *route.Table, servers []roster.Server) {
+	if table != nil {
+		s.board.SetPools(table.Pools)
+	}
+	cold := s.board.SetListed(now, servers)
+	for _, server := range cold {
+		s.log.Info("server cold", "server", server.ID, "pool", server.Pool, "started", server.Started,
+			"sequence", server.Sequence, "left", server.WarmUp, "limit", table.Pools[server.Pool].ColdLimit)
+	}
+	if len(cold) > 0 {
+		s.onNotice()
+	}
+}
+
 // putServer applies a server's record. A record without a value, or one that cannot be
 // decoded, removes the server.
 func (s *Service) putServer(r record.Record, now time.Time) {
--- a/services/notice/notice.go
+++ b/services/notice/notice.go
@@ -28,7 +28,7 @@
 	pollTimeout = 2 * time.Second
 	// minReadInterval is the minimum time between the starts of two reads.
 	minReadInterval = 100 * time.Millisecond
-	// stepInterval is the time between two steps while a server names a limit.
+	// stepInterval is the time between two steps while a server names a limit or is cold.
 	stepInterval = 100 * time.Millisecond
 )
 
@@ -115,7 +115,7 @@
 	}
 }
 
-// run writes what is new, and heartbeats while a server names a limit.
+// run writes what is new, and heartbeats while a server names a limit or is cold.
 func (s *Service) run() {
 	for {
 		select {
@@ -137,9 +137,7 @@
 	var interval time.Duration
 	var limited bool
 	s.boards.WithBoard(func(b *notice.Board) {
-		if s.directory.Count().Known() {
-			b.Fleet().SetMembers(now, slices.Collect(maps.Keys(s.directory.Members())))
-		}
+		s.setMembers(b, now)
 		limited = b.Limited(now)
 		if limited && s.heartbeatAt.IsZero() {
 			b.Fleet().Watch(now)
@@ -162,6 +160,13 @@
 	return limited || len(statements) > 0
 }
 
+// setMembers passes the registered gateways to the board.
+func (s *Service) setMembers(b *notice.Board, now time.Time) {
+	if s.directory.Count().Known() {
+		b.Fleet().SetMembers(now, slices.Collect(maps.Keys(s.directory.Members())))
+	}
+}
+
 func (s *Service) encode(statements []notice.Statement) []record.Record {
 	var records []record.Record
 	for _, st := range statements {
@@ -183,7 +188,7 @@
 		return
 	}
 	if heartbeat {
-		s.boards.WithBoard(func(b *notice.Board) { b.Fleet().Confirm(now) })
+		s.boards.WithBoard(func(b *notice.Board) { b.Fleet().Confirm(time.Now(), now) })
 	}
 }
 
@@ -249,6 +254,9 @@
 			b.Fleet().RecordUnreadable()
 			return
 		}
-		b.Fleet().RecordRead(time.Now().Add(-s.follower.Age()))
+		now := time.Now()
+		b.Fleet().RecordRead(now.Add(-s.follower.Age()))
+		// The gateways are known before the first limit, which holds from its first second.
+		s.setMembers(b, now)
 	})
 }
