Test the waiting times of gateways that gain a share of a cold server

Cause: removing the waiting times for gained shares and for heartbeats failed no test. What the rates leave of the bound hides them in the simulation.

Removed one at a time, each of the waits of a new gateway, of a gained share, after a heartbeat and after a gap, and the condition that the gateway reads, fails TestGainedShare.

--- a/models/notice/cold.go
+++ b/models/notice/cold.go
@@ -8,11 +8,14 @@
 	"github.com/crocusline/crocusline/models/route"
 )
 
+// DefaultColdOver and DefaultColdSlack are what a cold server takes beyond its limit within a second if
+// the operators state nothing else.
 const (
-	// DefaultColdOver and DefaultColdSlack are what a cold server takes beyond its limit within a
-	// second if the operators state nothing else.
 	DefaultColdOver  = 1.5
 	DefaultColdSlack = 5.0
+)
+
+const (
 	// noSequence is the sequence of a server of which no record was read.
 	noSequence = -1
 	// groups is the number of groups of gateways that may each have saved up requests: those that are
--- a/models/notice/cold_test.go
+++ b/models/notice/cold_test.go
@@ -262,6 +262,22 @@
 				f.replace(1)
 			}
 		}},
+		// Those that are cut off use what they have by the old list all the while.
+		{"half is cut off, the others are replaced", 0, func(f *simFleet) {
+			if f.now == 3*time.Second {
+				for i, g := range f.gateways {
+					f.setCut(g, i%2 == 1)
+				}
+			}
+			if f.every(2500 * time.Millisecond) {
+				for _, g := range slices.Clone(f.gateways) {
+					if !g.cut && !g.gone && f.now > 3*time.Second {
+						g.gone = true
+						f.add()
+					}
+				}
+			}
+		}},
 		// New processes wait for 1.5 s, so that little remains of 3 s.
 		{"all replaced together", 0, func(f *simFleet) {
 			if f.every(8 * time.Second) {
@@ -338,6 +354,75 @@
 	}
 }
 
+// TestGainedShare guards against gateways that use a share of a cold server while another one, which had it before,
+// may not know of them yet.
+func TestGainedShare(t *testing.T) {
+	s := roster.Server{ID: "s", Pool: "p", Started: 7, WarmUp: time.Minute}
+	members := []string{"g"}
+	for i := range 20 {
+		members = append(members, fmt.Sprintf("g%d", i))
+	}
+	const first, half = 192 * time.Millisecond, 384 * time.Millisecond
+	tests := []struct {
+		name   string
+		events func(f *notice.Fleet, b *notice.Board)
+		min    time.Duration
+	}{
+		{"known for long", func(f *notice.Fleet, b *notice.Board) {
+			f.SetMembers(epoch.Add(-time.Minute), []string{"g"})
+			b.SetListed(epoch.Add(4*time.Second), []roster.Server{s})
+		}, half},
+		{"just started", func(f *notice.Fleet, b *notice.Board) {
+			f.SetMembers(epoch.Add(4*time.Second), []string{"g"})
+			b.SetListed(epoch.Add(4*time.Second), []roster.Server{s})
+		}, 1500*time.Millisecond + half},
+		{"the others ended", func(f *notice.Fleet, b *notice.Board) {
+			f.SetMembers(epoch.Add(-time.Minute), members)
+			b.SetListed(epoch, []roster.Server{s})
+			f.SetMembers(epoch.Add(4*time.Second), []string{"g"})
+		}, 1500*time.Millisecond + half},
+		{"gateways not known", func(_ *notice.Fleet, b *notice.Board) { b.SetListed(epoch, []roster.Server{s}) }, first},
+		{"heartbeat just accepted", func(f *notice.Fleet, b *notice.Board) {
+			f.SetMembers(epoch.Add(-time.Minute), []string{"g"})
+			f.RecordRead(epoch.Add(4 * time.Second))
+			f.Watch(epoch.Add(3500 * time.Millisecond))
+			f.Confirm(epoch.Add(3600*time.Millisecond), epoch.Add(3600*time.Millisecond))
+			b.SetListed(epoch.Add(4*time.Second), []roster.Server{s})
+		}, half},
+		{"heartbeats accepted", func(f *notice.Fleet, b *notice.Board) {
+			f.SetMembers(epoch.Add(-time.Minute), []string{"g"})
+			f.RecordRead(epoch.Add(4 * time.Second))
+			f.Watch(epoch.Add(2 * time.Second))
+			f.Confirm(epoch.Add(2*time.Second), epoch.Add(2*time.Second))
+			b.SetListed(epoch.Add(4*time.Second), []roster.Server{s})
+		}, first},
+		{"heartbeats accepted after a gap", func(f *notice.Fleet, b *notice.Board) {
+			f.SetMembers(epoch.Add(-time.Minute), []string{"g"})
+			f.RecordRead(epoch.Add(4 * time.Second))
+			f.Watch(epoch.Add(-20 * time.Second))
+			f.Confirm(epoch.Add(-19*time.Second), epoch.Add(-19*time.Second))
+			f.Confirm(epoch.Add(2500*time.Millisecond), epoch.Add(2500*time.Millisecond))
+			b.SetListed(epoch.Add(4*time.Second), []roster.Server{s})
+		}, half},
+		{"heartbeats accepted, nothing read", func(f *notice.Fleet, b *notice.Board) {
+			f.SetMembers(epoch.Add(-time.Minute), []string{"g"})
+			f.RecordRead(epoch.Add(2 * time.Second))
+			f.Watch(epoch.Add(2 * time.Second))
+			f.Confirm(epoch.Add(2*time.Second), epoch.Add(2*time.Second))
+			b.SetListed(epoch.Add(4*time.Second), []roster.Server{s})
+		}, half},
+	}
+	for _, tt := range tests {
+		f := notice.NewFleet("g")
+		b := notice.NewBoard(f)
+		b.SetPools(map[string]route.Pool{"p": {ColdLimit: 5.2}})
+		tt.events(f, b)
+		if wait := b.Wait(epoch.Add(4*time.Second), s); wait < tt.min || wait > tt.min+time.Millisecond {
+			t.Errorf("%s: the first request is due in %s, want %s", tt.name, wait, tt.min)
+		}
+	}
+}
+
 // TestColdServerNamesLimit guards against requests that a cold server gets in addition as it names another limit
 // with each response.
 func TestColdServerNamesLimit(t *testing.T) {
