Predict the time to the first event from learned estimates

Cause: models/balance predicted with constants of one data sheet. Slow and fast servers of a pool looked alike, and reading shared segments again cost the same at each.

Change: predictions and recomputeCost use models/estimate; the constants are the prior of a pool without observations. An observation teaches only if the server could not begin with less than the whole load: shared segments count as cached already, and no prompt of this gateway was waiting there. Sends that ended without a first event are reported by RecordUnread, which teaches nothing. A server that restarted starts from the pool.

--- a/models/balance/balance.go
+++ b/models/balance/balance.go
@@ -17,25 +17,23 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/crocusline/crocusline/models/call"
+	"github.com/crocusline/crocusline/models/estimate"
 	"github.com/crocusline/crocusline/models/notice"
 	"github.com/crocusline/crocusline/models/roster"
 )
 
+// enginePrior and plainPrior are the estimates for a pool without observations.
+var (
+	// enginePrior is the data sheet of one engine. A running request delays the first few
+	// decoding steps, which take longer in a larger batch.
+	enginePrior = estimate.Prior{Idle: 24 * time.Millisecond, TokensPerMs: 37.9, PerRunning: time.Millisecond}
+	// plainPrior is the usual service time of a call to a plain service, according to the
+	// data sheets of both deployments.
+	plainPrior = estimate.Prior{Idle: 40 * time.Millisecond}
+)
+
 // Costs used to compare servers, expressed as time that a caller waits.
 const (
-	// prefillTokensPerMs is the number of prompt tokens that an engine processes
-	// per millisecond, according to its data sheet.
-	prefillTokensPerMs = 37.9
-	// firstEventLatency is the time from the end of prefill on an idle engine to
-	// its first event, according to the same data sheet.
-	firstEventLatency = 24 * time.Millisecond
-	// costPerRunning is the delay that each running request adds to the first few
-	// decoding steps, which take longer in a larger batch according to the same
-	// data sheet.
-	costPerRunning = time.Millisecond
-	// plainServiceTime is the usual service time of a call to a plain service,
-	// according to the data sheets of both deployments.
-	plainServiceTime = 40 * time.Millisecond
 	// crossDomainCost weights the price and latency of traffic between failure
 	// domains.
 	crossDomainCost = 10 * time.Millisecond
@@ -83,11 +81,13 @@
 	board       *notice.Board
 	cacheTokens int64
 	servers     map[string]*server
+	// latency holds the estimates for the pool.
+	latency *estimate.Pool
 }
 
 // New returns a balancer without servers.
 func New(opts ...Option) *Balancer {
-	b := &Balancer{rand: rand.New(rand.NewPCG(0, 0)), board: notice.NewBoard(nil), servers: map[string]*server{}}
+	b := &Balancer{rand: rand.New(rand.NewPCG(0, 0)), board: notice.NewBoard(nil), servers: map[string]*server{}, latency: estimate.New(plainPrior)}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -101,9 +101,10 @@
 	// pendingTokens is the number of prompt tokens of requests that have not
 	// produced their first event.
 	pendingTokens int64
-	// firstEventDue maps the ids of those requests to the time at which the first
-	// event was predicted.
-	firstEventDue map[string]time.Time
+	// unread maps the ids of those requests to what was predicted for them.
+	unread map[string]prediction
+	// latency is the server's speed relative to its pool.
+	latency estimate.Server
 	// delay is how much later than predicted first events arrived, as of delayedAt.
 	delay          time.Duration
 	delayedAt      time.Time
@@ -115,15 +116,28 @@
 	trials map[string]bool
 }
 
+// prediction is what was predicted for a request when it was sent.
+type prediction struct {
+	sentAt time.Time
+	// firstEventDue is when the first event was predicted.
+	firstEventDue time.Time
+	load          estimate.Load
+	// comparable is whether the time to the first event shows the server's speed.
+	comparable bool
+}
+
 // SetServers replaces the servers. cacheTokens is the number of tokens that each can
 // cache, 0 for plain services. The state of servers that restarted is discarded.
 func (b *Balancer) SetServers(servers []roster.Server, cacheTokens int64) {
+	if (cacheTokens == 0) != (b.cacheTokens == 0) {
+		b.resetEstimates(cacheTokens)
+	}
 	b.cacheTokens = cacheTokens
 	current := make(map[string]*server, len(servers))
 	for _, s := range servers {
 		state, ok := b.servers[s.ID]
 		if !ok || state.Started != s.Started {
-			state = &server{cache: newCache(cacheTokens), firstEventDue: map[string]time.Time{}, trials: map[string]bool{}}
+			state = &server{cache: newCache(cacheTokens), unread: map[string]prediction{}, trials: map[string]bool{}}
 		}
 		state.Server = s
 		current[s.ID] = state
@@ -131,6 +145,19 @@
 	b.servers = current
 }
 
+// resetEstimates discards what was learned, as the pool's servers became engines or plain
+// services.
+func (b *Balancer) resetEstimates(cacheTokens int64) {
+	prior := plainPrior
+	if cacheTokens > 0 {
+		prior = enginePrior
+	}
+	b.latency = estimate.New(prior)
+	for _, s := range b.servers {
+		s.latency, s.unread = estimate.Server{}, map[string]prediction{}
+	}
+}
+
 // Request describes a request for which a server is selected.
 type Request struct {
 	ID           string
@@ -174,7 +201,7 @@
 			continue
 		}
 		predicted, cached := b.predict(now, s, r, s == preferred)
-		cost := max(predicted, latencyFloor(r)) + recomputeCost(r, cached) + b.penalty(now, s, r) + time.Duration(b.rand.Int64N(int64(time.Millisecond)))
+		cost := max(predicted, latencyFloor(r)) + b.recomputeCost(s, r, cached) + b.penalty(now, s, r) + time.Duration(b.rand.Int64N(int64(time.Millisecond)))
 		if cost < bestCost {
 			best, bestCost = s, cost
 			choice = Choice{Server: s.Server, PredictedLatency: predicted, CachedTokens: cached, Trial: s.suspension > 0}
@@ -219,26 +246,44 @@
 // predict returns the expected time to the first event and the number of cached
 // prompt tokens.
 func (b *Balancer) predict(now time.Time, s *server, r Request, preferred bool) (time.Duration, int64) {
+	load, cached := b.load(s, r, preferred)
+	predicted := b.latency.Latency(&s.latency, load)
+	if b.cacheTokens > 0 {
+		predicted += s.backlog(now)
+	}
+	return predicted, cached
+}
+
+// load returns what the server does before the first event of the request, as far as this
+// gateway knows, and the number of cached prompt tokens.
+func (b *Balancer) load(s *server, r Request, preferred bool) (estimate.Load, int64) {
 	if b.cacheTokens == 0 {
-		wait := float64(s.running) / float64(max(1, s.Slots))
-		return plainServiceTime + time.Duration(wait*float64(plainServiceTime)), 0
+		return estimate.Load{Rounds: 1 + float64(s.running)/float64(max(1, s.Slots))}, 0
 	}
 	cached := s.cache.prefixTokens(r.Segments)
 	if preferred {
 		cached = max(cached, sharedTokens(r.Segments))
 	}
-	tokens := float64(r.PromptTokens-min(cached, r.PromptTokens)) + float64(s.pendingTokens)
-	predicted := firstEventLatency + time.Duration(tokens/prefillTokensPerMs*float64(time.Millisecond)) +
-		time.Duration(s.running)*costPerRunning + s.backlog(now)
-	return predicted, cached
+	return s.promptLoad(r, cached), cached
+}
+
+func (s *server) promptLoad(r Request, cached int64) estimate.Load {
+	return estimate.Load{
+		Rounds: 1, Tokens: float64(uncachedTokens(r, cached) + s.pendingTokens), Running: float64(s.running),
+	}
+}
+
+// uncachedTokens returns the number of prompt tokens that the server has to process.
+func uncachedTokens(r Request, cached int64) int64 {
+	return r.PromptTokens - min(cached, r.PromptTokens)
 }
 
 // backlog estimates the work at a server that other gateways sent, from how late
 // first events were recently or are now.
 func (s *server) backlog(now time.Time) time.Duration {
 	backlog := time.Duration(float64(s.delay) * math.Exp(-now.Sub(s.delayedAt).Seconds()/delayDecay.Seconds()))
-	for _, due := range s.firstEventDue {
-		backlog = max(backlog, now.Sub(due))
+	for _, p := range s.unread {
+		backlog = max(backlog, now.Sub(p.firstEventDue))
 	}
 	return backlog
 }
@@ -273,9 +318,12 @@
 
 // recomputeCost returns the engine time that processing uncached shared segments
 // takes away from other requests.
-func recomputeCost(r Request, cached int64) time.Duration {
+func (b *Balancer) recomputeCost(s *server, r Request, cached int64) time.Duration {
+	if b.cacheTokens == 0 {
+		return 0
+	}
 	missing := max(0, sharedTokens(r.Segments)-cached)
-	return time.Duration(float64(missing) / prefillTokensPerMs * float64(time.Millisecond))
+	return time.Duration(float64(missing) / b.latency.TokensPerMs(&s.latency) * float64(time.Millisecond))
 }
 
 // sharedTokens returns the size of all segments but the last, which is specific to
@@ -296,10 +344,9 @@
 	if !ok {
 		return
 	}
-	cached := c.CachedTokens
+	s.unread[r.ID] = b.newPrediction(now, s, r, c)
 	s.running++
-	s.firstEventDue[r.ID] = now.Add(c.PredictedLatency)
-	s.pendingTokens += r.PromptTokens - min(cached, r.PromptTokens)
+	s.pendingTokens += uncachedTokens(r, c.CachedTokens)
 	if len(r.Segments) > 1 {
 		s.cache.add(now, r.Segments[:len(r.Segments)-1])
 	}
@@ -309,25 +356,54 @@
 	b.board.RecordSent(now, s.Server)
 }
 
+// newPrediction returns what is predicted for a request that is sent now. Its time to the
+// first event shows the server's speed unless the server may begin with less than all of
+// the load: it may have shared segments cached from other gateways, and it has processed a
+// part of the prompts that wait.
+func (b *Balancer) newPrediction(now time.Time, s *server, r Request, c Choice) prediction {
+	p := prediction{sentAt: now, firstEventDue: now.Add(c.PredictedLatency)}
+	_, ambiguous := s.unread[r.ID]
+	if b.cacheTokens == 0 {
+		p.load, _ = b.load(s, r, false)
+		p.comparable = !ambiguous
+		return p
+	}
+	p.load = s.promptLoad(r, c.CachedTokens)
+	p.comparable = !ambiguous && s.pendingTokens == 0 && c.CachedTokens >= sharedTokens(r.Segments)
+	return p
+}
+
 // RecordFirstEvent records that the server has processed a request's prompt.
 func (b *Balancer) RecordFirstEvent(now time.Time, id string, r Request, cached int64) {
 	s, ok := b.servers[id]
 	if !ok {
 		return
 	}
-	if due, pending := s.firstEventDue[r.ID]; pending {
-		s.delay = (s.backlog(now) + max(0, now.Sub(due))) / 2
+	if p, pending := s.unread[r.ID]; pending {
+		s.delay = (s.backlog(now) + max(0, now.Sub(p.firstEventDue))) / 2
 		s.delayedAt = now
-		delete(s.firstEventDue, r.ID)
+		delete(s.unread, r.ID)
+		if p.comparable {
+			b.latency.Record(&s.latency, p.load, now.Sub(p.sentAt))
+		}
 	}
-	s.pendingTokens = max(0, s.pendingTokens-(r.PromptTokens-min(cached, r.PromptTokens)))
+	s.pendingTokens = max(0, s.pendingTokens-uncachedTokens(r, cached))
 	s.cache.add(now, r.Segments)
 }
 
+// RecordUnread records that a request ended before its first event, so that its prompt no
+// longer waits at the server. The time until then shows nothing about the server's speed.
+func (b *Balancer) RecordUnread(id string, r Request, cached int64) {
+	if s, ok := b.servers[id]; ok {
+		delete(s.unread, r.ID)
+		s.pendingTokens = max(0, s.pendingTokens-uncachedTokens(r, cached))
+	}
+}
+
 // RecordEnd records the end of a request that was sent.
 func (b *Balancer) RecordEnd(id string, r Request) {
 	if s, ok := b.servers[id]; ok {
-		delete(s.firstEventDue, r.ID)
+		delete(s.unread, r.ID)
 		s.running = max(0, s.running-1)
 		delete(s.trials, r.ID)
 	}
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -44,7 +44,10 @@
 	j.arrivals++
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	prompt := &promptTracker{job: j, server: choice.Server, request: req, cachedTokens: choice.CachedTokens}
+	prompt := &promptTracker{
+		job: j, server: choice.Server, request: req, cachedTokens: choice.CachedTokens,
+		sentAt: start, predicted: choice.PredictedLatency,
+	}
 	j.spendReservation()
 	prompt.silence = j.watchSilence(choice, sends, cancel)
 	defer prompt.silence.stop()
@@ -294,7 +297,7 @@
 		if !prompt.promptRead {
 			// The prompt was not read as far as is known. Remove it from the prompts
 			// that wait at the server.
-			b.RecordFirstEvent(now, id, balance.Request{PromptTokens: prompt.request.PromptTokens}, prompt.cachedTokens)
+			b.RecordUnread(id, prompt.request, prompt.cachedTokens)
 		}
 		b.RecordEnd(id, prompt.request)
 		switch result := result.(type) {
