Count how predictions compare with first events

crocusline_first_event_prediction_ratio is a histogram of the time from a send to its first event, or to the response, divided by what was predicted for it. docs and services/relay pass.

--- a/services/relay/stream.go
+++ b/services/relay/stream.go
@@ -42,6 +42,9 @@
 	reused       bool
 	request      balance.Request
 	cachedTokens int64
+	// sentAt is when the request was sent, and predicted the expected time to its first event.
+	sentAt    time.Time
+	predicted time.Duration
 	// silence is the monitor of the send until its first event, or nil. It restarts with each part of
 	// the response.
 	silence    *silenceMonitor
@@ -77,6 +80,9 @@
 		j.timeToFirstEvent = now.Sub(j.request.ArrivedAt)
 		j.service.histogram("crocusline_first_event_seconds", j.route.Kind).Update(j.timeToFirstEvent.Seconds())
 	}
+	if p.predicted > 0 {
+		j.service.histogram("crocusline_first_event_prediction_ratio", j.route.Kind).Update(now.Sub(p.sentAt).Seconds() / p.predicted.Seconds())
+	}
 	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) { b.RecordFirstEvent(now, p.server.ID, p.request, p.cachedTokens) })
 }
 
