Let a small share of predictions below the latency floor count

Cause: below 0.4 of the goal all servers counted as equal, so that a server that was slow for 100 ms got as many requests as before (1.02 of the usual ones in the 300 ms after that), and slow servers as many as fast.

Change: 0.05 of the prediction counts there too. Cached tokens still decide between servers with and without them.

TestShortSlowness fails without the change and passes with it; models/balance and models/retry pass.

--- a/models/balance/balance.go
+++ b/models/balance/balance.go
@@ -43,9 +43,13 @@
 	// names its limit.
 	confirmCredit = 50 * time.Millisecond
 	// latencyFloorShare is the share of the request's goal below which predictions
-	// are considered equal. The rest of the goal is a reserve for delays that this
+	// are considered almost equal. The rest of the goal is a reserve for delays that this
 	// gateway cannot observe.
 	latencyFloorShare = 0.4
+	// latencyShare is the share of a prediction below that floor that still counts. It is
+	// small, so that cached tokens decide between servers with and without them, and the
+	// faster or less late one is chosen among others.
+	latencyShare = 0.05
 	// delayDecay is the time constant with which an observed delay decays. It is
 	// about the time in which an engine completes the work that caused the delay.
 	delayDecay = 600 * time.Millisecond
@@ -201,7 +205,7 @@
 			continue
 		}
 		predicted, cached := b.predict(now, s, r, s == preferred)
-		cost := max(predicted, latencyFloor(r)) + b.recomputeCost(s, r, cached) + b.penalty(now, s, r) + time.Duration(b.rand.Int64N(int64(time.Millisecond)))
+		cost := latencyCost(r, predicted) + b.recomputeCost(s, r, cached) + b.penalty(now, s, r) + time.Duration(b.rand.Int64N(int64(time.Millisecond)))
 		if cost < bestCost {
 			best, bestCost = s, cost
 			choice = Choice{Server: s.Server, PredictedLatency: predicted, CachedTokens: cached, Trial: s.suspension > 0}
@@ -310,8 +314,13 @@
 	return cost
 }
 
+// latencyCost returns the cost of a predicted latency. Below the floor most of it is left out.
+func latencyCost(r Request, predicted time.Duration) time.Duration {
+	return max(predicted, latencyFloor(r)) + time.Duration(float64(predicted)*latencyShare)
+}
+
 // latencyFloor returns the predicted latency below which servers are considered
-// equally fast, so that cached tokens decide.
+// almost equally fast, so that cached tokens decide.
 func latencyFloor(r Request) time.Duration {
 	return time.Duration(float64(r.Goal) * latencyFloorShare)
 }
--- a/models/balance/replay_test.go
+++ b/models/balance/replay_test.go
@@ -64,7 +64,6 @@
 	busyUntil time.Time
 	running   int
 	cache     map[string]time.Time
-	cached    int64
 	// busy is the time spent on prompts, and secondly the requests in each second.
 	busy     time.Duration
 	secondly []int
@@ -108,6 +107,9 @@
 	// latencies are the times to the first event, and errors their ratios to the predictions.
 	latencies, errors  []float64
 	shared, recomputed int64
+	// onChoice and onSend are called before and after each choice, unless they are nil.
+	onChoice func(now time.Time)
+	onSend   func(now time.Time, server string)
 }
 
 const (
@@ -194,6 +196,9 @@
 		PromptTokens: c.shared + c.own, Goal: c.goal, Idempotent: true,
 	}
 	b := r.balancers[sent.gateway]
+	if r.onChoice != nil {
+		r.onChoice(now)
+	}
 	if r.constants {
 		b.DiscardEstimates()
 	}
@@ -203,6 +208,9 @@
 	}
 	b.RecordSent(now, choice.Server.ID, sent.request, choice)
 	sent.choice, sent.server = choice, choice.Server.ID
+	if r.onSend != nil {
+		r.onSend(now, sent.server)
+	}
 	e := r.engines[sent.server]
 	tokens := c.own
 	measured := now.Sub(start) > warmUp
@@ -329,6 +337,48 @@
 	return d
 }
 
+// TestShortSlowness guards against a server that gets as many requests as before while it is slow for
+// 100 ms, or fewer for seconds after that. Six gateways send prompts that share nothing, and one of four
+// servers delays what it gets for that time.
+func TestShortSlowness(t *testing.T) {
+	const slowFor, runs = 100 * time.Millisecond, 40
+	d := deployment{
+		gateways: 6, servers: 4, workspaces: 400, speeds: []float64{1}, tokensPerMs: 37.9, step: 24 * time.Millisecond, memory: 300_000,
+		classes: []class{{shared: 1, own: 1_000, perSecond: 80, goal: time.Second}},
+	}
+	slowAt := start.Add(warmUp)
+	// counts are the requests of the slow server in each slowFor after it became slow.
+	var counts [30]float64
+	for seed := range uint64(runs) {
+		r := newReplay(d, false, seed)
+		r.onChoice = func(now time.Time) {
+			if slow := r.engines["s001"]; now.After(slowAt) && now.Before(slowAt.Add(slowFor)) && slow.busyUntil.Before(slowAt.Add(slowFor)) {
+				slow.busyUntil = slowAt.Add(slowFor)
+			}
+		}
+		r.onSend = func(now time.Time, id string) {
+			if i := int(now.Sub(slowAt) / slowFor); id == "s001" && now.After(slowAt) && i < len(counts) {
+				counts[i]++
+			}
+		}
+		r.run()
+	}
+	mean := func(from, to int) float64 {
+		sum := 0.0
+		for _, n := range counts[from:to] {
+			sum += n
+		}
+		return sum / float64(to-from)
+	}
+	usual := mean(20, len(counts))
+	if got := mean(1, 4) / usual; got > 0.8 {
+		t.Errorf("100 to 400 ms after it became slow the server gets %.2f of the usual requests", got)
+	}
+	if got := mean(10, 20) / usual; got < 0.9 {
+		t.Errorf("1 to 2 s after it became slow the server gets %.2f of the usual requests", got)
+	}
+}
+
 // TestReplays compares learned estimates with constants on gateways that each see their own requests
 // only. It guards against estimates that take the load of others for slow servers, and against choices
 // that oscillate: the request rate of servers must not change more from one second to the next.
