Prove the end of responses that end with their connection

Cause: the error of a reset is returned once. While a long request is written, the write may receive it, and the read then returns an orderly end, so that a part of a response without length passes for the whole. The write's result was asked for only to decide whether the connection can be used again. Change: at the end of such a body the request must have been written without an error, the server's system must have acknowledged it, and the connection must be in the state in which only an orderly end leaves it (TCP_INFO). Responses with a length or chunks are as before.

--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -178,7 +178,7 @@
 		return nil, &NotSentError{Address: c.address, Err: err}
 	}
 	writer := &trackingWriter{Conn: c.netConn}
-	writeResult := make(chan error, 1)
+	result := newWriteResult()
 	write := func() error {
 		defer c.writing.Store(false)
 		return writeRequest(writer, r)
@@ -189,15 +189,15 @@
 			// The goroutine may run late.
 			if err := Ended(ctx); err != nil {
 				c.writing.Store(false)
-				writeResult <- err
+				result.set(err)
 				return
 			}
-			writeResult <- write()
+			result.set(write())
 		}()
 		c.watchAcknowledgements(ctx, end)
 	} else {
 		err := write()
-		writeResult <- err
+		result.set(err)
 		if err != nil {
 			err = contextCauseOr(ctx, err)
 			stop()
@@ -218,7 +218,8 @@
 	}
 	c.idleTimeout = min(c.client.idleTimeout, keepAliveTimeout(resp.Header, c.client.idleTimeout))
 	resp.Body = &body{
-		conn: c, request: r, reader: resp.Body, writeResult: writeResult, stopCancel: stop, ctx: ctx, reusable: allowsReuse(resp),
+		conn: c, request: r, reader: resp.Body, writeResult: result, stopCancel: stop, ctx: ctx, reusable: allowsReuse(resp),
+		endsWithConnection: endsWithConnection(resp),
 	}
 	return resp, nil
 }
@@ -328,22 +329,34 @@
 	conn    *conn
 	request *Request
 	reader  io.ReadCloser
-	// writeResult receives the result of writing the request.
-	writeResult chan error
+	// writeResult is the result of writing the request.
+	writeResult *writeResult
 	// stopCancel stops closing the connection at the end of the context. It returns
 	// false if the connection has been closed.
 	stopCancel func() bool
 	ctx        context.Context
 	// reusable is false if the response or a read error rules out further requests.
 	reusable bool
+	// endsWithConnection is whether nothing but the end of the connection ends the body.
+	endsWithConnection bool
 	// complete is set once the body was read to its end.
 	complete bool
-	closed   bool
+	// endErr is the error of a body whose end is not proven.
+	endErr error
+	closed bool
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
+	if b.endErr != nil {
+		return 0, b.endErr
+	}
 	n, err := b.reader.Read(p)
+	if errors.Is(err, io.EOF) && b.endsWithConnection && !b.complete {
+		if b.endErr = b.checkEnd(); b.endErr != nil {
+			err = b.endErr
+		}
+	}
 	switch {
 	case errors.Is(err, io.EOF):
 		b.complete = true
@@ -362,7 +375,7 @@
 	b.closed = true
 	defer b.request.released()
 	open := b.stopCancel()
-	if open && b.reusable && b.complete && b.requestWritten() && b.conn.reader.Buffered() == 0 {
+	if open && b.reusable && b.complete && b.writeResult.succeeded() && b.conn.reader.Buffered() == 0 {
 		b.conn.reused, b.conn.idleSince = true, time.Now()
 		b.conn.client.putIdle(b.conn)
 		return nil
@@ -374,13 +387,3 @@
 	b.conn.abandon()
 	return nil
 }
-
-// requestWritten reports whether the whole request was written without an error.
-func (b *body) requestWritten() bool {
-	select {
-	case err := <-b.writeResult:
-		return err == nil
-	default:
-		return false
-	}
-}
