Take messages with impossible statuses for no response

Cause: net/http decodes every status of three digits. One under 100 made WriteHeader panic at the caller, 101 was skipped as an interim response, and signed ones from 600 on were passed on. Change: a message with a status outside of 100 to 599, or with 101, ends the send with a StatusError and the outcome unknown, before anything else of its head counts, behind interim responses and responses to other requests too. ResponseHead.Class says Unknown for the same statuses.

--- a/models/call/classify.go
+++ b/models/call/classify.go
@@ -17,6 +17,9 @@
 	Contradictory // contradictory
 )
 
+// maxStatus is the highest status that HTTP defines a class for.
+const maxStatus = 599
+
 // ResponseHead is what the status line and the header of a response say about the request.
 type ResponseHead struct {
 	Origin Origin
@@ -31,7 +34,8 @@
 
 // Class returns what the response proves. A response proves something only if it has the request's id, and
 // no other. A result is accepted only if it is signed and not encoded; a statement that the request has not
-// run, only if nothing else in the response says that it may have.
+// run, only if nothing else in the response says that it may have. A message with a status outside of those of final
+// responses proves nothing.
 func (h ResponseHead) Class() ResponseClass {
 	success := h.Status >= http.StatusOK && h.Status < http.StatusMultipleChoices
 	misdirected := h.Status == http.StatusMisdirectedRequest
@@ -39,6 +43,8 @@
 	switch {
 	case h.Origin == Other:
 		return Foreign
+	case h.Status < http.StatusOK, h.Status > maxStatus:
+		return Unknown
 	case h.Origin != Own, h.Statement == Contradictory, stated && (h.Sealed || !refuses(h.Status)):
 		return Unknown
 	case misdirected:
--- a/models/call/classify_test.go
+++ b/models/call/classify_test.go
@@ -18,10 +18,11 @@
 }
 
 // TestNotRunWithoutStatement checks for all responses that a request counts as not run only if the server states it
-// with a status of refusals, in a response with the request's id, and that what is passed on promises nothing.
+// with a status of refusals, in a response with the request's id, and that what is passed on promises nothing and has a
+// status of final responses.
 func TestNotRunWithoutStatement(t *testing.T) {
 	refusals := map[int]bool{http.StatusBadRequest: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true}
-	for status := 200; status < 600; status++ {
+	for status := range 1000 {
 		for bits := range 4 * 4 * 3 {
 			h := call.ResponseHead{
 				Origin: call.Origin(bits / 4 % 4), Status: status, Statement: call.Statement(bits / 16), Sealed: bits&1 > 0, Encoded: bits&2 > 0,
@@ -32,7 +33,7 @@
 			if (class == call.NotRun || class == call.Misdirected) != stated {
 				t.Errorf("%+v: got %s", h, class)
 			}
-			if (call.Progress{}).Accepts(class, false) && (call.PromisesNotRun(status) || h.Origin != call.Own || !h.Sealed) {
+			if (call.Progress{}).Accepts(class, false) && (status < 200 || status > 599 || call.PromisesNotRun(status) || h.Origin != call.Own || !h.Sealed) {
 				t.Errorf("%+v is passed on as %s", h, class)
 			}
 		}
--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -255,7 +255,8 @@
 }
 
 // readResponse reads the status line and header of the response to this request. It
-// skips interim (1xx) responses and a few responses to other requests.
+// skips interim (1xx) responses and a few responses to other requests. A message with another status than those of
+// responses is none, also if it names another request.
 func (c *conn) readResponse(r *Request) (*http.Response, error) {
 	req := &http.Request{Method: r.Method}
 	c.limit.left = maxHeadBytes
@@ -269,9 +270,12 @@
 		if fieldCount(resp.Header) > maxHeadFields {
 			return nil, errHeadTooLong
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if interim(resp.StatusCode) {
 			continue
 		}
+		if !ValidStatus(resp.StatusCode) {
+			return nil, errors.WithStack(&StatusError{Status: resp.StatusCode})
+		}
 		if r.IsForeign == nil || !r.IsForeign(resp.Header, c.reused) {
 			return resp, nil
 		}
