Decide the end of error responses and of responses to HEAD

Cause: an error response without framing whose head alone arrived was passed on with an empty body, as call.Whole was asked for successes only. A response to HEAD without a length counted as one that was cut, and lost its length when it had one. Change: call.Whole holds for error responses too; a response to HEAD ends with its head, and it and a 304 keep the server's Content-Length; 204 has none. Tests of services/relay, platform and models pass.

--- /dev/null
+++ b/services/relay/end_test.go
@@ -0,0 +1,156 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/crocusline/crocusline/models/refusal"
+	"github.com/crocusline/crocusline/models/roster"
+	"github.com/crocusline/crocusline/standin/site"
+)
+
+// respondingServer answers each request with the text, before or after it has read the request, and ends the connection.
+type respondingServer struct {
+	text         string
+	early, reset bool
+}
+
+// listen starts the server on loopback.
+func (s respondingServer) listen(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.respond(conn)
+		}
+	}()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (s respondingServer) respond(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	r, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	if !s.early {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
+	_, _ = io.WriteString(conn, s.text)
+	if s.reset {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+}
+
+// framings returns a response with the body in each framing. A body of "" is that of a response to HEAD.
+func framings(status, fields, body string) map[string]string {
+	head := "HTTP/1.1 " + status + "\r\nConnection: close\r\nRequest-Id: r1\r\nResponse-Seal: x\r\nInstance-Id: s1\r\n" + fields
+	texts := map[string]string{"none": head + "\r\n" + body}
+	if body != "" {
+		texts["length"] = fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		texts["chunks"] = fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+	}
+	return texts
+}
+
+// TestEndOfRelayedResponse guards against callers that get a part of a response as the whole, or no response though it
+// has arrived: for each kind of response and framing, with the request written or not, and each end of the connection.
+func TestEndOfRelayedResponse(t *testing.T) {
+	const longBody = 2 << 20
+	kinds := []struct{ name, path, method, status, fields, body string }{
+		{"plain", "/once/a", http.MethodPost, "200 OK", "", "answer"},
+		{"error", "/once/a", http.MethodPost, "500 Failed", "", "failure"},
+		{"stream", "/plan/a", http.MethodPost, "200 OK", "Content-Type: text/event-stream\r\n", site.Event(1) + site.Event(2)},
+		{"resumable stream", "/draft/a", http.MethodPost, "200 OK", "Content-Type: text/event-stream\r\n", site.Event(1) + site.Event(2)},
+		{"large", "/once/a", http.MethodPost, "200 OK", "", strings.Repeat("x", 600<<10)},
+		{"HEAD", "/once/a", http.MethodHead, "200 OK", "", ""},
+	}
+	for _, kind := range kinds {
+		for framing, text := range framings(kind.status, kind.fields, kind.body) {
+			for _, size := range []int{100, longBody} {
+				for bits := range 4 {
+					server := respondingServer{text: text, early: bits&1 > 0, reset: bits&2 > 0}
+					t.Run(fmt.Sprintf("%s/%s/%d bytes, early %t, reset %t", kind.name, framing, size, server.early, server.reset), func(t *testing.T) {
+						t.Parallel()
+						env := newTestEnv(t, nil, site.NewServer("unused", 4))
+						// Two events have all tokens.
+						env.method, env.body, env.usage = kind.method, make([]byte, size), "100,8"
+						for _, b := range env.catalog.balancers {
+							b.SetServers([]roster.Server{{ID: "s1", Address: server.listen(t), Slots: 64}}, 100_000)
+						}
+						_, body, err := env.sendOverConnection(kind.path)
+						got := err == nil
+						switch headOnly := kind.body == ""; {
+						case got && body != kind.body:
+							t.Errorf("%d of %d bytes passed for complete", len(body), len(kind.body))
+						case got && server.reset && framing == "none" && !headOnly:
+							t.Error("a response that was reset passed for complete")
+						case !got && !server.reset:
+							t.Errorf("got %q and %v, want the response", body[:min(100, len(body))], err)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// TestNoResponse guards against requests that run twice or whose callers get a false answer, as the first server sends
+// what is no response, or an error response without framing of which only the head arrives.
+func TestNoResponse(t *testing.T) {
+	for _, path := range []string{"/once/a", "/lookup/a", "/plan/a", "/draft/a"} {
+		fields, body := "", "body"
+		if path == "/plan/a" || path == "/draft/a" {
+			fields, body = "Content-Type: text/event-stream\r\n", site.Event(1)
+		}
+		texts := map[string]string{}
+		for _, status := range []string{"000 ", "099 ", "101 Switching Protocols", "600 ", "999 "} {
+			for framing, text := range framings(status, fields, body) {
+				texts[status[:3]+" "+framing] = text
+			}
+		}
+		for _, status := range []string{"200 OK", "400 Rejected", "500 Failed"} {
+			texts[status+", head only"] = framings(status, fields, "")["none"]
+		}
+		for name, text := range texts {
+			t.Run(name+path, func(t *testing.T) {
+				second := site.NewServer("s2", 4)
+				env := newTestEnv(t, nil, second)
+				first := roster.Server{ID: "s1", Address: respondingServer{text: text}.listen(t), Slots: 64, FailureDomain: "near", Version: "v1"}
+				for _, b := range env.catalog.balancers {
+					b.SetServers([]roster.Server{first, {ID: "s2", Address: second.Address(), Slots: 64, FailureDomain: "far", Version: "v1"}}, 100_000)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				defer cancel()
+				resp, err := env.send(ctx, path)
+				if repeatable := path == "/lookup/a" || path == "/draft/a"; repeatable {
+					if err != nil || resp.Code != http.StatusOK || env.ran() != 1 {
+						t.Errorf("got status %d and %v after %d runs, want the answer of the second server", resp.Code, err, env.ran())
+					}
+					return
+				}
+				if e, ok := refusal.As(err); !ok || e.Outcome != refusal.Unknown || env.ran() != 0 {
+					t.Errorf("got status %d and %v after %d runs elsewhere, want an unknown outcome", resp.Code, err, env.ran())
+				}
+			})
+		}
+	}
+}
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -138,6 +138,9 @@
 	relay   *relay.Service
 	// usage is the Token-Usage of prompts.
 	usage string
+	// method and body are those of requests.
+	method string
+	body   []byte
 }
 
 func newTestEnv(t *testing.T, opts []relay.Option, servers ...*site.Server) *testEnv {
@@ -149,7 +152,7 @@
 	}
 	c := newCatalog(servers...)
 	r := relay.New(hclog.NewNullLogger(), platform.HeaderCodec{}, c, fakeBudget{}, client, opts...)
-	return &testEnv{T: t, servers: servers, catalog: c, relay: r, usage: "100,40"}
+	return &testEnv{T: t, servers: servers, catalog: c, relay: r, usage: "100,40", method: http.MethodPost, body: []byte("body")}
 }
 
 // send relays one request and returns the response.
@@ -161,7 +164,7 @@
 
 func (env *testEnv) sendTo(ctx context.Context, resp http.ResponseWriter, path string, header ...string) error {
 	env.Helper()
-	r := httptest.NewRequest(http.MethodPost, path, http.NoBody)
+	r := httptest.NewRequest(env.method, path, http.NoBody)
 	r.RequestURI = path
 	r.Host = "a.example"
 	r.Header.Set("Request-Id", "r1")
@@ -178,7 +181,7 @@
 	if err != nil {
 		env.Fatal(err)
 	}
-	req.Body = []byte("body")
+	req.Body = env.body
 	return env.relay.Relay(ctx, resp, req)
 }
 
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -199,11 +199,14 @@
 	}
 }
 
-// framed reports whether the response says where its body ends.
+// framed reports whether the response says where its body ends. A response to HEAD ends with its head.
 func framed(resp *http.Response) bool {
-	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Request.Method == http.MethodHead
 }
 
+// errUnframed is the error of a response of which only the head has arrived, and which may have had a body.
+var errUnframed = errors.New("the response has neither framing nor a body")
+
 // drainBody reads a short body to its end, so that the connection can be reused.
 func drainBody(resp *http.Response) {
 	// After an error the connection is closed, which needs no handling here.
@@ -221,7 +224,7 @@
 		return unknownOutcome{reason: refusal.ServerFailed, err: err}
 	}
 	if !call.Whole(framed(resp), len(body)) {
-		return unknownOutcome{reason: refusal.ServerFailed, err: errors.New("the response has neither framing nor a body")}
+		return unknownOutcome{reason: refusal.ServerFailed, err: errors.WithStack(errUnframed)}
 	}
 	prompt.markPromptRead()
 	if !complete {
@@ -259,6 +262,9 @@
 	if err != nil {
 		return unknownOutcome{reason: refusal.ServerFailed, err: err}
 	}
+	if !call.Whole(framed(resp), len(body)) {
+		return unknownOutcome{reason: refusal.ServerFailed, err: errors.WithStack(errUnframed)}
+	}
 	buffered := &bufferedResponse{status: resp.StatusCode, header: resp.Header, body: body}
 	final := resp.StatusCode < http.StatusInternalServerError || !j.route.Kind.Repeatable()
 	switch {
@@ -277,7 +283,9 @@
 // writeResponse writes a complete response to the caller.
 func (j *job) writeResponse(w http.ResponseWriter, a *bufferedResponse) {
 	j.service.codec.CopyResponseHeader(w.Header(), a.header)
-	w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	if length := j.contentLength(a); length != "" {
+		w.Header().Set("Content-Length", length)
+	}
 	w.WriteHeader(a.status)
 	if _, err := w.Write(a.body); err != nil {
 		j.log.Info("caller disconnected", "error", err)
@@ -285,6 +293,19 @@
 	j.status, j.complete = a.status, true
 }
 
+// contentLength returns the length that a complete response states, or "" if it states none. Responses that have no body
+// state that of the body which another request would get.
+func (j *job) contentLength(a *bufferedResponse) string {
+	switch {
+	case a.status == http.StatusNoContent:
+		return ""
+	case a.status == http.StatusNotModified, j.request.Method == http.MethodHead:
+		return a.header.Get("Content-Length")
+	default:
+		return strconv.Itoa(len(a.body))
+	}
+}
+
 // reportToBalancer reports the result of a send to the balancer.
 func (j *job) reportToBalancer(ctx context.Context, id string, prompt *promptTracker, result sendResult) {
 	// The silence of a server was reported when it was noticed.
