--- a/services/relay/end_test.go
+++ b/services/relay/end_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -154,3 +155,26 @@
 		}
 	}
 }
+
+// TestLengthOfResponseWithoutBody guards against responses without a body that state a length of 0 in place of that of the
+// body which another request would get.
+func TestLengthOfResponseWithoutBody(t *testing.T) {
+	tests := []struct{ method, status, fields, length string }{
+		{http.MethodHead, "200 OK", "Content-Length: 7\r\n", "7"},
+		{http.MethodHead, "200 OK", "", ""},
+		{http.MethodHead, "200 OK", "Transfer-Encoding: chunked\r\n", ""},
+		{http.MethodPost, "204 No Content", "", ""},
+		{http.MethodPost, "304 Not Modified", "Content-Length: 7\r\n", "7"},
+		{http.MethodPost, "200 OK", "Content-Length: 0\r\n", "0"},
+	}
+	for _, tt := range tests {
+		env := newTestEnv(t, nil, site.NewServer("unused", 4))
+		env.method = tt.method
+		server := respondingServer{text: framings(tt.status, tt.fields, "")["none"]}
+		env.catalog.balancers["plain"].SetServers([]roster.Server{{ID: "s1", Address: server.listen(t), Slots: 64}}, 0)
+		resp, err := env.send(t.Context(), "/once/a")
+		if err != nil || resp.Header().Get("Content-Length") != tt.length || strconv.Itoa(resp.Code) != tt.status[:3] {
+			t.Errorf("%s, %s, %q: got status %d, length %q and %v", tt.method, tt.status, tt.fields, resp.Code, resp.Header().Get("Content-Length"), err)
+		}
+	}
+}
