Use one server for the tests of ends, and repeat the races

Change: site.CutServer responds early and resets, if set. Each case runs 5 times, one after another.

--- a/routers/front/peers_end_test.go
+++ b/routers/front/peers_end_test.go
@@ -1,46 +1,26 @@
 package front_test
 
 import (
-	"bufio"
 	"fmt"
-	"net"
-	"net/http"
 	"net/netip"
-	"sync/atomic"
 	"testing"
 
 	"github.com/crocusline/crocusline/models/lineage"
 	"github.com/crocusline/crocusline/models/prepaid"
 	"github.com/crocusline/crocusline/routers/front"
 	"github.com/crocusline/crocusline/services/catalog"
+	"github.com/crocusline/crocusline/standin/site"
 )
 
 // TestEndOfPeerResponse guards against responses of other gateways that are cut, reset or none, and that pass for what a
 // peer knows, has lent or has done: at each byte, with and without a length.
 func TestEndOfPeerResponse(t *testing.T) {
-	var text atomic.Pointer[string]
-	var reset atomic.Bool
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	server, err := site.NewCutServer()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-				_, _ = conn.Write([]byte(*text.Load()))
-			}
-			if reset.Load() {
-				_ = conn.(*net.TCPConn).SetLinger(0)
-			}
-			_ = conn.Close()
-		}
-	}()
-	peer := listener.Addr().(*net.TCPAddr).AddrPort()
+	defer func() { _ = server.Close() }()
+	peer := server.Address()
 	c := front.NewPeerClient([]netip.AddrPort{peer})
 	defer func() { _ = c.Close() }()
 	var id lineage.ID
@@ -64,7 +44,7 @@
 				fields += fmt.Sprintf("Content-Length: %d\r\n", len(tt.body))
 			}
 			try := func(response string) error {
-				text.Store(&response)
+				server.Respond(response)
 				return tt.call()
 			}
 			whole := "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + tt.body
@@ -77,14 +57,14 @@
 				}
 			}
 			for n := range len(whole) {
-				for _, resets := range []bool{false, true} {
-					reset.Store(resets)
+				for _, reset := range []bool{false, true} {
+					server.SetEnd(false, reset)
 					if try(whole[:n]) == nil {
-						t.Errorf("%s, framed %t, reset %t: %d of %d bytes passed for the whole", name, framed, resets, n, len(whole))
+						t.Errorf("%s, framed %t, reset %t: %d of %d bytes passed for the whole", name, framed, reset, n, len(whole))
 					}
 				}
 			}
-			reset.Store(false)
+			server.SetEnd(false, false)
 		}
 	}
 }
--- a/services/relay/end_test.go
+++ b/services/relay/end_test.go
@@ -1,11 +1,8 @@
 package relay_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -18,47 +15,17 @@
 	"github.com/crocusline/crocusline/standin/site"
 )
 
-// respondingServer answers each request with the text, before or after it has read the request, and ends the connection.
-type respondingServer struct {
-	text         string
-	early, reset bool
-}
-
-// listen starts the server on loopback.
-func (s respondingServer) listen(t *testing.T) netip.AddrPort {
+// respond starts a server that answers each request with the text, and returns its address.
+func respond(t *testing.T, text string, early, reset bool) netip.AddrPort {
 	t.Helper()
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	server, err := site.NewCutServer()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.respond(conn)
-		}
-	}()
-	return listener.Addr().(*net.TCPAddr).AddrPort()
-}
-
-func (s respondingServer) respond(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	r, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	if !s.early {
-		_, _ = io.Copy(io.Discard, r.Body)
-	}
-	_, _ = io.WriteString(conn, s.text)
-	if s.reset {
-		_ = conn.(*net.TCPConn).SetLinger(0)
-		return
-	}
-	_, _ = io.Copy(io.Discard, r.Body)
+	t.Cleanup(func() { _ = server.Close() })
+	server.Respond(text)
+	server.SetEnd(early, reset)
+	return server.Address()
 }
 
 // framings returns a response with the body in each framing. A body of "" is that of a response to HEAD.
@@ -75,7 +42,7 @@
 // TestEndOfRelayedResponse guards against callers that get a part of a response as the whole, or no response though it
 // has arrived: for each kind of response and framing, with the request written or not, and each end of the connection.
 func TestEndOfRelayedResponse(t *testing.T) {
-	const longBody = 2 << 20
+	const longBody, repetitions = 2 << 20, 5
 	kinds := []struct{ name, path, method, status, fields, body string }{
 		{"plain", "/once/a", http.MethodPost, "200 OK", "", "answer"},
 		{"error", "/once/a", http.MethodPost, "500 Failed", "", "failure"},
@@ -88,24 +55,27 @@
 		for framing, text := range framings(kind.status, kind.fields, kind.body) {
 			for _, size := range []int{100, longBody} {
 				for bits := range 4 {
-					server := respondingServer{text: text, early: bits&1 > 0, reset: bits&2 > 0}
-					t.Run(fmt.Sprintf("%s/%s/%d bytes, early %t, reset %t", kind.name, framing, size, server.early, server.reset), func(t *testing.T) {
-						t.Parallel()
-						env := newTestEnv(t, nil, site.NewServer("unused", 4))
-						// Two events have all tokens.
-						env.method, env.body, env.usage = kind.method, make([]byte, size), "100,8"
-						for _, b := range env.catalog.balancers {
-							b.SetServers([]roster.Server{{ID: "s1", Address: server.listen(t), Slots: 64}}, 100_000)
-						}
-						_, body, err := env.sendOverConnection(kind.path)
-						got := err == nil
-						switch headOnly := kind.body == ""; {
-						case got && body != kind.body:
-							t.Errorf("%d of %d bytes passed for complete", len(body), len(kind.body))
-						case got && server.reset && framing == "none" && !headOnly:
-							t.Error("a response that was reset passed for complete")
-						case !got && !server.reset:
-							t.Errorf("got %q and %v, want the response", body[:min(100, len(body))], err)
+					early, reset := bits&1 > 0, bits&2 > 0
+					t.Run(fmt.Sprintf("%s/%s/%d bytes, early %t, reset %t", kind.name, framing, size, early, reset), func(t *testing.T) {
+						address := respond(t, text, early, reset)
+						// Whether the write or the read receives the error of a reset is a race.
+						for range repetitions {
+							env := newTestEnv(t, nil, site.NewServer("unused", 4))
+							// Two events have all tokens.
+							env.method, env.body, env.usage = kind.method, make([]byte, size), "100,8"
+							for _, b := range env.catalog.balancers {
+								b.SetServers([]roster.Server{{ID: "s1", Address: address, Slots: 64}}, 100_000)
+							}
+							_, body, err := env.sendOverConnection(kind.path)
+							got := err == nil
+							switch headOnly := kind.body == ""; {
+							case got && body != kind.body:
+								t.Errorf("%d of %d bytes passed for complete", len(body), len(kind.body))
+							case got && reset && framing == "none" && !headOnly:
+								t.Error("a response that was reset passed for complete")
+							case !got && !reset:
+								t.Errorf("got %q and %v, want the response", body[:min(100, len(body))], err)
+							}
 						}
 					})
 				}
@@ -135,7 +105,7 @@
 			t.Run(name+path, func(t *testing.T) {
 				second := site.NewServer("s2", 4)
 				env := newTestEnv(t, nil, second)
-				first := roster.Server{ID: "s1", Address: respondingServer{text: text}.listen(t), Slots: 64, FailureDomain: "near", Version: "v1"}
+				first := roster.Server{ID: "s1", Address: respond(t, text, false, false), Slots: 64, FailureDomain: "near", Version: "v1"}
 				for _, b := range env.catalog.balancers {
 					b.SetServers([]roster.Server{first, {ID: "s2", Address: second.Address(), Slots: 64, FailureDomain: "far", Version: "v1"}}, 100_000)
 				}
@@ -170,8 +140,8 @@
 	for _, tt := range tests {
 		env := newTestEnv(t, nil, site.NewServer("unused", 4))
 		env.method = tt.method
-		server := respondingServer{text: framings(tt.status, tt.fields, "")["none"]}
-		env.catalog.balancers["plain"].SetServers([]roster.Server{{ID: "s1", Address: server.listen(t), Slots: 64}}, 0)
+		address := respond(t, framings(tt.status, tt.fields, "")["none"], false, false)
+		env.catalog.balancers["plain"].SetServers([]roster.Server{{ID: "s1", Address: address, Slots: 64}}, 0)
 		resp, err := env.send(t.Context(), "/once/a")
 		if err != nil || resp.Header().Get("Content-Length") != tt.length || strconv.Itoa(resp.Code) != tt.status[:3] {
 			t.Errorf("%s, %s, %q: got status %d, length %q and %v", tt.method, tt.status, tt.fields, resp.Code, resp.Header().Get("Content-Length"), err)
--- a/standin/site/cut.go
+++ b/standin/site/cut.go
@@ -43,13 +43,14 @@
 }
 
 // CutServer answers each request with the first bytes of a response and closes the connection in
-// order, as a process does that ends.
+// order, as a process does that ends, unless it is set to respond early or to reset.
 type CutServer struct {
 	listener net.Listener
 	running  sync.WaitGroup
 
-	mu   sync.Mutex
-	text string
+	mu           sync.Mutex
+	text         string
+	early, reset bool
 }
 
 // NewCutServer starts a server on loopback.
@@ -73,6 +74,14 @@
 	s.text = text
 }
 
+// SetEnd sets whether the server responds before it has read the body of a request, and whether it resets the connection
+// after the response instead of reading the rest.
+func (s *CutServer) SetEnd(early, reset bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.early, s.reset = early, reset
+}
+
 // Close stops the server.
 func (s *CutServer) Close() error {
 	err := s.listener.Close()
@@ -98,10 +107,17 @@
 	if err != nil {
 		return
 	}
-	// Unread bytes would reset the connection.
-	_, _ = io.Copy(io.Discard, r.Body)
 	s.mu.Lock()
-	text := s.text
+	text, early, reset := s.text, s.early, s.reset
 	s.mu.Unlock()
+	if !early {
+		_, _ = io.Copy(io.Discard, r.Body)
+	}
 	_, _ = conn.Write([]byte(text))
+	if tcp, ok := conn.(*net.TCPConn); ok && reset {
+		_ = tcp.SetLinger(0)
+		return
+	}
+	// Unread bytes would reset the connection.
+	_, _ = io.Copy(io.Discard, r.Body)
 }
