--- a/tests/faults/fleet_test.go
+++ b/tests/faults/fleet_test.go
@@ -82,6 +82,8 @@
 	copiedAt time.Time
 	// eras is how often the store returned from a copy.
 	eras int
+	// memory is the memory of the gateways that are added, by their settings.
+	memory int64
 }
 
 // freeAddresses returns n distinct addresses without a listener. All are bound before the
@@ -117,7 +119,7 @@
 func newFleetOfVersions(t *testing.T, binary string, gateways int, versions []string, prepaidTokens int64) *fleet {
 	t.Helper()
 	servers := len(versions)
-	f := &fleet{T: t, binary: binary, store: site.NewStore(), prepaidTokens: prepaidTokens, versions: versions, serverStates: make([]string, servers), serverStarts: make([]int, servers)}
+	f := &fleet{T: t, binary: binary, store: site.NewStore(), prepaidTokens: prepaidTokens, versions: versions, memory: gatewayMemory, serverStates: make([]string, servers), serverStarts: make([]int, servers)}
 	web := httptest.NewServer(f.store)
 	f.storeAddress = parseAddress(web.URL)
 	t.Cleanup(func() {
@@ -153,7 +155,7 @@
 		g := &gateway{name: fmt.Sprintf("front-%d", i), callerAddress: own[0], readyAddress: own[1], peerAddress: own[2], storeProxy: stores[i]}
 		seeds = append(seeds, g.peerAddress.String())
 		g.settingsFile = filepath.Join(dir, g.name+".json")
-		writeSettings(f.T, g, seeds, cpuShare(i))
+		writeSettings(f.T, g, seeds, cpuShare(i), f.memory)
 		f.gateways = append(f.gateways, g)
 	}
 	for _, g := range f.gateways {
@@ -171,12 +173,12 @@
 	return 0.8
 }
 
-func writeSettings(t *testing.T, g *gateway, seeds []string, cpuShare float64) {
+func writeSettings(t *testing.T, g *gateway, seeds []string, cpuShare float64, memory int64) {
 	t.Helper()
 	data, err := json.Marshal(map[string]any{
 		"node_name": g.name, "zone": "z", "region": "r",
 		"bind":       map[string]string{"front": g.callerAddress.String(), "ready": g.readyAddress.String(), "control": g.peerAddress.String()},
-		"seed_addrs": seeds, "limits": map[string]any{"cpu_share": cpuShare, "memory_mb": gatewayMemory >> 20, "max_fds": 4100},
+		"seed_addrs": seeds, "limits": map[string]any{"cpu_share": cpuShare, "memory_mb": memory >> 20, "max_fds": 4100},
 		"parameters": map[string]any{"grace_s": gracePeriodSeconds, "budget_ratio": 0.2, "budget_window_s": 10, "budget_extra": 60},
 		"platform":   map[string]any{"address": g.storeProxy.address().String(), "writes_per_s": 800, "reads_per_s": 2000},
 	})
