Bound the memory of requests in progress

Cause: bodies were read with io.ReadAll, which doubles its buffer and copies, without any bound over all requests. The Go runtime's limit can't hold a process within its settings when what is in use exceeds it. Without a limit in the settings the runtime's limit was 0, and no response could be buffered.

Change: models/memory divides the process's memory limit and joins the budget of responses (models/buffer before) with one for requests. A request in progress reserves 24 KiB, and its body before it is read: its length, or twice each part of a body in chunks, so that the parts can be joined. Large requests share an eighth of the limit, so that a few bodies that stop short of their end leave the rest to ordinary ones, and have to bring 100 KB within 2 s (intake.Pace). What doesn't fit gets 503 with a retry time, and its connection is closed. Reservations are released when the request ends, also by a panic. A body whose length is over the limit is refused before it is read. Without a limit in the settings, 128 MB apply.

Tests of the budget moved with it; their bounds are unchanged. Those of relay pass the shared service instead of a number of bytes.

TestReservationNotReleased fails without the release, TestNoMemory without the close, TestBodyChanged with a part's first byte lost, TestLargeRequestsStarveOthers without the share of large requests, TestPlanExceedsLimit with half of the limit for requests, TestPace with a window of 20 s.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/crocusline/crocusline/services/catalog"
 	"github.com/crocusline/crocusline/services/directory"
 	"github.com/crocusline/crocusline/services/lineage"
+	"github.com/crocusline/crocusline/services/memory"
 	"github.com/crocusline/crocusline/services/notice"
 	"github.com/crocusline/crocusline/services/prepaid"
 	"github.com/crocusline/crocusline/services/quarantine"
@@ -35,10 +36,6 @@
 )
 
 const (
-	// memoryLimitRatio is the Go runtime's memory limit as a share of the process's
-	// memory limit. The rest is for stacks, sockets and memory that the runtime has not
-	// returned to the system.
-	memoryLimitRatio = 0.7
 	// drainPollInterval is how often a planned stop looks for open requests.
 	drainPollInterval = 20 * time.Millisecond
 	// writeTimeout is how long a caller may take to read a part of a response.
@@ -100,6 +97,7 @@
 	log          hclog.Logger
 	incarnation  string
 	metrics      *metric.Set
+	memory       *memory.Service
 	store        *platform.Store
 	peers        *front.PeerClient
 	client       *exchange.Client
@@ -117,11 +115,12 @@
 }
 
 func newGateway(s *platform.Settings, logger hclog.Logger, logWriter *log.AsyncWriter) *gateway {
-	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryLimitRatio))
 	g := &gateway{
 		settings: s, log: logger, metrics: metric.New(),
 		incarnation: s.Instance + "/" + uuid.Must(uuid.NewV7()).String(),
 	}
+	g.memory = memory.New(memory.DefaultLimit, memory.WithMetrics(g.metrics))
+	g.setMemoryLimit(s.Memory)
 	g.store = platform.NewStore(s.Store, g.metrics)
 	g.peers = front.NewPeerClient(without(s.Seeds, s.Listen.Peers))
 	g.client = exchange.New()
@@ -141,14 +140,15 @@
 		lineage.WithFleet(g.directory, g.peers), lineage.WithWritesPerSecond(s.StoreWrites), lineage.WithMetrics(g.metrics))
 	g.takeover = takeover.New(logger, s.Listen.Peers, g.peers, g.lineage, g.metrics)
 	g.relay = relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
-		append(retryOptions(s), relay.WithMemory(s.Memory), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine),
+		append(retryOptions(s), relay.WithMemory(g.memory), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine),
 			relay.WithLineage(g.lineage), relay.WithTakeover(g.takeover), relay.WithReports(platform.NewReports(g.client)), relay.WithMetrics(g.metrics))...)
 	g.lag = schedlag.New(schedlag.WithOnPause(g.recordPause))
 	g.handler = front.New(logger, platform.HeaderCodec{}, g.relay, g.catalog,
-		front.WithBandwidth(s.Bandwidth), front.WithProcessorDelay(g.lag.Delay))
+		front.WithBandwidth(s.Bandwidth), front.WithProcessorDelay(g.lag.Delay), front.WithMemory(g.memory))
 	g.readiness = front.NewReadiness(g.handler, g.catalog.Ready, g.prepaid.Ready)
 	g.metrics.Gauge("crocusline_log_lines_dropped", func() float64 { return float64(logWriter.Dropped()) })
 	g.metrics.Gauge("crocusline_requests_open", func() float64 { return float64(g.handler.OpenRequests()) })
+	g.metrics.Gauge("crocusline_request_memory_bytes", func() float64 { return float64(g.memory.Held()) })
 	g.metrics.Gauge("crocusline_connections_opened", func() float64 { return float64(g.client.Dialed()) })
 	g.metrics.Gauge("crocusline_connections_reused", func() float64 { return float64(g.client.Reused()) })
 	return g
@@ -303,6 +303,15 @@
 	}
 }
 
+// setMemoryLimit applies the memory limit of the settings in bytes, 0 if they have none.
+func (g *gateway) setMemoryLimit(bytes int64) {
+	if bytes == 0 {
+		bytes = memory.DefaultLimit
+	}
+	g.memory.SetLimit(bytes)
+	debug.SetMemoryLimit(g.memory.Plan().Runtime)
+}
+
 // reload reads the settings file and applies the memory limit, the only setting that can
 // change while the process runs.
 func (g *gateway) reload() {
@@ -311,7 +320,6 @@
 		g.log.Error("settings not reloaded", "file", g.settingsFile, "error", err)
 		return
 	}
-	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryLimitRatio))
-	g.relay.SetMemory(settings.Memory)
+	g.setMemoryLimit(settings.Memory)
 	g.log.Info("settings reloaded", "file", g.settingsFile, "memory", settings.Memory)
 }
--- /dev/null
+++ b/models/memory/plan.go
@@ -0,0 +1,58 @@
+package memory
+
+const (
+	// DefaultLimit is the memory limit of a process in bytes, if its settings have none.
+	DefaultLimit = 128 << 20
+	// runtimeRatio is the Go runtime's memory limit as a share of the process's. The rest is for the
+	// program's text, sockets and memory that the runtime has not returned to the system.
+	runtimeRatio = 0.7
+	// requestsRatio is the share that all requests in progress may hold, largeRatio that of large ones,
+	// and responsesRatio that of responses. With 88 MB, a body of 4 MiB in chunks is served, and
+	// large requests and responses together leave 5.5 MB for others.
+	requestsRatio  = 5.0 / 16
+	largeRatio     = 1.0 / 8
+	responsesRatio = 1.0 / 8
+	// connectionsRatio is the share of callers' connections, and connectionBytes what one of them holds
+	// at most without a request: a header of 16 KiB that is not complete, its copy when the buffer
+	// grew last, and a goroutine.
+	connectionsRatio = 3.0 / 16
+	connectionBytes  = 32 << 10
+	// defaultDescriptors is the number of file descriptors of the smallest machines.
+	defaultDescriptors = 3075
+	// connectionDescriptorRatio is the share of file descriptors for connections of callers. The rest
+	// is for servers, the store, peers and files.
+	connectionDescriptorRatio = 0.5
+)
+
+// Plan is the division of a process's memory limit, in bytes. The requests, the connections and what
+// the process takes without them fit in the runtime's limit together, so that only garbage is
+// collected more often when all shares are used up.
+type Plan struct {
+	// Runtime is the Go runtime's memory limit.
+	Runtime int64
+	// Total is what all requests in progress may hold, with their responses, Large what large
+	// requests may hold of it, and Responses what responses may hold of it.
+	Total     int64
+	Large     int64
+	Responses int64
+	// Connections is what connections of callers may hold.
+	Connections int64
+}
+
+// NewPlan divides the memory limit of a process.
+func NewPlan(limit int64) Plan {
+	share := func(ratio float64) int64 { return int64(float64(limit) * ratio) }
+	return Plan{
+		Runtime: share(runtimeRatio), Total: share(requestsRatio), Large: share(largeRatio), Responses: share(responsesRatio),
+		Connections: share(connectionsRatio),
+	}
+}
+
+// MaxConnections returns how many connections callers may have open at a process with this number of
+// file descriptors, 0 if that is unknown.
+func (p Plan) MaxConnections(descriptors int) int {
+	if descriptors == 0 {
+		descriptors = defaultDescriptors
+	}
+	return min(int(p.Connections/connectionBytes), int(float64(descriptors)*connectionDescriptorRatio))
+}
--- a/routers/front/front.go
+++ b/routers/front/front.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 	"github.com/crocusline/crocusline/models/intake"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/route"
+	"github.com/crocusline/crocusline/services/memory"
 	"github.com/crocusline/crocusline/services/relay"
 )
 
@@ -70,6 +70,8 @@
 	intake   *intake.Queue
 	// processorDelay returns how long requests wait for the processor.
 	processorDelay func() time.Duration
+	// memory is the budget of all requests in progress.
+	memory *memory.Service
 }
 
 // drain is a planned stop in progress.
@@ -95,11 +97,17 @@
 	return func(h *Handler) { h.processorDelay = delay }
 }
 
+// WithMemory sets the budget of the memory for all requests in progress.
+func WithMemory(m *memory.Service) Option {
+	return func(h *Handler) { h.memory = m }
+}
+
 // New returns a handler that forwards requests through the relay.
 func New(log hclog.Logger, headers HeaderCodec, r Relay, tables TableSource, opts ...Option) *Handler {
 	h := &Handler{
 		log: log.Named("front"), headers: headers, relay: r, tables: tables,
 		intake: intake.New(0), processorDelay: func() time.Duration { return 0 },
+		memory: memory.New(memory.DefaultLimit),
 	}
 	h.givenUp, h.giveUp = context.WithCancelCause(context.Background())
 	for _, opt := range opts {
@@ -159,9 +167,10 @@
 		h.refuse(w, req, err)
 		return
 	}
-	if req.Body, err = h.readBody(w, r); err != nil {
-		h.log.Info("request body not read", "requestId", req.ID, "error", err)
-		h.refuse(w, req, refusalForBody(err))
+	held := h.memory.NewReservation()
+	defer held.Release()
+	if req.Body, err = h.readBody(w, r, held); err != nil {
+		h.refuseBody(w, req, r, err)
 		return
 	}
 	// The body may have ended long after the header.
@@ -226,35 +235,6 @@
 	return nil
 }
 
-// readBody reads the whole request body.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	limit := int64(defaultMaxBodyBytes)
-	if t := h.tables.Table(); t != nil && t.Limits.BodyBytes > 0 {
-		limit = t.Limits.BodyBytes
-	}
-	control := http.NewResponseController(w)
-	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return nil, errors.WithStack(err)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
-	return body, errors.WithStack(control.SetReadDeadline(time.Time{}))
-}
-
-// refusalForBody returns the refusal of a request whose body could not be read.
-func refusalForBody(err error) *refusal.Error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return refusal.New(refusal.BodyTooLarge, 0, err.Error())
-	}
-	return refusal.New(refusal.DeadlineExpired, 0, "the body did not arrive in time")
-}
-
 // refuse writes the response to a request that the relay did not respond to.
 func (h *Handler) refuse(w http.ResponseWriter, r *call.Request, err error) {
 	e, ok := refusal.As(err)
--- a/services/relay/buffer.go
+++ b/services/relay/buffer.go
@@ -4,27 +4,18 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/services/memory"
 )
 
 const (
 	// firstBufferBytes is the first size of a buffer, which is doubled as it grows.
 	firstBufferBytes = 4 << 10
-	// defaultMemory is the memory limit of the process in bytes, if none is set.
-	defaultMemory = 128 << 20
-	// buffersRefused counts the responses that could not be buffered as the budget was used up.
-	buffersRefused = "crocusline_buffers_refused_total"
 )
 
-// WithMemory sets the memory limit of the process in bytes. The responses that are held until they
-// are complete get a part of it.
-func WithMemory(bytes int64) Option { return func(s *Service) { s.SetMemory(bytes) } }
-
-// SetMemory changes the memory limit of the process.
-func (s *Service) SetMemory(bytes int64) {
-	s.bufferMu.Lock()
-	defer s.bufferMu.Unlock()
-	s.buffers.SetMemory(bytes)
-}
+// WithMemory sets the budget of the memory for all requests in progress. The responses that are held
+// until they are complete get a part of it.
+func WithMemory(m *memory.Service) Option { return func(s *Service) { s.memory = m } }
 
 // responseBuffer holds a part of a response that was not passed on yet. Its capacity is taken from
 // the budget of the process.
@@ -49,11 +40,7 @@
 
 // resize changes the capacity, and reports whether the budget allows it.
 func (b *responseBuffer) resize(capacity int) bool {
-	b.service.bufferMu.Lock()
-	allowed := b.service.buffers.Resize(cap(b.data), capacity)
-	b.service.bufferMu.Unlock()
-	if !allowed {
-		b.service.metrics.Counter(buffersRefused).Inc()
+	if !b.service.memory.ResizeResponse(cap(b.data), capacity) {
 		return false
 	}
 	data := make([]byte, len(b.data), capacity)
--- a/services/relay/buffer_test.go
+++ b/services/relay/buffer_test.go
@@ -7,16 +7,15 @@
 	"testing"
 	"testing/iotest"
 
-	"github.com/crocusline/crocusline/models/buffer"
-	"github.com/crocusline/crocusline/modules/metric"
+	budget "github.com/crocusline/crocusline/models/memory"
+	"github.com/crocusline/crocusline/services/memory"
 )
 
 // TestReadBodyBudget checks that a body is buffered only while the budget of the process allows it,
 // and that what a request held is free after it, or after a body that breaks off.
 func TestReadBodyBudget(t *testing.T) {
 	const size = maxBufferedBytes - 1
-	s := &Service{metrics: metric.New()}
-	s.SetMemory(8 * (maxBufferedBytes - buffer.MinBytes))
+	s := &Service{memory: memory.New(8 * (maxBufferedBytes - budget.MinResponseBytes))}
 	body := bytes.Repeat([]byte("x"), size)
 	read := func(r io.Reader) (*job, []byte, bool, error) {
 		j := &job{service: s}
@@ -32,7 +31,7 @@
 		t.Fatalf("first body: %d bytes, complete %t, %v", len(data), complete, err)
 	}
 	_, data, complete, err = read(bytes.NewReader(body))
-	if err != nil || complete || len(data) != buffer.MinBytes {
+	if err != nil || complete || len(data) != budget.MinResponseBytes {
 		t.Errorf("body beyond the budget: %d bytes, complete %t, %v", len(data), complete, err)
 	}
 	first.releaseBuffers()
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -15,7 +15,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/models/balance"
-	"github.com/crocusline/crocusline/models/buffer"
 	"github.com/crocusline/crocusline/models/call"
 	"github.com/crocusline/crocusline/models/gateway"
 	"github.com/crocusline/crocusline/models/lineage"
@@ -26,6 +25,7 @@
 	"github.com/crocusline/crocusline/models/route"
 	"github.com/crocusline/crocusline/modules/exchange"
 	"github.com/crocusline/crocusline/modules/metric"
+	"github.com/crocusline/crocusline/services/memory"
 	"github.com/crocusline/crocusline/services/prepaid"
 	"github.com/crocusline/crocusline/services/quarantine"
 	"github.com/crocusline/crocusline/services/takeover"
@@ -182,12 +182,10 @@
 	reports     Reports
 	takeover    *takeover.Service
 	starts      *startCalls
+	memory      *memory.Service
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.WindowBudget
-
-	bufferMu sync.Mutex
-	buffers  buffer.Budget
 }
 
 // New returns a service that sends requests to servers with the client.
@@ -196,9 +194,8 @@
 		log: log.Named("relay"), codec: codec, catalog: catalog, budget: budget, client: client,
 		metrics: metric.New(), retryWindow: DefaultRetryWindow, retryRatio: DefaultRetryRatio, retryExtra: DefaultRetryExtra,
 		retryBudgets: map[string]*retry.WindowBudget{}, quarantine: noQuarantine{}, lineage: noLineage{}, reports: noReports{},
-		starts: newStartCalls(),
+		starts: newStartCalls(), memory: memory.New(memory.DefaultLimit),
 	}
-	s.buffers.SetMemory(defaultMemory)
 	for _, opt := range opts {
 		opt(s)
 	}
--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -22,6 +22,7 @@
 	"github.com/crocusline/crocusline/models/route"
 	"github.com/crocusline/crocusline/modules/exchange"
 	"github.com/crocusline/crocusline/platform"
+	"github.com/crocusline/crocusline/services/memory"
 	"github.com/crocusline/crocusline/services/prepaid"
 	"github.com/crocusline/crocusline/services/relay"
 	"github.com/crocusline/crocusline/standin/site"
@@ -303,7 +304,7 @@
 // passed on whole, and that a request which can be repeated is sent to another server.
 func TestLargeFailure(t *testing.T) {
 	// Without memory, responses are passed on unless they are short.
-	for _, opts := range [][]relay.Option{nil, {relay.WithMemory(0)}} {
+	for _, opts := range [][]relay.Option{nil, {relay.WithMemory(memory.New(0))}} {
 		for _, path := range []string{"/once/a", "/lookup/a"} {
 			env := newTestEnv(t, opts, site.NewServer("s1", 0, site.FailLarge), site.NewServer("s2", 0, site.Serve))
 			resp, err := env.send(t.Context(), path)
--- a/services/relay/stream_test.go
+++ b/services/relay/stream_test.go
@@ -8,15 +8,14 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/crocusline/crocusline/modules/metric"
+	"github.com/crocusline/crocusline/services/memory"
 )
 
 // TestReadEvent checks that an event is returned only with the empty line that ends
 // it, however the stream ends.
 func TestReadEvent(t *testing.T) {
 	reader := bufio.NewReaderSize(strings.NewReader("id: 7\ndata: "+strings.Repeat("x", 100)+"\n\nid: 8\r\ndata: y\r\n\r\nid: 9\ndata"), 16)
-	s := &Service{metrics: metric.New()}
-	s.SetMemory(defaultMemory)
+	s := &Service{memory: memory.New(memory.DefaultLimit)}
 	buffer := &responseBuffer{service: s}
 	for _, id := range []string{"7", "8"} {
 		event, err := readEvent(reader, buffer)
@@ -39,8 +38,7 @@
 // before the empty line.
 func TestReadEventLineLength(t *testing.T) {
 	const readerSize = 16
-	s := &Service{metrics: metric.New()}
-	s.SetMemory(defaultMemory)
+	s := &Service{memory: memory.New(memory.DefaultLimit)}
 	for length := 1; length <= 4*readerSize; length++ {
 		first := "data: " + strings.Repeat("x", length) + "\nid: 7\n\n"
 		second := "id: 8\n\n"
