Test parts of HTTP/2 frames that stay open

Cause: callers may use HTTP/2 without TLS, and net/http allocates a frame's payload, up to 1 MiB, when its header has arrived. That memory belongs to no request. 300 connections send all but the last byte of such a frame and stay open.

--- a/tests/faults/memory_test.go
+++ b/tests/faults/memory_test.go
@@ -60,8 +60,21 @@
 		_, err := io.WriteString(w, head+"\r\nX-Long: "+strings.Repeat("x", heldHeaderBytes))
 		return err
 	}},
+	{"parts of HTTP/2 frames", bodyCallers * 3, func(w io.Writer, _ string, _ bool) error {
+		_, err := io.WriteString(w, http2Preface+http2Settings+http2DataHeader+strings.Repeat("x", heldFrameBytes-1))
+		return err
+	}},
 }
 
+// The start of an HTTP/2 connection: the preface, an empty frame with settings, and the header of a data
+// frame of heldFrameBytes, the largest size that net/http takes unless it is set.
+const (
+	http2Preface    = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+	http2Settings   = "\x00\x00\x00\x04\x00\x00\x00\x00\x00"
+	http2DataHeader = "\x10\x00\x00\x00\x00\x00\x00\x00\x01"
+	heldFrameBytes  = 1 << 20
+)
+
 // TestHeldRequests guards against a process that takes more memory than its settings allow, or ends, or
 // stops serving, when many callers send large requests at once, stop short of their end and keep the
 // connections open.
