Bound the connections of a gateway

Cause: a connection holds up to 32 KiB before its header is complete, and with HTTP/2 a frame of up to 1 MiB. Neither belongs to a request, and nothing limited the number of connections. A body that no handler reads to its end, as of a peer or of a request with an invalid header, kept its connection open for any time, as the server skips the rest without a deadline.

Change: connections of callers get 3/16 of the memory limit, at 32 KiB each, and at most half of the descriptors (max_fds of the settings): 528 with 88 MB, 672 with 112 MB. At the limit the connection that has been without a request for the longest time is closed, so that an ordinary caller that connects finds a place; if there is none, the new connection gets 503. Peers get half as many, readiness checks 64, both with headers of 4 KiB. HTTP/2 frames are limited to 16 KiB and windows to 64 KiB. Any body has to arrive within 5 s of its header, also while the server skips it.

Ruled out: clearing the deadline in the peers' handler after an error, with which a test hung until its time-out of 600 s, as the server then skips the body without one.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"os"
@@ -40,10 +41,20 @@
 	drainPollInterval = 20 * time.Millisecond
 	// writeTimeout is how long a caller may take to read a part of a response.
 	writeTimeout = 5 * time.Second
+	// bodyTimeout is how long a body may take to arrive that the handler doesn't limit itself.
+	bodyTimeout = 5 * time.Second
 	// pruneInterval is how often expired idle connections are closed.
 	pruneInterval = time.Second
 	// maxHeaderBytes limits a request's header; the operators' limit is the same.
 	maxHeaderBytes = 16 << 10
+	// maxSmallHeaderBytes limits the header of a request of another gateway or of the platform.
+	maxSmallHeaderBytes = 4 << 10
+	// receiveBufferBytes limits what an HTTP/2 connection holds that was not read yet. HTTP/2 allows no
+	// smaller value.
+	receiveBufferBytes = 64 << 10
+	// maxReadinessConnections limits the connections of the platform's readiness checks, which are made
+	// once a second.
+	maxReadinessConnections = 64
 	// retryBudgetRatio is the share of the operators' retry budget that is used. The rest
 	// covers errors in counting requests at the edges of a window.
 	retryBudgetRatio = 0.75
@@ -223,23 +234,42 @@
 func (g *gateway) listenReadiness() (closer, error) {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+platform.ReadinessPath, g.readiness)
-	return web.NewServer(g.settings.Listen.Readiness, mux, web.WithDrainTimeout(g.stopPlan().DrainFor), web.WithErrorLog(serverErrorLog(g.log)))
+	return web.NewServer(g.settings.Listen.Readiness, mux, append(g.limits("readiness", func() int { return maxReadinessConnections }),
+		web.WithMaxHeaderBytes(maxSmallHeaderBytes),
+		web.WithDrainTimeout(g.stopPlan().DrainFor))...)
 }
 
 func (g *gateway) listenPeers() (closer, error) {
 	mux := http.NewServeMux()
 	mux.Handle("/peer/", front.NewPeerHandler(g.log, g.catalog, g.prepaid, g.lineage, g.takeover))
 	mux.Handle("GET /metrics", g.metrics)
-	return web.NewServer(g.settings.Listen.Peers, mux, web.WithDrainTimeout(g.stopPlan().DrainFor), web.WithErrorLog(serverErrorLog(g.log)))
+	limit := func() int { return g.memory.Plan().MaxPeerConnections(g.settings.Descriptors) }
+	return web.NewServer(g.settings.Listen.Peers, mux, append(g.limits("peers", limit),
+		web.WithMaxHeaderBytes(maxSmallHeaderBytes),
+		web.WithDrainTimeout(g.stopPlan().DrainFor))...)
 }
 
 func (g *gateway) listenCallers() (closer, error) {
 	plan := g.stopPlan()
-	return web.NewServer(g.settings.Listen.Callers, g.handler,
-		web.WithErrorLog(serverErrorLog(g.log)),
+	limit := func() int { return g.memory.Plan().MaxConnections(g.settings.Descriptors) }
+	return web.NewServer(g.settings.Listen.Callers, g.handler, append(g.limits("callers", limit),
 		web.WithMaxHeaderBytes(maxHeaderBytes),
 		web.WithDrainTimeout(plan.CloseAfter-plan.GiveUpAfter),
-		web.WithWriteTimeout(writeTimeout))
+		web.WithWriteTimeout(writeTimeout))...)
+}
+
+// connectionsLimited counts the connections that were closed or refused because of the limit of a listener.
+const connectionsLimited = "crocusline_connections_limited_total{listener=%q}"
+
+// limits returns the options that bound the memory of a listener's connections, and the log of its errors.
+func (g *gateway) limits(listener string, maxConnections func() int) []web.Option {
+	counter := g.metrics.Counter(fmt.Sprintf(connectionsLimited, listener))
+	return []web.Option{
+		web.WithErrorLog(serverErrorLog(g.log)),
+		web.WithMaxConnections(maxConnections, counter.Inc),
+		web.WithReceiveBuffer(receiveBufferBytes),
+		web.WithBodyTimeout(bodyTimeout),
+	}
 }
 
 func (g *gateway) run(ctx context.Context) error {
@@ -305,7 +335,7 @@
 
 // setMemoryLimit applies the memory limit of the settings in bytes, 0 if they have none.
 func (g *gateway) setMemoryLimit(bytes int64) {
-	if bytes == 0 {
+	if bytes <= 0 {
 		bytes = memory.DefaultLimit
 	}
 	g.memory.SetLimit(bytes)
--- a/models/memory/plan.go
+++ b/models/memory/plan.go
@@ -22,6 +22,9 @@
 	// connectionDescriptorRatio is the share of file descriptors for connections of callers. The rest
 	// is for servers, the store, peers and files.
 	connectionDescriptorRatio = 0.5
+	// peerConnectionRatio is the number of peers' connections as a share of that of callers. Each peer
+	// keeps at most two idle ones, and sends less in a header.
+	peerConnectionRatio = 0.5
 )
 
 // Plan is the division of a process's memory limit, in bytes. The requests, the connections and what
@@ -51,8 +54,13 @@
 // MaxConnections returns how many connections callers may have open at a process with this number of
 // file descriptors, 0 if that is unknown.
 func (p Plan) MaxConnections(descriptors int) int {
-	if descriptors == 0 {
+	if descriptors <= 0 {
 		descriptors = defaultDescriptors
 	}
 	return min(int(p.Connections/connectionBytes), int(float64(descriptors)*connectionDescriptorRatio))
 }
+
+// MaxPeerConnections returns the same for other gateways.
+func (p Plan) MaxPeerConnections(descriptors int) int {
+	return int(float64(p.MaxConnections(descriptors)) * peerConnectionRatio)
+}
--- a/modules/web/server.go
+++ b/modules/web/server.go
@@ -26,6 +26,8 @@
 	listener     net.Listener
 	drainTimeout time.Duration
 	writeTimeout time.Duration
+	bodyTimeout  time.Duration
+	connections  *connections
 	done         sync.WaitGroup
 }
 
@@ -53,6 +55,12 @@
 	return func(s *Server) { s.writeTimeout = d }
 }
 
+// WithBodyTimeout sets how long after its header a request's body may arrive, also while the server skips
+// what the handler has not read. A handler that has read the body clears the deadline, or sets its own.
+func WithBodyTimeout(d time.Duration) Option {
+	return func(s *Server) { s.bodyTimeout = d }
+}
+
 // WithErrorLog sets the log of errors of connections and of panics in handlers. By default they go to
 // the standard logger.
 func WithErrorLog(l *log.Logger) Option {
@@ -79,11 +87,15 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.http.Handler = s.withWriteTimeout(handler)
+	s.http.Handler = s.withBodyTimeout(s.withWriteTimeout(handler))
 	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
+	if s.connections != nil {
+		s.connections.install(s.http)
+		listener = &limitedListener{Listener: listener, connections: s.connections, plain: s.http.TLSConfig == nil}
+	}
 	if s.http.TLSConfig != nil {
 		config := s.http.TLSConfig.Clone()
 		config.NextProtos = []string{"h2", "http/1.1"}
@@ -113,6 +125,21 @@
 	return err
 }
 
+// withBodyTimeout sets the deadline of a request's body. A read after it fails, also one of the server
+// itself, which then closes the connection.
+func (s *Server) withBodyTimeout(next http.Handler) http.Handler {
+	if s.bodyTimeout == 0 {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			// Connections of the server support deadlines.
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.bodyTimeout))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // withWriteTimeout sets a new deadline for each write of a response, so that a client
 // that stops reading occupies its stream no longer than the write timeout. Between writes there is
 // none, as it would end a stream whose next part comes later.
--- a/routers/front/peers.go
+++ b/routers/front/peers.go
@@ -175,6 +175,8 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return loan{}, false
 	}
+	// The body's deadline would cancel the request while it waits for tokens.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return l, true
 }
 
--- a/tests/faults/memory_test.go
+++ b/tests/faults/memory_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -17,8 +18,10 @@
 )
 
 const (
-	// lowMemory and maxDescriptors are the limits of a small machine, by the gateway's settings.
+	// lowMemory and maxDescriptors are the limits of a small machine, by the gateway's settings, and
+	// smallestMemory is the limit of the smallest ones.
 	lowMemory      = 112 << 20
+	smallestMemory = 88 << 20
 	maxDescriptors = 4100
 	// heldBodyBytes is the largest body that is allowed, and bodyCallers the number of callers that send
 	// one at once. Their bodies together are more than three times the gateway's memory.
@@ -205,3 +208,65 @@
 	}
 	return len(entries)
 }
+
+// TestLargestRequests guards against a bound that refuses single requests of the largest size at the
+// smallest machines, with a length or in chunks, or with the largest header.
+func TestLargestRequests(t *testing.T) {
+	f := newFleetOfVersions(t, buildBinary(t), 0, make([]string, serverCount), floodBudget)
+	f.memory = smallestMemory
+	f.addGateways(1, func(int) float64 { return 0.144 })
+	requireService(t, f, "before the requests")
+	head := fmt.Sprintf("POST /once/x HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nDeadline-Ms: 2000\r\nX-Long: %s\r\nRequest-Id: ",
+		host, apiKey, strings.Repeat("x", heldHeaderBytes))
+	for i := range 10 {
+		for name, write := range map[string]func(io.Writer, string) error{
+			"length": func(w io.Writer, head string) error { return writeLength(w, head, true, heldBodyBytes, 0) },
+			"chunks": func(w io.Writer, head string) error { return writeChunks(w, head, true, 64<<10) },
+		} {
+			conn, err := net.Dial("tcp", f.gateways[0].callerAddress.String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := write(conn, fmt.Sprintf("%slargest-%s-%d", head, name, i)); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("%s: got %v and %v", name, resp, err)
+			}
+			_ = conn.Close()
+		}
+	}
+}
+
+// TestMemoryLimitLowered guards against a process that keeps to the memory limit that it started with
+// after a hang-up signal.
+func TestMemoryLimitLowered(t *testing.T) {
+	f := newFleetOfVersions(t, buildBinary(t), 0, make([]string, serverCount), floodBudget)
+	f.memory = 8 * lowMemory
+	f.addGateways(1, func(int) float64 { return 0.8 })
+	requireService(t, f, "before the signal")
+	g := f.gateways[0]
+	settings, err := os.ReadFile(g.settingsFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	limit := func(bytes int) []byte { return fmt.Appendf(nil, `"memory_mb":%d`, bytes>>20) }
+	if err := os.WriteFile(g.settingsFile, bytes.Replace(settings, limit(8*lowMemory), limit(lowMemory), 1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	g.signal(syscall.SIGHUP)
+	for logged := false; !logged; time.Sleep(sampleInterval) {
+		text, err := os.ReadFile(g.logFile.Name())
+		if err != nil {
+			t.Fatal(err)
+		}
+		logged = bytes.Contains(text, fmt.Appendf(nil, `event="settings reloaded" file=%s memory=%d`, g.settingsFile, lowMemory))
+	}
+	for _, h := range heldRequests {
+		if problem := h.run(t, g); problem != "" {
+			t.Errorf("%s: %s", h.name, problem)
+		}
+	}
+	requireService(t, f, "after the crowd")
+}
