--- a/routers/front/body_test.go
+++ b/routers/front/body_test.go
@@ -57,8 +57,9 @@
 	}
 }
 
-// exchangeRaw sends a request, ends its direction of the connection, and returns the response, or nil.
-func exchangeRaw(t *testing.T, server *httptest.Server, request string) *http.Response {
+// exchangeRaw sends a request, ends its direction of the connection, and returns the response, with the
+// status 0 if there was none.
+func exchangeRaw(t *testing.T, server *httptest.Server, request string) response {
 	t.Helper()
 	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", server.Listener.Addr().String())
 	if err != nil {
@@ -72,11 +73,11 @@
 	}()
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		return nil
+		return response{}
 	}
+	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
-	return resp
+	return response{status: resp.StatusCode, header: resp.Header, close: resp.Close}
 }
 
 // TestReservationNotReleased guards against requests that keep their memory reserved after they have
@@ -119,7 +120,7 @@
 		fake := &fakeRelay{response: "answer"}
 		_, server := serve(t, fake, front.WithMemory(memory.New(tt.limit)))
 		resp := exchangeRaw(t, server, tt.request)
-		if resp == nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || !resp.Close || fake.got != nil {
+		if resp.status != http.StatusServiceUnavailable || resp.header.Get("Retry-After") == "" || !resp.close || fake.got != nil {
 			t.Errorf("%.40q: got %v, passed on: %t", tt.request, resp, fake.got != nil)
 		}
 	}
--- a/tests/faults/memory_test.go
+++ b/tests/faults/memory_test.go
@@ -148,6 +148,7 @@
 	}
 	if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
 		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
 	}
 }
 
