--- a/models/memory/budget.go
+++ b/models/memory/budget.go
@@ -11,9 +11,8 @@
 	// RequestBytes is what each request in progress holds without its body: its header, its
 	// goroutines, and the least size of its response.
 	RequestBytes = 24 << 10
-	// LargeBytes is the size from which a request is large: RequestBytes, and twice a body of 128 KiB,
-	// as a body in chunks is held twice when its parts are joined. Ordinary bodies have at most
-	// 100,000 bytes.
+	// LargeBytes is the size from which a request is large. Ordinary bodies have at most 100,000 bytes;
+	// in chunks they are read in parts of 120 KiB together, which are held twice when they are joined.
 	LargeBytes = RequestBytes + 256<<10
 )
 
