Close the last response body in the tests of memory

Cause: the linter (bodyclose) reported TestLargestRequests. Change: the body is closed, and a missing response ends the test. Result: the linter reports nothing; TestHeldRequests, TestLargestRequests and TestMemoryLimitLowered pass twice each; all of tests/faults passed once before this change (346 s).

--- a/tests/faults/memory_test.go
+++ b/tests/faults/memory_test.go
@@ -232,9 +232,13 @@
 				t.Errorf("%s: %v", name, err)
 			}
 			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			if err != nil || resp.StatusCode != http.StatusOK {
-				t.Errorf("%s: got %v and %v", name, resp, err)
+			if err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+			if resp.StatusCode != http.StatusOK {
+				t.Errorf("%s: got status %d", name, resp.StatusCode)
 			}
+			_ = resp.Body.Close()
 			_ = conn.Close()
 		}
 	}
