--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"os"
@@ -27,6 +28,7 @@
 	"github.com/crocusline/crocusline/services/catalog"
 	"github.com/crocusline/crocusline/services/directory"
 	"github.com/crocusline/crocusline/services/lineage"
+	"github.com/crocusline/crocusline/services/memory"
 	"github.com/crocusline/crocusline/services/notice"
 	"github.com/crocusline/crocusline/services/prepaid"
 	"github.com/crocusline/crocusline/services/quarantine"
@@ -35,18 +37,24 @@
 )
 
 const (
-	// memoryLimitRatio is the Go runtime's memory limit as a share of the process's
-	// memory limit. The rest is for stacks, sockets and memory that the runtime has not
-	// returned to the system.
-	memoryLimitRatio = 0.7
 	// drainPollInterval is how often a planned stop looks for open requests.
 	drainPollInterval = 20 * time.Millisecond
 	// writeTimeout is how long a caller may take to read a part of a response.
 	writeTimeout = 5 * time.Second
+	// bodyTimeout is how long a body may take to arrive that the handler doesn't limit itself.
+	bodyTimeout = 5 * time.Second
 	// pruneInterval is how often expired idle connections are closed.
 	pruneInterval = time.Second
 	// maxHeaderBytes limits a request's header; the operators' limit is the same.
 	maxHeaderBytes = 16 << 10
+	// maxSmallHeaderBytes limits the header of a request of another gateway or of the platform.
+	maxSmallHeaderBytes = 4 << 10
+	// receiveBufferBytes limits what an HTTP/2 connection holds that was not read yet. HTTP/2 allows no
+	// smaller value.
+	receiveBufferBytes = 64 << 10
+	// maxReadinessConnections limits the connections of the platform's readiness checks, which are made
+	// once a second.
+	maxReadinessConnections = 64
 	// retryBudgetRatio is the share of the operators' retry budget that is used. The rest
 	// covers errors in counting requests at the edges of a window.
 	retryBudgetRatio = 0.75
@@ -100,6 +108,7 @@
 	log          hclog.Logger
 	incarnation  string
 	metrics      *metric.Set
+	memory       *memory.Service
 	store        *platform.Store
 	peers        *front.PeerClient
 	client       *exchange.Client
@@ -117,11 +126,12 @@
 }
 
 func newGateway(s *platform.Settings, logger hclog.Logger, logWriter *log.AsyncWriter) *gateway {
-	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryLimitRatio))
 	g := &gateway{
 		settings: s, log: logger, metrics: metric.New(),
 		incarnation: s.Instance + "/" + uuid.Must(uuid.NewV7()).String(),
 	}
+	g.memory = memory.New(memory.DefaultLimit, memory.WithMetrics(g.metrics))
+	g.setMemoryLimit(s.Memory)
 	g.store = platform.NewStore(s.Store, g.metrics)
 	g.peers = front.NewPeerClient(without(s.Seeds, s.Listen.Peers))
 	g.client = exchange.New()
@@ -142,16 +152,17 @@
 		lineage.WithFleet(g.directory, g.peers), lineage.WithWritesPerSecond(s.StoreWrites), lineage.WithMetrics(g.metrics))
 	g.takeover = takeover.New(logger, s.Listen.Peers, g.peers, g.lineage, g.metrics)
 	g.relay = relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
-		append(retryOptions(s), relay.WithMemory(s.Memory), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine),
+		append(retryOptions(s), relay.WithMemory(g.memory), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine),
 			relay.WithLineage(g.lineage), relay.WithTakeover(g.takeover), relay.WithReports(platform.NewReports(g.client)), relay.WithMetrics(g.metrics))...)
 	g.lag = schedlag.New(schedlag.WithOnPause(g.recordPause))
 	g.handler = front.New(logger, platform.HeaderCodec{}, g.relay, g.catalog,
-		front.WithBandwidth(s.Bandwidth), front.WithProcessorDelay(g.lag.Delay))
+		front.WithBandwidth(s.Bandwidth), front.WithProcessorDelay(g.lag.Delay), front.WithMemory(g.memory))
 	g.readiness = front.NewReadiness(g.handler, g.catalog.Ready, g.prepaid.Ready)
 	g.metrics.Gauge("crocusline_log_lines_dropped", func() float64 { return float64(logWriter.Dropped()) })
 	g.metrics.Gauge("crocusline_failure_domains_evacuated", func() float64 { return float64(len(g.catalog.Evacuated())) })
 	g.metrics.Gauge("crocusline_requests_open", func() float64 { return float64(g.handler.OpenRequests()) })
 	g.metrics.Gauge("crocusline_servers_cold", func() float64 { return float64(g.catalog.ColdServers()) })
+	g.metrics.Gauge("crocusline_request_memory_bytes", func() float64 { return float64(g.memory.Held()) })
 	g.metrics.Gauge("crocusline_connections_opened", func() float64 { return float64(g.client.Dialed()) })
 	g.metrics.Gauge("crocusline_connections_reused", func() float64 { return float64(g.client.Reused()) })
 	return g
@@ -226,23 +237,42 @@
 func (g *gateway) listenReadiness() (closer, error) {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+platform.ReadinessPath, g.readiness)
-	return web.NewServer(g.settings.Listen.Readiness, mux, web.WithDrainTimeout(g.stopPlan().DrainFor), web.WithErrorLog(serverErrorLog(g.log)))
+	return web.NewServer(g.settings.Listen.Readiness, mux, append(g.limits("readiness", func() int { return maxReadinessConnections }),
+		web.WithMaxHeaderBytes(maxSmallHeaderBytes),
+		web.WithDrainTimeout(g.stopPlan().DrainFor))...)
 }
 
 func (g *gateway) listenPeers() (closer, error) {
 	mux := http.NewServeMux()
 	mux.Handle("/peer/", front.NewPeerHandler(g.log, g.catalog, g.prepaid, g.lineage, g.takeover))
 	mux.Handle("GET /metrics", g.metrics)
-	return web.NewServer(g.settings.Listen.Peers, mux, web.WithDrainTimeout(g.stopPlan().DrainFor), web.WithErrorLog(serverErrorLog(g.log)))
+	limit := func() int { return g.memory.Plan().MaxPeerConnections(g.settings.Descriptors) }
+	return web.NewServer(g.settings.Listen.Peers, mux, append(g.limits("peers", limit),
+		web.WithMaxHeaderBytes(maxSmallHeaderBytes),
+		web.WithDrainTimeout(g.stopPlan().DrainFor))...)
 }
 
 func (g *gateway) listenCallers() (closer, error) {
 	plan := g.stopPlan()
-	return web.NewServer(g.settings.Listen.Callers, g.handler,
-		web.WithErrorLog(serverErrorLog(g.log)),
+	limit := func() int { return g.memory.Plan().MaxConnections(g.settings.Descriptors) }
+	return web.NewServer(g.settings.Listen.Callers, g.handler, append(g.limits("callers", limit),
 		web.WithMaxHeaderBytes(maxHeaderBytes),
 		web.WithDrainTimeout(plan.CloseAfter-plan.GiveUpAfter),
-		web.WithWriteTimeout(writeTimeout))
+		web.WithWriteTimeout(writeTimeout))...)
+}
+
+// connectionsLimited counts the connections that were closed or refused because of the limit of a listener.
+const connectionsLimited = "crocusline_connections_limited_total{listener=%q}"
+
+// limits returns the options that bound the memory of a listener's connections, and the log of its errors.
+func (g *gateway) limits(listener string, maxConnections func() int) []web.Option {
+	counter := g.metrics.Counter(fmt.Sprintf(connectionsLimited, listener))
+	return []web.Option{
+		web.WithErrorLog(serverErrorLog(g.log)),
+		web.WithMaxConnections(maxConnections, counter.Inc),
+		web.WithReceiveBuffer(receiveBufferBytes),
+		web.WithBodyTimeout(bodyTimeout),
+	}
 }
 
 func (g *gateway) run(ctx context.Context) error {
@@ -306,6 +336,15 @@
 	}
 }
 
+// setMemoryLimit applies the memory limit of the settings in bytes, 0 if they have none.
+func (g *gateway) setMemoryLimit(bytes int64) {
+	if bytes <= 0 {
+		bytes = memory.DefaultLimit
+	}
+	g.memory.SetLimit(bytes)
+	debug.SetMemoryLimit(g.memory.Plan().Runtime)
+}
+
 // reload reads the settings file and applies the memory limit, the only setting that can
 // change while the process runs.
 func (g *gateway) reload() {
@@ -314,7 +353,6 @@
 		g.log.Error("settings not reloaded", "file", g.settingsFile, "error", err)
 		return
 	}
-	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryLimitRatio))
-	g.relay.SetMemory(settings.Memory)
+	g.setMemoryLimit(settings.Memory)
 	g.log.Info("settings reloaded", "file", g.settingsFile, "memory", settings.Memory)
 }
