Permit disconnected gateways less growth

What the spend limits had permitted until the return, 3.8 times the demand after 3 s, counted as spent: a third of the total of the largest workspaces. Change: the rate added after 3 s is 1.2 instead of 2.5 times the demand. Gateways that reach each other lend what the others don't need, so that a workspace's demand is covered 2.5 times.

--- a/models/prepaid/plan.go
+++ b/models/prepaid/plan.go
@@ -33,9 +33,12 @@
 	disconnectedBurstSpan = 2 * time.Second
 	// rateFactor is the ratio of the permitted spending rate to the demand, and
 	// disconnectedRateFactor that of the rate added once the gateway must be
-	// disconnected. At times workspaces send several times their usual load.
+	// disconnected. At times workspaces send several times their usual load, and gateways
+	// that reach each other lend what the others don't need. All that is permitted until
+	// a killed gateway is back counts as spent: with an added rate of 2.5, a loss of power at the
+	// end of an outage of 5 s withheld a third of a workspace's total.
 	rateFactor             = 1.3
-	disconnectedRateFactor = 2.5
+	disconnectedRateFactor = 1.2
 )
 
 // requestScale is the factor by which numbers of requests are multiplied in reports.
