Start servers slowly that have started, recovered or become warm

Cause: each gateway takes a server that has just started for idle, as it knows of no requests there, and all return to a recovered one at once. Change: models/slowstart holds the number of this gateway's requests that may be in flight at such a server: one at first, one more with each first event within about twice the prediction, half after one that is late, refused or missing. The board asks it in Wait, so that all sends observe it. A request is refused rather than sent to a suspended server because others are held.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -125,10 +125,15 @@
 	g.store = platform.NewStore(s.Store, g.metrics)
 	g.peers = front.NewPeerClient(without(s.Seeds, s.Listen.Peers))
 	g.client = exchange.New()
-	g.catalog = catalog.New(logger, g.store, platform.Codec{},
+	catalogOptions := []catalog.Option{
 		catalog.WithInstance(s.Instance), catalog.WithFailureDomain(s.FailureDomain), catalog.WithPeers(g.peers),
 		catalog.WithColdTolerance(s.Parameters.ColdOver, s.Parameters.ColdSlack), catalog.WithEvacuationBound(s.Parameters.EvacuationBound),
-		catalog.WithBounds(s.Parameters.TableBound, s.Parameters.DrainBound), catalog.WithHeartbeat(s.Heartbeat))
+		catalog.WithBounds(s.Parameters.TableBound, s.Parameters.DrainBound), catalog.WithHeartbeat(s.Heartbeat),
+	}
+	if s.ManyServers {
+		catalogOptions = append(catalogOptions, catalog.WithSlowStart())
+	}
+	g.catalog = catalog.New(logger, g.store, platform.Codec{}, catalogOptions...)
 	g.directory = directory.New(logger, g.store, platform.Codec{}.GatewaysTopic(), s.Instance, s.Capacity,
 		directory.WithStart(prepaid.ClockReading(logger)), directory.WithAddress(s.Listen.Peers, s.FailureDomain),
 		directory.WithRemoveTimeout(g.stopPlan().RemoveFor))
@@ -152,6 +157,7 @@
 	g.metrics.Gauge("crocusline_failure_domains_evacuated", func() float64 { return float64(len(g.catalog.Evacuated())) })
 	g.metrics.Gauge("crocusline_requests_open", func() float64 { return float64(g.handler.OpenRequests()) })
 	g.metrics.Gauge("crocusline_servers_cold", func() float64 { return float64(g.catalog.ColdServers()) })
+	g.metrics.Gauge("crocusline_servers_starting", func() float64 { return float64(g.catalog.StartingServers()) })
 	g.metrics.Gauge("crocusline_connections_opened", func() float64 { return float64(g.client.Dialed()) })
 	g.metrics.Gauge("crocusline_connections_reused", func() float64 { return float64(g.client.Reused()) })
 	return g
--- a/models/balance/balance.go
+++ b/models/balance/balance.go
@@ -220,9 +220,14 @@
 	preferred := b.preferredServer(now, r)
 	var best *server
 	var choice Choice
+	held := false
 	bestCost := time.Duration(math.MaxInt64)
 	for _, s := range b.sortedServers() {
-		if slices.Contains(r.Exclude, s.ID) || (r.Version != "" && s.Version != r.Version) || !b.board.Admits(now, s.Server) || (r.MaxRunning > 0 && s.running >= r.MaxRunning) {
+		if slices.Contains(r.Exclude, s.ID) || (r.Version != "" && s.Version != r.Version) || (r.MaxRunning > 0 && s.running >= r.MaxRunning) {
+			continue
+		}
+		if !b.board.Admits(now, s.Server) {
+			held = held || b.heldByStart(now, s)
 			continue
 		}
 		predicted, cached := b.predict(now, s, r, s == preferred)
@@ -232,9 +237,23 @@
 			choice = Choice{Server: s.Server, PredictedLatency: predicted, CachedTokens: cached, Trial: s.suspension > 0}
 		}
 	}
+	if best != nil && held && best.avoided(now, r) {
+		return Choice{}, false
+	}
 	return choice, best != nil
 }
 
+// heldByStart reports whether a server that isn't suspended gets no more requests for now because of its
+// slow start. Requests are refused rather than sent to suspended servers instead.
+func (b *Balancer) heldByStart(now time.Time, s *server) bool {
+	return s.suspension == 0 && b.board.HeldByStart(now, s.Server)
+}
+
+// avoided reports whether the server is suspended and the request doesn't test it.
+func (s *server) avoided(now time.Time, r Request) bool {
+	return s.suspension > 0 && (now.Before(s.suspendedUntil) || len(s.trials) > 0 || !r.Idempotent)
+}
+
 // sortedServers returns the servers ordered by id, so that equal seeds give equal
 // choices.
 func (b *Balancer) sortedServers() []*server {
@@ -325,7 +344,7 @@
 	}
 	switch {
 	case s.suspension == 0:
-	case now.Before(s.suspendedUntil) || len(s.trials) > 0 || !r.Idempotent:
+	case s.avoided(now, r):
 		cost += time.Minute
 	default:
 		// One request at a time tests the server, with the failure penalty waived.
@@ -384,6 +403,9 @@
 		s.trials[r.ID] = true
 	}
 	b.board.RecordSent(now, s.Server)
+	if start := b.board.Start(s.Server); start != nil {
+		start.RecordSent(now, r.ID, c.PredictedLatency)
+	}
 }
 
 // newPrediction returns what is predicted for a request that is sent now. Its time to the
@@ -419,6 +441,31 @@
 	}
 	s.pendingTokens = max(0, s.pendingTokens-uncachedTokens(r, cached))
 	s.cache.add(now, r.Segments)
+	if start := b.board.Start(s.Server); start != nil {
+		start.RecordFirstEvent(now, r.ID, b.meanRunning())
+	}
+}
+
+// meanRunning returns the number of this gateway's requests that run, per server.
+func (b *Balancer) meanRunning() float64 {
+	sum := 0
+	for _, s := range b.servers {
+		sum += s.running
+	}
+	return float64(sum) / float64(len(b.servers))
+}
+
+// RecordRejected records that the server refused or failed a request.
+func (b *Balancer) RecordRejected(now time.Time, id string) {
+	if s, ok := b.servers[id]; ok {
+		s.slowDown(now, b.board)
+	}
+}
+
+func (s *server) slowDown(now time.Time, board *notice.Board) {
+	if start := board.Start(s.Server); start != nil {
+		start.RecordFailure(now)
+	}
 }
 
 // RecordUnread records that a request ended before its first event, so that its prompt no
@@ -436,6 +483,9 @@
 		delete(s.unread, r.ID)
 		s.running = max(0, s.running-1)
 		delete(s.trials, r.ID)
+		if start := b.board.Start(s.Server); start != nil {
+			start.RecordEnd(r.ID)
+		}
 	}
 }
 
@@ -443,7 +493,15 @@
 func (b *Balancer) RecordSuccess(id string) {
 	if s, ok := b.servers[id]; ok {
 		s.failureRate -= s.failureRate / failureWindow
+		b.endSuspension(s)
+	}
+}
+
+// endSuspension ends a suspension. The server starts slowly, as all gateways return to it at once.
+func (b *Balancer) endSuspension(s *server) {
+	if s.suspension > 0 {
 		s.suspension = 0
+		b.board.StartSlowly(s.Server)
 	}
 }
 
@@ -452,7 +510,7 @@
 func (b *Balancer) RecordFailure(id string) {
 	if s, ok := b.servers[id]; ok {
 		s.failureRate += (1 - s.failureRate) / failureWindow
-		s.suspension = 0
+		b.endSuspension(s)
 	}
 }
 
@@ -464,6 +522,7 @@
 		return
 	}
 	s.failureRate += (1 - s.failureRate) / failureWindow
+	s.slowDown(now, b.board)
 	if now.Before(s.suspendedUntil) {
 		return
 	}
@@ -474,8 +533,15 @@
 // AcceptsIn returns the time until this gateway may send a request to a server of the pool. It is 0 if
 // it may now, and also if there is no server.
 func (b *Balancer) AcceptsIn(now time.Time) time.Duration {
+	held := false
+	for _, s := range b.servers {
+		held = held || b.heldByStart(now, s)
+	}
 	var shortest time.Duration
 	for _, s := range b.servers {
+		if held && s.avoided(now, Request{Idempotent: true}) {
+			continue
+		}
 		wait := b.board.Wait(now, s.Server)
 		if wait == 0 {
 			return 0
--- a/models/notice/board.go
+++ b/models/notice/board.go
@@ -44,13 +44,19 @@
 // Board holds the notices of all servers. All times are from the caller's clock.
 //
 // The loads that it answers are servers in need, which name a limit of requests for a fleet of any
-// size, servers that turn requests away, and servers that have just started and are slow.
+// size, servers that turn requests away, and servers that have just started or recovered and are slow.
 type Board struct {
 	fleet   *Fleet
 	servers map[incarnation]*terms
 	pools   map[string]route.Pool
 	// coldOver and coldSlack are what a cold server takes beyond its limit within a second.
 	coldOver, coldSlack float64
+	// slowStart is whether servers start slowly, listedAt when servers were last listed, starts are the starts that were listed last, and
+	// endedStarts the slow starts that have ended.
+	slowStart   bool
+	listedAt    time.Time
+	starts      map[string]start
+	endedStarts []EndedStart
 }
 
 // Option configures a Board.
@@ -64,7 +70,7 @@
 
 // NewBoard returns a board without notices for a gateway of the fleet, or for one without others.
 func NewBoard(f *Fleet, opts ...Option) *Board {
-	b := &Board{fleet: f, servers: map[incarnation]*terms{}, coldOver: DefaultColdOver, coldSlack: DefaultColdSlack}
+	b := &Board{fleet: f, servers: map[incarnation]*terms{}, starts: map[string]start{}, coldOver: DefaultColdOver, coldSlack: DefaultColdSlack}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -195,6 +201,10 @@
 // returns those that have become cold.
 func (b *Board) SetListed(now time.Time, servers []roster.Server) []roster.Server {
 	var becameCold []roster.Server
+	b.listedAt = now
+	if b.slowStart {
+		b.startNew(now, servers)
+	}
 	for _, s := range servers {
 		t, known := b.servers[keyOf(s)]
 		if !known && s.WarmUp == 0 {
@@ -207,6 +217,7 @@
 		if b.recordWarmUp(now, t, s) {
 			becameCold = append(becameCold, s)
 		}
+		b.updateStart(now, t, s)
 	}
 	for key, t := range b.servers {
 		switch {
@@ -230,6 +241,14 @@
 	if !known {
 		return 0
 	}
+	if wait := b.announcedWait(now, t, s); wait > 0 {
+		return wait
+	}
+	return t.waitForStart(now)
+}
+
+// announcedWait returns the time until the server may get a request by what it, or the list, announces.
+func (b *Board) announcedWait(now time.Time, t *terms, s roster.Server) time.Duration {
 	q := t.quota(now)
 	if !q.unlimited() {
 		t.update(now, b.fleet, s.ID, q)
--- a/models/notice/terms.go
+++ b/models/notice/terms.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/crocusline/crocusline/models/slowstart"
 )
 
 const (
@@ -38,6 +40,10 @@
 	// listedAt is when the server was last known to be listed.
 	listedAt time.Time
 	cold     coldTerms
+	// start is the window of a slow start, or nil, and wasCold whether the server was cold when it was
+	// last listed.
+	start   *slowstart.Window
+	wasCold bool
 	bucket
 }
 
--- a/services/catalog/catalog.go
+++ b/services/catalog/catalog.go
@@ -73,6 +73,11 @@
 	return func(s *Service) { s.boardOptions = append(s.boardOptions, notice.WithColdTolerance(over, slack)) }
 }
 
+// WithSlowStart has servers start slowly that have started or recovered, or are cold or just warm.
+func WithSlowStart() Option {
+	return func(s *Service) { s.boardOptions = append(s.boardOptions, notice.WithSlowStart()) }
+}
+
 // WithHeartbeat sets the time between two heartbeats of a server.
 func WithHeartbeat(d time.Duration) Option { return func(s *Service) { s.heartbeat = d } }
 
@@ -242,6 +247,13 @@
 	return s.board.Cold(time.Now())
 }
 
+// StartingServers returns the number of servers with a slow start.
+func (s *Service) StartingServers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.board.Starting(time.Now())
+}
+
 // OnNotice sets the function that is called after a server announced anything new.
 func (s *Service) OnNotice(f func()) {
 	s.mu.Lock()
@@ -363,6 +375,10 @@
 		s.log.Info("server cold", "server", server.ID, "pool", server.Pool, "started", server.Started,
 			"sequence", server.Sequence, "left", server.WarmUp, "limit", table.Pools[server.Pool].ColdLimit)
 	}
+	for _, e := range s.board.TakeEndedStarts() {
+		s.log.Debug("slow start ended", "server", e.Server.ID, "pool", e.Server.Pool, "started", e.Server.Started,
+			"took", e.Duration.Round(time.Millisecond), "held", e.Held, "late", e.Late)
+	}
 	if len(cold) > 0 {
 		s.onNotice()
 	}
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -304,6 +304,7 @@
 		case responseRelayed:
 			if j.status >= http.StatusInternalServerError {
 				b.RecordFailure(id)
+				b.RecordRejected(now, id)
 				return
 			}
 			b.RecordSuccess(id)
@@ -311,7 +312,11 @@
 			b.RecordSuccess(id)
 		case serverError:
 			b.RecordFailure(id)
+			b.RecordRejected(now, id)
 		case notRun:
+			if result.evidence == call.ServerStatement {
+				b.RecordRejected(now, id)
+			}
 			if result.reason != refusal.QueueFull && result.evidence != call.NotBegun && !cancelled {
 				b.RecordUnreachable(now, id)
 			}
