--- a/models/route/route.go
+++ b/models/route/route.go
@@ -72,9 +72,8 @@
 	Name string
 	// MaxConns is the maximum number of connections that one server accepts in total.
 	MaxConns int
-	// WarmUp is how long a server of the pool is cold, and ColdLimit the number of requests per
-	// second that a cold one takes from all gateways together, or 0 if it takes as many as others.
-	WarmUp    time.Duration
+	// ColdLimit is the number of requests per second that a cold server of the pool takes from all
+	// gateways together, or 0 if it takes as many as others.
 	ColdLimit float64
 	// Engine describes the model engines of the pool. It is nil for plain services.
 	Engine *Engine
