Open the windows of slow starts one after the other

Change: windows open within 1.5 s, by a hash of gateway and server. The penalty ends with the suspension if the server starts slowly. If all servers that aren't suspended are held, one with nothing in flight gets a request.

--- a/models/balance/balance.go
+++ b/models/balance/balance.go
@@ -218,16 +218,17 @@
 // there is no server to choose.
 func (b *Balancer) Choose(now time.Time, r Request) (Choice, bool) {
 	preferred := b.preferredServer(now, r)
-	var best *server
+	var best, reserve *server
 	var choice Choice
-	held := false
 	bestCost := time.Duration(math.MaxInt64)
 	for _, s := range b.sortedServers() {
 		if slices.Contains(r.Exclude, s.ID) || (r.Version != "" && s.Version != r.Version) || (r.MaxRunning > 0 && s.running >= r.MaxRunning) {
 			continue
 		}
 		if !b.board.Admits(now, s.Server) {
-			held = held || b.heldByStart(now, s)
+			if b.heldByStart(now, s) && (reserve == nil || b.board.Start(s.Server).Idle()) {
+				reserve = s
+			}
 			continue
 		}
 		predicted, cached := b.predict(now, s, r, s == preferred)
@@ -237,14 +238,19 @@
 			choice = Choice{Server: s.Server, PredictedLatency: predicted, CachedTokens: cached, Trial: s.suspension > 0}
 		}
 	}
-	if best != nil && held && best.avoided(now, r) {
+	if reserve == nil || (best != nil && !best.avoided(now, r)) {
+		return choice, best != nil
+	}
+	if !b.board.Start(reserve.Server).Idle() {
 		return Choice{}, false
 	}
-	return choice, best != nil
+	predicted, cached := b.predict(now, reserve, r, reserve == preferred)
+	return Choice{Server: reserve.Server, PredictedLatency: predicted, CachedTokens: cached}, true
 }
 
 // heldByStart reports whether a server that isn't suspended gets no more requests for now because of its
-// slow start. Requests are refused rather than sent to suspended servers instead.
+// slow start. If there is no other server that isn't suspended, one with nothing in flight gets a request, and
+// the rest are refused.
 func (b *Balancer) heldByStart(now time.Time, s *server) bool {
 	return s.suspension == 0 && b.board.HeldByStart(now, s.Server)
 }
@@ -493,16 +499,19 @@
 func (b *Balancer) RecordSuccess(id string) {
 	if s, ok := b.servers[id]; ok {
 		s.failureRate -= s.failureRate / failureWindow
-		b.endSuspension(s)
+		if s.suspension > 0 && b.endSuspension(s) {
+			// It would keep the server idle, as it decays with responses only.
+			s.failureRate = 0
+		}
 	}
 }
 
-// endSuspension ends a suspension. The server starts slowly, as all gateways return to it at once.
-func (b *Balancer) endSuspension(s *server) {
-	if s.suspension > 0 {
-		s.suspension = 0
-		b.board.StartSlowly(s.Server)
-	}
+// endSuspension ends a suspension, and reports whether the server starts slowly, as all gateways return to it
+// at once.
+func (b *Balancer) endSuspension(s *server) bool {
+	s.suspension = 0
+	b.board.StartSlowly(s.Server)
+	return b.board.Start(s.Server) != nil
 }
 
 // RecordFailure records a response that reports a failure of the server. It ends a
@@ -510,7 +519,9 @@
 func (b *Balancer) RecordFailure(id string) {
 	if s, ok := b.servers[id]; ok {
 		s.failureRate += (1 - s.failureRate) / failureWindow
-		b.endSuspension(s)
+		if s.suspension > 0 {
+			b.endSuspension(s)
+		}
 	}
 }
 
@@ -535,7 +546,12 @@
 func (b *Balancer) AcceptsIn(now time.Time) time.Duration {
 	held := false
 	for _, s := range b.servers {
-		held = held || b.heldByStart(now, s)
+		if b.heldByStart(now, s) {
+			if b.board.Start(s.Server).Idle() {
+				return 0
+			}
+			held = true
+		}
 	}
 	var shortest time.Duration
 	for _, s := range b.servers {
--- a/models/notice/start.go
+++ b/models/notice/start.go
@@ -1,6 +1,7 @@
 package notice
 
 import (
+	"math"
 	"time"
 
 	"github.com/crocusline/crocusline/models/roster"
@@ -33,10 +34,19 @@
 		return
 	}
 	if t := b.termsOf(b.listedAt, keyOf(s)); t.start == nil {
-		t.start = slowstart.New()
+		t.start = slowstart.New(b.phase(s.ID))
 	}
 }
 
+// phase returns the place of this gateway in the order in which the gateways send a server that starts
+// requests, from 0 to 1.
+func (b *Board) phase(server string) float64 {
+	if b.fleet == nil {
+		return 0
+	}
+	return float64(score(server, b.fleet.self)) / math.MaxUint64
+}
+
 // Start returns the window of the server's slow start, or nil if it has none.
 func (b *Board) Start(s roster.Server) *slowstart.Window {
 	if t, known := b.servers[keyOf(s)]; known {
@@ -48,7 +58,7 @@
 // HeldByStart reports whether only its slow start keeps requests from the server.
 func (b *Board) HeldByStart(now time.Time, s roster.Server) bool {
 	t, known := b.servers[keyOf(s)]
-	return known && t.slow(now) && t.start.Full() && b.announcedWait(now, t, s) == 0
+	return known && t.slow(now) && t.start.Full(now) && b.announcedWait(now, t, s) == 0
 }
 
 // Starting returns the number of servers with a slow start.
@@ -91,11 +101,11 @@
 // otherwise.
 func (b *Board) updateStart(now time.Time, t *terms, s roster.Server) {
 	cold := t.isCold(now)
-	switch {
-	case cold != t.wasCold:
+	if cold != t.wasCold {
 		t.wasCold, t.start = cold, nil
 		b.StartSlowly(s)
-	case !cold && t.start != nil && t.start.Ended(now):
+	}
+	if !cold && t.start != nil && t.start.Ended(now) {
 		b.endedStarts = append(b.endedStarts, EndedStart{Server: s, Stats: t.start.Stats(now)})
 		t.start = nil
 	}
--- a/models/slowstart/slowstart.go
+++ b/models/slowstart/slowstart.go
@@ -19,6 +19,10 @@
 	// large fleet have less than one request per second for a server, so a longer time would keep
 	// servers idle.
 	quietTime = time.Second
+	// openTime is the time in which the gateways open their windows one after the other. All of them
+	// read of a server at about the same time, and one request of each would already be more than it
+	// takes while it is slow.
+	openTime = 1500 * time.Millisecond
 	// maxTime is the longest time that a window lasts at a server that is always late: some times
 	// the warm-up of the reference deployments. By then the predictions include the server's speed.
 	maxTime = 15 * time.Second
@@ -46,8 +50,10 @@
 // window began count. The times begin with the first call that states one.
 type Window struct {
 	size     float64
+	phase    float64
 	inFlight []request
 	begunAt  time.Time
+	openAt   time.Time
 	// blockedAt is when a request was last held, late or failed.
 	blockedAt time.Time
 	reducedAt time.Time
@@ -57,26 +63,38 @@
 	late    int
 }
 
-// New returns a window of one request.
-func New() *Window { return &Window{size: 1} }
+// New returns a window of one request. phase, from 0 to 1, is the place of the gateway in the order in which
+// the gateways open their windows.
+func New(phase float64) *Window { return &Window{size: 1, phase: phase} }
 
 // Admits reports whether another request may be sent now.
 func (w *Window) Admits(now time.Time) bool {
 	w.begin(now)
-	if !w.Full() {
+	switch {
+	case float64(len(w.inFlight)) >= math.Floor(w.size):
+		w.blockedAt = now
+	case !now.Before(w.openAt):
 		return true
 	}
 	w.held++
-	w.blockedAt = now
 	return false
 }
 
-// Full reports whether as many requests are in flight as may be.
-func (w *Window) Full() bool { return float64(len(w.inFlight)) >= math.Floor(w.size) }
+// Idle reports whether no request is in flight.
+func (w *Window) Idle() bool { return len(w.inFlight) == 0 }
+
+// Full reports whether no request may be sent now, as as many as may be are in flight, or the window has not
+// opened.
+func (w *Window) Full(now time.Time) bool {
+	w.begin(now)
+	return float64(len(w.inFlight)) >= math.Floor(w.size) || now.Before(w.openAt)
+}
 
 func (w *Window) begin(now time.Time) {
 	if w.begunAt.IsZero() {
-		w.begunAt, w.blockedAt = now, now
+		w.begunAt = now
+		w.openAt = now.Add(time.Duration(w.phase * float64(openTime)))
+		w.blockedAt = w.openAt
 	}
 }
 
