Test that slow starts learn of failures

TestFailuresInStart guards against refusals and missing responses that don't reach the window; without the call in RecordUnreachable it fails.

--- a/models/balance/slowstart_test.go
+++ b/models/balance/slowstart_test.go
@@ -323,3 +323,19 @@
 		t.Error("the request has ended: got no server")
 	}
 }
+
+// TestFailuresInStart guards against slow starts that don't learn of refusals and of missing responses.
+func TestFailuresInStart(t *testing.T) {
+	board := notice.NewBoard(nil, notice.WithSlowStart())
+	b := balance.New(balance.WithBoard(board))
+	server := roster.Server{ID: "a"}
+	board.SetListed(start, []roster.Server{server})
+	b.SetServers([]roster.Server{server}, 0)
+	b.RecordUnreachable(start, "a")
+	b.RecordSuccess("a")
+	b.RecordRejected(start, "a")
+	b.RecordUnreachable(start.Add(time.Second), "a")
+	if got := board.Start(server).Stats(start).Late; got != 2 {
+		t.Errorf("%d failed requests, want 2", got)
+	}
+}
