--- a/services/relay/relay_test.go
+++ b/services/relay/relay_test.go
@@ -22,6 +22,7 @@
 	"github.com/crocusline/crocusline/models/route"
 	"github.com/crocusline/crocusline/modules/exchange"
 	"github.com/crocusline/crocusline/platform"
+	"github.com/crocusline/crocusline/services/memory"
 	"github.com/crocusline/crocusline/services/prepaid"
 	"github.com/crocusline/crocusline/services/relay"
 	"github.com/crocusline/crocusline/standin/site"
@@ -138,6 +139,9 @@
 	relay   *relay.Service
 	// usage is the Token-Usage of prompts.
 	usage string
+	// method and body are those of requests.
+	method string
+	body   []byte
 }
 
 func newTestEnv(t *testing.T, opts []relay.Option, servers ...*site.Server) *testEnv {
@@ -149,7 +153,7 @@
 	}
 	c := newCatalog(servers...)
 	r := relay.New(hclog.NewNullLogger(), platform.HeaderCodec{}, c, fakeBudget{}, client, opts...)
-	return &testEnv{T: t, servers: servers, catalog: c, relay: r, usage: "100,40"}
+	return &testEnv{T: t, servers: servers, catalog: c, relay: r, usage: "100,40", method: http.MethodPost, body: []byte("body")}
 }
 
 // send relays one request and returns the response.
@@ -161,7 +165,7 @@
 
 func (env *testEnv) sendTo(ctx context.Context, resp http.ResponseWriter, path string, header ...string) error {
 	env.Helper()
-	r := httptest.NewRequest(http.MethodPost, path, http.NoBody)
+	r := httptest.NewRequest(env.method, path, http.NoBody)
 	r.RequestURI = path
 	r.Host = "a.example"
 	r.Header.Set("Request-Id", "r1")
@@ -178,7 +182,7 @@
 	if err != nil {
 		env.Fatal(err)
 	}
-	req.Body = []byte("body")
+	req.Body = env.body
 	return env.relay.Relay(ctx, resp, req)
 }
 
@@ -303,7 +307,7 @@
 // passed on whole, and that a request which can be repeated is sent to another server.
 func TestLargeFailure(t *testing.T) {
 	// Without memory, responses are passed on unless they are short.
-	for _, opts := range [][]relay.Option{nil, {relay.WithMemory(0)}} {
+	for _, opts := range [][]relay.Option{nil, {relay.WithMemory(memory.New(0))}} {
 		for _, path := range []string{"/once/a", "/lookup/a"} {
 			env := newTestEnv(t, opts, site.NewServer("s1", 0, site.FailLarge), site.NewServer("s2", 0, site.Serve))
 			resp, err := env.send(t.Context(), path)
