Count the bytes of all connections of a gateway

Cause: a gateway estimates the load of its link from the bodies of callers only. Responses, events of streams and their packets, the store and peers use as much of it and aren't counted.

Change: modules/netmeter counts reads and writes of connections atomically, with the headers of packets and the acknowledgements. TCP connections keep their methods. modules/exchange keeps the connection itself for SetLinger and SyscallConn and reads and writes through the counted one. Nothing uses the counts yet.

Tests: go test ./modules/netmeter ./modules/web ./modules/exchange ./platform pass. Without the override of ReadFrom TestCounts fails (0 bytes counted for a body of 100,000); without the TCP type and the acknowledgements both tests fail.

--- a/modules/exchange/conn.go
+++ b/modules/exchange/conn.go
@@ -47,6 +47,8 @@
 	client  *Client
 	address netip.AddrPort
 	netConn net.Conn
+	// metered is netConn with its bytes counted, for reads and writes.
+	metered net.Conn
 	limit   *limitedReader
 	reader  *bufio.Reader
 	// openedAt is when the connection was established.
@@ -66,10 +68,11 @@
 }
 
 func newConn(c *Client, address netip.AddrPort, netConn net.Conn) *conn {
-	limit := &limitedReader{reader: netConn}
+	metered := c.meter.Conn(netConn)
+	limit := &limitedReader{reader: metered}
 	now := time.Now()
 	return &conn{
-		client: c, address: address, netConn: netConn, limit: limit, openedAt: now, idleSince: now,
+		client: c, address: address, netConn: netConn, metered: metered, limit: limit, openedAt: now, idleSince: now,
 		reader: bufio.NewReaderSize(limit, readBufferSize), idleTimeout: c.idleTimeout,
 	}
 }
@@ -104,7 +107,7 @@
 
 func (c *conn) close() {
 	c.closeOnce.Do(func() {
-		_ = c.netConn.Close()
+		_ = c.metered.Close()
 		c.client.release(c.address)
 	})
 }
@@ -177,7 +180,7 @@
 		r.released()
 		return nil, &NotSentError{Address: c.address, Err: err}
 	}
-	writer := &trackingWriter{Conn: c.netConn}
+	writer := &trackingWriter{Conn: c.metered}
 	writeResult := make(chan error, 1)
 	write := func() error {
 		defer c.writing.Store(false)
--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/modules/netmeter"
 )
 
 // Defaults of the options.
@@ -107,10 +109,14 @@
 // WithIdleTimeout sets how long a connection may stay idle.
 func WithIdleTimeout(d time.Duration) Option { return func(c *Client) { c.idleTimeout = d } }
 
+// WithMeter sets what counts the bytes of the connections.
+func WithMeter(m *netmeter.Meter) Option { return func(c *Client) { c.meter = m } }
+
 // Client is an HTTP/1.1 client with a connection pool for each address.
 type Client struct {
 	dialTimeout time.Duration
 	idleTimeout time.Duration
+	meter       *netmeter.Meter
 
 	mu     sync.Mutex
 	pools  map[netip.AddrPort]*pool
--- a/modules/web/server.go
+++ b/modules/web/server.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/crocusline/crocusline/modules/netmeter"
 )
 
 const (
@@ -26,6 +28,7 @@
 	listener     net.Listener
 	drainTimeout time.Duration
 	writeTimeout time.Duration
+	meter        *netmeter.Meter
 	done         sync.WaitGroup
 }
 
@@ -59,6 +62,11 @@
 	return func(s *Server) { s.http.ErrorLog = l }
 }
 
+// WithMeter sets what counts the bytes of the connections.
+func WithMeter(m *netmeter.Meter) Option {
+	return func(s *Server) { s.meter = m }
+}
+
 // NewServer returns a server that listens on the address and serves the handler until
 // Close.
 func NewServer(address netip.AddrPort, handler http.Handler, opts ...Option) (*Server, error) {
@@ -84,6 +92,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
+	listener = s.meter.Listener(listener)
 	if s.http.TLSConfig != nil {
 		config := s.http.TLSConfig.Clone()
 		config.NextProtos = []string{"h2", "http/1.1"}
--- a/routers/front/peers.go
+++ b/routers/front/peers.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -17,6 +18,7 @@
 
 	"github.com/crocusline/crocusline/models/lineage"
 	"github.com/crocusline/crocusline/models/prepaid"
+	"github.com/crocusline/crocusline/modules/netmeter"
 	"github.com/crocusline/crocusline/modules/transfer"
 	"github.com/crocusline/crocusline/services/catalog"
 )
@@ -192,6 +194,16 @@
 	return func(c *PeerClient) { c.http.Transport = t }
 }
 
+// WithPeerMeter sets what counts the bytes of the connections. It has no effect on another
+// transport.
+func WithPeerMeter(m *netmeter.Meter) PeerOption {
+	return func(c *PeerClient) {
+		if t, ok := c.http.Transport.(*http.Transport); ok {
+			t.DialContext = m.Dialer(new(net.Dialer).DialContext)
+		}
+	}
+}
+
 // NewPeerClient returns a client of the gateways at these addresses.
 func NewPeerClient(peers []netip.AddrPort, opts ...PeerOption) *PeerClient {
 	c := &PeerClient{http: &http.Client{Transport: &http.Transport{IdleConnTimeout: peerIdleTimeout}}, peers: peers}
