Decide when a gateway is short of its own resources

Cause: a gateway whose link is full takes the timeouts of its connection attempts for failures of the servers, which all other gateways reach, and suspends them.

Change: models/strain decides by the delays of link and processor, the use of file descriptors and memory, and the results of connection attempts whether the gateway is short of a resource, how long an attempt may take, whether its timeout is evidence against the server, how long the next send waits, and which requests are taken. A single server that fails while others are reached has failed. Several without any success in between are no evidence, and from three on the network counts as cut off. While strained, a server has failed if its failures are unlikely (0.5%) by the results at the others. Nothing uses it yet.

--- /dev/null
+++ b/models/strain/strain.go
@@ -0,0 +1,367 @@
+// Package strain decides whether a gateway is short of its own resources, and what follows from that
+// for its requests: which failures say something about a server, how long a connection attempt may
+// take, and which requests are taken. The load that it handles is a large workspace at a gateway with a
+// fraction of the others' bandwidth: connections to servers take longer than the time for an attempt, and
+// the gateway would suspend servers that all others reach.
+package strain
+
+import (
+	"math"
+	"net/netip"
+	"time"
+)
+
+const (
+	// A link is strained once a connection attempt, whose packets cross it in both directions,
+	// waits for linkRatio of the time that it has, until it waits for less than linkReliefRatio.
+	linkRatio       = 0.5
+	linkReliefRatio = 1.0 / 6
+	// The processor is strained once goroutines wait for processorRatio of that time, until they
+	// wait for less than processorReliefRatio.
+	processorRatio       = 1.0 / 3
+	processorReliefRatio = 0.1
+	// peakTimeConstant is how fast a peak of the processor delay is forgotten. An attempt of twice the
+	// usual time that began with the peak is judged by it.
+	peakTimeConstant = 300 * time.Millisecond
+	// Parts of the limits of file descriptors and memory in use. Above the full ratio, no request is taken.
+	descriptorRatio, descriptorReliefRatio, descriptorFullRatio = 0.85, 0.75, 0.97
+	memoryRatio, memoryReliefRatio, memoryFullRatio             = 0.9, 0.8, 0.98
+	// urgentRatio is the part of the way from the beginning of a strain to full use above which only
+	// short urgent calls are taken.
+	urgentRatio = 0.6
+	// smallBody is the size in bytes up to which a call is short.
+	smallBody = 2 << 10
+	// minDuration keeps a strain from ending between two peaks.
+	minDuration = 500 * time.Millisecond
+	// Servers that were tried without any success in between: from suspectServers on, a timeout is
+	// no evidence against a server; from cutOffServers on, the network counts as cut off.
+	suspectServers = 2
+	cutOffServers  = 3
+	// evidenceTime is how long attempts count. While the network is cut off, they count for cutOffTime, as few
+	// are made.
+	evidenceTime = 2 * time.Second
+	cutOffTime   = 10 * time.Second
+	// maxChance is the largest probability that a strained gateway itself caused the failed attempts
+	// at a server, at which they are evidence against the server.
+	maxChance = 0.005
+	// maxDialRatio limits the time of an attempt. The kernel repeats a lost SYN after a second, which
+	// is too late for the deadlines of short calls.
+	maxDialRatio = 4
+	// minPauseRatio and maxPause bound the time before the next send of a request.
+	minPauseRatio = 1.0 / 3
+	maxPause      = 500 * time.Millisecond
+	// retryAfter is about the time that a caller takes to reach another gateway.
+	retryAfter = 100 * time.Millisecond
+)
+
+// Sample is what a gateway measures of its own resources.
+type Sample struct {
+	// ProcessorDelay is how long runnable goroutines wait, ReceiveDelay and TransmitDelay how long
+	// bytes wait for the link.
+	ProcessorDelay, ReceiveDelay, TransmitDelay time.Duration
+	// Descriptors and Memory are the parts of the limits in use, or 0 if unknown.
+	Descriptors, Memory float64
+}
+
+// LinkDelay returns how long the packets of a connection attempt wait in both directions.
+func (s Sample) LinkDelay() time.Duration { return s.ReceiveDelay + s.TransmitDelay }
+
+// attempts are those at one server.
+type attempts struct {
+	// failed counts those that failed since the last success and since the strain began. The last of them took
+	// from began until ended.
+	failed       int
+	began, ended time.Time
+	// connected is the number of successful ones, as of connectedAt, decayed as the one of all servers.
+	connected   float64
+	connectedAt time.Time
+}
+
+// connectedUntil returns the decayed number of successful attempts.
+func (a attempts) connectedUntil(now time.Time) float64 {
+	return a.connected * decay(now.Sub(a.connectedAt))
+}
+
+// decay returns the weight of attempts of some time ago.
+func decay(d time.Duration) float64 { return math.Exp(-max(0, d).Seconds() / evidenceTime.Seconds()) }
+
+// State is the state of a gateway's own resources. It is not safe for concurrent use. A nil State is
+// that of a gateway whose resources are unknown: it is never strained, and failures are those of servers.
+type State struct {
+	dialTimeout time.Duration
+	sample      Sample
+	sampledAt   time.Time
+	// processorPeak is the decayed peak of the processor delay.
+	processorPeak time.Duration
+	resource      Resource
+	// aboveAt is when a strain was last above the value at which it ends.
+	aboveAt time.Time
+
+	servers map[netip.AddrPort]attempts
+	// reachedAt is when the network was last seen to work: a connection was established or refused, or a
+	// response arrived soon.
+	reachedAt time.Time
+	// connected and timedOut are decayed numbers of attempts, as of countedAt.
+	connected, timedOut float64
+	countedAt           time.Time
+	// probedAt is when the last request was taken while the network was cut off.
+	probedAt time.Time
+}
+
+// New returns the state of an idle gateway. dialTimeout is the time for a connection attempt while nothing
+// is short.
+func New(dialTimeout time.Duration) *State {
+	return &State{dialTimeout: dialTimeout, servers: map[netip.AddrPort]attempts{}}
+}
+
+// Strained returns what the gateway is short of, or None.
+func (s *State) Strained() Resource {
+	if s == nil {
+		return None
+	}
+	return s.resource
+}
+
+// Sample returns the last sample, with the decayed peak of the processor delay.
+func (s *State) Sample() Sample {
+	if s == nil {
+		return Sample{}
+	}
+	sample := s.sample
+	sample.ProcessorDelay = s.processorPeak
+	return sample
+}
+
+// Observe records a sample and returns what the gateway was short of before.
+func (s *State) Observe(now time.Time, sample Sample) (before Resource) {
+	if s == nil {
+		return None
+	}
+	kept := math.Exp(-max(0, now.Sub(s.sampledAt)).Seconds() / peakTimeConstant.Seconds())
+	s.processorPeak = max(sample.ProcessorDelay, time.Duration(float64(s.processorPeak)*kept))
+	s.sample, s.sampledAt = sample, now
+	s.prune(now)
+	return s.decide(now)
+}
+
+// decide sets the resource that the gateway is short of, and returns the one before.
+func (s *State) decide(now time.Time) (before Resource) {
+	before = s.resource
+	found := s.shortOf(1)
+	if found == None && before != None {
+		found = s.shortOf(0)
+	}
+	switch {
+	case found != None:
+		s.resource, s.aboveAt = found, now
+		if before == None {
+			s.resetCounts()
+		}
+	case before == Network, now.Sub(s.aboveAt) >= minDuration:
+		s.resource = None
+	}
+	return before
+}
+
+// resetCounts forgets how attempts ended before a strain, which says nothing about those during it.
+func (s *State) resetCounts() {
+	s.connected, s.timedOut = 0, 0
+	for server, a := range s.servers {
+		a.failed, a.connected = 0, 0
+		s.servers[server] = a
+	}
+}
+
+// shortOf returns the resource beyond its threshold: 1 is the one at which a strain begins, 0 the one
+// at which it ends.
+func (s *State) shortOf(begin int) Resource {
+	link := [2]float64{linkReliefRatio, linkRatio}[begin] * float64(s.dialTimeout)
+	processor := [2]float64{processorReliefRatio, processorRatio}[begin] * float64(s.dialTimeout)
+	switch {
+	case s.cutOff():
+		return Network
+	case float64(s.sample.LinkDelay()) >= link:
+		if s.sample.ReceiveDelay > s.sample.TransmitDelay {
+			return Receive
+		}
+		return Transmit
+	case s.sample.Descriptors >= [2]float64{descriptorReliefRatio, descriptorRatio}[begin]:
+		return Descriptors
+	case s.sample.Memory >= [2]float64{memoryReliefRatio, memoryRatio}[begin]:
+		return Memory
+	case float64(s.processorPeak) >= processor:
+		return Processor
+	}
+	return None
+}
+
+// cutOff reports whether several servers can't be reached and none could since.
+func (s *State) cutOff() bool { return s.unreached() >= cutOffServers }
+
+// unreached returns the number of servers whose last attempt failed, while the network wasn't seen to work since it
+// began.
+func (s *State) unreached() int {
+	n := 0
+	for _, a := range s.servers {
+		if !a.began.IsZero() && !s.reachedAt.After(a.began) {
+			n++
+		}
+	}
+	return n
+}
+
+// prune forgets old attempts.
+func (s *State) prune(now time.Time) {
+	kept := evidenceTime
+	if s.resource == Network {
+		kept = cutOffTime
+	}
+	for server, a := range s.servers {
+		if now.Sub(a.ended) > kept && now.Sub(a.connectedAt) > evidenceTime {
+			delete(s.servers, server)
+		}
+	}
+}
+
+func (s *State) count(now time.Time) {
+	kept := decay(now.Sub(s.countedAt))
+	s.connected, s.timedOut, s.countedAt = s.connected*kept, s.timedOut*kept, now
+}
+
+// RecordReached records that the server accepted or refused a connection.
+func (s *State) RecordReached(now time.Time, server netip.AddrPort) {
+	if s == nil {
+		return
+	}
+	s.count(now)
+	s.connected++
+	s.servers[server] = attempts{connected: s.servers[server].connectedUntil(now) + 1, connectedAt: now}
+	s.reachedAt = now
+	s.decide(now)
+}
+
+// RecordResponse records a response over an established connection, some time after it was asked for. It shows
+// that the network works if it came within the time of a connection attempt, or if nothing is known to
+// delay it.
+func (s *State) RecordResponse(now time.Time, took time.Duration) {
+	if s == nil {
+		return
+	}
+	if took <= s.dialTimeout || (s.resource == None && float64(s.sample.LinkDelay()) < linkReliefRatio*float64(s.dialTimeout)) {
+		s.reachedAt = now
+		s.decide(now)
+	}
+}
+
+// RecordTimeout records that the server could not be reached, or was silent, from the given time until now,
+// and reports whether that is evidence against the server. A single server that fails while others are
+// reached, or that is the only one tried, has failed. If several fail and none was reached since they were
+// tried, the gateway can't reach them. While the gateway is strained, a server has failed if so many
+// failures at one server are unlikely by the failures at the others.
+func (s *State) RecordTimeout(now time.Time, server netip.AddrPort, since time.Time) bool {
+	if s == nil {
+		return true
+	}
+	s.prune(now)
+	s.count(now)
+	s.timedOut++
+	a := s.servers[server]
+	a.failed, a.began, a.ended = a.failed+1, since, now
+	s.servers[server] = a
+	s.decide(now)
+	a = s.servers[server]
+	switch {
+	case !s.reachedAt.After(since) && s.unreached() >= suspectServers:
+		return false
+	case s.resource != None:
+		connected, timedOut := max(0, s.connected-a.connectedUntil(now)), max(0, s.timedOut-float64(a.failed))
+		reachable := connected / (connected + timedOut + 1)
+		return math.Pow(1-reachable, float64(a.failed)) <= maxChance
+	}
+	return true
+}
+
+// DialTimeout returns the time for a connection attempt: longer by what the link and the processor delay it.
+func (s *State) DialTimeout() time.Duration {
+	if s == nil {
+		return 0
+	}
+	if s.resource == None {
+		return s.dialTimeout
+	}
+	timeout := s.dialTimeout + s.Delay()
+	if s.resource == Network {
+		timeout += s.dialTimeout
+	}
+	return min(timeout, maxDialRatio*s.dialTimeout)
+}
+
+// Delay returns by how much the gateway's own shortage delays a response, or 0 if it isn't strained.
+func (s *State) Delay() time.Duration {
+	if s == nil || s.resource == None {
+		return 0
+	}
+	return 2*s.sample.LinkDelay() + s.processorPeak
+}
+
+// Pause returns how long the next send of a request waits, after so many sends. The pauses double, so that
+// requests that wait don't keep the link from recovering.
+func (s *State) Pause(sends int) time.Duration {
+	if s == nil || s.resource == None {
+		return 0
+	}
+	pause := max(time.Duration(minPauseRatio*float64(s.dialTimeout)), s.Delay())
+	for range sends - 1 {
+		pause *= 2
+	}
+	return min(pause, maxPause)
+}
+
+// InTime reports whether a request with so much time left can be answered, if a server would take the predicted
+// time.
+func (s *State) InTime(left, predicted time.Duration) bool {
+	return s == nil || s.resource == None || left >= s.Delay()+predicted
+}
+
+// Retries reports whether a request that reached no server is sent to another one. If the network is cut off, its
+// caller gets the answer at once.
+func (s *State) Retries() bool { return s.Strained() != Network }
+
+// Admit reports whether a request is taken before its body is read, or the time after which its caller should
+// come back. Less urgent requests are refused first, short urgent calls last. While the network is cut
+// off, one request at a time finds out whether it still is. Link and processor are up to the intake.
+func (s *State) Admit(now time.Time, size int64, priority int) (after time.Duration, ok bool) {
+	if s == nil {
+		return 0, true
+	}
+	pressure := 0.0
+	switch s.resource {
+	case Network:
+		if now.Sub(s.probedAt) < s.DialTimeout() {
+			return retryAfter, false
+		}
+		s.probedAt = now
+		return 0, true
+	case Descriptors:
+		pressure = (s.sample.Descriptors - descriptorRatio) / (descriptorFullRatio - descriptorRatio)
+	case Memory:
+		pressure = (s.sample.Memory - memoryRatio) / (memoryFullRatio - memoryRatio)
+	default:
+		return 0, true
+	}
+	switch {
+	case priority > 0:
+		ok = pressure <= 0
+	case size < 0 || size > smallBody:
+		ok = pressure < urgentRatio
+	default:
+		ok = pressure < 1
+	}
+	return retryAfter, ok
+}
+
+// Ready reports whether new connections should come to this gateway. A processor that is late for less than the time of
+// a connection attempt is up to the intake.
+func (s *State) Ready() bool {
+	return s == nil || s.resource == None || (s.resource == Processor && s.processorPeak < s.dialTimeout)
+}
