Tell a gateway's own shortage from failures of servers

Cause: every connection attempt that times out counts as a failure of its server, and the request is sent up to 4 times within 0.6 s. A gateway with a full link suspends servers that all others reach.

A timeout that is no evidence against the server neither suspends it nor counts in the quarantine; the next send waits; a request that can't be answered in time, or whose gateway is cut off, is refused at once with 503 and Retry-After. Attempts of a strained gateway get more time, and silence of servers is judged by the same rule. The gateway isn't wired yet.

--- a/modules/exchange/exchange.go
+++ b/modules/exchange/exchange.go
@@ -5,6 +5,7 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -112,11 +113,18 @@
 // WithMeter sets what counts the bytes of the connections.
 func WithMeter(m *netmeter.Meter) Option { return func(c *Client) { c.meter = m } }
 
+// WithOnReached sets the function that is called after a server has accepted or refused a connection. It must not
+// block.
+func WithOnReached(f func(address netip.AddrPort)) Option {
+	return func(c *Client) { c.onReached = f }
+}
+
 // Client is an HTTP/1.1 client with a connection pool for each address.
 type Client struct {
 	dialTimeout time.Duration
 	idleTimeout time.Duration
 	meter       *netmeter.Meter
+	onReached   func(netip.AddrPort)
 
 	mu     sync.Mutex
 	pools  map[netip.AddrPort]*pool
@@ -138,7 +146,7 @@
 func New(opts ...Option) *Client {
 	c := &Client{
 		dialTimeout: DefaultDialTimeout, idleTimeout: DefaultIdleTimeout,
-		pools: map[netip.AddrPort]*pool{},
+		pools: map[netip.AddrPort]*pool{}, onReached: func(netip.AddrPort) {},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -171,6 +179,8 @@
 	// MaxConns is the maximum number of open connections to the address; 0 means
 	// DefaultMaxConns.
 	MaxConns int
+	// DialTimeout is the timeout for establishing a connection; 0 means that of the client.
+	DialTimeout time.Duration
 	// IsForeign reports whether a response header belongs to another request. Such a
 	// response is skipped. reused is whether the connection has carried earlier requests. It
 	// may be nil.
@@ -262,7 +272,7 @@
 	if !c.reserve(r) && (!c.closeIdle(r.Address) || !c.reserve(r)) {
 		return nil, &DialError{Address: r.Address, PoolExhausted: true}
 	}
-	dialer := net.Dialer{Timeout: c.dialTimeout, KeepAliveConfig: tcpKeepAlive, Control: setUserTimeout}
+	dialer := net.Dialer{Timeout: cmp.Or(r.DialTimeout, c.dialTimeout), KeepAliveConfig: tcpKeepAlive, Control: setUserTimeout}
 	netConn, err := dialer.DialContext(ctx, "tcp", r.Address.String())
 	if err != nil {
 		c.release(r.Address)
@@ -270,8 +280,12 @@
 			// Says nothing about the server.
 			return nil, &NotSentError{Address: r.Address, Err: Ended(ctx)}
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			c.onReached(r.Address)
+		}
 		return nil, &DialError{Address: r.Address, Err: err}
 	}
+	c.onReached(r.Address)
 	c.dialed.Add(1)
 	return newConn(c, r.Address, netConn), nil
 }
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -100,6 +100,9 @@
 	// requests. They are set if there is a response.
 	status int
 	reused bool
+	// ownShortage is whether the gateway's own shortage may have caused the failure, which says nothing about the
+	// server.
+	ownShortage bool
 }
 
 // unknownOutcome means that the request may have run, but the response is missing
@@ -107,6 +110,8 @@
 type unknownOutcome struct {
 	reason refusal.Reason
 	err    error
+	// ownShortage is as that of notRun.
+	ownShortage bool
 }
 
 // endUnproven means that a stream which can be resumed ended in order, and that it isn't known to be
@@ -151,7 +156,8 @@
 		if !ok {
 			return j.fail(w, fallback, j.finalRefusal())
 		}
-		switch result := j.send(ctx, w, choice, sends).(type) {
+		result := j.send(ctx, w, choice, sends)
+		switch result := result.(type) {
 		case responseRelayed:
 			return nil
 		case callerDisconnected:
@@ -174,7 +180,7 @@
 				j.recordUnsent()
 			}
 			if j.possibleRuns == 0 {
-				j.lastRefusal = refusal.New(result.reason, overloadRetryAfter, "the backend servers turned the request away")
+				j.lastRefusal = refusalOf(result)
 			}
 		}
 		if cause := exchange.Ended(ctx); cause != nil {
@@ -183,6 +189,9 @@
 		if !j.mayRetry(sends) {
 			return j.fail(w, fallback, j.finalRefusal())
 		}
+		if !j.pauseAfter(ctx, result, sends) {
+			return j.fail(w, fallback, j.finalRefusal())
+		}
 		j.service.metrics.CountRetry(j.lastRefusal.Reason.String())
 	}
 }
@@ -340,7 +349,10 @@
 	req := j.balanceRequest()
 	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) {
 		now := time.Now()
-		if choice, ok = b.Choose(now, req); ok {
+		if choice, ok = b.Choose(now, req); !ok {
+			return
+		}
+		if ok = j.inTime(j.deadline.Sub(now), choice); ok {
 			b.RecordSent(now, choice.Server.ID, req, choice)
 		}
 	})
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -28,6 +28,7 @@
 	"github.com/crocusline/crocusline/modules/metric"
 	"github.com/crocusline/crocusline/services/prepaid"
 	"github.com/crocusline/crocusline/services/quarantine"
+	"github.com/crocusline/crocusline/services/strain"
 	"github.com/crocusline/crocusline/services/takeover"
 )
 
@@ -162,6 +163,9 @@
 // WithReports sets how servers are asked for their start. Without one, only the list of servers confirms it.
 func WithReports(r Reports) Option { return func(s *Service) { s.reports = r } }
 
+// WithStrain sets what knows whether the gateway is short of its own resources. Without it, it never is.
+func WithStrain(st *strain.Service) Option { return func(s *Service) { s.strain = st } }
+
 // WithMetrics sets the metrics that the service updates.
 func WithMetrics(set *metric.Set) Option { return func(s *Service) { s.metrics = set } }
 
@@ -182,6 +186,7 @@
 	reports     Reports
 	takeover    *takeover.Service
 	starts      *startCalls
+	strain      *strain.Service
 
 	mu           sync.Mutex
 	retryBudgets map[string]*retry.WindowBudget
@@ -196,7 +201,7 @@
 		log: log.Named("relay"), codec: codec, catalog: catalog, budget: budget, client: client,
 		metrics: metric.New(), retryWindow: DefaultRetryWindow, retryRatio: DefaultRetryRatio, retryExtra: DefaultRetryExtra,
 		retryBudgets: map[string]*retry.WindowBudget{}, quarantine: noQuarantine{}, lineage: noLineage{}, reports: noReports{},
-		starts: newStartCalls(),
+		starts: newStartCalls(), strain: strain.New(log),
 	}
 	s.buffers.SetMemory(defaultMemory)
 	for _, opt := range opts {
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -51,8 +51,9 @@
 	resp, err := j.exchange(ctx, choice)
 	var result sendResult
 	if err != nil {
-		result = j.classifyError(err)
+		result = j.classifyError(ctx, err, choice.Server, start)
 	} else {
+		j.service.strain.RecordResponse(time.Since(start))
 		j.recordNotice(choice.Server, resp, start)
 		prompt.openedAt, prompt.reused = exchange.OpenedAt(resp), exchange.Reused(resp)
 		resp.Body = prompt.watch(resp.Body)
@@ -73,7 +74,7 @@
 	if err != nil {
 		return nil, &exchange.NotSentError{Address: req.Address, Err: err}
 	}
-	req.Released = released
+	req.Released, req.DialTimeout = released, j.service.strain.DialTimeout()
 	return j.service.client.Do(ctx, req)
 }
 
@@ -105,8 +106,8 @@
 	return j.request.LastEventID
 }
 
-// classifyError returns the result of a send without a response.
-func (j *job) classifyError(err error) sendResult {
+// classifyError returns the result of a send without a response, which began at start.
+func (j *job) classifyError(ctx context.Context, err error, server roster.Server, start time.Time) sendResult {
 	var notSent *exchange.NotSentError
 	if errors.As(err, &notSent) {
 		return notRun{reason: refusal.DeadlineExpired, evidence: call.NotBegun, err: err}
@@ -116,13 +117,16 @@
 		if dial.PoolExhausted {
 			return notRun{reason: refusal.QueueFull, evidence: call.NotConnected, err: err}
 		}
+		if !j.failedByServer(ctx, dial.Err, server, start) {
+			return notRun{reason: refusal.Overloaded, evidence: call.NotConnected, err: err, ownShortage: true}
+		}
 		return notRun{reason: refusal.ServerFailed, evidence: call.NotConnected, err: err}
 	}
 	var noResponse *exchange.NoResponseError
 	if errors.As(err, &noResponse) && !noResponse.Written {
 		return notRun{reason: refusal.ServerFailed, evidence: call.NothingWritten, err: err}
 	}
-	return unknownOutcome{reason: refusal.ServerFailed, err: err}
+	return unknownOutcome{reason: refusal.ServerFailed, err: err, ownShortage: !j.failedByServer(ctx, err, server, start)}
 }
 
 // handleResponse classifies a response by its status line and header, and passes it
@@ -309,11 +313,11 @@
 		case serverError:
 			b.RecordFailure(id)
 		case notRun:
-			if result.reason != refusal.QueueFull && result.evidence != call.NotBegun && !cancelled {
+			if !result.ownShortage && result.reason != refusal.QueueFull && result.evidence != call.NotBegun && !cancelled {
 				b.RecordUnreachable(now, id)
 			}
 		case unknownOutcome:
-			if !cancelled {
+			if !cancelled && !result.ownShortage {
 				b.RecordUnreachable(now, id)
 			}
 		}
@@ -349,7 +353,7 @@
 	}
 	pairs := []any{
 		"server", choice.Server.ID, "version", choice.Server.Version, "send", sends, "took", elapsed.Round(time.Millisecond),
-		"predicted", choice.PredictedLatency.Round(time.Millisecond), "trial", choice.Trial, "events", j.Events,
+		"predicted", choice.PredictedLatency.Round(time.Millisecond), "trial", choice.Trial, "events", j.Events, "strained", j.service.strain.Strained(),
 	}
 	switch result := result.(type) {
 	case notRun:
--- a/services/relay/silence.go
+++ b/services/relay/silence.go
@@ -9,6 +9,7 @@
 
 	"github.com/crocusline/crocusline/models/balance"
 	"github.com/crocusline/crocusline/models/retry"
+	"github.com/crocusline/crocusline/models/roster"
 )
 
 // errSilenceTimeout cancels a send if the server does not respond in the expected time and another one
@@ -27,7 +28,7 @@
 // needs of the job, which other goroutines change meanwhile.
 type silenceMonitor struct {
 	job          *job
-	server       string
+	server       roster.Server
 	request      balance.Request
 	budget       *retry.WindowBudget
 	attemptsLeft int
@@ -51,7 +52,7 @@
 		return nil
 	}
 	m := &silenceMonitor{
-		job: j, server: choice.Server.ID, request: j.balanceRequest(), budget: j.retryBudget, attemptsLeft: left,
+		job: j, server: choice.Server, request: j.balanceRequest(), budget: j.retryBudget, attemptsLeft: left,
 		startedAt: time.Now(), timeout: j.silenceTimeout(choice), cancel: cancel,
 	}
 	m.mu.Lock()
@@ -63,10 +64,11 @@
 // silenceTimeout returns how long to wait for the next part of a response, until its first event or all of
 // it has arrived, before another server is looked for. It leaves enough time to reach the latency goal there.
 func (j *job) silenceTimeout(choice balance.Choice) time.Duration {
+	own := j.service.strain.Delay()
 	if j.route.Kind.Streams() {
-		return max(2*j.route.Goal, 2*choice.PredictedLatency+silenceMargin)
+		return own + max(2*j.route.Goal, 2*choice.PredictedLatency+silenceMargin)
 	}
-	return j.route.Goal / 2
+	return own + j.route.Goal/2
 }
 
 // check gives up the send, or has the next check follow.
@@ -85,7 +87,7 @@
 		return
 	}
 	if m.checks == 1 {
-		m.job.log.Info("waiting for silent server", "server", m.server, "took", replacement.Waited.Round(time.Millisecond),
+		m.job.log.Info("waiting for silent server", "server", m.server.ID, "took", replacement.Waited.Round(time.Millisecond),
 			"left", replacement.TimeLeft.Round(time.Millisecond), "attemptsLeft", m.attemptsLeft, "available", replacement.Available,
 			"suspected", replacement.Suspected, "possible", replacement.Possible())
 	}
@@ -99,9 +101,10 @@
 func (m *silenceMonitor) replacement(now time.Time) retry.Replacement {
 	var choice balance.Choice
 	var ok bool
+	suspect := m.checks == 1 && m.job.service.strain.RecordTimeout(m.server.Address, m.startedAt)
 	m.job.service.catalog.WithBalancer(m.job.pool.Name, func(b *balance.Balancer) {
-		if m.checks == 1 {
-			b.RecordUnreachable(now, m.server)
+		if suspect {
+			b.RecordUnreachable(now, m.server.ID)
 		}
 		choice, ok = b.Choose(now, m.request)
 	})
