Refuse requests and readiness while a gateway is strained

Cause: a gateway that is short of its own resources goes on accepting requests, other than by the bytes that arrive.

Change: routers/front asks services/strain, which holds the intake now, before it reads a body: link and processor as before, now in both directions; file descriptors and memory by urgency; one request at a time while the network is cut off. While strained, responses close their connection and the readiness check fails, with separate thresholds for begin and end. cmd/gateway.go counts the connections of callers, servers, the store and peers, and wires the parts.

Tests: go test ./routers/front ./cmd pass. TestThinLink and TestBusyProcessor construct the service in place of the two options that are gone; their checks are unchanged.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/crocusline/crocusline/modules/exchange"
 	"github.com/crocusline/crocusline/modules/log"
 	"github.com/crocusline/crocusline/modules/metric"
+	"github.com/crocusline/crocusline/modules/netmeter"
 	"github.com/crocusline/crocusline/modules/schedlag"
 	"github.com/crocusline/crocusline/modules/web"
 	"github.com/crocusline/crocusline/platform"
@@ -31,6 +32,7 @@
 	"github.com/crocusline/crocusline/services/prepaid"
 	"github.com/crocusline/crocusline/services/quarantine"
 	"github.com/crocusline/crocusline/services/relay"
+	"github.com/crocusline/crocusline/services/strain"
 	"github.com/crocusline/crocusline/services/takeover"
 )
 
@@ -112,6 +114,8 @@
 	takeover     *takeover.Service
 	relay        *relay.Service
 	lag          *schedlag.Meter
+	meter        *netmeter.Meter
+	strain       *strain.Service
 	handler      *front.Handler
 	readiness    *front.Readiness
 }
@@ -122,9 +126,13 @@
 		settings: s, log: logger, metrics: metric.New(),
 		incarnation: s.Instance + "/" + uuid.Must(uuid.NewV7()).String(),
 	}
-	g.store = platform.NewStore(s.Store, g.metrics)
-	g.peers = front.NewPeerClient(without(s.Seeds, s.Listen.Peers))
-	g.client = exchange.New()
+	g.meter = netmeter.New()
+	g.lag = schedlag.New(schedlag.WithOnPause(g.recordPause))
+	g.strain = strain.New(logger, strain.WithBandwidth(s.Bandwidth), strain.WithMeter(g.meter), strain.WithProcessorDelay(g.lag.Delay),
+		strain.WithLimits(s.MaxDescriptors, s.Memory), strain.WithMetrics(g.metrics))
+	g.store = platform.NewStore(s.Store, g.metrics, platform.WithMeter(g.meter), platform.WithOnResponse(g.strain.RecordResponse))
+	g.peers = front.NewPeerClient(without(s.Seeds, s.Listen.Peers), front.WithPeerMeter(g.meter))
+	g.client = exchange.New(exchange.WithMeter(g.meter), exchange.WithOnReached(g.strain.RecordReached))
 	g.catalog = catalog.New(logger, g.store, platform.Codec{},
 		catalog.WithInstance(s.Instance), catalog.WithFailureDomain(s.FailureDomain), catalog.WithPeers(g.peers),
 		catalog.WithBounds(s.Parameters.TableBound, s.Parameters.DrainBound), catalog.WithHeartbeat(s.Heartbeat))
@@ -142,10 +150,8 @@
 	g.takeover = takeover.New(logger, s.Listen.Peers, g.peers, g.lineage, g.metrics)
 	g.relay = relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
 		append(retryOptions(s), relay.WithMemory(s.Memory), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine),
-			relay.WithLineage(g.lineage), relay.WithTakeover(g.takeover), relay.WithReports(platform.NewReports(g.client)), relay.WithMetrics(g.metrics))...)
-	g.lag = schedlag.New(schedlag.WithOnPause(g.recordPause))
-	g.handler = front.New(logger, platform.HeaderCodec{}, g.relay, g.catalog,
-		front.WithBandwidth(s.Bandwidth), front.WithProcessorDelay(g.lag.Delay))
+			relay.WithLineage(g.lineage), relay.WithTakeover(g.takeover), relay.WithReports(platform.NewReports(g.client)), relay.WithMetrics(g.metrics), relay.WithStrain(g.strain))...)
+	g.handler = front.New(logger, platform.HeaderCodec{}, g.relay, g.catalog, front.WithStrain(g.strain))
 	g.readiness = front.NewReadiness(g.handler, g.catalog.Ready, g.prepaid.Ready)
 	g.metrics.Gauge("crocusline_log_lines_dropped", func() float64 { return float64(logWriter.Dropped()) })
 	g.metrics.Gauge("crocusline_requests_open", func() float64 { return float64(g.handler.OpenRequests()) })
@@ -191,6 +197,7 @@
 // services returns the services in the order in which they are started.
 func (g *gateway) services() []kernel.Service {
 	services := []kernel.Service{
+		g.strain,
 		g.directory,
 		g.catalog,
 		g.prepaid,
@@ -230,7 +237,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/peer/", front.NewPeerHandler(g.log, g.catalog, g.prepaid, g.lineage, g.takeover))
 	mux.Handle("GET /metrics", g.metrics)
-	return web.NewServer(g.settings.Listen.Peers, mux, web.WithDrainTimeout(g.stopPlan().DrainFor), web.WithErrorLog(serverErrorLog(g.log)))
+	return web.NewServer(g.settings.Listen.Peers, mux, web.WithMeter(g.meter), web.WithDrainTimeout(g.stopPlan().DrainFor), web.WithErrorLog(serverErrorLog(g.log)))
 }
 
 func (g *gateway) listenCallers() (closer, error) {
@@ -239,6 +246,7 @@
 		web.WithErrorLog(serverErrorLog(g.log)),
 		web.WithMaxHeaderBytes(maxHeaderBytes),
 		web.WithDrainTimeout(plan.CloseAfter-plan.GiveUpAfter),
+		web.WithMeter(g.meter),
 		web.WithWriteTimeout(writeTimeout))
 }
 
@@ -313,5 +321,6 @@
 	}
 	debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryLimitRatio))
 	g.relay.SetMemory(settings.Memory)
+	g.strain.SetMemory(settings.Memory)
 	g.log.Info("settings reloaded", "file", g.settingsFile, "memory", settings.Memory)
 }
--- a/routers/front/front.go
+++ b/routers/front/front.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +17,7 @@
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/route"
 	"github.com/crocusline/crocusline/services/relay"
+	"github.com/crocusline/crocusline/services/strain"
 )
 
 const (
@@ -65,11 +65,8 @@
 	givenUp      context.Context
 	giveUp       context.CancelCauseFunc
 	openRequests atomic.Int64
-
-	intakeMu sync.Mutex
-	intake   *intake.Queue
-	// processorDelay returns how long requests wait for the processor.
-	processorDelay func() time.Duration
+	// strain decides which requests are taken.
+	strain *strain.Service
 }
 
 // drain is a planned stop in progress.
@@ -84,22 +81,16 @@
 // Option configures a Handler.
 type Option func(*Handler)
 
-// WithBandwidth sets the bandwidth of the gateway's network link in bytes per second.
-// Without it, the link is not taken into account.
-func WithBandwidth(bytesPerSecond float64) Option {
-	return func(h *Handler) { h.intake = intake.New(bytesPerSecond) }
-}
-
-// WithProcessorDelay sets the source of how long requests wait for the processor now.
-func WithProcessorDelay(delay func() time.Duration) Option {
-	return func(h *Handler) { h.processorDelay = delay }
+// WithStrain sets what knows the gateway's own resources and decides which requests are taken. Without
+// it, all are.
+func WithStrain(s *strain.Service) Option {
+	return func(h *Handler) { h.strain = s }
 }
 
 // New returns a handler that forwards requests through the relay.
 func New(log hclog.Logger, headers HeaderCodec, r Relay, tables TableSource, opts ...Option) *Handler {
 	h := &Handler{
-		log: log.Named("front"), headers: headers, relay: r, tables: tables,
-		intake: intake.New(0), processorDelay: func() time.Duration { return 0 },
+		log: log.Named("front"), headers: headers, relay: r, tables: tables, strain: strain.New(log),
 	}
 	h.givenUp, h.giveUp = context.WithCancelCause(context.Background())
 	for _, opt := range opts {
@@ -140,7 +131,7 @@
 // serve reads a request and responds to it.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
 	arrivedAt := time.Now()
-	if h.Draining() || h.recordReceived(arrivedAt, r) {
+	if strained := h.strain.RecordReceived(r.ContentLength); strained || h.Draining() {
 		w.Header().Set("Connection", "close")
 	}
 	req, err := h.headers.Decode(r, arrivedAt)
@@ -160,12 +151,14 @@
 		return
 	}
 	if req.Body, err = h.readBody(w, r); err != nil {
+		h.strain.RecordNotReceived(r.ContentLength)
 		h.log.Info("request body not read", "requestId", req.ID, "error", err)
 		h.refuse(w, req, refusalForBody(err))
 		return
 	}
 	// The body may have ended long after the header.
 	if h.refusesAll(time.Now()) || h.givenUp.Err() != nil {
+		h.strain.RecordNotForwarded(r.ContentLength)
 		h.refuseStopping(w, req)
 		return
 	}
@@ -179,6 +172,9 @@
 	case errors.As(err, &aborted):
 		panic(http.ErrAbortHandler)
 	default:
+		if e, ok := refusal.As(err); ok && e.Outcome == refusal.NotRun {
+			h.strain.RecordNotForwarded(r.ContentLength)
+		}
 		h.refuse(w, req, err)
 	}
 }
@@ -190,26 +186,7 @@
 	h.refuse(w, req, refusal.New(refusal.ShuttingDown, stopRetryAfter, "this entry stops: another one takes the request"))
 }
 
-// headerBytes is the usual size of a request's header.
-const headerBytes = 600
-
-// recordReceived records the size of a request, and reports whether the gateway's link is
-// saturated.
-func (h *Handler) recordReceived(now time.Time, r *http.Request) bool {
-	h.intakeMu.Lock()
-	defer h.intakeMu.Unlock()
-	h.intake.RecordReceived(now, max(0, r.ContentLength)+headerBytes)
-	return h.intake.Saturated(now)
-}
-
-// Saturated reports whether callers send about as much as the gateway's link carries.
-func (h *Handler) Saturated() bool {
-	h.intakeMu.Lock()
-	defer h.intakeMu.Unlock()
-	return h.intake.Saturated(time.Now())
-}
-
-// acceptBody refuses a request that link and processor can't carry in time.
+// acceptBody refuses a request that the gateway can't carry in time, by its urgency.
 func (h *Handler) acceptBody(r *http.Request, req *call.Request) error {
 	priority := 0
 	if t := h.tables.Table(); t != nil {
@@ -217,10 +194,7 @@
 			priority = found.Priority
 		}
 	}
-	delay := h.processorDelay()
-	h.intakeMu.Lock()
-	defer h.intakeMu.Unlock()
-	if wait, accepted := h.intake.Accept(time.Now(), r.ContentLength, priority, delay); !accepted {
+	if wait, accepted := h.strain.Accept(r.ContentLength, priority); !accepted {
 		return refusal.New(refusal.Overloaded, wait, "this entry carries all that it can: another one has room")
 	}
 	return nil
--- a/routers/front/front_test.go
+++ b/routers/front/front_test.go
@@ -23,6 +23,7 @@
 	"github.com/crocusline/crocusline/routers/front"
 	"github.com/crocusline/crocusline/services/catalog"
 	"github.com/crocusline/crocusline/services/relay"
+	"github.com/crocusline/crocusline/services/strain"
 )
 
 type noTables struct{}
@@ -166,7 +167,7 @@
 // long bodies at once and unread, takes no new connections and closes the old ones.
 func TestThinLink(t *testing.T) {
 	fake := &fakeRelay{response: "answer"}
-	h, server := serve(t, fake, front.WithBandwidth(100_000))
+	h, server := serve(t, fake, front.WithStrain(strain.New(hclog.NewNullLogger(), strain.WithBandwidth(100_000))))
 	readiness := front.NewReadiness(h)
 	if !readiness.Ready() {
 		t.Error("not ready before the first request")
@@ -194,7 +195,7 @@
 // TestBusyProcessor checks that a request is refused while requests wait for the processor.
 func TestBusyProcessor(t *testing.T) {
 	delay := time.Second
-	_, server := serve(t, &fakeRelay{response: "answer"}, front.WithProcessorDelay(func() time.Duration { return delay }))
+	_, server := serve(t, &fakeRelay{response: "answer"}, front.WithStrain(strain.New(hclog.NewNullLogger(), strain.WithProcessorDelay(func() time.Duration { return delay }))))
 	if resp, err := post(t, server, "call"); err != nil || resp.status != http.StatusServiceUnavailable {
 		t.Errorf("got status %d and %v", resp.status, err)
 	}
--- a/routers/front/readiness.go
+++ b/routers/front/readiness.go
@@ -14,14 +14,14 @@
 }
 
 // NewReadiness returns a readiness handler for h. The gateway is ready if h is not
-// draining, its link is not saturated, and all checks pass.
+// draining, not short of its own resources, and all checks pass.
 func NewReadiness(h *Handler, checks ...Check) *Readiness {
 	return &Readiness{handler: h, checks: checks}
 }
 
 // Ready reports whether the gateway accepts requests.
 func (r *Readiness) Ready() bool {
-	if r.handler.Draining() || r.handler.Saturated() {
+	if r.handler.Draining() || !r.handler.strain.Ready() {
 		return false
 	}
 	for _, check := range r.checks {
