Take requests by the accepted bodies again, and leave the rotation by what the link carries

Time-outs over a strained link also looked like a network that is cut off. Change: intake.Queue is the one before; intake.Link estimates what waits and what is carried by all bytes of the connections. The network is cut off only if nothing arrived since the attempts began. Only requests that can't reach a server in time any more are refused for their time. Tests still have to follow.

--- a/models/strain/strain.go
+++ b/models/strain/strain.go
@@ -116,6 +116,8 @@
 	// reachedAt is when the network was last seen to work: a connection was established or refused, or a
 	// response arrived soon.
 	reachedAt time.Time
+	// respondedAt is when the last response arrived, however late.
+	respondedAt time.Time
 	// connected and timedOut are decayed numbers of attempts, as of countedAt.
 	connected, timedOut float64
 	countedAt           time.Time
@@ -205,7 +207,7 @@
 	case Processor:
 		return float64(s.processorPeak), processorRatio * base, processorReliefRatio * base
 	default:
-		return float64(s.unreached()), cutOffServers, cutOffServers
+		return float64(s.cutOff()), cutOffServers, cutOffServers
 	}
 }
 
@@ -230,6 +232,18 @@
 	return n
 }
 
+// cutOff returns the number of servers that were tried in vain since anything arrived. Over a strained link,
+// responses arrive late, but they do.
+func (s *State) cutOff() int {
+	n := 0
+	for _, a := range s.servers {
+		if !a.began.IsZero() && !s.reachedAt.After(a.began) && !s.respondedAt.After(a.began) {
+			n++
+		}
+	}
+	return n
+}
+
 // prune forgets old attempts.
 func (s *State) prune(now time.Time) {
 	kept := evidenceTime
@@ -267,6 +281,7 @@
 	if s == nil {
 		return
 	}
+	s.respondedAt = now
 	if took <= s.dialTimeout || (s.resource == None && float64(s.sample.LinkDelay()) < linkReliefRatio*float64(s.dialTimeout)) {
 		s.reachedAt = now
 		s.decide(now)
@@ -337,10 +352,10 @@
 	return min(pause, maxPause)
 }
 
-// InTime reports whether a request with so much time left can be answered, if a server would take the predicted
-// time.
-func (s *State) InTime(left, predicted time.Duration) bool {
-	return s == nil || s.resource == None || left >= s.Delay()+predicted
+// InTime reports whether a request with so much time left still reaches a server in time. The estimate of the link
+// is too coarse to tell whether its response does too.
+func (s *State) InTime(left time.Duration) bool {
+	return s == nil || s.resource == None || left >= s.sample.TransmitDelay
 }
 
 // Retries reports whether a request that reached no server is sent to another one. If the network is cut off, its
--- a/routers/front/front.go
+++ b/routers/front/front.go
@@ -151,14 +151,12 @@
 		return
 	}
 	if req.Body, err = h.readBody(w, r); err != nil {
-		h.strain.RecordNotReceived(r.ContentLength)
 		h.log.Info("request body not read", "requestId", req.ID, "error", err)
 		h.refuse(w, req, refusalForBody(err))
 		return
 	}
 	// The body may have ended long after the header.
 	if h.refusesAll(time.Now()) || h.givenUp.Err() != nil {
-		h.strain.RecordNotForwarded(r.ContentLength)
 		h.refuseStopping(w, req)
 		return
 	}
@@ -173,8 +171,7 @@
 		panic(http.ErrAbortHandler)
 	default:
 		if e, ok := refusal.As(err); ok && e.Outcome == refusal.NotRun {
-			h.strain.RecordNotForwarded(r.ContentLength)
-		}
+			}
 		h.refuse(w, req, err)
 	}
 }
--- a/services/relay/job.go
+++ b/services/relay/job.go
@@ -352,7 +352,7 @@
 		if choice, ok = b.Choose(now, req); !ok {
 			return
 		}
-		if ok = j.inTime(j.deadline.Sub(now), choice); ok {
+		if ok = j.inTime(j.deadline.Sub(now)); ok {
 			b.RecordSent(now, choice.Server.ID, req, choice)
 		}
 	})
--- a/services/relay/shortage.go
+++ b/services/relay/shortage.go
@@ -8,7 +8,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/crocusline/crocusline/models/balance"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/roster"
 	"github.com/crocusline/crocusline/modules/delay"
@@ -53,8 +52,8 @@
 }
 
 // inTime reports whether the request can be answered in the time left, and sets the refusal if not.
-func (j *job) inTime(left time.Duration, choice balance.Choice) bool {
-	if j.service.strain.InTime(left, choice.PredictedLatency) {
+func (j *job) inTime(left time.Duration) bool {
+	if j.service.strain.InTime(left) {
 		return true
 	}
 	if j.possibleRuns == 0 {
--- a/services/strain/strain.go
+++ b/services/strain/strain.go
@@ -27,6 +27,9 @@
 	sampleInterval = 50 * time.Millisecond
 	// headerBytes is the usual size of a request's header, which the counts of connections include.
 	headerBytes = 600
+	// missedPolls is the number of polls after which new connections go to other gateways. Callers whose connections
+	// are closed before come back to this one.
+	missedPolls = 2
 	// otherDescriptors are those of the process beside connections.
 	otherDescriptors = 24
 )
@@ -83,12 +86,15 @@
 
 	mu    sync.Mutex
 	queue *intake.Queue
+	link  *intake.Link
 	// state is nil if the bandwidth is unknown.
 	state     *strain.State
 	counted   netmeter.Counts
 	maxMemory int64
 	memory    float64
 	begunAt   time.Time
+	// missed is the number of polls in a row at which the gateway was not ready.
+	missed int
 
 	stop    chan struct{}
 	running sync.WaitGroup
@@ -102,7 +108,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.queue = intake.New(s.bandwidth)
+	s.queue, s.link = intake.New(s.bandwidth), intake.NewLink(s.bandwidth)
 	if s.bandwidth > 0 {
 		s.state = strain.New(exchange.DefaultDialTimeout)
 	}
@@ -188,7 +194,7 @@
 func (s *Service) observe(now time.Time) strain.Sample {
 	s.countTraffic(now)
 	sample := strain.Sample{ProcessorDelay: s.processorDelay(), Memory: s.memory}
-	sample.ReceiveDelay, sample.TransmitDelay = s.queue.Delays(now)
+	sample.ReceiveDelay, sample.TransmitDelay = s.link.Delays(now)
 	if s.maxDescriptors > 0 {
 		sample.Descriptors = float64(s.counted.Open+otherDescriptors) / float64(s.maxDescriptors)
 	}
@@ -201,7 +207,7 @@
 // countTraffic passes the counts of the connections on to the queue.
 func (s *Service) countTraffic(now time.Time) {
 	counts := s.meter.Counts()
-	s.queue.RecordTraffic(now, counts.Read-s.counted.Read, counts.Written-s.counted.Written)
+	s.link.Record(now, counts.Read-s.counted.Read, counts.Written-s.counted.Written)
 	s.counted = counts
 }
 
@@ -243,12 +249,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	size = max(0, size)
-	if s.meter == nil {
-		size += headerBytes
-	}
-	s.queue.RecordReceived(now, size)
-	return s.queue.Saturated(now) || !s.state.Ready()
+	s.queue.RecordReceived(now, max(0, size)+headerBytes)
+	s.saturated(now)
+	return s.missed >= missedPolls
 }
 
 // Ready reports whether new connections should come to this gateway.
@@ -257,7 +260,18 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.observe(now)
-	return !s.queue.Saturated(now) && s.state.Ready()
+	ready := !s.saturated(now) && s.state.Ready()
+	if s.missed++; ready {
+		s.missed = 0
+	}
+	return ready
+}
+
+// saturated reports whether the link carries about as much as it can. The caller holds mu.
+func (s *Service) saturated(now time.Time) bool {
+	s.countTraffic(now)
+	link, bodies := s.link.Saturated(now), s.queue.Saturated(now)
+	return link || bodies
 }
 
 // Accept reports whether a request with a body of this size is taken, -1 if unknown, or the time after which its caller
@@ -268,28 +282,9 @@
 	now := time.Now()
 	s.countTraffic(now)
 	if after, ok := s.state.Admit(now, size, priority); !ok {
-		s.queue.RecordRefused(now, size)
 		return after, false
 	}
-	after, ok := s.queue.Accept(now, size, priority, s.processorDelay())
-	if !ok {
-		s.queue.RecordRefused(now, size)
-	}
-	return after, ok
-}
-
-// RecordNotReceived records that the body of an accepted request doesn't arrive.
-func (s *Service) RecordNotReceived(size int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.queue.RecordNotReceived(time.Now(), size)
-}
-
-// RecordNotForwarded records that the body of an accepted request isn't sent to a server.
-func (s *Service) RecordNotForwarded(size int64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.queue.RecordNotForwarded(time.Now(), size)
+	return s.queue.Accept(now, size, priority, s.processorDelay())
 }
 
 // RecordReached records that a server accepted or refused a connection.
@@ -351,10 +346,10 @@
 }
 
 // InTime reports whether a request with so much time left can be answered, if a server would take the predicted time.
-func (s *Service) InTime(left, predicted time.Duration) bool {
+func (s *Service) InTime(left time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.state.InTime(left, predicted) {
+	if s.state.InTime(left) {
 		return true
 	}
 	s.metrics.Counter(sendsLate).Inc()
