Close connections only while the gateway is unready after two missed polls

Cause: connections were closed until the next poll although the gateway was ready again, or for good if nothing polled any more. Change: the gateway's state is asked for as well. Each request that arrives takes a sample, so that the bytes of a burst are seen when they are counted. The deadline itself decides whether an attempt was cut short. Code without use is gone. Tests: the old ones checked decisions that changed. TestThinLink and TestCutOffGatewayTakesNoRequests ask that connections are closed after two polls and not after one.

--- a/routers/front/front.go
+++ b/routers/front/front.go
@@ -170,8 +170,6 @@
 	case errors.As(err, &aborted):
 		panic(http.ErrAbortHandler)
 	default:
-		if e, ok := refusal.As(err); ok && e.Outcome == refusal.NotRun {
-			}
 		h.refuse(w, req, err)
 	}
 }
--- a/routers/front/front_test.go
+++ b/routers/front/front_test.go
@@ -164,7 +164,8 @@
 }
 
 // TestThinLink checks a gateway whose callers send more than its link carries: it refuses
-// long bodies at once and unread, takes no new connections and closes the old ones.
+// long bodies at once and unread, takes no new connections, and closes the old ones once two polls have failed: before
+// that, callers would come back to it.
 func TestThinLink(t *testing.T) {
 	fake := &fakeRelay{response: "answer"}
 	h, server := serve(t, fake, front.WithStrain(strain.New(hclog.NewNullLogger(), strain.WithBandwidth(100_000))))
@@ -187,6 +188,12 @@
 	if readiness.Ready() {
 		t.Error("ready while the link is saturated")
 	}
+	if resp, err = post(t, server, "call"); err != nil || resp.status != http.StatusOK || resp.close {
+		t.Errorf("small body after one poll: got status %d, closed %t, and %v", resp.status, resp.close, err)
+	}
+	if readiness.Ready() {
+		t.Error("ready at the second poll")
+	}
 	if resp, err = post(t, server, "call"); err != nil || resp.status != http.StatusOK || !resp.close {
 		t.Errorf("small body: got status %d, closed %t, and %v", resp.status, resp.close, err)
 	}
--- a/routers/front/strain_test.go
+++ b/routers/front/strain_test.go
@@ -14,7 +14,7 @@
 )
 
 // TestCutOffGatewayTakesNoRequests guards against a gateway that accepts requests while it reaches no server, and against
-// one that accepts none after that. Its refusals close the connection, so that callers go to another one.
+// one that accepts none after that. It closes connections after two failed polls, so that callers go to another one.
 func TestCutOffGatewayTakesNoRequests(t *testing.T) {
 	st := strain.New(hclog.NewNullLogger(), strain.WithBandwidth(1.25e6))
 	fake := &fakeRelay{response: "answer"}
@@ -35,6 +35,9 @@
 	if blamed != 1 || readiness.Ready() {
 		t.Errorf("%d of 5 failures count against servers, ready %t", blamed, readiness.Ready())
 	}
+	if readiness.Ready() {
+		t.Error("ready at the second poll")
+	}
 	body := strings.Repeat("x", 9_000)
 	if resp, err := post(t, server, body); err != nil || resp.status != http.StatusOK || !resp.close {
 		t.Errorf("first request: got status %d, closed %t, and %v, want it to find out", resp.status, resp.close, err)
--- a/services/relay/send.go
+++ b/services/relay/send.go
@@ -295,7 +295,7 @@
 // reportToBalancer reports the result of a send to the balancer.
 func (j *job) reportToBalancer(ctx context.Context, id string, prompt *promptTracker, result sendResult) {
 	// The silence of a server was reported when it was noticed.
-	cancelled := ctx.Err() != nil
+	cancelled := exchange.Ended(ctx) != nil
 	now := time.Now()
 	j.service.catalog.WithBalancer(j.pool.Name, func(b *balance.Balancer) {
 		if !prompt.promptRead {
--- a/services/relay/shortage.go
+++ b/services/relay/shortage.go
@@ -51,7 +51,7 @@
 	return refusal.New(refusal.Overloaded, strainRetryAfter, "this entry can't reach a backend server in time: another one has room")
 }
 
-// inTime reports whether the request can be answered in the time left, and sets the refusal if not.
+// inTime reports whether the request still reaches a server in the time left, and sets the refusal if not.
 func (j *job) inTime(left time.Duration) bool {
 	if j.service.strain.InTime(left) {
 		return true
--- a/services/strain/strain.go
+++ b/services/strain/strain.go
@@ -25,7 +25,7 @@
 const (
 	// sampleInterval is the time between two samples: a third of the time of a connection attempt.
 	sampleInterval = 50 * time.Millisecond
-	// headerBytes is the usual size of a request's header, which the counts of connections include.
+	// headerBytes is the usual size of a request's header.
 	headerBytes = 600
 	// missedPolls is the number of polls after which new connections go to other gateways. Callers whose connections
 	// are closed before come back to this one.
@@ -190,9 +190,11 @@
 	return s.observe(time.Now())
 }
 
-// observe takes a sample. The caller holds mu.
+// observe takes a sample. The bytes since the last one count as of now. The caller holds mu.
 func (s *Service) observe(now time.Time) strain.Sample {
-	s.countTraffic(now)
+	counts := s.meter.Counts()
+	s.link.Record(now, counts.Read-s.counted.Read, counts.Written-s.counted.Written)
+	s.counted = counts
 	sample := strain.Sample{ProcessorDelay: s.processorDelay(), Memory: s.memory}
 	sample.ReceiveDelay, sample.TransmitDelay = s.link.Delays(now)
 	if s.maxDescriptors > 0 {
@@ -204,13 +206,6 @@
 	return sample
 }
 
-// countTraffic passes the counts of the connections on to the queue.
-func (s *Service) countTraffic(now time.Time) {
-	counts := s.meter.Counts()
-	s.link.Record(now, counts.Read-s.counted.Read, counts.Written-s.counted.Written)
-	s.counted = counts
-}
-
 // recordChange logs and counts that a strain began or ended. The caller holds mu.
 func (s *Service) recordChange(now time.Time, before strain.Resource) {
 	after := s.state.Strained()
@@ -243,35 +238,36 @@
 	s.recordChange(now, before)
 }
 
-// RecordReceived records the body of a request that arrives, -1 if its size is unknown, and reports whether its connection should be closed with the
-// response, so that it comes back at another gateway.
+// RecordReceived records the body of a request that arrives, -1 if its size is unknown, and reports whether its
+// connection should be closed with the response. That is so once two polls in a row were missed, and only until the
+// gateway is ready again: before and after that, the caller would come back to this one.
 func (s *Service) RecordReceived(size int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.queue.RecordReceived(now, max(0, size)+headerBytes)
-	s.saturated(now)
-	return s.missed >= missedPolls
+	s.observe(now)
+	return !s.ready(now) && s.missed >= missedPolls
 }
 
-// Ready reports whether new connections should come to this gateway.
+// Ready reports whether new connections should come to this gateway. It is called at each poll of the readiness.
 func (s *Service) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.observe(now)
-	ready := !s.saturated(now) && s.state.Ready()
+	ready := s.ready(now)
 	if s.missed++; ready {
 		s.missed = 0
 	}
 	return ready
 }
 
-// saturated reports whether the link carries about as much as it can. The caller holds mu.
-func (s *Service) saturated(now time.Time) bool {
-	s.countTraffic(now)
+// ready reports whether the link carries less than it can and nothing else is short. The caller holds mu.
+func (s *Service) ready(now time.Time) bool {
+	// Both are asked each time, as they keep whether they were saturated before.
 	link, bodies := s.link.Saturated(now), s.queue.Saturated(now)
-	return link || bodies
+	return !link && !bodies && s.state.Ready()
 }
 
 // Accept reports whether a request with a body of this size is taken, -1 if unknown, or the time after which its caller
@@ -280,7 +276,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.countTraffic(now)
 	if after, ok := s.state.Admit(now, size, priority); !ok {
 		return after, false
 	}
@@ -345,7 +340,7 @@
 	return pause, true
 }
 
-// InTime reports whether a request with so much time left can be answered, if a server would take the predicted time.
+// InTime reports whether a request with so much time left still reaches a server in time.
 func (s *Service) InTime(left time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
