--- a/models/strain/strain_test.go
+++ b/models/strain/strain_test.go
@@ -322,6 +322,7 @@
 		{8, 250 * time.Millisecond, 0, false},
 		{8, 250 * time.Millisecond, 49 * time.Millisecond, false},
 		{10, 500 * time.Millisecond, 25 * time.Millisecond, false},
+		{12, 300 * time.Millisecond, 25 * time.Millisecond, false},
 		// By the estimate, what comes next waits for longer than an attempt has.
 		{16, time.Second, 0, true},
 		{16, time.Second, time.Millisecond, true},
