--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/crocusline/crocusline/modules/exchange"
 	"github.com/crocusline/crocusline/modules/log"
 	"github.com/crocusline/crocusline/modules/metric"
+	"github.com/crocusline/crocusline/modules/netmeter"
 	"github.com/crocusline/crocusline/modules/schedlag"
 	"github.com/crocusline/crocusline/modules/web"
 	"github.com/crocusline/crocusline/platform"
@@ -33,6 +34,7 @@
 	"github.com/crocusline/crocusline/services/prepaid"
 	"github.com/crocusline/crocusline/services/quarantine"
 	"github.com/crocusline/crocusline/services/relay"
+	"github.com/crocusline/crocusline/services/strain"
 	"github.com/crocusline/crocusline/services/takeover"
 )
 
@@ -121,6 +123,8 @@
 	takeover     *takeover.Service
 	relay        *relay.Service
 	lag          *schedlag.Meter
+	meter        *netmeter.Meter
+	strain       *strain.Service
 	handler      *front.Handler
 	readiness    *front.Readiness
 }
@@ -130,11 +134,15 @@
 		settings: s, log: logger, metrics: metric.New(),
 		incarnation: s.Instance + "/" + uuid.Must(uuid.NewV7()).String(),
 	}
+	g.meter = netmeter.New()
+	g.lag = schedlag.New(schedlag.WithOnPause(g.recordPause))
+	g.strain = strain.New(logger, strain.WithBandwidth(s.Bandwidth), strain.WithMeter(g.meter), strain.WithProcessorDelay(g.lag.Delay),
+		strain.WithLimits(int64(s.Descriptors), s.Memory), strain.WithMetrics(g.metrics))
 	g.memory = memory.New(memory.DefaultLimit, memory.WithMetrics(g.metrics))
 	g.setMemoryLimit(s.Memory)
-	g.store = platform.NewStore(s.Store, g.metrics)
-	g.peers = front.NewPeerClient(without(s.Seeds, s.Listen.Peers))
-	g.client = exchange.New()
+	g.store = platform.NewStore(s.Store, g.metrics, platform.WithMeter(g.meter), platform.WithOnResponse(g.strain.RecordResponse))
+	g.peers = front.NewPeerClient(without(s.Seeds, s.Listen.Peers), front.WithPeerMeter(g.meter))
+	g.client = exchange.New(exchange.WithMeter(g.meter), exchange.WithOnReached(g.strain.RecordReached))
 	catalogOptions := []catalog.Option{
 		catalog.WithInstance(s.Instance), catalog.WithFailureDomain(s.FailureDomain), catalog.WithPeers(g.peers),
 		catalog.WithColdTolerance(s.Parameters.ColdOver, s.Parameters.ColdSlack), catalog.WithEvacuationBound(s.Parameters.EvacuationBound),
@@ -158,10 +166,8 @@
 	g.takeover = takeover.New(logger, s.Listen.Peers, g.peers, g.lineage, g.metrics)
 	g.relay = relay.New(logger, platform.HeaderCodec{}, g.catalog, g.prepaid, g.client,
 		append(retryOptions(s), relay.WithMemory(g.memory), relay.WithFleet(g.directory), relay.WithQuarantine(g.quarantine),
-			relay.WithLineage(g.lineage), relay.WithTakeover(g.takeover), relay.WithReports(platform.NewReports(g.client)), relay.WithMetrics(g.metrics))...)
-	g.lag = schedlag.New(schedlag.WithOnPause(g.recordPause))
-	g.handler = front.New(logger, platform.HeaderCodec{}, g.relay, g.catalog,
-		front.WithBandwidth(s.Bandwidth), front.WithProcessorDelay(g.lag.Delay), front.WithMemory(g.memory))
+			relay.WithLineage(g.lineage), relay.WithTakeover(g.takeover), relay.WithReports(platform.NewReports(g.client)), relay.WithMetrics(g.metrics), relay.WithStrain(g.strain))...)
+	g.handler = front.New(logger, platform.HeaderCodec{}, g.relay, g.catalog, front.WithStrain(g.strain), front.WithMemory(g.memory))
 	g.readiness = front.NewReadiness(g.handler, g.catalog.Ready, g.prepaid.Ready)
 	g.metrics.Gauge("crocusline_log_lines_dropped", func() float64 { return float64(logWriter.Dropped()) })
 	g.metrics.Gauge("crocusline_failure_domains_evacuated", func() float64 { return float64(len(g.catalog.Evacuated())) })
@@ -211,6 +217,7 @@
 // services returns the services in the order in which they are started.
 func (g *gateway) services() []kernel.Service {
 	services := []kernel.Service{
+		g.strain,
 		g.directory,
 		g.catalog,
 		g.prepaid,
@@ -255,6 +262,7 @@
 	limit := func() int { return g.memory.Plan().MaxPeerConnections(g.settings.Descriptors) }
 	return web.NewServer(g.settings.Listen.Peers, mux, append(g.limits("peers", limit),
 		web.WithMaxHeaderBytes(maxSmallHeaderBytes),
+		web.WithMeter(g.meter),
 		web.WithDrainTimeout(g.stopPlan().DrainFor))...)
 }
 
@@ -264,6 +272,7 @@
 	return web.NewServer(g.settings.Listen.Callers, g.handler, append(g.limits("callers", limit),
 		web.WithMaxHeaderBytes(maxHeaderBytes),
 		web.WithDrainTimeout(plan.CloseAfter-plan.GiveUpAfter),
+		web.WithMeter(g.meter),
 		web.WithWriteTimeout(writeTimeout))...)
 }
 
@@ -344,6 +353,7 @@
 
 // setMemoryLimit applies the memory limit of the settings in bytes, 0 if they have none.
 func (g *gateway) setMemoryLimit(bytes int64) {
+	g.strain.SetMemory(bytes)
 	if bytes <= 0 {
 		bytes = memory.DefaultLimit
 	}
