--- a/models/intake/intake.go
+++ b/models/intake/intake.go
@@ -2,7 +2,7 @@
 // network link and by how busy its processor is. It is designed for a workspace that sends
 // several times its usual load to one gateway with a fraction of the others' bandwidth and
 // processor: prompts queue there, and small calls wait behind them until they miss their
-// goaq. What the gateway can't carry in time is refused before its body is read, so that
+// goal. What the gateway can't carry in time is refused before its body is read, so that
 // callers come back at another one.
 package intake
 
@@ -13,7 +13,7 @@
 
 const (
 	// maxDelay is the longest time that a body may wait for the link, and a request for the
-	// processor: a part of the shortest latency goaq.
+	// processor: a part of the shortest latency goal.
 	maxDelay = 60 * time.Millisecond
 	// lessUrgentRatio is the part of maxDelay for requests that are not of the most urgent
 	// priority, so that these find room.
