Wait for a long prompt as long as a slow engine takes

Cause: a server that was predicted to have a prompt of 45,874 tokens cached was given up after 2.0 s, and so was the next one when the caller left. Change: the silence timeout takes the whole prompt at 22 tokens per ms, 0.6 of the usual speed, as what is cached is an assumption. TestSlowServerReadsLongPrompt fails without it.

--- a/services/relay/silence.go
+++ b/services/relay/silence.go
@@ -20,6 +20,10 @@
 	// silenceMargin is the time that an engine may spend on steps of other requests
 	// before it reads the prompt.
 	silenceMargin = 200 * time.Millisecond
+	// slowTokensPerMs is the number of prompt tokens that a slow engine of the known deployments processes per
+	// millisecond: 0.6 of the usual speed. A prediction learned from faster ones must not end the wait for it: the
+	// next server would have to read a long prompt again, and the caller leaves meanwhile.
+	slowTokensPerMs = 22.0
 	// maxSilenceChecks bounds the work for one send to a silent server.
 	maxSilenceChecks = 8
 )
@@ -66,11 +70,19 @@
 func (j *job) silenceTimeout(choice balance.Choice) time.Duration {
 	own := j.service.strain.Delay()
 	if j.route.Kind.Streams() {
-		return own + max(2*j.route.Goal, 2*choice.PredictedLatency+silenceMargin)
+		return own + max(2*j.route.Goal, 2*max(choice.PredictedLatency, j.slowPromptTime())+silenceMargin)
 	}
 	return own + j.route.Goal/2
 }
 
+// slowPromptTime returns how long a slow engine takes to process the prompt. What it has cached of it is an assumption.
+func (j *job) slowPromptTime() time.Duration {
+	if j.pool.Engine == nil {
+		return 0
+	}
+	return time.Duration(float64(j.request.PromptTokens) / slowTokensPerMs * float64(time.Millisecond))
+}
+
 // check gives up the send, or has the next check follow.
 func (m *silenceMonitor) check() {
 	m.mu.Lock()
--- a/services/relay/silence_test.go
+++ b/services/relay/silence_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,8 +21,12 @@
 const silentFor = 600 * time.Millisecond
 
 // newSilentServer starts a server that answers after silentFor, with the rest of a stream of four events.
-func newSilentServer(t *testing.T) netip.AddrPort {
+func newSilentServer(t *testing.T) netip.AddrPort { return newCountingServer(t, new(atomic.Int64)) }
+
+// newCountingServer starts the same server, which counts its requests.
+func newCountingServer(t *testing.T, requests *atomic.Int64) netip.AddrPort {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requests.Add(1)
 		select {
 		case <-time.After(silentFor):
 		case <-r.Context().Done():
@@ -95,3 +100,29 @@
 	}
 	knownred.Report(t, strings.Join(problems, "\n"))
 }
+
+// TestSlowServerReadsLongPrompt guards against a long prompt that is given up while its server reads it, by a prediction
+// that assumes it to be cached: the next server would have to read it again.
+func TestSlowServerReadsLongPrompt(t *testing.T) {
+	for _, tt := range []struct {
+		// prefix has segments that count as cached.
+		usage, prefix string
+		// more is whether another server is asked.
+		more bool
+	}{{"100,40", "a:60,b:40", true}, {"20000,40", "a:19900,b:100", false}} {
+		t.Run(tt.usage, func(t *testing.T) {
+			var requests atomic.Int64
+			env := newTestEnv(t, []relay.Option{relay.WithRetryBudget(time.Minute, 0, 5)}, site.NewServer("unused", 4))
+			var list []roster.Server
+			for i := range 2 {
+				list = append(list, roster.Server{ID: fmt.Sprintf("s%d", i), Address: newCountingServer(t, &requests), Slots: 8, Version: "v1"})
+			}
+			env.catalog.balancers["models"].SetServers(list, 100_000)
+			env.usage = tt.usage
+			_, _ = env.send(t.Context(), "/draft/a", "Deadline-Ms", "5000", "Prompt-Prefix", tt.prefix)
+			if sends := requests.Load(); (sends > 1) != tt.more {
+				t.Errorf("the prompt was sent %d times, want more than once: %t", sends, tt.more)
+			}
+		})
+	}
+}
