Start servers slowly only in pools that limit cold servers

Cause: where servers take all at once, a slow start only keeps capacity away. Change: a pool that is published without a limit for cold servers has no slow starts.

--- a/models/notice/cold_test.go
+++ b/models/notice/cold_test.go
@@ -444,3 +444,16 @@
 		t.Errorf("%d requests in 10 s, the limit is 2 per second", sent)
 	}
 }
+
+// TestStartWithoutColdLimit guards against servers that come back slowly though their pool names no limit for cold ones.
+func TestStartWithoutColdLimit(t *testing.T) {
+	for limit, want := range map[float64]int{0: 0, 5.2: 1} {
+		b := notice.NewBoard(nil, notice.WithSlowStart())
+		b.SetPools(map[string]route.Pool{"p": {Name: "p", ColdLimit: limit}})
+		b.SetListed(epoch, []roster.Server{{ID: "a", Pool: "p"}})
+		b.SetListed(epoch, []roster.Server{{ID: "a", Pool: "p"}, {ID: "b", Pool: "p", Started: 1}})
+		if got := b.Starting(epoch); got != want {
+			t.Errorf("limit %g: %d servers start slowly, want %d", limit, got, want)
+		}
+	}
+}
--- a/models/notice/start.go
+++ b/models/notice/start.go
@@ -28,9 +28,10 @@
 	slowstart.Stats
 }
 
-// StartSlowly begins a slow start of the server, unless it has one.
+// StartSlowly begins a slow start of the server, unless it has one, or its pool is published without a limit for
+// cold servers: such servers take all at once, and a pool that lacks a third of its servers needs them back at once.
 func (b *Board) StartSlowly(s roster.Server) {
-	if !b.slowStart {
+	if pool, published := b.pools[s.Pool]; !b.slowStart || (published && pool.ColdLimit == 0) {
 		return
 	}
 	if t := b.termsOf(b.listedAt, keyOf(s)); t.start == nil {
