Limited connections keep SetLinger and CloseWrite of TCP connections

Cause: the limit of connections wraps each connection of a listener in a type that embeds net.Conn, which hides the methods of TCP connections. The reset that ends an aborted response to a caller of HTTP/1.0 was an orderly close, so that the caller took a part of the response for all of it. net/http could not end its direction after a body that it hasn't read, so that the connection was reset behind a refusal. TestAbortedResponseOfHTTP10 doesn't see that, as it uses a server without a limit.

Change: the wrapped connection passes both methods on.

--- a/modules/web/connections.go
+++ b/modules/web/connections.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // refusedResponse is the response to a connection beyond the limit. Nothing was read from it.
@@ -70,6 +72,23 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite ends the connection's direction to the caller. net/http calls it before it closes a connection with unread
+// bytes, which resets it.
+func (c *limitedConn) CloseWrite() error {
+	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return tcp.CloseWrite()
+	}
+	return errors.WithStack(http.ErrNotSupported)
+}
+
+// SetLinger sets what Close does with bytes that are not sent yet, as that of net.TCPConn does.
+func (c *limitedConn) SetLinger(sec int) error {
+	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		return tcp.SetLinger(sec)
+	}
+	return errors.WithStack(http.ErrNotSupported)
+}
+
 // add returns the connection with a place under the limit, or nil if there is none.
 func (c *connections) add(conn net.Conn) *limitedConn {
 	limit := c.limit()
--- a/modules/web/connections_test.go
+++ b/modules/web/connections_test.go
@@ -2,14 +2,18 @@
 
 import (
 	"bufio"
+	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/crocusline/crocusline/modules/netmeter"
 	"github.com/crocusline/crocusline/modules/web"
 )
 
@@ -157,3 +161,43 @@
 		_ = s.Close()
 	}
 }
+
+// TestLimitedConnectionLosesTCPMethods guards against a limit of connections that hides the methods of TCP connections.
+// Without SetLinger, a caller of HTTP/1.0 takes an aborted response for complete. Without CloseWrite, a caller whose body
+// was refused gets a reset instead of the end of the response.
+func TestLimitedConnectionLosesTCPMethods(t *testing.T) {
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/refused" {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		tcp, ok := conn.(interface{ SetLinger(sec int) error })
+		if !ok || tcp.SetLinger(0) != nil {
+			t.Error("the connection can't be reset")
+		}
+		_ = conn.Close()
+	})
+	server, err := web.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), handler, web.WithMeter(netmeter.New()),
+		web.WithMaxConnections(func() int { return 2 }, func() {}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	s := &limitedServer{Server: server}
+	// The server skips no more than 256 KiB of a body, and most of what has arrived stays unread.
+	const bodyBytes, sentBytes = 1 << 20, 64 << 10
+	refused := s.connect(t, fmt.Sprintf("POST /refused HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, strings.Repeat("x", sentBytes)))
+	if data, err := io.ReadAll(refused); err != nil || !bytes.HasPrefix(data, []byte("HTTP/1.1 503")) {
+		t.Errorf("refused body: got %q and %v", data, err)
+	}
+	aborted := s.connect(t, "GET /aborted HTTP/1.0\r\nHost: a\r\n\r\n")
+	if data, err := io.ReadAll(aborted); err == nil {
+		t.Errorf("aborted response: got %q without an error", data)
+	}
+}
