A body over the limit doesn't count as one that the link carries

Cause: the stated length of a body was added to the queue of accepted bodies, and to what callers send, before it was compared with the limit of bodies. One request with a length of 4 GB, which got 413 unread, had a gateway with 10 Mbit/s refuse all bodies above 2 KiB for about an hour, and be unready while the decayed rate came down.

Change: the limit is checked before the body is accepted, and such a body counts as a header only.

Tests: TestTooLargeBodyFillsLink fails before the change (not ready; the next body of 9,000 bytes got 503). go test ./routers/front passes.

--- a/routers/front/body.go
+++ b/routers/front/body.go
@@ -35,22 +35,23 @@
 	maxBytes int64
 }
 
-// readBody reads the whole request body, and reserves memory for the request and its body before. The
-// caller releases the reservation after the last use of the body, also after an error.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, held *memory.Reservation) ([]byte, error) {
+// maxBodyBytes returns the limit of a request body.
+func (h *Handler) maxBodyBytes() int64 {
+	if t := h.tables.Table(); t != nil && t.Limits.BodyBytes > 0 {
+		return t.Limits.BodyBytes
+	}
+	return defaultMaxBodyBytes
+}
+
+// readBody reads the whole request body, whose stated length is within the limit, and reserves memory for the request
+// and its body before. The caller releases the reservation after the last use of the body, also after an error.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, held *memory.Reservation, limit int64) ([]byte, error) {
 	if !held.Begin() {
 		return nil, errNoMemory
 	}
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	limit := int64(defaultMaxBodyBytes)
-	if t := h.tables.Table(); t != nil && t.Limits.BodyBytes > 0 {
-		limit = t.Limits.BodyBytes
-	}
-	if r.ContentLength > limit {
-		return nil, errors.WithStack(&http.MaxBytesError{Limit: limit})
-	}
 	b := &bodyReader{
 		body: r.Body, held: held, control: http.NewResponseController(w), pace: intake.NewPace(time.Now(), bodyTimeout), maxBytes: limit,
 	}
--- a/routers/front/front.go
+++ b/routers/front/front.go
@@ -139,7 +139,13 @@
 // serve reads a request and responds to it.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
 	arrivedAt := time.Now()
-	if strained := h.strain.RecordReceived(r.ContentLength); strained || h.Draining() {
+	limit := h.maxBodyBytes()
+	size := r.ContentLength
+	if size > limit {
+		// It is refused, so that its bytes don't arrive.
+		size = 0
+	}
+	if strained := h.strain.RecordReceived(size); strained || h.Draining() {
 		w.Header().Set("Connection", "close")
 	}
 	req, err := h.headers.Decode(r, arrivedAt)
@@ -151,6 +157,11 @@
 		h.refuseStopping(w, req)
 		return
 	}
+	// The link doesn't carry such a body.
+	if r.ContentLength > limit {
+		h.refuseBody(w, req, r, &http.MaxBytesError{Limit: limit})
+		return
+	}
 	if err := h.acceptBody(r, req); err != nil {
 		h.log.Info("request refused before its body", "requestId", req.ID, "bytes", r.ContentLength, "error", err)
 		// Without this the server reads the body before it sends the response.
@@ -160,7 +171,7 @@
 	}
 	held := h.memory.NewReservation()
 	defer held.Release()
-	if req.Body, err = h.readBody(w, r, held); err != nil {
+	if req.Body, err = h.readBody(w, r, held, limit); err != nil {
 		h.refuseBody(w, req, r, err)
 		return
 	}
