A body that is refused for lack of memory doesn't count as one that the link carries

Cause: the body was added to the queue of accepted bodies before memory was reserved for it. At a gateway with 10 Mbit/s a body of 4 MB, which got 503 unread, had all bodies above 2 KiB refused for about 4 s.

Change: memory is reserved first. A request that the link then refuses releases it when its handler returns.

Tests: TestBodyWithoutMemoryFillsLink fails before the change (the next body of 9,000 bytes got 503). TestReservationOfRefusedRequest passes before and after it, and guards the new order. go test ./routers/front passes.

--- a/routers/front/body.go
+++ b/routers/front/body.go
@@ -43,12 +43,22 @@
 	return defaultMaxBodyBytes
 }
 
-// readBody reads the whole request body, whose stated length is within the limit, and reserves memory for the request
-// and its body before. The caller releases the reservation after the last use of the body, also after an error.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, held *memory.Reservation, limit int64) ([]byte, error) {
-	if !held.Begin() {
-		return nil, errNoMemory
+// reserve reserves memory for a request and its body of this length, -1 if unknown.
+func reserve(held *memory.Reservation, length, limit int64) error {
+	switch {
+	case !held.Begin():
+		return errNoMemory
+	case length > limit:
+		return errors.WithStack(&http.MaxBytesError{Limit: limit})
+	case !held.Grow(max(0, length)):
+		return errNoMemory
 	}
+	return nil
+}
+
+// readBody reads the whole request body. held is its reservation, which grows with a body of unknown length. The caller
+// releases it after the last use of the body, also after an error.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, held *memory.Reservation, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -69,11 +79,8 @@
 	return body, errors.WithStack(b.control.SetReadDeadline(time.Time{}))
 }
 
-// readLength reads a body of known length.
+// readLength reads a body of known length, which is reserved.
 func (b *bodyReader) readLength(length int64) ([]byte, error) {
-	if !b.held.Grow(length) {
-		return nil, errNoMemory
-	}
 	if err := b.recordRead(0); err != nil {
 		return nil, err
 	}
--- a/routers/front/front.go
+++ b/routers/front/front.go
@@ -157,9 +157,11 @@
 		h.refuseStopping(w, req)
 		return
 	}
-	// The link doesn't carry such a body.
-	if r.ContentLength > limit {
-		h.refuseBody(w, req, r, &http.MaxBytesError{Limit: limit})
+	held := h.memory.NewReservation()
+	defer held.Release()
+	// The link doesn't carry a body that is refused here.
+	if err := reserve(held, r.ContentLength, limit); err != nil {
+		h.refuseBody(w, req, r, err)
 		return
 	}
 	if err := h.acceptBody(r, req); err != nil {
@@ -169,8 +171,6 @@
 		h.refuse(w, req, err)
 		return
 	}
-	held := h.memory.NewReservation()
-	defer held.Release()
 	if req.Body, err = h.readBody(w, r, held, limit); err != nil {
 		h.refuseBody(w, req, r, err)
 		return
