Events of streams show that a gateway isn't cut off

Cause: only heads of responses and connections ended the evidence for a network that is cut off. A gateway with few requests that receives streams, and whose request tries three crashed servers within 450 ms, took the failure of these servers for its own: it was not ready and refused all requests until the next head arrived, from the store for example.

Change: the meter counts what is read on connections that the process has established, callers' apart. A sample says whether that was more than before, which counts as a late response at the time of the sample before. That costs one atomic addition for each read and no lock.

Tests: TestStreamsWhileServersFail and TestEventsWhileServersFail fail with the evidence taken out ("short of network"); both also check that nothing, or only what callers send, still counts as cut off. go test ./modules/netmeter ./models/strain ./services/strain ./models/intake ./modules/exchange ./modules/web ./routers/front passes.

--- a/models/strain/strain.go
+++ b/models/strain/strain.go
@@ -69,6 +69,8 @@
 	ProcessorDelay, ReceiveDelay, TransmitDelay time.Duration
 	// Descriptors and Memory are the parts of the limits in use, or 0 if unknown.
 	Descriptors, Memory float64
+	// Arrived is whether bytes arrived from servers, the store or peers since the sample before.
+	Arrived bool
 }
 
 // LinkDelay returns how long the packets of a connection attempt wait in both directions.
@@ -123,7 +125,7 @@
 	// reachedAt is when the network was last seen to work: a connection was established or refused, or a
 	// response arrived soon.
 	reachedAt time.Time
-	// respondedAt is when the last response arrived, however late.
+	// respondedAt is when the last response or a part of one arrived, however late.
 	respondedAt time.Time
 	// connected and timedOut are decayed numbers of attempts, as of countedAt.
 	connected, timedOut float64
@@ -163,6 +165,10 @@
 	}
 	kept := math.Exp(-max(0, now.Sub(s.sampledAt)).Seconds() / peakTimeConstant.Seconds())
 	s.processorPeak = max(sample.ProcessorDelay, time.Duration(float64(s.processorPeak)*kept))
+	if sample.Arrived && s.sampledAt.After(s.respondedAt) {
+		// They may have arrived at any time since then.
+		s.respondedAt = s.sampledAt
+	}
 	s.sample, s.sampledAt = sample, now
 	switch {
 	case s.processorPeak < s.dialTimeout:
--- a/models/strain/strain_test.go
+++ b/models/strain/strain_test.go
@@ -376,3 +376,23 @@
 		t.Errorf("short of %s after nothing arrived for 0.5 s", s.Strained())
 	}
 }
+
+// TestStreamsWhileServersFail guards against a gateway that counts its network as cut off because three servers fail in a
+// row, although events of streams from other servers arrive meanwhile: it would refuse all requests.
+func TestStreamsWhileServersFail(t *testing.T) {
+	for _, arrives := range []bool{true, false} {
+		s := strain.New(dialTimeout)
+		now := time.Unix(1_700_000_000, 0)
+		for i := range 4 {
+			began := now
+			for now.Sub(began) < dialTimeout {
+				now = now.Add(50 * time.Millisecond)
+				s.Observe(now, strain.Sample{Arrived: arrives})
+			}
+			s.RecordTimeout(now, address(i), began)
+		}
+		if cutOff := s.Strained() == strain.Network; cutOff == arrives || s.Ready() != arrives {
+			t.Errorf("bytes arrive %t: short of %s, ready %t", arrives, s.Strained(), s.Ready())
+		}
+	}
+}
--- a/modules/netmeter/netmeter.go
+++ b/modules/netmeter/netmeter.go
@@ -27,12 +27,14 @@
 // Counts are the bytes that crossed the network link since the start, and the open connections.
 type Counts struct {
 	Read, Written int64
-	Open          int64
+	// Answered is the part of Read that is the payload of connections which the process has established.
+	Answered int64
+	Open     int64
 }
 
 // Meter counts the bytes of connections. A nil Meter counts nothing.
 type Meter struct {
-	read, written, open atomic.Int64
+	read, written, answered, open atomic.Int64
 }
 
 // New returns a meter without connections.
@@ -43,20 +45,24 @@
 	if m == nil {
 		return Counts{}
 	}
-	return Counts{Read: m.read.Load(), Written: m.written.Load(), Open: m.open.Load()}
+	return Counts{Read: m.read.Load(), Written: m.written.Load(), Answered: m.answered.Load(), Open: m.open.Load()}
 }
 
-// Conn returns the connection with its bytes counted. A TCP connection stays one with all
+// Conn returns a connection that the process has established, with its bytes counted. A TCP connection stays one with all
 // its methods, by TCPConn.
 func (m *Meter) Conn(c net.Conn) net.Conn {
 	if m == nil {
 		return c
 	}
+	return m.wrap(c, false)
+}
+
+func (m *Meter) wrap(c net.Conn, accepted bool) net.Conn {
 	m.open.Add(1)
 	if tcp, ok := c.(*net.TCPConn); ok {
-		return &TCPConn{TCPConn: tcp, meter: m}
+		return &TCPConn{TCPConn: tcp, meter: m, accepted: accepted}
 	}
-	return &conn{Conn: c, meter: m}
+	return &conn{Conn: c, meter: m, accepted: accepted}
 }
 
 // Listener returns the listener with its connections counted.
@@ -81,14 +87,17 @@
 	}
 }
 
-// recordRead counts a read of n bytes and the acknowledgements for them.
-func (m *Meter) recordRead(n int) {
+// recordRead counts a read of n bytes, from an accepted connection or not, and the acknowledgements for them.
+func (m *Meter) recordRead(n int, accepted bool) {
 	if n <= 0 {
 		return
 	}
 	payload, acknowledgements := traffic(n)
 	m.read.Add(payload)
 	m.written.Add(acknowledgements)
+	if !accepted {
+		m.answered.Add(int64(n))
+	}
 }
 
 // recordWritten counts a write of n bytes and the acknowledgements for them.
@@ -111,14 +120,15 @@
 // TCPConn is a TCP connection whose bytes are counted.
 type TCPConn struct {
 	*net.TCPConn
-	meter  *Meter
-	closed sync.Once
+	meter    *Meter
+	accepted bool
+	closed   sync.Once
 }
 
 // Read implements io.Reader.
 func (c *TCPConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	c.meter.recordRead(n)
+	c.meter.recordRead(n, c.accepted)
 	return n, err
 }
 
@@ -150,14 +160,15 @@
 // conn is another connection whose bytes are counted.
 type conn struct {
 	net.Conn
-	meter  *Meter
-	closed sync.Once
+	meter    *Meter
+	accepted bool
+	closed   sync.Once
 }
 
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	c.meter.recordRead(n)
+	c.meter.recordRead(n, c.accepted)
 	return n, err
 }
 
@@ -186,5 +197,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return l.meter.Conn(c), nil
+	return l.meter.wrap(c, true), nil
 }
--- a/services/strain/strain.go
+++ b/services/strain/strain.go
@@ -194,8 +194,8 @@
 func (s *Service) observe(now time.Time) strain.Sample {
 	counts := s.meter.Counts()
 	s.link.Record(now, counts.Read-s.counted.Read, counts.Written-s.counted.Written)
+	sample := strain.Sample{ProcessorDelay: s.processorDelay(), Memory: s.memory, Arrived: counts.Answered > s.counted.Answered}
 	s.counted = counts
-	sample := strain.Sample{ProcessorDelay: s.processorDelay(), Memory: s.memory}
 	sample.ReceiveDelay, sample.TransmitDelay = s.link.Delays(now)
 	if s.maxDescriptors > 0 {
 		sample.Descriptors = float64(s.counted.Open+otherDescriptors) / float64(s.maxDescriptors)
--- a/services/strain/strain_test.go
+++ b/services/strain/strain_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"net/netip"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -134,3 +135,53 @@
 		}
 	})
 }
+
+// pipeListener accepts one connection.
+type pipeListener struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (l pipeListener) Accept() (net.Conn, error) { return l.conn, nil }
+
+// TestEventsWhileServersFail guards against a gateway that refuses all requests because three servers fail in a row,
+// although it receives streams from others, and against one that takes what callers send for responses.
+func TestEventsWhileServersFail(t *testing.T) {
+	for _, accepted := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			meter := netmeter.New()
+			s := strain.New(hclog.NewNullLogger(), strain.WithBandwidth(1.25e6), strain.WithMeter(meter))
+			if err := s.Start(t.Context(), nil); err != nil {
+				t.Fatal(err)
+			}
+			other, own := net.Pipe()
+			counted := meter.Conn(own)
+			if accepted {
+				_ = counted.Close()
+				other, own = net.Pipe()
+				var err error
+				if counted, err = meter.Listener(pipeListener{conn: own}).Accept(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			go func() { _, _ = io.Copy(io.Discard, counted) }()
+			for n := range byte(4) {
+				began := time.Now()
+				for range 6 {
+					time.Sleep(25 * time.Millisecond)
+					if _, err := other.Write(make([]byte, 45)); err != nil {
+						t.Fatal(err)
+					}
+				}
+				s.RecordTimeout(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80), began)
+			}
+			if s.Ready() == accepted {
+				t.Errorf("accepted %t: short of %s", accepted, s.Strained())
+			}
+			_, _ = counted.Close(), other.Close()
+			if err := s.Close(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
