The link and the queue of bodies share their estimates

Cause: intake.Link repeated the backlog and the decayed rate of intake.Queue.

Change: both are types of their own. The queue decides as before.

--- a/models/intake/intake.go
+++ b/models/intake/intake.go
@@ -6,10 +6,7 @@
 // callers come back at another one.
 package intake
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// maxDelay is the longest time that a body may wait for the link, and a request for the
@@ -39,62 +36,30 @@
 // Queue estimates how long bodies wait for the network link. It is not safe for concurrent
 // use.
 type Queue struct {
-	bytesPerSecond float64
-	// queued is the number of bytes that were accepted and not yet carried at updatedAt.
-	queued    float64
-	updatedAt time.Time
-	// received is the decayed number of received bytes at receivedAt.
-	received   float64
-	receivedAt time.Time
-	saturated  bool
+	// accepted are the bodies that were accepted, received what arrived from callers.
+	accepted backlog
+	received rate
 }
 
 // New returns the queue of an idle link with this bandwidth. A bandwidth of 0 means that it
 // is unknown, and that it refuses no body.
 func New(bytesPerSecond float64) *Queue {
-	return &Queue{bytesPerSecond: bytesPerSecond * usableRatio}
-}
-
-// Delay returns how long a byte waits now.
-func (q *Queue) Delay(now time.Time) time.Duration {
-	if q.bytesPerSecond == 0 {
-		return 0
+	return &Queue{
+		accepted: backlog{bytesPerSecond: bytesPerSecond * usableRatio},
+		received: rate{bytesPerSecond: bytesPerSecond, begin: saturatedRatio, end: relievedRatio},
 	}
-	q.update(now)
-	return time.Duration(q.queued / q.bytesPerSecond * float64(time.Second))
 }
 
-func (q *Queue) update(now time.Time) {
-	q.queued = max(0, q.queued-now.Sub(q.updatedAt).Seconds()*q.bytesPerSecond)
-	q.updatedAt = now
-}
+// Delay returns how long a byte waits now.
+func (q *Queue) Delay(now time.Time) time.Duration { return q.accepted.delay(now) }
 
 // RecordReceived records bytes that arrived from callers, whether accepted or not.
-func (q *Queue) RecordReceived(now time.Time, size int64) {
-	q.decay(now)
-	q.received += float64(max(0, size))
-}
-
-func (q *Queue) decay(now time.Time) {
-	q.received *= math.Exp(-now.Sub(q.receivedAt).Seconds() / rateTimeConstant.Seconds())
-	q.receivedAt = now
-}
+func (q *Queue) RecordReceived(now time.Time, size int64) { q.received.add(now, size) }
 
 // Saturated reports whether callers send about as much as the link carries. What they send
 // waits before it reaches the gateway then, so that refusals come too late: new connections
 // should go to other gateways.
-func (q *Queue) Saturated(now time.Time) bool {
-	if q.bytesPerSecond == 0 {
-		return false
-	}
-	q.decay(now)
-	threshold := saturatedRatio
-	if q.saturated {
-		threshold = relievedRatio
-	}
-	q.saturated = q.received/rateTimeConstant.Seconds() >= threshold*q.bytesPerSecond/usableRatio
-	return q.saturated
-}
+func (q *Queue) Saturated(now time.Time) bool { return q.received.isSaturated(now) }
 
 // Accept reports whether a request with a body of this size is carried in time, and adds
 // the body to the queue if so. Otherwise it returns the time after which the caller should
@@ -111,6 +76,6 @@
 	if delay > limit {
 		return max(minRetryAfter, delay-limit), false
 	}
-	q.queued += float64(max(0, size))
+	q.accepted.add(now, size)
 	return 0, true
 }
