A strained gateway refuses only what surely reaches no server in time

Cause: a request with less time left than its bytes wait for the link is refused. That wait was estimated with 0.85 of the bandwidth, which is up to 0.96 s too long after 10 s of full load: requests were refused that reach a server.

Change: the refusal goes by the shortest wait, with all of the bandwidth. Strains, pauses and the times of attempts stay with 0.85.

Tests: TestStreamsAtThinLink checks at each sample that a request which arrives at a server a sample interval before its deadline is sent, and one that arrives too late is refused. TestReadyWithoutOscillation gives the shortest delay beside the other one, and checks the refusal against that with the same strictness. go test ./models/intake ./models/strain ./services/strain passes.

--- a/models/intake/link.go
+++ b/models/intake/link.go
@@ -16,6 +16,8 @@
 // servers and go to callers: each direction carries both.
 type Link struct {
 	receive, transmit direction
+	// sent are the bytes that were written, which all of the bandwidth carries.
+	sent backlog
 }
 
 // direction is the estimate for one direction of the link.
@@ -31,13 +33,14 @@
 		queued:  backlog{bytesPerSecond: bytesPerSecond * usableRatio},
 		carried: rate{bytesPerSecond: bytesPerSecond, begin: saturatedLinkRatio, end: relievedLinkRatio},
 	}
-	return &Link{receive: d, transmit: d}
+	return &Link{receive: d, transmit: d, sent: backlog{bytesPerSecond: bytesPerSecond}}
 }
 
 // Record records the bytes that were read and written since the last call.
 func (l *Link) Record(now time.Time, read, written int64) {
 	l.receive.record(now, read)
 	l.transmit.record(now, written)
+	l.sent.add(now, written)
 }
 
 // Delays returns how long a byte waits now in each direction.
@@ -45,6 +48,10 @@
 	return l.receive.queued.delay(now), l.transmit.queued.delay(now)
 }
 
+// MinTransmitDelay returns how long a byte that is written now waits at least. Delays counts on usableRatio of the
+// bandwidth: in 10 s of full load that is up to 0.96 s more.
+func (l *Link) MinTransmitDelay(now time.Time) time.Duration { return l.sent.delay(now) }
+
 // Saturated reports whether a direction carries about as much as it can. What callers send waits before it
 // reaches the gateway then, so that refusals come too late: new connections should go to other gateways.
 func (l *Link) Saturated(now time.Time) bool {
--- a/services/strain/strain.go
+++ b/services/strain/strain.go
@@ -197,6 +197,7 @@
 	sample := strain.Sample{ProcessorDelay: s.processorDelay(), Memory: s.memory, Arrived: counts.Answered > s.counted.Answered}
 	s.counted = counts
 	sample.ReceiveDelay, sample.TransmitDelay = s.link.Delays(now)
+	sample.MinTransmitDelay = s.link.MinTransmitDelay(now)
 	if s.maxDescriptors > 0 {
 		sample.Descriptors = float64(s.counted.Open+otherDescriptors) / float64(s.maxDescriptors)
 	}
