Samples and responses cost the same with any number of servers

Cause: each sample went through the attempts at all servers twice, and each response and connection once. Samples are taken for each arriving request too, so that this grew with servers times requests.

Change: nothing is searched while no server fails. Without a failure old attempts are forgotten every 2 s; RecordTimeout, the only decision that depends on them, forgets them first as before.

--- a/models/strain/strain.go
+++ b/models/strain/strain.go
@@ -125,6 +125,9 @@
 	resource  Resource
 
 	servers map[netip.AddrPort]attempts
+	// failing is the number of servers whose last attempt failed, and prunedAt when old attempts were last forgotten.
+	failing  int
+	prunedAt time.Time
 	// reachedAt is when the network was last seen to work: a connection was established or refused, or a
 	// response arrived soon.
 	reachedAt time.Time
@@ -185,7 +188,10 @@
 	case s.delayedSince.IsZero():
 		s.delayedSince = now
 	}
-	s.prune(now)
+	// Most samples are taken while no server fails, and must not cost more where there are many servers.
+	if s.failing > 0 || now.Sub(s.prunedAt) >= evidenceTime {
+		s.prune(now)
+	}
 	return s.decide(now)
 }
 
@@ -253,13 +259,16 @@
 	s.connected, s.timedOut = 0, 0
 	for server, a := range s.servers {
 		a.failed, a.connected = 0, 0
-		s.servers[server] = a
+		s.set(server, a)
 	}
 }
 
 // unreached returns the number of servers whose last attempt failed and began no earlier than the given time.
 func (s *State) unreached(since time.Time) int {
 	n := 0
+	if s.failing == 0 {
+		return n
+	}
 	for _, a := range s.servers {
 		if !a.began.IsZero() && !since.After(a.began) {
 			n++
@@ -278,17 +287,30 @@
 
 // prune forgets old attempts.
 func (s *State) prune(now time.Time) {
+	s.prunedAt = now
 	kept := evidenceTime
 	if s.shortages[Network].short {
 		kept = cutOffTime
 	}
 	for server, a := range s.servers {
 		if now.Sub(a.ended) > kept && now.Sub(a.connectedAt) > evidenceTime {
+			s.set(server, attempts{})
 			delete(s.servers, server)
 		}
 	}
 }
 
+// set sets the attempts at a server.
+func (s *State) set(server netip.AddrPort, a attempts) {
+	if !s.servers[server].began.IsZero() {
+		s.failing--
+	}
+	if !a.began.IsZero() {
+		s.failing++
+	}
+	s.servers[server] = a
+}
+
 func (s *State) count(now time.Time) {
 	kept := decay(now.Sub(s.countedAt))
 	s.connected, s.timedOut, s.countedAt = s.connected*kept, s.timedOut*kept, now
@@ -301,7 +323,7 @@
 	}
 	s.count(now)
 	s.connected++
-	s.servers[server] = attempts{connected: s.servers[server].connectedUntil(now) + 1, connectedAt: now}
+	s.set(server, attempts{connected: s.servers[server].connectedUntil(now) + 1, connectedAt: now})
 	s.reachedAt = now
 	s.decide(now)
 }
@@ -334,7 +356,7 @@
 	s.timedOut++
 	a := s.servers[server]
 	a.failed, a.began, a.ended = a.failed+1, since, now
-	s.servers[server] = a
+	s.set(server, a)
 	s.decide(now)
 	a = s.servers[server]
 	switch {
