--- a/models/strain/strain_test.go
+++ b/models/strain/strain_test.go
@@ -397,3 +397,33 @@
 		}
 	}
 }
+
+// TestSlowServersOfShortCalls guards against a gateway that counts its network as cut off because three servers of a plain
+// service are slow: half of a goal of 120 ms, after which another server is looked for, is less than the time in which
+// something else would surely have arrived. No server is blamed for that either, but for the first.
+func TestSlowServersOfShortCalls(t *testing.T) {
+	s := strain.New(dialTimeout)
+	now := time.Unix(1_700_000_000, 0)
+	began, blamed := now, 0
+	now = now.Add(60 * time.Millisecond)
+	s.Observe(now, strain.Sample{})
+	for i := range 4 {
+		if s.RecordTimeout(now, address(i), began) {
+			blamed++
+		}
+	}
+	if _, ok := s.Admit(now, 600, 0); !ok || s.Strained() != strain.None || !s.Ready() {
+		t.Errorf("short of %s, ready %t, request taken %t", s.Strained(), s.Ready(), ok)
+	}
+	if blamed != 1 {
+		t.Errorf("%d servers are blamed, want 1", blamed)
+	}
+	// The same servers don't accept connections.
+	began, now = now, now.Add(dialTimeout)
+	for i := range 4 {
+		s.RecordTimeout(now, address(i), began)
+	}
+	if s.Strained() != strain.Network {
+		t.Errorf("short of %s after attempts at 4 servers", s.Strained())
+	}
+}
