--- a/models/strain/strain.go
+++ b/models/strain/strain.go
@@ -164,10 +164,10 @@
 	return sample
 }
 
-// Observe records a sample and returns what the gateway was short of before.
-func (s *State) Observe(now time.Time, sample Sample) (before Resource) {
+// Observe records a sample.
+func (s *State) Observe(now time.Time, sample Sample) {
 	if s == nil {
-		return None
+		return
 	}
 	kept := math.Exp(-max(0, now.Sub(s.sampledAt)).Seconds() / peakTimeConstant.Seconds())
 	s.processorPeak = max(sample.ProcessorDelay, time.Duration(float64(s.processorPeak)*kept))
@@ -192,7 +192,7 @@
 	if s.failing > 0 || now.Sub(s.prunedAt) >= evidenceTime {
 		s.prune(now)
 	}
-	return s.decide(now)
+	s.decide(now)
 }
 
 // delayed reports whether the link delays connection attempts for so long that they fail. Without further load, each
@@ -206,9 +206,9 @@
 	return max(s.sample.ReceiveDelay, s.sample.TransmitDelay) >= s.dialTimeout || float64(lasted) >= (1-linkRatio)*float64(s.dialTimeout)
 }
 
-// decide sets the resources that the gateway is short of, and returns the first of those before.
-func (s *State) decide(now time.Time) (before Resource) {
-	before = s.resource
+// decide sets the resources that the gateway is short of.
+func (s *State) decide(now time.Time) {
+	before := s.resource
 	s.resource = None
 	for _, r := range byPrecedence {
 		value, begin, end := s.measure(r)
@@ -230,7 +230,6 @@
 	if before == None && s.resource != None {
 		s.resetCounts()
 	}
-	return before
 }
 
 // measure returns the present value of a resource, and those at which its shortage begins and ends. The directions of
