--- a/models/strain/strain_test.go
+++ b/models/strain/strain_test.go
@@ -24,14 +24,14 @@
 	sample strain.Sample
 	// reached is the part of the attempts at sound servers that succeed.
 	reached float64
-	dark    float64
+	crashed    float64
 }
 
 // outcome counts what a gateway decided in a scenario.
 type outcome struct {
-	// soundFailed and darkFailed count failed attempts, soundBlamed and darkBlamed those that count against
+	// soundFailed and crashedFailed count failed attempts, soundBlamed and crashedBlamed those that count against
 	// the server.
-	soundFailed, soundBlamed, darkFailed, darkBlamed int
+	soundFailed, soundBlamed, crashedFailed, crashedBlamed int
 	blamed                                           map[int]bool
 	refused, taken, sends                            int
 	state                                            *strain.State
@@ -58,7 +58,7 @@
 	s := strain.New(dialTimeout)
 	start := time.Unix(1_700_000_000, 0)
 	o := outcome{blamed: map[int]bool{}, state: s}
-	dark := int(sc.dark * float64(servers))
+	crashed := int(sc.crashed * float64(servers))
 	avoided := map[int]time.Time{}
 	var pending []request
 	for at := start; at.Sub(start) < 20*time.Second; {
@@ -83,7 +83,7 @@
 				o.blamed[q.server] = true
 				avoided[q.server] = q.at.Add(time.Second)
 			}
-			o.count(q.server < dark, blamed)
+			o.count(q.server < crashed, blamed)
 			if len(q.tried) < min(maxSends, servers) && s.Retries() {
 				q.at, q.since = q.at.Add(s.Pause(len(q.tried))), time.Time{}
 				pending = insert(pending, q)
@@ -98,7 +98,7 @@
 		}
 		q.tried[q.server] = true
 		o.sends++
-		if q.server >= dark && r.Float64() < sc.reached {
+		if q.server >= crashed && r.Float64() < sc.reached {
 			s.RecordReached(q.at, address(q.server))
 			continue
 		}
@@ -114,13 +114,13 @@
 	return slices.Insert(pending, i, q)
 }
 
-func (o *outcome) count(dark, blamed bool) {
+func (o *outcome) count(crashed, blamed bool) {
 	n := 0
 	if blamed {
 		n = 1
 	}
-	if dark {
-		o.darkFailed, o.darkBlamed = o.darkFailed+1, o.darkBlamed+n
+	if crashed {
+		o.crashedFailed, o.crashedBlamed = o.crashedFailed+1, o.crashedBlamed+n
 		return
 	}
 	o.soundFailed, o.soundBlamed = o.soundFailed+1, o.soundBlamed+n
@@ -140,12 +140,12 @@
 	}
 }
 
-// TestDarkServers guards against a sound gateway that takes crashed machines for a shortage of its own, so
+// TestCrashedServers guards against a sound gateway that takes crashed machines for a shortage of its own, so
 // that they are tried again and again.
-func TestDarkServers(t *testing.T) {
-	each(t, scenario{reached: 1, dark: 0.25}, func(t *testing.T, _ int, o outcome) {
-		if o.darkFailed*2 > o.darkBlamed*3 || o.soundFailed > 0 || o.refused*50 > o.taken {
-			t.Errorf("%d of %d failures count against dark servers, %d of %d requests refused", o.darkBlamed, o.darkFailed, o.refused, o.refused+o.taken)
+func TestCrashedServers(t *testing.T) {
+	each(t, scenario{reached: 1, crashed: 0.25}, func(t *testing.T, _ int, o outcome) {
+		if o.crashedFailed*2 > o.crashedBlamed*3 || o.soundFailed > 0 || o.refused*50 > o.taken {
+			t.Errorf("%d of %d failures count against crashed servers, %d of %d requests refused", o.crashedBlamed, o.crashedFailed, o.refused, o.refused+o.taken)
 		}
 	})
 	// A single server that fails is the only evidence that there can be.
@@ -175,17 +175,17 @@
 	}
 }
 
-// TestStrainedGatewayAndDarkServers guards against a strained gateway that never finds out which machines have
+// TestStrainedGatewayAndCrashedServers guards against a strained gateway that never finds out which machines have
 // crashed.
-func TestStrainedGatewayAndDarkServers(t *testing.T) {
+func TestStrainedGatewayAndCrashedServers(t *testing.T) {
 	sample := strain.Sample{TransmitDelay: 100 * time.Millisecond}
-	each(t, scenario{sample: sample, reached: 0.9, dark: 0.25}, func(t *testing.T, servers int, o outcome) {
+	each(t, scenario{sample: sample, reached: 0.9, crashed: 0.25}, func(t *testing.T, servers int, o outcome) {
 		if o.soundBlamed*20 > o.soundFailed+20 {
 			t.Errorf("%d of %d failures count against sound servers", o.soundBlamed, o.soundFailed)
 		}
 		// Small gateways of many try a server too rarely to tell.
-		if servers == 18 && o.darkFailed >= 40 && o.darkBlamed*8 < o.darkFailed {
-			t.Errorf("%d of %d failures count against dark servers", o.darkBlamed, o.darkFailed)
+		if servers == 18 && o.crashedFailed >= 40 && o.crashedBlamed*8 < o.crashedFailed {
+			t.Errorf("%d of %d failures count against crashed servers", o.crashedBlamed, o.crashedFailed)
 		}
 	})
 }
--- a/services/relay/shortage_test.go
+++ b/services/relay/shortage_test.go
@@ -107,13 +107,13 @@
 	}
 }
 
-// TestDarkServerOfSoundGateway guards against a crashed machine that isn't suspended, as the gateway takes the fault for
+// TestCrashedServerOfSoundGateway guards against a crashed machine that isn't suspended, as the gateway takes the fault for
 // its own.
-func TestDarkServerOfSoundGateway(t *testing.T) {
+func TestCrashedServerOfSoundGateway(t *testing.T) {
 	env, _, _ := newStrainedEnv(t, 1)
 	sound := env.servers[0]
 	list := []roster.Server{
-		{ID: "dark", Address: silentAddress(t), Slots: 8, FailureDomain: "near"},
+		{ID: "crashed", Address: silentAddress(t), Slots: 8, FailureDomain: "near"},
 		{ID: sound.ID, Address: sound.Address(), Slots: 8, FailureDomain: "far"},
 	}
 	env.catalog.balancers["plain"].SetServers(list, 0)
