--- a/models/strain/strain_test.go
+++ b/models/strain/strain_test.go
@@ -24,7 +24,7 @@
 	sample strain.Sample
 	// reached is the part of the attempts at sound servers that succeed.
 	reached float64
-	crashed    float64
+	crashed float64
 }
 
 // outcome counts what a gateway decided in a scenario.
@@ -32,10 +32,10 @@
 	// soundFailed and crashedFailed count failed attempts, soundBlamed and crashedBlamed those that count against
 	// the server.
 	soundFailed, soundBlamed, crashedFailed, crashedBlamed int
-	blamed                                           map[int]bool
-	refused, taken, sends                            int
-	state                                            *strain.State
-	now                                              time.Time
+	blamed                                                 map[int]bool
+	refused, taken, sends                                  int
+	state                                                  *strain.State
+	now                                                    time.Time
 }
 
 func address(server int) netip.AddrPort {
