--- a/models/strain/strain.go
+++ b/models/strain/strain.go
@@ -67,8 +67,13 @@
 	// ProcessorDelay is how long runnable goroutines wait, ReceiveDelay and TransmitDelay how long
 	// bytes wait for the link.
 	ProcessorDelay, ReceiveDelay, TransmitDelay time.Duration
+	// MinTransmitDelay is how long bytes that are written wait for the link at least. TransmitDelay leaves a part of
+	// the bandwidth unused.
+	MinTransmitDelay time.Duration
 	// Descriptors and Memory are the parts of the limits in use, or 0 if unknown.
 	Descriptors, Memory float64
+	// Arrived is whether bytes arrived from servers, the store or peers since the sample before.
+	Arrived bool
 }
 
 // LinkDelay returns how long the packets of a connection attempt wait in both directions.
@@ -120,10 +125,13 @@
 	resource  Resource
 
 	servers map[netip.AddrPort]attempts
+	// failing is the number of servers whose last attempt failed, and prunedAt when old attempts were last forgotten.
+	failing  int
+	prunedAt time.Time
 	// reachedAt is when the network was last seen to work: a connection was established or refused, or a
 	// response arrived soon.
 	reachedAt time.Time
-	// respondedAt is when the last response arrived, however late.
+	// respondedAt is when the last response or a part of one arrived, however late.
 	respondedAt time.Time
 	// connected and timedOut are decayed numbers of attempts, as of countedAt.
 	connected, timedOut float64
@@ -156,13 +164,17 @@
 	return sample
 }
 
-// Observe records a sample and returns what the gateway was short of before.
-func (s *State) Observe(now time.Time, sample Sample) (before Resource) {
+// Observe records a sample.
+func (s *State) Observe(now time.Time, sample Sample) {
 	if s == nil {
-		return None
+		return
 	}
 	kept := math.Exp(-max(0, now.Sub(s.sampledAt)).Seconds() / peakTimeConstant.Seconds())
 	s.processorPeak = max(sample.ProcessorDelay, time.Duration(float64(s.processorPeak)*kept))
+	if sample.Arrived && s.sampledAt.After(s.respondedAt) {
+		// They may have arrived at any time since then.
+		s.respondedAt = s.sampledAt
+	}
 	s.sample, s.sampledAt = sample, now
 	switch {
 	case s.processorPeak < s.dialTimeout:
@@ -176,8 +188,11 @@
 	case s.delayedSince.IsZero():
 		s.delayedSince = now
 	}
-	s.prune(now)
-	return s.decide(now)
+	// Most samples are taken while no server fails, and must not cost more where there are many servers.
+	if s.failing > 0 || now.Sub(s.prunedAt) >= evidenceTime {
+		s.prune(now)
+	}
+	s.decide(now)
 }
 
 // delayed reports whether the link delays connection attempts for so long that they fail. Without further load, each
@@ -191,9 +206,9 @@
 	return max(s.sample.ReceiveDelay, s.sample.TransmitDelay) >= s.dialTimeout || float64(lasted) >= (1-linkRatio)*float64(s.dialTimeout)
 }
 
-// decide sets the resources that the gateway is short of, and returns the first of those before.
-func (s *State) decide(now time.Time) (before Resource) {
-	before = s.resource
+// decide sets the resources that the gateway is short of.
+func (s *State) decide(now time.Time) {
+	before := s.resource
 	s.resource = None
 	for _, r := range byPrecedence {
 		value, begin, end := s.measure(r)
@@ -215,7 +230,6 @@
 	if before == None && s.resource != None {
 		s.resetCounts()
 	}
-	return before
 }
 
 // measure returns the present value of a resource, and those at which its shortage begins and ends. The directions of
@@ -235,7 +249,8 @@
 	case Processor:
 		return float64(s.processorPeak), processorRatio * base, processorReliefRatio * base
 	default:
-		return float64(s.unreached(s.lastArrival())), cutOffServers, cutOffServers
+		// Half of a short goal, after which a server counts as silent, is too short a time without any arrival.
+		return float64(s.unreached(s.lastArrival(), s.dialTimeout)), cutOffServers, cutOffServers
 	}
 }
 
@@ -244,15 +259,19 @@
 	s.connected, s.timedOut = 0, 0
 	for server, a := range s.servers {
 		a.failed, a.connected = 0, 0
-		s.servers[server] = a
+		s.set(server, a)
 	}
 }
 
-// unreached returns the number of servers whose last attempt failed and began no earlier than the given time.
-func (s *State) unreached(since time.Time) int {
+// unreached returns the number of servers whose last attempt failed after at least the given duration, and began no
+// earlier than the given time.
+func (s *State) unreached(since time.Time, atLeast time.Duration) int {
 	n := 0
+	if s.failing == 0 {
+		return n
+	}
 	for _, a := range s.servers {
-		if !a.began.IsZero() && !since.After(a.began) {
+		if !a.began.IsZero() && !since.After(a.began) && a.ended.Sub(a.began) >= atLeast {
 			n++
 		}
 	}
@@ -269,17 +288,30 @@
 
 // prune forgets old attempts.
 func (s *State) prune(now time.Time) {
+	s.prunedAt = now
 	kept := evidenceTime
 	if s.shortages[Network].short {
 		kept = cutOffTime
 	}
 	for server, a := range s.servers {
 		if now.Sub(a.ended) > kept && now.Sub(a.connectedAt) > evidenceTime {
+			s.set(server, attempts{})
 			delete(s.servers, server)
 		}
 	}
 }
 
+// set sets the attempts at a server.
+func (s *State) set(server netip.AddrPort, a attempts) {
+	if !s.servers[server].began.IsZero() {
+		s.failing--
+	}
+	if !a.began.IsZero() {
+		s.failing++
+	}
+	s.servers[server] = a
+}
+
 func (s *State) count(now time.Time) {
 	kept := decay(now.Sub(s.countedAt))
 	s.connected, s.timedOut, s.countedAt = s.connected*kept, s.timedOut*kept, now
@@ -292,7 +324,7 @@
 	}
 	s.count(now)
 	s.connected++
-	s.servers[server] = attempts{connected: s.servers[server].connectedUntil(now) + 1, connectedAt: now}
+	s.set(server, attempts{connected: s.servers[server].connectedUntil(now) + 1, connectedAt: now})
 	s.reachedAt = now
 	s.decide(now)
 }
@@ -325,11 +357,11 @@
 	s.timedOut++
 	a := s.servers[server]
 	a.failed, a.began, a.ended = a.failed+1, since, now
-	s.servers[server] = a
+	s.set(server, a)
 	s.decide(now)
 	a = s.servers[server]
 	switch {
-	case !s.reachedAt.After(since) && s.unreached(s.reachedAt) >= suspectServers:
+	case !s.reachedAt.After(since) && s.unreached(s.reachedAt, 0) >= suspectServers:
 		return false
 	case s.resource != None:
 		connected, timedOut := max(0, s.connected-a.connectedUntil(now)), max(0, s.timedOut-float64(a.failed))
@@ -375,10 +407,11 @@
 	return min(pause, maxPause)
 }
 
-// InTime reports whether a request with so much time left still reaches a server in time. The estimate of the link
-// is too coarse to tell whether its response does too.
+// InTime reports whether a request with so much time left may still reach a server in time. It is refused otherwise, so
+// that the shortest possible delay decides. The estimate of the link is too coarse to tell whether the response arrives
+// in time too.
 func (s *State) InTime(left time.Duration) bool {
-	return s == nil || s.resource == None || left >= s.sample.TransmitDelay
+	return s == nil || s.resource == None || left >= s.sample.MinTransmitDelay
 }
 
 // Retries reports whether a request that reached no server is sent to another one. If the network is cut off, its
--- a/routers/front/body.go
+++ b/routers/front/body.go
@@ -35,22 +35,33 @@
 	maxBytes int64
 }
 
-// readBody reads the whole request body, and reserves memory for the request and its body before. The
-// caller releases the reservation after the last use of the body, also after an error.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, held *memory.Reservation) ([]byte, error) {
-	if !held.Begin() {
-		return nil, errNoMemory
+// maxBodyBytes returns the limit of a request body.
+func (h *Handler) maxBodyBytes() int64 {
+	if t := h.tables.Table(); t != nil && t.Limits.BodyBytes > 0 {
+		return t.Limits.BodyBytes
+	}
+	return defaultMaxBodyBytes
+}
+
+// reserve reserves memory for a request and its body of this length, -1 if unknown.
+func reserve(held *memory.Reservation, length, limit int64) error {
+	switch {
+	case !held.Begin():
+		return errNoMemory
+	case length > limit:
+		return errors.WithStack(&http.MaxBytesError{Limit: limit})
+	case !held.Grow(max(0, length)):
+		return errNoMemory
 	}
+	return nil
+}
+
+// readBody reads the whole request body. held is its reservation, which grows with a body of unknown length. The caller
+// releases it after the last use of the body, also after an error.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, held *memory.Reservation, limit int64) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	limit := int64(defaultMaxBodyBytes)
-	if t := h.tables.Table(); t != nil && t.Limits.BodyBytes > 0 {
-		limit = t.Limits.BodyBytes
-	}
-	if r.ContentLength > limit {
-		return nil, errors.WithStack(&http.MaxBytesError{Limit: limit})
-	}
 	b := &bodyReader{
 		body: r.Body, held: held, control: http.NewResponseController(w), pace: intake.NewPace(time.Now(), bodyTimeout), maxBytes: limit,
 	}
@@ -68,11 +79,8 @@
 	return body, errors.WithStack(b.control.SetReadDeadline(time.Time{}))
 }
 
-// readLength reads a body of known length.
+// readLength reads a body of known length, which is reserved.
 func (b *bodyReader) readLength(length int64) ([]byte, error) {
-	if !b.held.Grow(length) {
-		return nil, errNoMemory
-	}
 	if err := b.recordRead(0); err != nil {
 		return nil, err
 	}
--- a/routers/front/front.go
+++ b/routers/front/front.go
@@ -151,6 +151,14 @@
 		h.refuseStopping(w, req)
 		return
 	}
+	limit := h.maxBodyBytes()
+	held := h.memory.NewReservation()
+	defer held.Release()
+	// The link doesn't carry a body that is refused here.
+	if err := reserve(held, r.ContentLength, limit); err != nil {
+		h.refuseBody(w, req, r, err)
+		return
+	}
 	if err := h.acceptBody(r, req); err != nil {
 		h.log.Info("request refused before its body", "requestId", req.ID, "bytes", r.ContentLength, "error", err)
 		// Without this the server reads the body before it sends the response.
@@ -158,9 +166,7 @@
 		h.refuse(w, req, err)
 		return
 	}
-	held := h.memory.NewReservation()
-	defer held.Release()
-	if req.Body, err = h.readBody(w, r, held); err != nil {
+	if req.Body, err = h.readBody(w, r, held, limit); err != nil {
 		h.refuseBody(w, req, r, err)
 		return
 	}
--- a/services/strain/strain.go
+++ b/services/strain/strain.go
@@ -27,6 +27,9 @@
 	sampleInterval = 50 * time.Millisecond
 	// headerBytes is the usual size of a request's header.
 	headerBytes = 600
+	// unreadBytes is the part of a body that may arrive before it is read: the usual size of a receive buffer in the
+	// system. What follows counts in the link as it is read, and may never come.
+	unreadBytes = 128 << 10
 	// missedPolls is the number of polls after which new connections go to other gateways. Callers whose connections
 	// are closed before come back to this one.
 	missedPolls = 2
@@ -194,9 +197,10 @@
 func (s *Service) observe(now time.Time) strain.Sample {
 	counts := s.meter.Counts()
 	s.link.Record(now, counts.Read-s.counted.Read, counts.Written-s.counted.Written)
+	sample := strain.Sample{ProcessorDelay: s.processorDelay(), Memory: s.memory, Arrived: counts.Answered > s.counted.Answered}
 	s.counted = counts
-	sample := strain.Sample{ProcessorDelay: s.processorDelay(), Memory: s.memory}
 	sample.ReceiveDelay, sample.TransmitDelay = s.link.Delays(now)
+	sample.MinTransmitDelay = s.link.MinTransmitDelay(now)
 	if s.maxDescriptors > 0 {
 		sample.Descriptors = float64(s.counted.Open+otherDescriptors) / float64(s.maxDescriptors)
 	}
@@ -245,7 +249,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	s.queue.RecordReceived(now, max(0, size)+headerBytes)
+	s.queue.RecordReceived(now, min(max(0, size), unreadBytes)+headerBytes)
 	s.observe(now)
 	return !s.ready(now) && s.missed >= missedPolls
 }
