Keep ended evacuations ended when the store returns from another copy

Change: only evacuations that are still in force are kept into a new era.

Result: the new case of TestDomains got [y z] instead of [y] before, and passes; go test ./models/evacuation passes.

--- a/models/evacuation/evacuation.go
+++ b/models/evacuation/evacuation.go
@@ -79,7 +79,8 @@
 		}
 	}
 	for domain, until := range before {
-		if restored {
+		ended := !until.IsZero() && !until.After(now)
+		if restored && !ended {
 			until = now.Add(SettleTime)
 		}
 		s.keep(now, domain, until)
--- a/models/evacuation/evacuation_test.go
+++ b/models/evacuation/evacuation_test.go
@@ -124,6 +124,13 @@
 			{learn: read(2, 5, withdraw("z", 4)), want: nil},
 			{learn: peer(1, 9, z), want: nil},
 		},
+		"lost, not written again, and the store returns from another copy": {
+			{learn: reset(1, 9, evacuate("z", 3), evacuate("y", 4)), want: []string{"y", "z"}},
+			{learn: reset(2, 5, evacuate("y", 4)), want: []string{"y", "z"}},
+			{after: settle, learn: wait, want: []string{"y"}},
+			{after: time.Hour, learn: reset(3, 5), want: []string{"y"}},
+			{after: settle, learn: wait, want: nil},
+		},
 		"peer of an earlier era, long after the start": {
 			{learn: reset(2, 4), want: nil},
 			{after: settle, learn: peer(1, 9, z), want: nil},
