Forget requests in flight of a slow start when its server leaves the balancer

Cause: a balancer records the end of a request only while it has the server. If the failure domain was evacuated, or the list lacked the server for a moment, the request stayed in flight in the window of the slow start. The window has one request at first, so that the server got nothing until it was warm, or for up to 15 s.

Change: a server that is new to the balancer begins with nothing in flight in its window, as it does in the balancer.

--- a/models/balance/balance.go
+++ b/models/balance/balance.go
@@ -143,6 +143,10 @@
 		state, ok := b.servers[s.ID]
 		if !ok || state.Started != s.Started {
 			state = &server{cache: newCache(cacheTokens), unread: map[string]prediction{}, trials: map[string]bool{}}
+			if start := b.board.Start(s); start != nil {
+				// Requests may have ended while the server was absent.
+				start.ForgetInFlight()
+			}
 		}
 		state.Server = s
 		current[s.ID] = state
--- a/models/balance/slowstart_test.go
+++ b/models/balance/slowstart_test.go
@@ -339,3 +339,23 @@
 		t.Errorf("%d failed requests, want 2", got)
 	}
 }
+
+// TestServerLeavesDuringStart guards against a slow start that counts a request as in flight for good, as the request ended
+// while the server was not listed, or its failure domain was evacuated.
+func TestServerLeavesDuringStart(t *testing.T) {
+	board := notice.NewBoard(nil, notice.WithSlowStart())
+	b := balance.New(balance.WithBoard(board))
+	starting := roster.Server{ID: "a", Started: 2}
+	board.SetListed(start, []roster.Server{{ID: "a", Started: 1}})
+	board.SetListed(start, []roster.Server{starting})
+	b.SetServers([]roster.Server{starting}, 0)
+	r := balance.Request{ID: "1"}
+	c := choose(t, b, start, r)
+	b.RecordSent(start, "a", r, c)
+	b.SetServers(nil, 0)
+	b.RecordEnd("a", r)
+	b.SetServers([]roster.Server{starting}, 0)
+	if wait := b.AcceptsIn(start); wait > 0 {
+		t.Errorf("nothing is in flight, and the server takes a request after %s", wait)
+	}
+}
--- a/models/slowstart/slowstart.go
+++ b/models/slowstart/slowstart.go
@@ -145,6 +145,9 @@
 	}
 }
 
+// ForgetInFlight forgets the requests in flight, whose ends are no longer recorded.
+func (w *Window) ForgetInFlight() { w.inFlight = nil }
+
 // Ended reports whether the server may get as many requests as others.
 func (w *Window) Ended(now time.Time) bool {
 	w.begin(now)
