Keep a quarantine in an outage of the store that is longer than a minute

Cause: while the store is away, a gateway concludes again in each step from the crashes that still count. They count for a minute, so that a quarantine which was right ended in a longer outage, and the prompt could crash four more servers. If there were no suspects left, the quarantine stayed, but no answer ended it.

Change: an entry that this gateway concluded on its own stays until the next contact, for an hour at most, after the crashes that led to it have expired. An answer to one of its segments takes that out, as it does from the suspects.

Result: TestQuarantineInLongOutage found the prompt admitted and answers unwatched before, and passes; go test ./models/quarantine ./services/quarantine passes.

--- a/models/quarantine/quarantine.go
+++ b/models/quarantine/quarantine.go
@@ -88,11 +88,13 @@
 	Until    time.Time
 }
 
+func (e Entry) concludedAt() time.Time { return e.Until.Add(-Duration) }
+
 // Refuted reports whether a server has answered a prompt with all segments of the entry since about the
 // time of the conclusion, by the times of the last answers to each segment. Segments that one answer
 // has in common have the same time.
 func (e Entry) Refuted(answeredAt func(id string) time.Time) bool {
-	since := e.Until.Add(-Duration - settleTime)
+	since := e.concludedAt().Add(-settleTime)
 	for _, id := range e.Segments {
 		if at := answeredAt(id); !at.After(since) || !at.Equal(answeredAt(e.Segments[0])) {
 			return false
@@ -162,7 +164,17 @@
 }
 
 // RecordAnswer records that a server answered a prompt with the segment.
-func (t *Tracker) RecordAnswer(segment string) { delete(t.suspects, segment) }
+func (t *Tracker) RecordAnswer(segment string) {
+	delete(t.suspects, segment)
+	var provisional []Entry
+	for _, e := range t.provisional {
+		e.Segments = slices.DeleteFunc(slices.Clone(e.Segments), func(id string) bool { return id == segment })
+		if len(e.Segments) > 0 {
+			provisional = append(provisional, e)
+		}
+	}
+	t.provisional = provisional
+}
 
 // Watched returns the segments whose answers should be recorded, with the time from which on
 // an answer clears each.
@@ -179,6 +191,13 @@
 			watched[id] = first.Add(-prior)
 		}
 	}
+	for _, e := range t.provisional {
+		for _, id := range e.Segments {
+			if _, suspected := watched[id]; !suspected {
+				watched[id] = e.concludedAt()
+			}
+		}
+	}
 	return watched
 }
 
@@ -232,15 +251,32 @@
 
 // ConcludeAlone concludes from the evidence of this gateway while that of the others can't be read, and
 // returns the entries that are new. They apply to this gateway until the next contact, since others may
-// have got answers. The load that it answers is a prompt that crashes servers during an outage of the store.
+// have got answers. An outage may be longer than the lifetime of evidence, so that an entry outlasts the crashes that
+// led to it. The load that it answers is a prompt that crashes servers during an outage of the store.
 func (t *Tracker) ConcludeAlone(now time.Time) []Entry {
 	before := t.provisional
-	t.provisional = t.clone().Conclude(now, now)
-	return slices.DeleteFunc(slices.Clone(t.provisional), func(e Entry) bool {
-		return slices.ContainsFunc(before, func(b Entry) bool { return b.Key() == e.Key() })
+	concluded := t.clone().Conclude(now, now)
+	t.provisional = slices.Clone(concluded)
+	for _, e := range before {
+		if now.Before(e.Until) && t.evidenceExpired(e) && !containsKey(concluded, e.Key()) {
+			t.provisional = append(t.provisional, e)
+		}
+	}
+	return slices.DeleteFunc(concluded, func(e Entry) bool { return containsKey(before, e.Key()) })
+}
+
+// evidenceExpired reports whether crashes that led to the entry no longer count.
+func (t *Tracker) evidenceExpired(e Entry) bool {
+	return slices.ContainsFunc(e.Segments, func(id string) bool {
+		s, suspected := t.suspects[id]
+		return !suspected || len(s.crashes) < requiredCrashes(id)
 	})
 }
 
+func containsKey(entries []Entry, key string) bool {
+	return slices.ContainsFunc(entries, func(e Entry) bool { return e.Key() == key })
+}
+
 // RecordContact records that the evidence of the others is readable again. What this gateway concluded on
 // its own has no effect any more.
 func (t *Tracker) RecordContact(now time.Time) { t.provisional, t.contactAt = nil, now }
@@ -364,7 +400,7 @@
 // Find returns the entry that applies to a prompt with the segments, if there is one.
 func (t *Tracker) Find(now time.Time, segments []string) (Entry, bool) {
 	for _, e := range t.provisional {
-		if e.matches(segments) {
+		if now.Before(e.Until) && e.matches(segments) {
 			return e, true
 		}
 	}
--- a/models/quarantine/quarantine_test.go
+++ b/models/quarantine/quarantine_test.go
@@ -440,3 +440,38 @@
 		}
 	}
 }
+
+// TestQuarantineInLongOutage guards against a prompt that is sent again while the store is away, as the crashes from which
+// this gateway concluded have expired, and against a quarantine that outlasts an answer or its time.
+func TestQuarantineInLongOutage(t *testing.T) {
+	tracker := quarantine.NewTracker()
+	for _, server := range []string{"1", "2", "3", "4"} {
+		tracker.RecordCrash(epoch, quarantine.Crash{Server: server, Segments: []string{"a", "b"}})
+	}
+	concludedAt := epoch.Add(time.Second)
+	tracker.ConcludeAlone(concludedAt)
+	expect := func(when string, now time.Time, segments []string, want bool) {
+		t.Helper()
+		if _, got := tracker.Find(now, segments); got != want {
+			t.Errorf("%s: prompt with %v in quarantine %t, want %t", when, segments, got, want)
+		}
+	}
+	expired := epoch.Add(quarantine.EvidenceLifetime + time.Second)
+	tracker.Expire(expired)
+	tracker.RecordCrash(expired, quarantine.Crash{Server: "5", Segments: []string{"c"}})
+	if got := tracker.ConcludeAlone(expired); len(got) > 0 {
+		t.Errorf("%v is concluded again", got)
+	}
+	expect("crashes expired", expired, []string{"a", "b"}, true)
+	if since, watched := tracker.Watched()["a"]; !watched || since.Before(epoch) {
+		t.Errorf("crashes expired: answers are watched %t, from %s on", watched, since)
+	}
+	tracker.RecordAnswer("a")
+	tracker.ConcludeAlone(expired)
+	expect("one segment answered", expired, []string{"a", "c"}, false)
+	expect("one segment answered", expired, []string{"b"}, true)
+	expect("an hour later", concludedAt.Add(quarantine.Duration), []string{"b"}, false)
+	tracker.RecordAnswer("b")
+	tracker.ConcludeAlone(expired)
+	expect("both segments answered", expired, []string{"a", "b"}, false)
+}
