Lift a refuted quarantine also if a later answer shares one of its segments

Cause: an entry of several segments counted as refuted if the last answers to all of them were received at the same time. If another prompt with the common segment was answered after the one that refutes the entry, while the gateway was cut off and didn't know of the entry, the quarantine stayed for an hour.

Change: the gateway keeps the segments of each answer, and the last answer to any segment of the entry may refute it.

--- a/models/quarantine/quarantine.go
+++ b/models/quarantine/quarantine.go
@@ -90,17 +90,17 @@
 
 func (e Entry) concludedAt() time.Time { return e.Until.Add(-Duration) }
 
-// Refuted reports whether a server has answered a prompt with all segments of the entry since about the
-// time of the conclusion, by the times of the last answers to each segment. Segments that one answer
-// has in common have the same time.
-func (e Entry) Refuted(answeredAt func(id string) time.Time) bool {
-	since := e.concludedAt().Add(-settleTime)
-	for _, id := range e.Segments {
-		if at := answeredAt(id); !at.After(since) || !at.Equal(answeredAt(e.Segments[0])) {
-			return false
-		}
-	}
-	return len(e.Segments) > 0
+// Answer is an answer to a prompt.
+type Answer struct {
+	At time.Time
+	// Segments are those of the prompt.
+	Segments []string
+}
+
+// Refutes reports whether the answer shows that prompts with all segments of the entry crash no servers: it was received
+// since about the time of the conclusion.
+func (a Answer) Refutes(e Entry) bool {
+	return len(e.Segments) > 0 && a.At.After(e.concludedAt().Add(-settleTime)) && e.matches(a.Segments)
 }
 
 // matches reports whether the entry applies to a prompt with the segments.
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -94,9 +94,9 @@
 	broken map[Server][]string
 	// crashed holds the starts of servers that crashed, as this gateway observed.
 	crashed map[string]time.Time
-	// answered holds when segments were last answered, and answeredBefore those of the time
+	// answered holds the last answer to a prompt with each segment, and answeredBefore those of the time
 	// before prunedAt.
-	answered, answeredBefore map[string]time.Time
+	answered, answeredBefore map[string]quarantine.Answer
 	prunedAt                 time.Time
 	// unpublished are the segments whose answer this gateway is to publish at publishAt,
 	// unless another one does so before.
@@ -123,7 +123,7 @@
 	s := &Service{
 		log: log.Named(Name), store: store, topic: topic, instance: instance, dialer: dialer,
 		tracker: quarantine.NewTracker(), broken: map[Server][]string{}, crashed: map[string]time.Time{},
-		answered: map[string]time.Time{}, answeredBefore: map[string]time.Time{}, unpublished: map[string]bool{},
+		answered: map[string]quarantine.Answer{}, answeredBefore: map[string]quarantine.Answer{}, unpublished: map[string]bool{},
 		wake: make(chan struct{}, 1),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -177,10 +177,11 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	if now.Sub(s.prunedAt) > quarantine.EvidenceLifetime || len(s.answered) >= maxAnswered {
-		s.answered, s.answeredBefore, s.prunedAt = map[string]time.Time{}, s.answered, now
+		s.answered, s.answeredBefore, s.prunedAt = map[string]quarantine.Answer{}, s.answered, now
 	}
-	for _, id := range considered(segments) {
-		s.answered[id] = now
+	answer := quarantine.Answer{At: now, Segments: considered(segments)}
+	for _, id := range answer.Segments {
+		s.answered[id] = answer
 	}
 	s.clearAnswered()
 	s.liftRefuted()
@@ -252,7 +253,7 @@
 // a delay.
 func (s *Service) clearAnswered() {
 	for id, since := range s.tracker.Watched() {
-		if !s.answered[id].After(since) && !s.answeredBefore[id].After(since) {
+		if !s.answered[id].At.After(since) && !s.answeredBefore[id].At.After(since) {
 			continue
 		}
 		s.tracker.RecordAnswer(id)
@@ -383,14 +384,8 @@
 // liftRefuted lifts the quarantines that answers refute which this gateway got, for instance while it
 // was cut off and didn't know of them.
 func (s *Service) liftRefuted() {
-	answeredAt := func(id string) time.Time {
-		if at, exists := s.answered[id]; exists {
-			return at
-		}
-		return s.answeredBefore[id]
-	}
 	for _, e := range s.tracker.Entries() {
-		if e.Refuted(answeredAt) {
+		if s.refuted(e) {
 			s.log.Warn("quarantine lifted, as a server answered", "segments", e.Segments, "until", e.Until)
 			s.tracker.Remove(e.Key())
 			s.write(record.Record{Key: e.Key()})
@@ -398,6 +393,14 @@
 	}
 }
 
+// refuted reports whether the last answer to a prompt with one of the entry's segments refutes it. The last answers to
+// the others may have been to other prompts.
+func (s *Service) refuted(e quarantine.Entry) bool {
+	return slices.ContainsFunc(e.Segments, func(id string) bool {
+		return s.answered[id].Refutes(e) || s.answeredBefore[id].Refutes(e)
+	})
+}
+
 // considered returns the ids of the first segments, as they are stored. Long ids are replaced
 // by their hash.
 func considered(segments []string) []string {
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	models "github.com/crocusline/crocusline/models/quarantine"
 	"github.com/crocusline/crocusline/modules/metric"
 	"github.com/crocusline/crocusline/platform"
 	"github.com/crocusline/crocusline/services/quarantine"
@@ -226,3 +227,28 @@
 		}
 	})
 }
+
+// TestQuarantineRefutedBeforeOthers guards against a wrong quarantine that lasts, as a prompt that shares one of its segments
+// was answered after the prompt that refutes it.
+func TestQuarantineRefutedBeforeOthers(t *testing.T) {
+	run(t, func(f *fixture) {
+		b := f.start("b")
+		f.store.SetFault(site.Unavailable)
+		time.Sleep(time.Second)
+		concludedAt := time.Now()
+		b.RecordAnswer([]string{"request-1", "common", "own"})
+		time.Sleep(100 * time.Millisecond)
+		b.RecordAnswer([]string{"request-2", "common", "other"})
+		time.Sleep(time.Second)
+		e := models.Entry{Segments: []string{"common", "own"}, Until: concludedAt.Add(models.Duration)}
+		value, err := e.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.store.SetFault(site.NoFault)
+		f.store.Put(platform.Codec{}.QuarantineTopic(), e.Key(), value)
+		time.Sleep(4 * time.Second)
+		f.expect("answered", b, false, "common", "own")
+		f.expect("started later", f.start("c"), false, "common", "own")
+	})
+}
