Clear crashes that are published late by the answers since

Cause: a gateway that was cut off publishes the crashes that it observed when it is back. Others recorded them with the time of the read, so that answers which they had got in between counted as earlier and didn't clear the segments. A quarantine that such an answer had lifted was concluded again, and written for an hour.

Change: an observation's age sets from which time on answers clear its segments. Expiry, the settling time and the share of all crashes still go by the time of the read, as the age depends on the clock of another machine. A clock that is behind lets earlier answers clear a segment; a prompt that crashes each server has none.

Ruled out: publishing the answer together with the lift only; the late crashes follow it in the log.

--- a/models/quarantine/quarantine.go
+++ b/models/quarantine/quarantine.go
@@ -57,6 +57,8 @@
 	Server string
 	// Segments are those of the prompts.
 	Segments []string
+	// Age is how long ago the crash was observed. Another gateway may have been cut off before it could publish it.
+	Age time.Duration
 }
 
 // requestPrefix begins the identifiers of requests. It can't begin that of a segment.
@@ -113,10 +115,17 @@
 	return true
 }
 
+// crashTimes are the times of a crash.
+type crashTimes struct {
+	// recordedAt is by this gateway's clock. observedAt, which may be earlier, depends on the clock of the gateway that
+	// observed the crash, and decides only which answers are later.
+	recordedAt, observedAt time.Time
+}
+
 // suspect is a segment under which servers crashed.
 type suspect struct {
 	// crashes holds when servers crashed, by the identity of their start.
-	crashes map[string]time.Time
+	crashes map[string]crashTimes
 	// reachedAt is when the number of crashes reached minCrashes, or the zero value.
 	reachedAt time.Time
 }
@@ -150,13 +159,13 @@
 	for _, id := range c.Segments {
 		s, exists := t.suspects[id]
 		if !exists {
-			s = &suspect{crashes: map[string]time.Time{}}
+			s = &suspect{crashes: map[string]crashTimes{}}
 			t.suspects[id] = s
 		}
 		if _, known := s.crashes[c.Server]; known {
 			continue
 		}
-		s.crashes[c.Server] = now
+		s.crashes[c.Server] = crashTimes{recordedAt: now, observedAt: now.Add(-max(0, c.Age))}
 		if len(s.crashes) == requiredCrashes(id) {
 			s.reachedAt = now
 		}
@@ -183,7 +192,7 @@
 	for id, s := range t.suspects {
 		// The answers must be known by the time of a conclusion.
 		if len(s.crashes) >= requiredCrashes(id)-1 {
-			first := slices.MinFunc(slices.Collect(maps.Values(s.crashes)), time.Time.Compare)
+			first := s.earliest(func(c crashTimes) time.Time { return c.observedAt })
 			prior := priorAnswer
 			if isRequest(id) {
 				prior = priorRequestAnswer
@@ -205,7 +214,7 @@
 // suspects.
 func (t *Tracker) Expire(now time.Time) bool {
 	for id, s := range t.suspects {
-		maps.DeleteFunc(s.crashes, func(_ string, at time.Time) bool { return now.Sub(at) > EvidenceLifetime })
+		maps.DeleteFunc(s.crashes, func(_ string, c crashTimes) bool { return now.Sub(c.recordedAt) > EvidenceLifetime })
 		t.update(id, s)
 	}
 	maps.DeleteFunc(t.crashed, func(_ string, at time.Time) bool { return now.Sub(at) > EvidenceLifetime })
@@ -318,6 +327,17 @@
 	return e
 }
 
+// earliest returns the earliest of the crashes' times.
+func (s *suspect) earliest(timeOf func(crashTimes) time.Time) time.Time {
+	var first time.Time
+	for _, c := range s.crashes {
+		if at := timeOf(c); first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first
+}
+
 // shares reports whether both have a crash in common.
 func (s *suspect) shares(other *suspect) bool {
 	for server := range s.crashes {
@@ -354,7 +374,7 @@
 
 // share returns the part of all crashes since the first one of the suspect that it explains.
 func (t *Tracker) share(s *suspect) float64 {
-	first := slices.MinFunc(slices.Collect(maps.Values(s.crashes)), time.Time.Compare)
+	first := s.earliest(func(c crashTimes) time.Time { return c.recordedAt })
 	all := 0
 	for _, at := range t.crashed {
 		if !at.Before(first) {
@@ -365,7 +385,7 @@
 }
 
 // explain removes crashes whose cause is known from all suspects.
-func (t *Tracker) explain(crashes map[string]time.Time) {
+func (t *Tracker) explain(crashes map[string]crashTimes) {
 	maps.DeleteFunc(t.crashed, func(server string, _ time.Time) bool { _, known := crashes[server]; return known })
 	for id, s := range t.suspects {
 		t.remove(id, s, crashes)
@@ -373,8 +393,8 @@
 }
 
 // remove removes crashes from a suspect.
-func (t *Tracker) remove(id string, s *suspect, crashes map[string]time.Time) {
-	maps.DeleteFunc(s.crashes, func(server string, _ time.Time) bool { _, known := crashes[server]; return known })
+func (t *Tracker) remove(id string, s *suspect, crashes map[string]crashTimes) {
+	maps.DeleteFunc(s.crashes, func(server string, _ crashTimes) bool { _, known := crashes[server]; return known })
 	t.update(id, s)
 }
 
--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -483,7 +483,7 @@
 	switch age := now.Sub(time.UnixMilli(o.At)); {
 	case age > quarantine.EvidenceLifetime:
 	case o.Server != "":
-		s.tracker.RecordCrash(now, quarantine.Crash{Server: o.Server, Segments: o.Segments})
+		s.tracker.RecordCrash(now, quarantine.Crash{Server: o.Server, Segments: o.Segments, Age: age})
 	default:
 		for _, id := range o.Segments {
 			s.tracker.RecordAnswer(id)
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -59,9 +61,15 @@
 }
 
 func (f *fixture) start(instance string) *quarantine.Service {
+	f.Helper()
+	return f.startAt(instance, f.store)
+}
+
+// startAt starts a gateway that reaches the store through the handler.
+func (f *fixture) startAt(instance string, store http.Handler) *quarantine.Service {
 	f.Helper()
 	client := platform.NewStore(netip.MustParseAddrPort("10.0.0.1:80"), metric.New(),
-		platform.WithTransport(site.NewTransport(f.store, time.Millisecond)))
+		platform.WithTransport(site.NewTransport(store, time.Millisecond)))
 	s := quarantine.New(hclog.NewNullLogger(), client, platform.Codec{}.QuarantineTopic(), instance, f.crashed)
 	if err := s.Start(f.Context(), nil); err != nil {
 		f.Fatal(err)
@@ -252,3 +260,42 @@
 		f.expect("started later", f.start("c"), false, "common", "own")
 	})
 }
+
+// cutStore is the store as a gateway reaches it that may be cut off from it.
+type cutStore struct {
+	http.Handler
+	cut atomic.Bool
+}
+
+func (s *cutStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.cut.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.Handler.ServeHTTP(w, r)
+}
+
+// TestLiftedQuarantineConcludedAgain guards against a quarantine that was lifted and returns for an hour, as a gateway that
+// was cut off meanwhile concludes the same from the same crashes, or has others conclude it again.
+func TestLiftedQuarantineConcludedAgain(t *testing.T) {
+	run(t, func(f *fixture) {
+		link := &cutStore{Handler: f.store}
+		a, b, c := f.start("a"), f.start("b"), f.startAt("c", link)
+		link.cut.Store(true)
+		time.Sleep(2 * time.Second)
+		for n := range 4 {
+			f.crash(a, n, "common", "own")
+			f.crash(c, n, "common", "own")
+		}
+		time.Sleep(2 * time.Second)
+		f.expect("before", b, true, "common", "own")
+		b.RecordAnswer([]string{"common", "own"})
+		time.Sleep(2 * time.Second)
+		f.expect("lifted", a, false, "common", "own")
+		link.cut.Store(false)
+		time.Sleep(5 * time.Second)
+		for who, s := range map[string]*quarantine.Service{"observer": a, "answered": b, "cut off": c, "started later": f.start("d")} {
+			f.expect(who, s, false, "common", "own")
+		}
+	})
+}
