Publish the answers that lift a quarantine

Cause: the gateways that conclude forget the crashes, and one that lifts the quarantine wrote only that. The store still has the crashes for gateways that start, which concluded the same and blocked the prompts for an hour.

Change: the segments of a lifted entry are published as answered, with the usual delay.

Result: TestQuarantineConcludedAfterLift found the prompt blocked at a gateway that started 1 s after the lift before, and passes; go test ./services/quarantine passes.

--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -257,20 +257,29 @@
 			continue
 		}
 		s.tracker.RecordAnswer(id)
-		if len(s.unpublished) == 0 {
-			s.publishAt = time.Now().Add(quarantine.PublicationDelay(rand.Float64()))
-		}
+		s.schedulePublication()
 		s.unpublished[id] = true
-		s.wakeUp()
 	}
 }
 
+// schedulePublication sets the time of the next publication, if none is scheduled.
+func (s *Service) schedulePublication() {
+	if !s.publicationDue() {
+		s.publishAt = time.Now().Add(quarantine.PublicationDelay(rand.Float64()))
+	}
+	s.wakeUp()
+}
+
+// publicationDue reports whether answers are to be published.
+func (s *Service) publicationDue() bool { return len(s.unpublished) > 0 }
+
 // publishAnswers publishes the answers that are due.
 func (s *Service) publishAnswers(now time.Time) {
-	if len(s.unpublished) > 0 && !now.Before(s.publishAt) {
-		s.publish(quarantine.Observation{Segments: slices.Sorted(maps.Keys(s.unpublished))})
-		clear(s.unpublished)
+	if !s.publicationDue() || now.Before(s.publishAt) {
+		return
 	}
+	s.publish(quarantine.Observation{Segments: slices.Sorted(maps.Keys(s.unpublished))})
+	clear(s.unpublished)
 }
 
 // publish queues an observation for writing.
@@ -337,7 +346,7 @@
 		s.unwritten = queued[max(0, len(queued)-maxUnwritten):]
 		return retryInterval, true
 	}
-	if len(s.unpublished) > 0 {
+	if s.publicationDue() {
 		return min(stepInterval, time.Until(s.publishAt)), true
 	}
 	return stepInterval, suspected || len(s.unwritten) > 0
@@ -389,6 +398,11 @@
 			s.log.Warn("quarantine lifted, as a server answered", "segments", e.Segments, "until", e.Until)
 			s.tracker.Remove(e.Key())
 			s.write(record.Record{Key: e.Key()})
+			s.schedulePublication()
+			for _, id := range e.Segments {
+				// Gateways that start later read the crashes, and would conclude the same.
+				s.unpublished[id] = true
+			}
 		}
 	}
 }
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -299,3 +299,20 @@
 		}
 	})
 }
+
+// TestQuarantineConcludedAfterLift guards against a gateway that starts after a quarantine was lifted and concludes the same,
+// as the store has the crashes, but not the answer.
+func TestQuarantineConcludedAfterLift(t *testing.T) {
+	run(t, func(f *fixture) {
+		a, b := f.start("a"), f.start("b")
+		for n := range 4 {
+			f.crash(a, n, "common", "own")
+		}
+		time.Sleep(2 * time.Second)
+		b.RecordAnswer([]string{"common", "own"})
+		time.Sleep(time.Second)
+		c := f.start("c")
+		time.Sleep(3 * time.Second)
+		f.expect("started later", c, false, "common", "own")
+	})
+}
