Write the lift of a quarantine by one or a few gateways

Cause: all gateways that have an answer read the entry at the same time, and each wrote at once that it is lifted, so that the records which are read grew with the square of the fleet.

Change: the lift is written with the answers after the publication delay, unless another gateway's was read before. The gateway itself serves the prompt at once.

--- a/services/quarantine/quarantine.go
+++ b/services/quarantine/quarantine.go
@@ -101,7 +101,9 @@
 	// unpublished are the segments whose answer this gateway is to publish at publishAt,
 	// unless another one does so before.
 	unpublished map[string]bool
-	publishAt   time.Time
+	// lifted are the keys of entries whose end is to be written then too, unless another one does so before.
+	lifted    map[string]bool
+	publishAt time.Time
 	// unwritten are the records to be written, slot is that of the next observation.
 	unwritten []record.Record
 	slot      int
@@ -123,7 +125,7 @@
 	s := &Service{
 		log: log.Named(Name), store: store, topic: topic, instance: instance, dialer: dialer,
 		tracker: quarantine.NewTracker(), broken: map[Server][]string{}, crashed: map[string]time.Time{},
-		answered: map[string]quarantine.Answer{}, answeredBefore: map[string]quarantine.Answer{}, unpublished: map[string]bool{},
+		answered: map[string]quarantine.Answer{}, answeredBefore: map[string]quarantine.Answer{}, unpublished: map[string]bool{}, lifted: map[string]bool{},
 		wake: make(chan struct{}, 1),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -270,15 +272,21 @@
 	s.wakeUp()
 }
 
-// publicationDue reports whether answers are to be published.
-func (s *Service) publicationDue() bool { return len(s.unpublished) > 0 }
+// publicationDue reports whether answers or lifts are to be published.
+func (s *Service) publicationDue() bool { return len(s.unpublished) > 0 || len(s.lifted) > 0 }
 
-// publishAnswers publishes the answers that are due.
+// publishAnswers publishes the answers and lifts that are due.
 func (s *Service) publishAnswers(now time.Time) {
 	if !s.publicationDue() || now.Before(s.publishAt) {
 		return
 	}
-	s.publish(quarantine.Observation{Segments: slices.Sorted(maps.Keys(s.unpublished))})
+	for _, key := range slices.Sorted(maps.Keys(s.lifted)) {
+		s.write(record.Record{Key: key})
+	}
+	if len(s.unpublished) > 0 {
+		s.publish(quarantine.Observation{Segments: slices.Sorted(maps.Keys(s.unpublished))})
+	}
+	clear(s.lifted)
 	clear(s.unpublished)
 }
 
@@ -397,8 +405,8 @@
 		if s.refuted(e) {
 			s.log.Warn("quarantine lifted, as a server answered", "segments", e.Segments, "until", e.Until)
 			s.tracker.Remove(e.Key())
-			s.write(record.Record{Key: e.Key()})
 			s.schedulePublication()
+			s.lifted[e.Key()] = true
 			for _, id := range e.Segments {
 				// Gateways that start later read the crashes, and would conclude the same.
 				s.unpublished[id] = true
@@ -509,6 +517,7 @@
 func (s *Service) applyEntry(r record.Record) {
 	if r.Value == nil {
 		s.tracker.Remove(r.Key)
+		delete(s.lifted, r.Key)
 		return
 	}
 	e, err := quarantine.ParseEntry(r.Value)
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -316,3 +317,44 @@
 		f.expect("started later", c, false, "common", "own")
 	})
 }
+
+// TestQuarantineLiftedByAll guards against a lift that each gateway with an answer writes and each other one reads.
+func TestQuarantineLiftedByAll(t *testing.T) {
+	run(t, func(f *fixture) {
+		const gateways = 60
+		var others []*quarantine.Service
+		writes := &countedWrites{Handler: f.store}
+		for i := range gateways {
+			others = append(others, f.startAt(fmt.Sprintf("g%d", i), writes))
+		}
+		for _, s := range others {
+			s.RecordAnswer([]string{"common", "own"})
+		}
+		e := models.Entry{Segments: []string{"common", "own"}, Until: time.Now().Add(models.Duration)}
+		value, err := e.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.store.Put(platform.Codec{}.QuarantineTopic(), e.Key(), value)
+		time.Sleep(4 * time.Second)
+		if n := writes.n.Load(); n == 0 || n > gateways/2 {
+			t.Errorf("%d gateways wrote that the quarantine is lifted, want one or a few of %d", n, gateways)
+		}
+		for i, s := range others {
+			f.expect(fmt.Sprint("gateway ", i), s, false, "common", "own")
+		}
+	})
+}
+
+// countedWrites is the store with a count of the appends.
+type countedWrites struct {
+	http.Handler
+	n atomic.Int64
+}
+
+func (s *countedWrites) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.Contains(r.URL.Path, "append") {
+		s.n.Add(1)
+	}
+	s.Handler.ServeHTTP(w, r)
+}
