Hold a slow start only by requests that its server would have got

Cause: asking a window whether it admits a request recorded a held one. The choice asks twice, first for the preferred server, regardless of servers that were tried, of versions and of limits, and the refusal asks for the time to wait.

Change: Window.Admits changes nothing but the time at which the window begins, and replaces Full. The choice records held requests once, of servers that are eligible.

--- a/models/balance/choice.go
+++ b/models/balance/choice.go
@@ -56,7 +56,12 @@
 			continue
 		}
 		if !b.board.Admits(now, s.Server) {
-			if b.heldByStart(now, s) && (reserve == nil || b.board.Start(s.Server).Idle()) {
+			if !b.board.HeldByStart(now, s.Server) {
+				continue
+			}
+			start := b.board.Start(s.Server)
+			start.RecordHeld(now)
+			if s.suspension == 0 && (reserve == nil || start.Idle()) {
 				reserve = s
 			}
 			continue
--- a/models/balance/slowstart_test.go
+++ b/models/balance/slowstart_test.go
@@ -359,3 +359,34 @@
 		t.Errorf("nothing is in flight, and the server takes a request after %s", wait)
 	}
 }
+
+// TestStartHoldsOtherRequests guards against a slow start that lasts longer because of requests that the server wouldn't get
+// anyway, and of questions when it takes one.
+func TestStartHoldsOtherRequests(t *testing.T) {
+	board := notice.NewBoard(nil, notice.WithSlowStart())
+	b := balance.New(balance.WithBoard(board))
+	starting := roster.Server{ID: "a", Started: 2}
+	servers := []roster.Server{starting, {ID: "b"}}
+	board.SetListed(start, []roster.Server{{ID: "a", Started: 1}, {ID: "b"}})
+	board.SetListed(start, servers)
+	b.SetServers(servers, cacheTokens)
+	first := balance.Request{ID: "1", Exclude: []string{"b"}}
+	b.RecordSent(start, "a", first, choose(t, b, start, first))
+	other := prompt("shared")
+	other.Exclude = []string{"a"}
+	for at := time.Duration(0); at <= time.Second; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		choose(t, b, now, other)
+		b.AcceptsIn(now)
+	}
+	w := board.Start(starting)
+	if now := start.Add(time.Second); !w.Ended(now) || w.Stats(now).Held > 0 {
+		t.Errorf("no request was held in the first second, got %+v and ended %t", w.Stats(now), w.Ended(now))
+	}
+	if _, ok := b.Choose(start, balance.Request{ID: "2", Exclude: []string{"b"}}); ok {
+		t.Error("a second request is sent to the server")
+	}
+	if held := w.Stats(start).Held; held != 1 {
+		t.Errorf("one request was held, got %d", held)
+	}
+}
--- a/models/notice/start.go
+++ b/models/notice/start.go
@@ -59,7 +59,7 @@
 // HeldByStart reports whether only its slow start keeps requests from the server.
 func (b *Board) HeldByStart(now time.Time, s roster.Server) bool {
 	t, known := b.servers[keyOf(s)]
-	return known && t.slow(now) && t.start.Full(now) && b.announcedWait(now, t, s) == 0
+	return known && t.slow(now) && !t.start.Admits(now) && b.announcedWait(now, t, s) == 0
 }
 
 // Starting returns the number of servers with a slow start.
--- a/models/slowstart/slowstart.go
+++ b/models/slowstart/slowstart.go
@@ -67,29 +67,27 @@
 // the gateways open their windows.
 func New(phase float64) *Window { return &Window{size: 1, phase: phase} }
 
-// Admits reports whether another request may be sent now.
+// Admits reports whether another request may be sent now: the window has opened, and fewer than as many as may
+// be are in flight.
 func (w *Window) Admits(now time.Time) bool {
 	w.begin(now)
-	switch {
-	case float64(len(w.inFlight)) >= math.Floor(w.size):
+	return !w.full() && !now.Before(w.openAt)
+}
+
+func (w *Window) full() bool { return float64(len(w.inFlight)) >= math.Floor(w.size) }
+
+// RecordHeld records a request for which the server was not considered, as the window admits none.
+func (w *Window) RecordHeld(now time.Time) {
+	w.begin(now)
+	w.held++
+	if w.full() {
 		w.blockedAt = now
-	case !now.Before(w.openAt):
-		return true
 	}
-	w.held++
-	return false
 }
 
 // Idle reports whether no request is in flight.
 func (w *Window) Idle() bool { return len(w.inFlight) == 0 }
 
-// Full reports whether no request may be sent now, as as many as may be are in flight, or the window has not
-// opened.
-func (w *Window) Full(now time.Time) bool {
-	w.begin(now)
-	return float64(len(w.inFlight)) >= math.Floor(w.size) || now.Before(w.openAt)
-}
-
 func (w *Window) begin(now time.Time) {
 	if w.begunAt.IsZero() {
 		w.begunAt = now
