--- a/models/balance/balance.go
+++ b/models/balance/balance.go
@@ -7,6 +7,8 @@
 package balance
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -36,7 +38,9 @@
 	board       *notice.Board
 	cacheTokens int64
 	servers     map[string]*server
-	evacuated   []roster.Server
+	// ordered are the servers by id, so that equal seeds give equal choices.
+	ordered   []*server
+	evacuated []roster.Server
 	// latency holds the estimates for the pool.
 	latency *estimate.Pool
 }
@@ -103,6 +107,7 @@
 		current[s.ID] = state
 	}
 	b.servers = current
+	b.ordered = slices.SortedFunc(maps.Values(current), func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // SetEvacuated sets the servers of the pool that are not among its servers because their failure domains are evacuated.
--- a/models/balance/choice.go
+++ b/models/balance/choice.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"cmp"
 	"encoding/binary"
 	"math"
 	"slices"
@@ -51,7 +50,7 @@
 	var best, reserve *server
 	var choice Choice
 	bestCost := time.Duration(math.MaxInt64)
-	for _, s := range b.sortedServers() {
+	for _, s := range b.ordered {
 		if slices.Contains(r.Exclude, s.ID) || (r.Version != "" && s.Version != r.Version) || (r.MaxRunning > 0 && s.running >= r.MaxRunning) {
 			continue
 		}
@@ -95,17 +94,6 @@
 	return s.suspension > 0 && (now.Before(s.suspendedUntil) || len(s.trials) > 0 || !r.Idempotent)
 }
 
-// sortedServers returns the servers ordered by id, so that equal seeds give equal
-// choices.
-func (b *Balancer) sortedServers() []*server {
-	all := make([]*server, 0, len(b.servers))
-	for _, s := range b.servers {
-		all = append(all, s)
-	}
-	slices.SortFunc(all, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
-	return all
-}
-
 // preferredServer returns the server to which every gateway maps the shared
 // segments of a prompt, by rendezvous hashing over the servers that are neither
 // suspended, nor in backoff, nor limited.
