Look at the segments of an answer only, not at all suspects, for each answer

Cause: each answer to any request built a map of all suspects, of which there are hundreds after a few crashes.

Change: Tracker.WatchedSince decides for one segment, and Watched uses it.

Result: go test ./models/quarantine ./services/quarantine passes.

--- a/models/quarantine/quarantine.go
+++ b/models/quarantine/quarantine.go
@@ -189,27 +189,39 @@
 // an answer clears each.
 func (t *Tracker) Watched() map[string]time.Time {
 	watched := map[string]time.Time{}
-	for id, s := range t.suspects {
-		// The answers must be known by the time of a conclusion.
-		if len(s.crashes) >= requiredCrashes(id)-1 {
-			first := s.earliest(func(c crashTimes) time.Time { return c.observedAt })
-			prior := priorAnswer
-			if isRequest(id) {
-				prior = priorRequestAnswer
-			}
-			watched[id] = first.Add(-prior)
+	for id := range t.suspects {
+		if since, ok := t.WatchedSince(id); ok {
+			watched[id] = since
 		}
 	}
 	for _, e := range t.provisional {
 		for _, id := range e.Segments {
-			if _, suspected := watched[id]; !suspected {
-				watched[id] = e.concludedAt()
+			if since, ok := t.WatchedSince(id); ok {
+				watched[id] = since
 			}
 		}
 	}
 	return watched
 }
 
+// WatchedSince is Watched for one segment. It returns false if its answers need not be recorded.
+func (t *Tracker) WatchedSince(id string) (time.Time, bool) {
+	// The answers must be known by the time of a conclusion.
+	if s, suspected := t.suspects[id]; suspected && len(s.crashes) >= requiredCrashes(id)-1 {
+		prior := priorAnswer
+		if isRequest(id) {
+			prior = priorRequestAnswer
+		}
+		return s.earliest(func(c crashTimes) time.Time { return c.observedAt }).Add(-prior), true
+	}
+	for _, e := range t.provisional {
+		if slices.Contains(e.Segments, id) {
+			return e.concludedAt(), true
+		}
+	}
+	return time.Time{}, false
+}
+
 // Expire forgets crashes and entries whose time has passed, and reports whether there are any
 // suspects.
 func (t *Tracker) Expire(now time.Time) bool {
--- a/services/quarantine/answers.go
+++ b/services/quarantine/answers.go
@@ -21,22 +21,28 @@
 	answer := quarantine.Answer{At: now, Segments: considered(segments)}
 	for _, id := range answer.Segments {
 		s.answered[id] = answer
+		if since, watched := s.tracker.WatchedSince(id); watched {
+			s.clearIfAnswered(id, since)
+		}
 	}
-	s.clearAnswered()
 	s.liftRefuted()
 }
 
-// clearAnswered clears the watched segments that were answered here, which is published after
-// a delay.
+// clearAnswered clears the watched segments that were answered here.
 func (s *Service) clearAnswered() {
 	for id, since := range s.tracker.Watched() {
-		if !s.answered[id].At.After(since) && !s.answeredBefore[id].At.After(since) {
-			continue
-		}
-		s.tracker.RecordAnswer(id)
-		s.schedulePublication()
-		s.unpublished[id] = true
+		s.clearIfAnswered(id, since)
+	}
+}
+
+// clearIfAnswered clears the segment if it was answered here after the time, which is published after a delay.
+func (s *Service) clearIfAnswered(id string, since time.Time) {
+	if !s.answered[id].At.After(since) && !s.answeredBefore[id].At.After(since) {
+		return
 	}
+	s.tracker.RecordAnswer(id)
+	s.schedulePublication()
+	s.unpublished[id] = true
 }
 
 // schedulePublication sets the time of the next publication, if none is scheduled.
