Look at each server once when the store's statements are read in full

Cause: Keep went through all servers for each server whose statement is missing.

Change: the statement ends for that start only; the loop visits the others of the same server itself.

Result: go test ./models/notice ./services/follower ./services/catalog passes.

--- a/models/notice/board.go
+++ b/models/notice/board.go
@@ -51,8 +51,8 @@
 	pools   map[string]route.Pool
 	// coldOver and coldSlack are what a cold server takes beyond its limit within a second.
 	coldOver, coldSlack float64
-	// slowStart is whether servers start slowly, listedAt when servers were last listed, starts are the starts that were listed last, and
-	// endedStarts the slow starts that have ended.
+	// slowStart is whether servers start slowly, listedAt when servers were last listed, starts are the starts
+	// that were listed last, and endedStarts the slow starts that have ended.
 	slowStart   bool
 	listedAt    time.Time
 	starts      map[string]start
@@ -167,7 +167,7 @@
 		case copied:
 			t.shared, t.own = 0, true
 		default:
-			b.LearnEnd(now, key.id)
+			b.Learn(now, Statement{ID: key.id, Started: key.started})
 		}
 	}
 }
