--- a/models/quarantine/quarantine.go
+++ b/models/quarantine/quarantine.go
@@ -57,6 +57,8 @@
 	Server string
 	// Segments are those of the prompts.
 	Segments []string
+	// Age is how long ago the crash was observed. Another gateway may have been cut off before it could publish it.
+	Age time.Duration
 }
 
 // requestPrefix begins the identifiers of requests. It can't begin that of a segment.
@@ -88,17 +90,19 @@
 	Until    time.Time
 }
 
-// Refuted reports whether a server has answered a prompt with all segments of the entry since about the
-// time of the conclusion, by the times of the last answers to each segment. Segments that one answer
-// has in common have the same time.
-func (e Entry) Refuted(answeredAt func(id string) time.Time) bool {
-	since := e.Until.Add(-Duration - settleTime)
-	for _, id := range e.Segments {
-		if at := answeredAt(id); !at.After(since) || !at.Equal(answeredAt(e.Segments[0])) {
-			return false
-		}
-	}
-	return len(e.Segments) > 0
+func (e Entry) concludedAt() time.Time { return e.Until.Add(-Duration) }
+
+// Answer is an answer to a prompt.
+type Answer struct {
+	At time.Time
+	// Segments are those of the prompt.
+	Segments []string
+}
+
+// Refutes reports whether the answer shows that prompts with all segments of the entry crash no servers: it was received
+// since about the time of the conclusion.
+func (a Answer) Refutes(e Entry) bool {
+	return len(e.Segments) > 0 && a.At.After(e.concludedAt().Add(-settleTime)) && e.matches(a.Segments)
 }
 
 // matches reports whether the entry applies to a prompt with the segments.
@@ -111,10 +115,17 @@
 	return true
 }
 
+// crashTimes are the times of a crash.
+type crashTimes struct {
+	// recordedAt is by this gateway's clock. observedAt, which may be earlier, depends on the clock of the gateway that
+	// observed the crash, and decides only which answers are later.
+	recordedAt, observedAt time.Time
+}
+
 // suspect is a segment under which servers crashed.
 type suspect struct {
 	// crashes holds when servers crashed, by the identity of their start.
-	crashes map[string]time.Time
+	crashes map[string]crashTimes
 	// reachedAt is when the number of crashes reached minCrashes, or the zero value.
 	reachedAt time.Time
 }
@@ -148,13 +159,13 @@
 	for _, id := range c.Segments {
 		s, exists := t.suspects[id]
 		if !exists {
-			s = &suspect{crashes: map[string]time.Time{}}
+			s = &suspect{crashes: map[string]crashTimes{}}
 			t.suspects[id] = s
 		}
 		if _, known := s.crashes[c.Server]; known {
 			continue
 		}
-		s.crashes[c.Server] = now
+		s.crashes[c.Server] = crashTimes{recordedAt: now, observedAt: now.Add(-max(0, c.Age))}
 		if len(s.crashes) == requiredCrashes(id) {
 			s.reachedAt = now
 		}
@@ -162,31 +173,60 @@
 }
 
 // RecordAnswer records that a server answered a prompt with the segment.
-func (t *Tracker) RecordAnswer(segment string) { delete(t.suspects, segment) }
+func (t *Tracker) RecordAnswer(segment string) {
+	delete(t.suspects, segment)
+	var provisional []Entry
+	for _, e := range t.provisional {
+		e.Segments = slices.DeleteFunc(slices.Clone(e.Segments), func(id string) bool { return id == segment })
+		if len(e.Segments) > 0 {
+			provisional = append(provisional, e)
+		}
+	}
+	t.provisional = provisional
+}
 
 // Watched returns the segments whose answers should be recorded, with the time from which on
 // an answer clears each.
 func (t *Tracker) Watched() map[string]time.Time {
 	watched := map[string]time.Time{}
-	for id, s := range t.suspects {
-		// The answers must be known by the time of a conclusion.
-		if len(s.crashes) >= requiredCrashes(id)-1 {
-			first := slices.MinFunc(slices.Collect(maps.Values(s.crashes)), time.Time.Compare)
-			prior := priorAnswer
-			if isRequest(id) {
-				prior = priorRequestAnswer
+	for id := range t.suspects {
+		if since, ok := t.WatchedSince(id); ok {
+			watched[id] = since
+		}
+	}
+	for _, e := range t.provisional {
+		for _, id := range e.Segments {
+			if since, ok := t.WatchedSince(id); ok {
+				watched[id] = since
 			}
-			watched[id] = first.Add(-prior)
 		}
 	}
 	return watched
 }
 
+// WatchedSince is Watched for one segment. It returns false if its answers need not be recorded.
+func (t *Tracker) WatchedSince(id string) (time.Time, bool) {
+	// The answers must be known by the time of a conclusion.
+	if s, suspected := t.suspects[id]; suspected && len(s.crashes) >= requiredCrashes(id)-1 {
+		prior := priorAnswer
+		if isRequest(id) {
+			prior = priorRequestAnswer
+		}
+		return s.earliest(func(c crashTimes) time.Time { return c.observedAt }).Add(-prior), true
+	}
+	for _, e := range t.provisional {
+		if slices.Contains(e.Segments, id) {
+			return e.concludedAt(), true
+		}
+	}
+	return time.Time{}, false
+}
+
 // Expire forgets crashes and entries whose time has passed, and reports whether there are any
 // suspects.
 func (t *Tracker) Expire(now time.Time) bool {
 	for id, s := range t.suspects {
-		maps.DeleteFunc(s.crashes, func(_ string, at time.Time) bool { return now.Sub(at) > EvidenceLifetime })
+		maps.DeleteFunc(s.crashes, func(_ string, c crashTimes) bool { return now.Sub(c.recordedAt) > EvidenceLifetime })
 		t.update(id, s)
 	}
 	maps.DeleteFunc(t.crashed, func(_ string, at time.Time) bool { return now.Sub(at) > EvidenceLifetime })
@@ -232,15 +272,32 @@
 
 // ConcludeAlone concludes from the evidence of this gateway while that of the others can't be read, and
 // returns the entries that are new. They apply to this gateway until the next contact, since others may
-// have got answers. The load that it answers is a prompt that crashes servers during an outage of the store.
+// have got answers. An outage may be longer than the lifetime of evidence, so that an entry outlasts the crashes that
+// led to it. The load that it answers is a prompt that crashes servers during an outage of the store.
 func (t *Tracker) ConcludeAlone(now time.Time) []Entry {
 	before := t.provisional
-	t.provisional = t.clone().Conclude(now, now)
-	return slices.DeleteFunc(slices.Clone(t.provisional), func(e Entry) bool {
-		return slices.ContainsFunc(before, func(b Entry) bool { return b.Key() == e.Key() })
+	concluded := t.clone().Conclude(now, now)
+	t.provisional = slices.Clone(concluded)
+	for _, e := range before {
+		if now.Before(e.Until) && t.evidenceExpired(e) && !containsKey(concluded, e.Key()) {
+			t.provisional = append(t.provisional, e)
+		}
+	}
+	return slices.DeleteFunc(concluded, func(e Entry) bool { return containsKey(before, e.Key()) })
+}
+
+// evidenceExpired reports whether crashes that led to the entry no longer count.
+func (t *Tracker) evidenceExpired(e Entry) bool {
+	return slices.ContainsFunc(e.Segments, func(id string) bool {
+		s, suspected := t.suspects[id]
+		return !suspected || len(s.crashes) < requiredCrashes(id)
 	})
 }
 
+func containsKey(entries []Entry, key string) bool {
+	return slices.ContainsFunc(entries, func(e Entry) bool { return e.Key() == key })
+}
+
 // RecordContact records that the evidence of the others is readable again. What this gateway concluded on
 // its own has no effect any more.
 func (t *Tracker) RecordContact(now time.Time) { t.provisional, t.contactAt = nil, now }
@@ -282,6 +339,17 @@
 	return e
 }
 
+// earliest returns the earliest of the crashes' times.
+func (s *suspect) earliest(timeOf func(crashTimes) time.Time) time.Time {
+	var first time.Time
+	for _, c := range s.crashes {
+		if at := timeOf(c); first.IsZero() || at.Before(first) {
+			first = at
+		}
+	}
+	return first
+}
+
 // shares reports whether both have a crash in common.
 func (s *suspect) shares(other *suspect) bool {
 	for server := range s.crashes {
@@ -318,7 +386,7 @@
 
 // share returns the part of all crashes since the first one of the suspect that it explains.
 func (t *Tracker) share(s *suspect) float64 {
-	first := slices.MinFunc(slices.Collect(maps.Values(s.crashes)), time.Time.Compare)
+	first := s.earliest(func(c crashTimes) time.Time { return c.recordedAt })
 	all := 0
 	for _, at := range t.crashed {
 		if !at.Before(first) {
@@ -329,7 +397,7 @@
 }
 
 // explain removes crashes whose cause is known from all suspects.
-func (t *Tracker) explain(crashes map[string]time.Time) {
+func (t *Tracker) explain(crashes map[string]crashTimes) {
 	maps.DeleteFunc(t.crashed, func(server string, _ time.Time) bool { _, known := crashes[server]; return known })
 	for id, s := range t.suspects {
 		t.remove(id, s, crashes)
@@ -337,8 +405,8 @@
 }
 
 // remove removes crashes from a suspect.
-func (t *Tracker) remove(id string, s *suspect, crashes map[string]time.Time) {
-	maps.DeleteFunc(s.crashes, func(server string, _ time.Time) bool { _, known := crashes[server]; return known })
+func (t *Tracker) remove(id string, s *suspect, crashes map[string]crashTimes) {
+	maps.DeleteFunc(s.crashes, func(server string, _ crashTimes) bool { _, known := crashes[server]; return known })
 	t.update(id, s)
 }
 
@@ -364,7 +432,7 @@
 // Find returns the entry that applies to a prompt with the segments, if there is one.
 func (t *Tracker) Find(now time.Time, segments []string) (Entry, bool) {
 	for _, e := range t.provisional {
-		if e.matches(segments) {
+		if now.Before(e.Until) && e.matches(segments) {
 			return e, true
 		}
 	}
--- a/services/quarantine/quarantine_test.go
+++ b/services/quarantine/quarantine_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"os"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -13,6 +16,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	models "github.com/crocusline/crocusline/models/quarantine"
 	"github.com/crocusline/crocusline/modules/metric"
 	"github.com/crocusline/crocusline/platform"
 	"github.com/crocusline/crocusline/services/quarantine"
@@ -58,9 +62,15 @@
 }
 
 func (f *fixture) start(instance string) *quarantine.Service {
+	f.Helper()
+	return f.startAt(instance, f.store)
+}
+
+// startAt starts a gateway that reaches the store through the handler.
+func (f *fixture) startAt(instance string, store http.Handler) *quarantine.Service {
 	f.Helper()
 	client := platform.NewStore(netip.MustParseAddrPort("10.0.0.1:80"), metric.New(),
-		platform.WithTransport(site.NewTransport(f.store, time.Millisecond)))
+		platform.WithTransport(site.NewTransport(store, time.Millisecond)))
 	s := quarantine.New(hclog.NewNullLogger(), client, platform.Codec{}.QuarantineTopic(), instance, f.crashed)
 	if err := s.Start(f.Context(), nil); err != nil {
 		f.Fatal(err)
@@ -226,3 +236,125 @@
 		}
 	})
 }
+
+// TestQuarantineRefutedBeforeOthers guards against a wrong quarantine that lasts, as a prompt that shares one of its segments
+// was answered after the prompt that refutes it.
+func TestQuarantineRefutedBeforeOthers(t *testing.T) {
+	run(t, func(f *fixture) {
+		b := f.start("b")
+		f.store.SetFault(site.Unavailable)
+		time.Sleep(time.Second)
+		concludedAt := time.Now()
+		b.RecordAnswer([]string{"request-1", "common", "own"})
+		time.Sleep(100 * time.Millisecond)
+		b.RecordAnswer([]string{"request-2", "common", "other"})
+		time.Sleep(time.Second)
+		e := models.Entry{Segments: []string{"common", "own"}, Until: concludedAt.Add(models.Duration)}
+		value, err := e.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.store.SetFault(site.NoFault)
+		f.store.Put(platform.Codec{}.QuarantineTopic(), e.Key(), value)
+		time.Sleep(4 * time.Second)
+		f.expect("answered", b, false, "common", "own")
+		f.expect("started later", f.start("c"), false, "common", "own")
+	})
+}
+
+// cutStore is the store as a gateway reaches it that may be cut off from it.
+type cutStore struct {
+	http.Handler
+	cut atomic.Bool
+}
+
+func (s *cutStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.cut.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.Handler.ServeHTTP(w, r)
+}
+
+// TestLiftedQuarantineConcludedAgain guards against a quarantine that was lifted and returns for an hour, as a gateway that
+// was cut off meanwhile concludes the same from the same crashes, or has others conclude it again.
+func TestLiftedQuarantineConcludedAgain(t *testing.T) {
+	run(t, func(f *fixture) {
+		link := &cutStore{Handler: f.store}
+		a, b, c := f.start("a"), f.start("b"), f.startAt("c", link)
+		link.cut.Store(true)
+		time.Sleep(2 * time.Second)
+		for n := range 4 {
+			f.crash(a, n, "common", "own")
+			f.crash(c, n, "common", "own")
+		}
+		time.Sleep(2 * time.Second)
+		f.expect("before", b, true, "common", "own")
+		b.RecordAnswer([]string{"common", "own"})
+		time.Sleep(2 * time.Second)
+		f.expect("lifted", a, false, "common", "own")
+		link.cut.Store(false)
+		time.Sleep(5 * time.Second)
+		for who, s := range map[string]*quarantine.Service{"observer": a, "answered": b, "cut off": c, "started later": f.start("d")} {
+			f.expect(who, s, false, "common", "own")
+		}
+	})
+}
+
+// TestQuarantineConcludedAfterLift guards against a gateway that starts after a quarantine was lifted and concludes the same,
+// as the store has the crashes, but not the answer.
+func TestQuarantineConcludedAfterLift(t *testing.T) {
+	run(t, func(f *fixture) {
+		a, b := f.start("a"), f.start("b")
+		for n := range 4 {
+			f.crash(a, n, "common", "own")
+		}
+		time.Sleep(2 * time.Second)
+		b.RecordAnswer([]string{"common", "own"})
+		time.Sleep(time.Second)
+		c := f.start("c")
+		time.Sleep(3 * time.Second)
+		f.expect("started later", c, false, "common", "own")
+	})
+}
+
+// TestQuarantineLiftedByAll guards against a lift that each gateway with an answer writes and each other one reads.
+func TestQuarantineLiftedByAll(t *testing.T) {
+	run(t, func(f *fixture) {
+		const gateways = 60
+		var others []*quarantine.Service
+		writes := &countedWrites{Handler: f.store}
+		for i := range gateways {
+			others = append(others, f.startAt(fmt.Sprintf("g%d", i), writes))
+		}
+		for _, s := range others {
+			s.RecordAnswer([]string{"common", "own"})
+		}
+		e := models.Entry{Segments: []string{"common", "own"}, Until: time.Now().Add(models.Duration)}
+		value, err := e.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.store.Put(platform.Codec{}.QuarantineTopic(), e.Key(), value)
+		time.Sleep(4 * time.Second)
+		if n := writes.n.Load(); n == 0 || n > gateways/2 {
+			t.Errorf("%d gateways wrote that the quarantine is lifted, want one or a few of %d", n, gateways)
+		}
+		for i, s := range others {
+			f.expect(fmt.Sprint("gateway ", i), s, false, "common", "own")
+		}
+	})
+}
+
+// countedWrites is the store with a count of the appends.
+type countedWrites struct {
+	http.Handler
+	n atomic.Int64
+}
+
+func (s *countedWrites) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.Contains(r.URL.Path, "append") {
+		s.n.Add(1)
+	}
+	s.Handler.ServeHTTP(w, r)
+}
