Review case 7: a stream that a crash cut looks complete

The system of a killed server ends its connections in order. For streams without a length that may not be resumed the gateway takes that for the end of the stream and ends the client's answer with the last chunk.

--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -85,10 +85,16 @@
 
 // cases returns whether the rule was broken, with what was seen.
 var cases = map[string]func(*environment) (bool, string, error){
+	"crash":   playCrash,
 	"reports": playReports,
 }
 
-func main() { os.Exit(play()) }
+func main() {
+	if len(os.Args) == 3 && os.Args[1] == "server" {
+		os.Exit(serveProcess(os.Args[2]))
+	}
+	os.Exit(play())
+}
 
 func play() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- /dev/null
+++ b/review/harness2/process.go
@@ -0,0 +1,114 @@
+//go:build review2
+
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// unframedEvery is which answers of a server process have no length and end with their connections: 1 in 20.
+const unframedEvery = 20
+
+// serverProcess is a backend server in a process of its own, so that a kill ends its connections as the system does.
+type serverProcess struct {
+	id, addr string
+	command  *exec.Cmd
+	stop     chan struct{}
+}
+
+// startServerProcess starts a server and lists it until it is killed.
+func (e *environment) startServerProcess(id, service, zone string) (*serverProcess, error) {
+	p := &serverProcess{id: id, command: exec.Command(os.Args[0], "server", id), stop: make(chan struct{})}
+	p.command.Stderr = os.Stderr
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := p.command.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.command.Start(); err != nil {
+		return nil, err
+	}
+	line, err := bufio.NewReader(out).ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	p.addr = strings.TrimSpace(line)
+	born := time.Now().UnixMilli()
+	if _, body := get("http://" + p.addr + "/api/report"); strings.Contains(body, `"born":`) {
+		text := body[strings.Index(body, `"born":`)+len(`"born":`):]
+		born = number(strings.TrimRight(text, "}\n"))
+	}
+	go func() {
+		for sequence := 1; ; sequence++ {
+			e.store.put("keyed.servers", id, map[string]any{
+				"service": service, "address": p.addr, "zone": zone, "version": "1", "max_concurrency": 64,
+				"state": "ready", "warmup_left_ms": 0, "sequence": sequence, "born": born,
+			})
+			select {
+			case <-time.After(heartbeat):
+			case <-p.stop:
+				// The entry is removed after three intervals of silence.
+				time.Sleep(3 * heartbeat)
+				e.store.put("keyed.servers", id, nil)
+				return
+			}
+		}
+	}()
+	return p, nil
+}
+
+func (p *serverProcess) kill() {
+	select {
+	case <-p.stop:
+		return
+	default:
+	}
+	close(p.stop)
+	_ = p.command.Process.Kill()
+	_ = p.command.Wait()
+}
+
+// serveProcess is the process of a server.
+func serveProcess(id string) int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	fmt.Println(l.Addr())
+	s := &server{id: id, engine: true, born: time.Now().UnixMilli(), endNow: make(chan struct{})}
+	var answers atomic.Int64
+	s.intercept = func(w http.ResponseWriter, r *http.Request, body []byte) bool {
+		if answers.Add(1)%unframedEvery != 0 {
+			return false
+		}
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return true
+		}
+		defer conn.Close()
+		plan, request := parsePlan(body), r.Header.Get("Request-Id")
+		if _, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: %s\r\nResponse-Seal: seal.%s.%s\r\nConnection: close\r\n\r\n", request, id, request); err != nil {
+			return true
+		}
+		for i := 1; i <= plan.events; i++ {
+			if _, err := conn.Write([]byte("id: " + strconv.Itoa(i) + "\ndata: " + strconv.Itoa(i) + " " + strings.Repeat("x", 40) + "\n\n")); err != nil {
+				return true
+			}
+			time.Sleep(plan.gap)
+		}
+		return true
+	}
+	_ = (&http.Server{Handler: s}).Serve(l)
+	return 0
+}
