--- a/review/harness2/client.go
+++ b/review/harness2/client.go
@@ -79,6 +79,9 @@
 	if method == "" {
 		method = http.MethodPost
 	}
+	if method == http.MethodGet {
+		body = ""
+	}
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Token %s\r\n", method, r.Path, r.Host, res.ID, r.Deadline.Milliseconds(), r.Key)
 	if !r.Plain {
 		segment := r.Segment
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -22,6 +22,8 @@
 	store    *store
 	servers  []*server
 	gateways []*gateway
+	// halves has the answers without a length that server processes have sent half of.
+	halves chan half
 
 	mu     sync.Mutex
 	record *os.File
@@ -86,6 +88,7 @@
 // cases returns whether the rule was broken, with what was seen.
 var cases = map[string]func(*environment) (bool, string, error){
 	"crash":   playCrash,
+	"cut":     playCut,
 	"reports": playReports,
 }
 
@@ -111,7 +114,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	e := &environment{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: record, start: time.Now()}
+	e := &environment{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: record, start: time.Now(), halves: make(chan half, 1000)}
 	defer e.close()
 	if e.store, err = newStore(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/harness2/process.go
+++ b/review/harness2/process.go
@@ -24,11 +24,19 @@
 	id, addr string
 	command  *exec.Cmd
 	stop     chan struct{}
+	// halves has the ids of requests of which the server has sent the first half of an answer without a length.
+	halves chan<- half
+}
+
+// half says that a server has sent the first half of an answer to the request.
+type half struct {
+	server  *serverProcess
+	request string
 }
 
 // startServerProcess starts a server and lists it until it is killed.
 func (e *environment) startServerProcess(id, service, zone string) (*serverProcess, error) {
-	p := &serverProcess{id: id, command: exec.Command(os.Args[0], "server", id), stop: make(chan struct{})}
+	p := &serverProcess{id: id, command: exec.Command(os.Args[0], "server", id), stop: make(chan struct{}), halves: e.halves}
 	p.command.Stderr = os.Stderr
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	out, err := p.command.StdoutPipe()
@@ -38,10 +46,23 @@
 	if err := p.command.Start(); err != nil {
 		return nil, err
 	}
-	line, err := bufio.NewReader(out).ReadString('\n')
+	reader := bufio.NewReader(out)
+	line, err := reader.ReadString('\n')
 	if err != nil {
 		return nil, err
 	}
+	go func() {
+		for {
+			request, err := reader.ReadString('\n')
+			if err != nil {
+				return
+			}
+			select {
+			case p.halves <- half{p, strings.TrimSpace(request)}:
+			default:
+			}
+		}
+	}()
 	p.addr = strings.TrimSpace(line)
 	born := time.Now().UnixMilli()
 	if _, body := get("http://" + p.addr + "/api/report"); strings.Contains(body, `"born":`) {
@@ -89,7 +110,12 @@
 	s := &server{id: id, engine: true, born: time.Now().UnixMilli(), endNow: make(chan struct{})}
 	var answers atomic.Int64
 	s.intercept = func(w http.ResponseWriter, r *http.Request, body []byte) bool {
-		if answers.Add(1)%unframedEvery != 0 {
+		unframed := answers.Add(1)%unframedEvery == 0
+		if strings.HasPrefix(r.URL.Path, statusPath) {
+			writeStatus(w, r, id, unframed)
+			return true
+		}
+		if !unframed {
 			return false
 		}
 		conn, _, err := w.(http.Hijacker).Hijack()
@@ -112,3 +138,34 @@
 	_ = (&http.Server{Handler: s}).Serve(l)
 	return 0
 }
+
+const (
+	statusPath = "/status/"
+	// statusBytes is the size of an answer, which the server sends in two parts.
+	statusBytes = 800
+	statusWork  = 50 * time.Millisecond
+)
+
+// writeStatus answers a lookup. The second part of the answer takes as long as the first.
+func writeStatus(w http.ResponseWriter, r *http.Request, id string, unframed bool) {
+	request := r.Header.Get("Request-Id")
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nRequest-Id: %s\r\nResponse-Seal: seal.%s.%s\r\nConnection: close\r\n", request, id, request)
+	if !unframed {
+		head += "Content-Length: " + strconv.Itoa(statusBytes) + "\r\n"
+	}
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	half := strings.Repeat("s", statusBytes/2)
+	time.Sleep(statusWork)
+	if _, err := conn.Write([]byte(head + "\r\n" + half)); err != nil {
+		return
+	}
+	if unframed {
+		fmt.Println(request)
+	}
+	time.Sleep(statusWork)
+	_, _ = conn.Write([]byte(half))
+}
