--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -20,7 +21,7 @@
 	dir                         string
 	seeds                       []string
 	store                       string
-	zone                        string
+	zone, ip                    string
 	command                     *exec.Cmd
 	ended                       chan struct{}
 	log                         *os.File
@@ -40,8 +41,10 @@
 	return nil, fmt.Errorf("deploy/system.toml has no run line")
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// freeAddress returns an address with a free port. Each gateway has a loopback address of its own, so that no outgoing
+// connection takes the port before the gateway listens.
+func freeAddress(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return "", err
 	}
@@ -54,10 +57,12 @@
 	zones := []string{"za-a", "za-b", "za-c"}
 	var all []*gateway
 	var seeds []string
+	// Cases that run beside each other have other addresses.
+	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
 	for i := range n {
-		g := &gateway{name: fmt.Sprintf("front-%d", i+1), dir: dir, store: store, zone: zones[i%len(zones)]}
+		g := &gateway{name: fmt.Sprintf("front-%d", i+1), dir: dir, store: store, zone: zones[i%len(zones)], ip: fmt.Sprintf("%s.%d", network, i+1)}
 		for _, target := range []*string{&g.front, &g.ready, &g.control} {
-			address, err := freeAddress()
+			address, err := freeAddress(g.ip)
 			if err != nil {
 				return nil, err
 			}
@@ -78,7 +83,7 @@
 func (g *gateway) settings(first bool) map[string]any {
 	return map[string]any{
 		"node_name": g.name, "role": "entry", "machine_class": "front", "serves": []string{"front", "control"},
-		"ip": "127.0.0.1", "zone": g.zone, "region": "sk-central",
+		"ip": g.ip, "zone": g.zone, "region": "sk-central",
 		"zones":      map[string]string{"za-a": "sk-central", "za-b": "sk-central", "za-c": "sk-central"},
 		"bind":       map[string]string{"front": g.front, "ready": g.ready, "control": g.control},
 		"port_range": []int{7340, 7355}, "seed_addrs": g.seeds, "bootstrap": first, "in_tolerance": false,
