--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -25,6 +25,7 @@
 	command                     *exec.Cmd
 	ended                       chan struct{}
 	log                         *os.File
+	started                     func(*os.Process)
 }
 
 // roleCommand returns the words of the deploy file's run line.
@@ -53,14 +54,14 @@
 }
 
 // newGateways returns gateways that are not started. Their zones take turns.
-func newGateways(dir, store string, n int) ([]*gateway, error) {
+func newGateways(dir, store string, n int, started func(*os.Process)) ([]*gateway, error) {
 	zones := []string{"za-a", "za-b", "za-c"}
 	var all []*gateway
 	var seeds []string
 	// Cases that run beside each other have other addresses.
 	network := fmt.Sprintf("127.%d.%d", 1+rand.IntN(250), rand.IntN(250))
 	for i := range n {
-		g := &gateway{name: fmt.Sprintf("front-%d", i+1), dir: dir, store: store, zone: zones[i%len(zones)], ip: fmt.Sprintf("%s.%d", network, i+1)}
+		g := &gateway{name: fmt.Sprintf("front-%d", i+1), dir: dir, started: started, store: store, zone: zones[i%len(zones)], ip: fmt.Sprintf("%s.%d", network, i+1)}
 		for _, target := range []*string{&g.front, &g.ready, &g.control} {
 			address, err := freeAddress(g.ip)
 			if err != nil {
@@ -130,6 +131,7 @@
 	if err := g.command.Start(); err != nil {
 		return err
 	}
+	g.started(g.command.Process)
 	command, ended := g.command, make(chan struct{})
 	g.ended = ended
 	go func() {
@@ -143,7 +145,7 @@
 
 // kill kills the process and waits for its end.
 func (g *gateway) kill() {
-	if g.command == nil {
+	if g.command == nil || g.command.Process == nil {
 		return
 	}
 	g.signal(syscall.SIGKILL)
--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -8,8 +8,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -28,6 +30,36 @@
 	mu     sync.Mutex
 	record *os.File
 	start  time.Time
+	// children are the processes that were started. Those that have ended are skipped.
+	children []*os.Process
+}
+
+// started records a process, which ends with the case.
+func (e *environment) started(p *os.Process) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.children = append(e.children, p)
+}
+
+// endOnSignal ends the processes of the case if the case itself is told to end.
+func (e *environment) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		e.killChildren()
+		_ = os.RemoveAll(e.dir)
+		os.Exit(2)
+	}()
+}
+
+func (e *environment) killChildren() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.children {
+		// A process that was waited for isn't signalled any more.
+		_ = p.Kill()
+	}
 }
 
 // note writes a line to the record.
@@ -41,6 +73,7 @@
 	for _, g := range e.gateways {
 		g.kill()
 	}
+	e.killChildren()
 	for _, s := range e.servers {
 		s.close()
 	}
@@ -69,7 +102,7 @@
 // startGateways starts n gateways and waits until they are ready.
 func (e *environment) startGateways(n int) error {
 	var err error
-	if e.gateways, err = newGateways(e.dir, e.store.addr, n); err != nil {
+	if e.gateways, err = newGateways(e.dir, e.store.addr, n, e.started); err != nil {
 		return err
 	}
 	for _, g := range e.gateways {
@@ -116,6 +149,7 @@
 	}
 	e := &environment{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: record, start: time.Now(), halves: make(chan half, 1000)}
 	defer e.close()
+	e.endOnSignal()
 	if e.store, err = newStore(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/harness2/process.go
+++ b/review/harness2/process.go
@@ -46,6 +46,7 @@
 	if err := p.command.Start(); err != nil {
 		return nil, err
 	}
+	e.started(p.command.Process)
 	reader := bufio.NewReader(out)
 	line, err := reader.ReadString('\n')
 	if err != nil {
