Tests: crowds of callers that don't finish, at each listener and in each framing

Callers that operators don't control ended a process: it ran out of memory. The tests check that the process lives, stays within the memory and the descriptors of its settings and serves an ordinary request afterwards.

--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -124,6 +124,22 @@
 	}
 }
 
+// ID returns the id of a running process, 0 if there is none of the name.
+func (c *Cluster) ID(name string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.processes[name]
+	if !ok {
+		return 0
+	}
+	select {
+	case <-p.exited:
+		return 0
+	default:
+		return p.cmd.Process.Pid
+	}
+}
+
 // Pause suspends a process until Resume.
 func (c *Cluster) Pause(name string) error {
 	return c.signal(name, syscall.SIGSTOP)
--- a/standin/cluster/fleet.go
+++ b/standin/cluster/fleet.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"text/template"
 
 	"github.com/pkg/errors"
@@ -39,6 +40,8 @@
 	Slots int
 	// LogLevel is the log level of the entries and sidecars.
 	LogLevel string
+	// TLS is whether entries serve callers over TLS.
+	TLS bool
 }
 
 // The workspace in the tables of a fleet, and its token.
@@ -90,9 +93,18 @@
 
 // URL returns the base URL of a simulated system, or of an entry's caller listener.
 func (f *Fleet) URL(name string) string {
-	return fmt.Sprintf("http://127.0.0.1:%d", f.ports[name])
+	scheme := "http"
+	if f.spec.TLS && f.isEntry(name) {
+		scheme = "https"
+	}
+	return fmt.Sprintf("%s://127.0.0.1:%d", scheme, f.ports[name])
 }
 
+func (f *Fleet) isEntry(name string) bool { return slices.Contains(f.EntryNames(), name) }
+
+// CAFile returns the file with the authority of the entries' certificates.
+func (f *Fleet) CAFile() string { return filepath.Join(f.dir, "certs", "ca.pem") }
+
 // OperatorURL returns the base URL of a process's operator listener.
 func (f *Fleet) OperatorURL(name string) string {
 	return fmt.Sprintf("http://127.0.0.1:%d", f.ports[name+" operator"])
@@ -129,6 +141,10 @@
 caller:
   listen: 127.0.0.1:{{.Caller}}
   streamsPerWorkspace: 100000
+{{- if .TLS}}
+  certFile: certs/peer.pem
+  keyFile: certs/peer.key
+{{- end}}
 {{- end}}
 peer:
   listen: 127.0.0.1:{{.Peer}}
@@ -156,6 +172,7 @@
 	Name, Server, Kind, LogLevel              string
 	Platform, Caller, Peer, Operator, Backend int
 	Slots, Shards                             int
+	TLS                                       bool
 }
 
 func (f *Fleet) writeFiles() error {
@@ -201,6 +218,7 @@
 		Operator: f.ports[name+" operator"],
 		Slots:    f.spec.Slots,
 		Shards:   Shards,
+		TLS:      f.spec.TLS,
 	}
 }
 
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -8,6 +8,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -35,6 +36,8 @@
 	// Freeze blocks calls before their effect until it is cleared. A call that
 	// its client cancels in the meantime has no effect.
 	Freeze bool `json:"freeze"`
+	// AnswerBytes is the size of the padding of each response.
+	AnswerBytes int `json:"answerBytes"`
 }
 
 // CallRecord is the record of one idempotency key.
@@ -56,6 +59,7 @@
 	Key          string `json:"key"`
 	RequestID    string `json:"requestId"`
 	BodyHash     string `json:"bodyHash"`
+	Padding      string `json:"padding,omitempty"`
 }
 
 // Service is a simulated plain service.
@@ -154,6 +158,7 @@
 		record.OtherBodies++
 	}
 	response = Response{Confirmation: strconv.Itoa(s.executions), Key: key, RequestID: requestID, BodyHash: hash}
+	response.Padding = strings.Repeat("x", s.faults.AnswerBytes)
 	if s.faults.LoseNextAnswers == 0 {
 		return response, false
 	}
