Gateway: turn HTTP/2 off at its listeners

Callers saw 45 of 143 ordinary requests answered while 300 connections sent 100 HTTP/2 requests each with 14 KB of headers; the process took 1,165 MB with 112 MB in its settings. Cause: net/http parses the headers of all streams of a connection and starts a handler for each before the handler can reserve memory, and the limit of connections counts 100 to 250 requests as one. The operators' protocol is HTTP/1.1 and no client or peer of the project uses HTTP/2 there, so callers, readiness and peers get HTTP/1.1 only (web.WithoutHTTP2). The preface of HTTP/2, which net/http hands to the handler as a request, gets 505 and its connection is closed.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -51,9 +51,6 @@
 	maxHeaderBytes = 16 << 10
 	// maxSmallHeaderBytes limits the header of a request of another gateway or of the platform.
 	maxSmallHeaderBytes = 4 << 10
-	// receiveBufferBytes limits what an HTTP/2 connection holds that was not read yet. HTTP/2 allows no
-	// smaller value.
-	receiveBufferBytes = 64 << 10
 	// maxReadinessConnections limits the connections of the platform's readiness checks, which are made
 	// once a second.
 	maxReadinessConnections = 64
@@ -285,7 +282,7 @@
 	return []web.Option{
 		web.WithErrorLog(serverErrorLog(g.log)),
 		web.WithMaxConnections(maxConnections, counter.Inc),
-		web.WithReceiveBuffer(receiveBufferBytes),
+		web.WithoutHTTP2(),
 		web.WithBodyTimeout(bodyTimeout),
 	}
 }
--- /dev/null
+++ b/modules/web/protocol_test.go
@@ -0,0 +1,66 @@
+package web_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/crocusline/crocusline/modules/web"
+)
+
+const http2Preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+
+// TestHTTP2TurnedOff guards against a server that speaks HTTP/2 although that is turned off, or that takes the start of
+// an HTTP/2 connection for a request.
+func TestHTTP2TurnedOff(t *testing.T) {
+	handled := false
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		handled = true
+		w.WriteHeader(http.StatusNoContent)
+	})
+	server, err := web.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), handler, web.WithoutHTTP2())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	s := &limitedServer{Server: server}
+	conn := s.connect(t, http2Preface)
+	if err := conn.SetReadDeadline(time.Now().Add(time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	if got := status(conn); got != http.StatusHTTPVersionNotSupported || handled {
+		t.Errorf("got status %d, handled %t", got, handled)
+	}
+	if got := status(conn); got != 0 {
+		t.Errorf("a second response with status %d", got)
+	}
+	if got := status(s.connect(t, header)); got != http.StatusNoContent {
+		t.Errorf("HTTP/1.1 got status %d", got)
+	}
+}
+
+// TestHTTP2TurnedOffOverTLS guards against a server that agrees on HTTP/2 in the handshake, or refuses callers that offer
+// HTTP/1.1 too.
+func TestHTTP2TurnedOffOverTLS(t *testing.T) {
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	defer certified.Close()
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	server, err := web.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), handler, web.WithTLS(certified.TLS), web.WithoutHTTP2())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = server.Close() }()
+	transport := certified.Client().Transport.(*http.Transport).Clone()
+	transport.ForceAttemptHTTP2 = true
+	defer transport.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: transport}).Get("https://" + server.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.ProtoMajor != 1 || resp.StatusCode != http.StatusNoContent {
+		t.Errorf("got %s %d", resp.Proto, resp.StatusCode)
+	}
+}
--- a/modules/web/server.go
+++ b/modules/web/server.go
@@ -42,6 +42,15 @@
 	return func(s *Server) { s.http.TLSConfig = config }
 }
 
+// WithoutHTTP2 makes the server speak HTTP/1.1 only. Over HTTP/2 a connection has many requests at once, whose headers are
+// parsed and whose bodies are buffered before the handler can refuse them.
+func WithoutHTTP2() Option {
+	return func(s *Server) {
+		s.http.Protocols.SetHTTP2(false)
+		s.http.Protocols.SetUnencryptedHTTP2(false)
+	}
+}
+
 // WithMaxHeaderBytes sets the maximum size of a request header.
 func WithMaxHeaderBytes(n int) Option {
 	return func(s *Server) { s.http.MaxHeaderBytes = n }
@@ -95,7 +104,7 @@
 	for _, opt := range opts {
 		opt(s)
 	}
-	s.http.Handler = s.withBodyTimeout(s.withWriteTimeout(handler))
+	s.http.Handler = s.withProtocols(s.withBodyTimeout(s.withWriteTimeout(handler)))
 	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
@@ -107,7 +116,10 @@
 	}
 	if s.http.TLSConfig != nil {
 		config := s.http.TLSConfig.Clone()
-		config.NextProtos = []string{"h2", "http/1.1"}
+		config.NextProtos = []string{"http/1.1"}
+		if s.http.Protocols.HTTP2() {
+			config.NextProtos = []string{"h2", "http/1.1"}
+		}
 		listener = tls.NewListener(listener, config)
 	}
 	s.listener = listener
@@ -134,6 +146,22 @@
 	return err
 }
 
+// withProtocols refuses the start of an HTTP/2 connection if the server doesn't speak that. net/http passes it on as a
+// request.
+func (s *Server) withProtocols(next http.Handler) http.Handler {
+	if s.http.Protocols.UnencryptedHTTP2() {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor == 1 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusHTTPVersionNotSupported)
+	})
+}
+
 // withBodyTimeout sets the deadline of a request's body. A read after it fails, also one of the server
 // itself, which then closes the connection.
 func (s *Server) withBodyTimeout(next http.Handler) http.Handler {
