Limit the number of fields in a request's header

A connection with a header of 15 KiB in short fields without values, complete or not, took 350 KB: 1,500 of them took a gateway with 112 MB in its settings to 195 MB, with short bodies that stall to 353 MB, although its limit of connections counts 32 KiB each. Cause: net/http limits a header's bytes only and parses fields as they arrive; each takes a place in a map, a key and a list of values, 20 times its bytes. The connection now counts the lines of a header as it is read, before net/http parses them, and answers 431 beyond 128 fields; callers and their proxies send some twenty. 128 short fields take 16 KiB, which the connection's 32 KiB cover.

TestHeaderFields guards bodies with many lines, several requests on a connection and parts of one byte.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -49,6 +49,8 @@
 	pruneInterval = time.Second
 	// maxHeaderBytes limits a request's header; the operators' limit is the same.
 	maxHeaderBytes = 16 << 10
+	// maxHeaderFields limits the number of a header's fields. Callers and their proxies send some twenty.
+	maxHeaderFields = 128
 	// maxSmallHeaderBytes limits the header of a request of another gateway or of the platform.
 	maxSmallHeaderBytes = 4 << 10
 	// maxReadinessConnections limits the connections of the platform's readiness checks, which are made
@@ -283,6 +285,7 @@
 		web.WithErrorLog(serverErrorLog(g.log)),
 		web.WithMaxConnections(maxConnections, counter.Inc),
 		web.WithoutHTTP2(),
+		web.WithMaxHeaderFields(maxHeaderFields),
 		web.WithBodyTimeout(bodyTimeout),
 	}
 }
--- a/modules/web/connections.go
+++ b/modules/web/connections.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // refusedResponse is the response to a connection beyond the limit. Nothing was read from it.
@@ -59,7 +57,7 @@
 
 // limitedConn is a connection that counts against the limit until it is closed.
 type limitedConn struct {
-	net.Conn
+	tcpConn
 	connections *connections
 	// element is the connection's place in idle, or nil, and idleSince when it got it.
 	element   *list.Element
@@ -72,23 +70,6 @@
 	return c.Conn.Close()
 }
 
-// CloseWrite ends the connection's direction to the caller. net/http calls it before it closes a connection with unread
-// bytes, which resets it.
-func (c *limitedConn) CloseWrite() error {
-	if tcp, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return tcp.CloseWrite()
-	}
-	return errors.WithStack(http.ErrNotSupported)
-}
-
-// SetLinger sets what Close does with bytes that are not sent yet, as that of net.TCPConn does.
-func (c *limitedConn) SetLinger(sec int) error {
-	if tcp, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
-		return tcp.SetLinger(sec)
-	}
-	return errors.WithStack(http.ErrNotSupported)
-}
-
 // add returns the connection with a place under the limit, or nil if there is none.
 func (c *connections) add(conn net.Conn) *limitedConn {
 	limit := c.limit()
@@ -96,7 +77,7 @@
 	closed := c.removeIdleLocked(len(c.open) - limit + 1)
 	var added *limitedConn
 	if len(c.open) < limit {
-		added = &limitedConn{Conn: conn, connections: c}
+		added = &limitedConn{tcpConn: tcpConn{conn}, connections: c}
 		c.open[added] = struct{}{}
 		c.setIdleLocked(added)
 	}
@@ -165,13 +146,15 @@
 		}
 		next.ServeHTTP(w, r)
 	})
-	s.ConnState = func(conn net.Conn, state http.ConnState) {
-		// The response is written after the handler, and before this state.
-		if limited := findLimited(conn); limited != nil && state == http.StateIdle {
-			c.mu.Lock()
-			c.setIdleLocked(limited)
-			c.mu.Unlock()
-		}
+}
+
+// setIdle records that a connection has no request in progress any more. The response is written after the handler, and before
+// that.
+func (c *connections) setIdle(conn net.Conn) {
+	if limited := findLimited(conn); limited != nil {
+		c.mu.Lock()
+		c.setIdleLocked(limited)
+		c.mu.Unlock()
 	}
 }
 
--- a/modules/web/server.go
+++ b/modules/web/server.go
@@ -24,14 +24,15 @@
 
 // Server is an HTTP server on one TCP address.
 type Server struct {
-	http         *http.Server
-	listener     net.Listener
-	drainTimeout time.Duration
-	writeTimeout time.Duration
-	meter        *netmeter.Meter
-	bodyTimeout  time.Duration
-	connections  *connections
-	done         sync.WaitGroup
+	http            *http.Server
+	listener        net.Listener
+	drainTimeout    time.Duration
+	writeTimeout    time.Duration
+	meter           *netmeter.Meter
+	bodyTimeout     time.Duration
+	maxHeaderFields int
+	connections     *connections
+	done            sync.WaitGroup
 }
 
 // Option configures a Server.
@@ -122,11 +123,28 @@
 		}
 		listener = tls.NewListener(listener, config)
 	}
+	if s.maxHeaderFields > 0 {
+		listener = &headerListener{Listener: listener, maxFields: s.maxHeaderFields}
+	}
+	s.http.ConnState = s.recordState
 	s.listener = listener
 	s.done.Go(func() { _ = s.http.Serve(listener) })
 	return s, nil
 }
 
+// recordState prepares a connection for its next request.
+func (s *Server) recordState(conn net.Conn, state http.ConnState) {
+	if state != http.StateIdle {
+		return
+	}
+	if s.connections != nil {
+		s.connections.setIdle(conn)
+	}
+	if c, ok := conn.(*headerConn); ok {
+		c.header.reset()
+	}
+}
+
 // Address returns the address that the server listens on.
 func (s *Server) Address() netip.AddrPort {
 	address, _ := netip.ParseAddrPort(s.listener.Addr().String())
