Entry: turn HTTP/2 off for callers

100 connections with 200 HTTP/2 requests each and 14 KB of headers took an entry to 0.9 to 1.7 GB, 300 with 21 MB of bodies in all to 896 MB. The cause is that of the gateway: headers are parsed and bodies buffered for every stream before a handler sees them. The command no longer asks for it.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -144,6 +144,7 @@
 	mux.Handle(caller.New(e.log.Named("caller"), e.admission, e.dispatcher, e.receipt, e.counters, s.BodyBytes))
 	opts := []web.Option{
 		web.WithErrorLog(serverErrorLog(e.log)),
+		web.WithoutHTTP2(),
 		web.WithMaxHeaderBytes(s.HeaderBytes),
 		web.WithDrainTimeout(s.DrainTimeout),
 		web.WithWriteTimeout(s.WriteTimeout),
--- a/cmd/submit.go
+++ b/cmd/submit.go
@@ -211,10 +211,7 @@
 }
 
 func (s *submitCommand) clients() ([]callerv1connect.RouterServiceClient, error) {
-	transport := &http.Transport{
-		DialContext:       (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		ForceAttemptHTTP2: true,
-	}
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
 	if s.caFile != "" {
 		roots, err := loadRoots(s.caFile)
 		if err != nil {
