Entry: divide the memory of its settings among callers' connections

An entry had no limit of its memory, its connections, a header's fields or a body's time: 3,000 callers with 15 KiB of a header took it to 175 to 187 MB, 1,500 with short fields to 452 to 497 MB, over TLS to 577 to 584 MB, and nothing closed them. It now has the plan of the gateway (models/memory), from two new settings with the gateway's defaults, instance.memoryBytes (128 MiB) and instance.descriptors (3075): the Go runtime's limit, the number of callers' connections by what a header and TLS take, 128 header fields, and caller.bodyTimeout (5 s) for every body, also one that nothing reads.

--- a/cmd/counters.go
+++ b/cmd/counters.go
@@ -1,6 +1,8 @@
 package cmd
 
 import (
+	"fmt"
+
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/crocusline/crocusline/models/refusal"
@@ -13,6 +15,8 @@
 	answered *metrics.Counter
 	dropped  *metrics.Counter
 	written  *metrics.Counter
+	// connectionsLimited counts the connections of callers that were closed or refused.
+	connectionsLimited *metrics.Counter
 }
 
 func newEntryCounters() *entryCounters {
@@ -26,6 +30,8 @@
 		answered: set.Counter("crocusline_answers_total"),
 		dropped:  set.Counter("crocusline_receipts_dropped_total"),
 		written:  set.Counter("crocusline_receipts_written_total"),
+
+		connectionsLimited: set.Counter(fmt.Sprintf(connectionsLimited, "callers")),
 	}
 }
 
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 
 	"github.com/integrii/flaggy"
 
 	"github.com/crocusline/crocusline/kernel"
 	admissionmodel "github.com/crocusline/crocusline/models/admission"
+	memorymodel "github.com/crocusline/crocusline/models/memory"
 	"github.com/crocusline/crocusline/models/placement"
 	"github.com/crocusline/crocusline/models/retry"
 	"github.com/crocusline/crocusline/modules/certificate"
@@ -21,6 +23,7 @@
 	"github.com/crocusline/crocusline/services/admission"
 	"github.com/crocusline/crocusline/services/dispatch"
 	"github.com/crocusline/crocusline/services/membership"
+	"github.com/crocusline/crocusline/services/memory"
 	"github.com/crocusline/crocusline/services/pool"
 	"github.com/crocusline/crocusline/services/receipt"
 	"github.com/crocusline/crocusline/services/shard"
@@ -68,6 +71,7 @@
 	admission  *admission.Service
 	dispatcher *dispatch.Dispatcher
 	counters   *entryCounters
+	memory     *memory.Service
 	status     *status.Service
 }
 
@@ -77,6 +81,9 @@
 		return nil, err
 	}
 	e := &entry{process: p, counters: newEntryCounters()}
+	e.memory = memory.New(p.settings.Instance.MemoryBytes, memory.WithMetrics(e.counters.metrics))
+	debug.SetMemoryLimit(e.memory.Plan().Runtime)
+	e.counters.metrics.Gauge(requestMemory, func() float64 { return float64(e.memory.Held()) })
 	e.pool = pool.New(p.log, p.control, p.peers.HTTP(),
 		placement.WithPolicy(policy),
 		placement.WithLocation(p.member.FailureDomain, p.member.Region))
@@ -142,14 +149,19 @@
 	s := e.settings.Caller
 	mux := http.NewServeMux()
 	mux.Handle(caller.New(e.log.Named("caller"), e.admission, e.dispatcher, e.receipt, e.counters, s.BodyBytes))
+	overTLS := s.CertFile != ""
+	maxConnections := e.memory.Plan().MaxConnectionsOf(memorymodel.ConnectionBytes(s.HeaderBytes, overTLS), e.settings.Instance.Descriptors)
 	opts := []web.Option{
 		web.WithErrorLog(serverErrorLog(e.log)),
 		web.WithoutHTTP2(),
+		web.WithMaxConnections(func() int { return maxConnections }, e.counters.connectionsLimited.Inc),
+		web.WithMaxHeaderFields(maxHeaderFields),
+		web.WithBodyTimeout(s.BodyTimeout),
 		web.WithMaxHeaderBytes(s.HeaderBytes),
 		web.WithDrainTimeout(s.DrainTimeout),
 		web.WithWriteTimeout(s.WriteTimeout),
 	}
-	if s.CertFile != "" {
+	if overTLS {
 		reloader, err := certificate.NewReloader(s.CertFile, s.KeyFile)
 		if err != nil {
 			return nil, err
--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -173,7 +173,7 @@
 	g.metrics.Gauge("crocusline_requests_open", func() float64 { return float64(g.handler.OpenRequests()) })
 	g.metrics.Gauge("crocusline_servers_cold", func() float64 { return float64(g.catalog.ColdServers()) })
 	g.metrics.Gauge("crocusline_servers_starting", func() float64 { return float64(g.catalog.StartingServers()) })
-	g.metrics.Gauge("crocusline_request_memory_bytes", func() float64 { return float64(g.memory.Held()) })
+	g.metrics.Gauge(requestMemory, func() float64 { return float64(g.memory.Held()) })
 	g.metrics.Gauge("crocusline_connections_opened", func() float64 { return float64(g.client.Dialed()) })
 	g.metrics.Gauge("crocusline_connections_reused", func() float64 { return float64(g.client.Reused()) })
 	return g
@@ -278,6 +278,9 @@
 // connectionsLimited counts the connections that were closed or refused because of the limit of a listener.
 const connectionsLimited = "crocusline_connections_limited_total{listener=%q}"
 
+// requestMemory is the memory that requests in progress have reserved.
+const requestMemory = "crocusline_request_memory_bytes"
+
 // limits returns the options that bound the memory of a listener's connections, and the log of its errors.
 func (g *gateway) limits(listener string, maxConnections func() int) []web.Option {
 	counter := g.metrics.Counter(fmt.Sprintf(connectionsLimited, listener))
--- a/models/memory/plan.go
+++ b/models/memory/plan.go
@@ -3,6 +3,9 @@
 const (
 	// DefaultLimit is the memory limit of a process in bytes, if its settings have none.
 	DefaultLimit = 128 << 20
+	// DefaultDescriptors is the number of file descriptors of a process, if its settings have none. It is that of the
+	// smallest machines.
+	DefaultDescriptors = 3075
 	// runtimeRatio is the Go runtime's memory limit as a share of the process's. The rest is for the
 	// program's text, sockets and memory that the runtime has not returned to the system.
 	runtimeRatio = 0.7
@@ -12,13 +15,16 @@
 	requestsRatio  = 5.0 / 16
 	largeRatio     = 1.0 / 8
 	responsesRatio = 1.0 / 8
-	// connectionsRatio is the share of callers' connections, and connectionBytes what one of them holds
-	// at most without a request: a header of 16 KiB that is not complete, its copy when the buffer
-	// grew last, and a goroutine.
+	// connectionsRatio is the share of callers' connections. One of them holds at most, without a request, a
+	// header that is not complete, its copy when the buffer grew last, and a goroutine: headerCopies times
+	// the largest header.
 	connectionsRatio = 3.0 / 16
-	connectionBytes  = 32 << 10
-	// defaultDescriptors is the number of file descriptors of the smallest machines.
-	defaultDescriptors = 3075
+	headerCopies     = 2
+	// gatewayHeaderBytes is the largest header at a gateway.
+	gatewayHeaderBytes = 16 << 10
+	// tlsBytes is what TLS holds for a connection: a record that is not complete, its copy when the buffer grew
+	// last, and the state of the handshake.
+	tlsBytes = 48 << 10
 	// connectionDescriptorRatio is the share of file descriptors for connections of callers. The rest
 	// is for servers, the store, peers and files.
 	connectionDescriptorRatio = 0.5
@@ -51,13 +57,28 @@
 	}
 }
 
-// MaxConnections returns how many connections callers may have open at a process with this number of
+// ConnectionBytes returns what a connection holds at most without a request, by the size of the largest header, with
+// TLS or without.
+func ConnectionBytes(headerBytes int, overTLS bool) int64 {
+	bytes := int64(headerCopies * headerBytes)
+	if overTLS {
+		bytes += tlsBytes
+	}
+	return bytes
+}
+
+// MaxConnections returns how many connections callers may have open at a gateway with this number of
 // file descriptors, 0 if that is unknown.
 func (p Plan) MaxConnections(descriptors int) int {
+	return p.MaxConnectionsOf(ConnectionBytes(gatewayHeaderBytes, false), descriptors)
+}
+
+// MaxConnectionsOf returns the same for connections that hold the number of bytes each.
+func (p Plan) MaxConnectionsOf(bytes int64, descriptors int) int {
 	if descriptors <= 0 {
-		descriptors = defaultDescriptors
+		descriptors = DefaultDescriptors
 	}
-	return min(int(p.Connections/connectionBytes), int(float64(descriptors)*connectionDescriptorRatio))
+	return min(int(p.Connections/bytes), int(float64(descriptors)*connectionDescriptorRatio))
 }
 
 // MaxPeerConnections returns the same for other gateways.
--- a/modules/setting/caller.go
+++ b/modules/setting/caller.go
@@ -15,6 +15,8 @@
 	BodyBytes int `yaml:"bodyBytes" validate:"gt=0"`
 	// HeaderBytes is the maximum size of a request header.
 	HeaderBytes int `yaml:"headerBytes" validate:"gt=0"`
+	// BodyTimeout is how long a request body may take to arrive.
+	BodyTimeout time.Duration `yaml:"bodyTimeout" validate:"gt=0"`
 	// StreamsPerWorkspace is the maximum number of concurrent requests of one
 	// workspace at this entry.
 	StreamsPerWorkspace int `yaml:"streamsPerWorkspace" validate:"gt=0"`
@@ -29,6 +31,7 @@
 	return Caller{
 		BodyBytes:           1 << 20,
 		HeaderBytes:         16 << 10,
+		BodyTimeout:         5 * time.Second,
 		StreamsPerWorkspace: 256,
 		WriteTimeout:        10 * time.Second,
 		DrainTimeout:        30 * time.Second,
--- a/modules/setting/setting.go
+++ b/modules/setting/setting.go
@@ -31,6 +31,7 @@
 // Default returns the default values.
 func Default() *Settings {
 	return &Settings{
+		Instance: defaultInstance(),
 		Platform: defaultPlatform(),
 		Caller:   defaultCaller(),
 		Peer:     defaultPeer(),
