Limit what a caller sends before the end of a TLS handshake

crypto/tls holds a first message of up to 64 KiB and its copies until it is complete: 1,500 connections that stopped one byte short of 65,000 took an entry to 229 to 238 MB, and with the limit of 307 connections still to 80 MB, 160 KiB each where the plan has 80. A listener without HTTP/2 now makes the handshake itself and ends it after 16 KiB; callers show no certificate and send some 2 KiB. The error log and the answer to callers without TLS stay, now with 400 in plain text.

--- a/modules/web/protocol_test.go
+++ b/modules/web/protocol_test.go
@@ -1,6 +1,9 @@
 package web_test
 
 import (
+	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -41,8 +44,8 @@
 	}
 }
 
-// TestHTTP2TurnedOffOverTLS guards against a server that agrees on HTTP/2 in the handshake, or refuses callers that offer
-// HTTP/1.1 too.
+// TestHTTP2TurnedOffOverTLS guards against a server that agrees on HTTP/2 in the handshake, refuses callers that offer
+// HTTP/1.1 too, or doesn't tell callers without TLS why it refuses them.
 func TestHTTP2TurnedOffOverTLS(t *testing.T) {
 	certified := httptest.NewTLSServer(http.NotFoundHandler())
 	defer certified.Close()
@@ -55,12 +58,37 @@
 	transport := certified.Client().Transport.(*http.Transport).Clone()
 	transport.ForceAttemptHTTP2 = true
 	defer transport.CloseIdleConnections()
-	resp, err := (&http.Client{Transport: transport}).Get("https://" + server.Address().String())
+	for scheme, want := range map[string]int{"https": http.StatusNoContent, "http": http.StatusBadRequest} {
+		resp, err := (&http.Client{Transport: transport}).Get(scheme + "://" + server.Address().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.ProtoMajor != 1 || resp.StatusCode != want {
+			t.Errorf("%s: got %s %d, want status %d", scheme, resp.Proto, resp.StatusCode, want)
+		}
+	}
+}
+
+// TestLongHandshake guards against a server that holds the first message of a TLS handshake whatever its size.
+func TestLongHandshake(t *testing.T) {
+	certified := httptest.NewTLSServer(http.NotFoundHandler())
+	defer certified.Close()
+	server, err := web.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), http.NotFoundHandler(), web.WithTLS(certified.TLS), web.WithoutHTTP2())
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = resp.Body.Close()
-	if resp.ProtoMajor != 1 || resp.StatusCode != http.StatusNoContent {
-		t.Errorf("got %s %d", resp.Proto, resp.StatusCode)
+	defer func() { _ = server.Close() }()
+	const messageBytes, recordBytes = 60_000, 15_000
+	conn := (&limitedServer{Server: server}).connect(t, string([]byte{22, 3, 1, recordBytes >> 8, recordBytes & 0xff, 1, 0, messageBytes >> 8, messageBytes & 0xff}))
+	if _, err := conn.Write(make([]byte, 2*recordBytes)); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(2 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	var timeout net.Error
+	if _, err := io.Copy(io.Discard, conn); errors.As(err, &timeout) && timeout.Timeout() {
+		t.Error("the connection is still open")
 	}
 }
--- a/modules/web/server.go
+++ b/modules/web/server.go
@@ -43,7 +43,7 @@
 	return func(s *Server) { s.http.TLSConfig = config }
 }
 
-// WithoutHTTP2 makes the server speak HTTP/1.1 only. Over HTTP/2 a connection has many requests at once, whose headers are
+// WithoutHTTP2 makes the server speak HTTP/1.1 only, and limits the TLS handshake. Over HTTP/2 a connection has many requests at once, whose headers are
 // parsed and whose bodies are buffered before the handler can refuse them.
 func WithoutHTTP2() Option {
 	return func(s *Server) {
@@ -121,7 +121,7 @@
 		if s.http.Protocols.HTTP2() {
 			config.NextProtos = []string{"h2", "http/1.1"}
 		}
-		listener = tls.NewListener(listener, config)
+		listener = s.newTLSListener(listener, config)
 	}
 	if s.maxHeaderFields > 0 {
 		listener = &headerListener{Listener: listener, maxFields: s.maxHeaderFields}
@@ -132,6 +132,14 @@
 	return s, nil
 }
 
+// newTLSListener returns a listener over TLS. net/http speaks HTTP/2 on connections of type tls.Conn only.
+func (s *Server) newTLSListener(listener net.Listener, config *tls.Config) net.Listener {
+	if s.http.Protocols.HTTP2() {
+		return tls.NewListener(listener, config)
+	}
+	return &handshakeListener{Listener: listener, config: config, errorLog: s.http.ErrorLog}
+}
+
 // recordState prepares a connection for its next request.
 func (s *Server) recordState(conn net.Conn, state http.ConnState) {
 	if state != http.StateIdle {
