Entry: reserve the memory of a call before its body is read

300 calls of 1 MiB that stop one byte short, no token shown, took an entry to 0.7 to 0.9 GB, with Connect envelopes to 754 MB, compressed to 955 MB, and no connection was closed within 12 s. Causes: the token was checked after the body; Connect reads each message into a buffer of its own, whatever the others hold, and decompresses it into another; a body had no deadline.

A handler in front of Connect now refuses a token that no workspace has before the body, reserves 96 KiB for each call and three times its body in the budget of the gateway (services/memory), reads and decodes it within that and in time, and hands Connect the plain message. A call that is refused for lack of memory has the outcome "unknown", as only its body says whether it was sent before; submit tries the next entry at once. A body over the limit is refused as bodyTooLarge, with the code that Connect gave it. Settings with which the largest call would never fit are refused.

--- a/cmd/check.go
+++ b/cmd/check.go
@@ -44,7 +44,10 @@
 		fmt.Fprintf(con.out, "%s: ok\n", name)
 	}
 	for _, file := range c.entries {
-		_, err := setting.Load(file, setting.Entry)
+		settings, err := setting.Load(file, setting.Entry)
+		if err == nil {
+			err = checkMemory(file, settings)
+		}
 		report(file, err)
 	}
 	for _, file := range c.sidecars {
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -98,6 +99,26 @@
 	execute(t, "check").want(t, Usage, "nothing to check")
 }
 
+// TestCheckMemoryOfCalls guards against settings with which no call of the largest size is ever served.
+func TestCheckMemoryOfCalls(t *testing.T) {
+	text, err := os.ReadFile("../examples/demo/entry-1.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "entry.yaml")
+	for bytes, valid := range map[int]bool{4 << 20: true, 16 << 20: false} {
+		changed := strings.Replace(string(text), "caller:\n", fmt.Sprintf("caller:\n  bodyBytes: %d\n", bytes), 1)
+		if err := os.WriteFile(file, []byte(changed), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if valid {
+			execute(t, "check", "--entry", file).want(t, Succeeded, "ok")
+		} else {
+			execute(t, "check", "--entry", file).want(t, Usage, "caller.bodyBytes", "instance.memoryBytes")
+		}
+	}
+}
+
 func TestCerts(t *testing.T) {
 	dir := filepath.Join(t.TempDir(), "certs")
 	execute(t, "certs", "--address", "127.0.0.1", dir).want(t, Succeeded, "ca.pem")
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"runtime/debug"
 
@@ -54,6 +55,9 @@
 	if err != nil {
 		return err
 	}
+	if err := checkMemory(c.settings, p.settings); err != nil {
+		return err
+	}
 	e, err := newEntry(p)
 	if err != nil {
 		return err
@@ -61,6 +65,16 @@
 	return p.run(ctx, e.services()...)
 }
 
+// checkMemory returns an error if an entry's memory is too small for a call of the largest size.
+func checkMemory(file string, s *setting.Settings) error {
+	limit := memorymodel.NewPlan(s.Instance.MemoryBytes).Large
+	if need := memorymodel.CallBytes + memorymodel.CallCopies*int64(s.Caller.BodyBytes); need > limit {
+		return &setting.Error{File: file, Key: "caller.bodyBytes", Problem: fmt.Sprintf(
+			"a call of %d bytes needs %d bytes of memory, and instance.memoryBytes leaves %d to large calls", s.Caller.BodyBytes, need, limit)}
+	}
+	return nil
+}
+
 // entry holds the services of an entry instance.
 type entry struct {
 	*process
@@ -148,7 +162,8 @@
 func (e *entry) listenCallers() (closer, error) {
 	s := e.settings.Caller
 	mux := http.NewServeMux()
-	mux.Handle(caller.New(e.log.Named("caller"), e.admission, e.dispatcher, e.receipt, e.counters, s.BodyBytes))
+	mux.Handle(caller.New(e.log.Named("caller"), e.admission, e.dispatcher, e.receipt, e.counters, s.BodyBytes,
+		caller.WithMemory(e.memory), caller.WithBodyTimeout(s.BodyTimeout)))
 	overTLS := s.CertFile != ""
 	maxConnections := e.memory.Plan().MaxConnectionsOf(memorymodel.ConnectionBytes(s.HeaderBytes, overTLS), e.settings.Instance.Descriptors)
 	opts := []web.Option{
--- a/cmd/submission.go
+++ b/cmd/submission.go
@@ -171,7 +171,7 @@
 // may accept the request.
 func isEntrySpecific(r refusal.Reason) bool {
 	switch r {
-	case refusal.NotReady, refusal.ShuttingDown, refusal.BudgetUnreachable, refusal.RegistryUnreachable:
+	case refusal.NotReady, refusal.ShuttingDown, refusal.Overloaded, refusal.BudgetUnreachable, refusal.RegistryUnreachable:
 		return true
 	default:
 		return false
--- a/models/memory/budget.go
+++ b/models/memory/budget.go
@@ -11,6 +11,11 @@
 	// RequestBytes is what each request in progress holds without its body: its header, its
 	// goroutines, and the least size of its response.
 	RequestBytes = 24 << 10
+	// CallBytes is the same for a call at an entry, which relays it over a connection to a sidecar.
+	CallBytes = 96 << 10
+	// CallCopies is how often an entry holds the body of a call at once: in a buffer that may be twice as large
+	// as the message, and decoded, or encoded again for the sidecar.
+	CallCopies = 3
 	// LargeBytes is the size from which a request is large. Ordinary bodies have at most 100,000 bytes;
 	// in chunks they are read in parts of 120 KiB together, which are held twice when they are joined.
 	LargeBytes = RequestBytes + 256<<10
--- a/routers/caller/compression_test.go
+++ b/routers/caller/compression_test.go
@@ -23,6 +23,7 @@
 func (echoDispatcher) Admit(string, dispatch.Request) (dispatch.Plan, func(), error) {
 	return dispatch.Plan{}, func() {}, nil
 }
+func (echoDispatcher) Authenticate(string) error           { return nil }
 func (echoDispatcher) RecordAccepted(string, string)       {}
 func (echoDispatcher) RecordFailure(string, string, error) {}
 func (echoDispatcher) Add(dispatch.Receipt)                {}
--- a/routers/caller/handler.go
+++ b/routers/caller/handler.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
@@ -17,11 +18,14 @@
 	"github.com/crocusline/crocusline/modules/wire/caller/v1/callerv1connect"
 	commonv1 "github.com/crocusline/crocusline/modules/wire/common/v1"
 	"github.com/crocusline/crocusline/services/dispatch"
+	"github.com/crocusline/crocusline/services/memory"
 	"github.com/crocusline/crocusline/services/refusalwire"
 )
 
 // Admission decides whether a request is admitted, and plans how it is run.
 type Admission interface {
+	// Authenticate returns a *refusal.Error if the token is not one of any workspace.
+	Authenticate(token string) error
 	// Admit returns the plan of an admitted request and a function that releases its
 	// admission.
 	Admit(token string, req dispatch.Request) (dispatch.Plan, func(), error)
@@ -52,18 +56,37 @@
 
 // Handler implements caller.v1.RouterService.
 type Handler struct {
-	log        hclog.Logger
-	admission  Admission
-	dispatcher Dispatcher
-	receipts   ReceiptStore
-	counters   Counters
+	log         hclog.Logger
+	admission   Admission
+	dispatcher  Dispatcher
+	receipts    ReceiptStore
+	counters    Counters
+	memory      *memory.Service
+	bodyTimeout time.Duration
+	maxBytes    int64
 }
 
+// Option configures a Handler.
+type Option func(*Handler)
+
+// WithMemory sets the budget of the memory for all calls in progress.
+func WithMemory(m *memory.Service) Option { return func(h *Handler) { h.memory = m } }
+
+// WithBodyTimeout sets how long the body of a call may take to arrive.
+func WithBodyTimeout(d time.Duration) Option { return func(h *Handler) { h.bodyTimeout = d } }
+
 // New returns the service's path and handler. Messages larger than maxBytes are
 // rejected before they are read.
-func New(log hclog.Logger, a Admission, d Dispatcher, r ReceiptStore, c Counters, maxBytes int) (string, http.Handler) {
-	h := &Handler{log: log, admission: a, dispatcher: d, receipts: r, counters: c}
-	return callerv1connect.NewRouterServiceHandler(h, connect.WithReadMaxBytes(maxBytes), wire.Compression())
+func New(log hclog.Logger, a Admission, d Dispatcher, r ReceiptStore, c Counters, maxBytes int, opts ...Option) (string, http.Handler) {
+	h := &Handler{
+		log: log, admission: a, dispatcher: d, receipts: r, counters: c,
+		memory: memory.New(memory.DefaultLimit), bodyTimeout: defaultBodyTimeout, maxBytes: int64(maxBytes),
+	}
+	for _, opt := range opts {
+		opt(h)
+	}
+	path, handler := callerv1connect.NewRouterServiceHandler(h, connect.WithReadMaxBytes(maxBytes), wire.Compression())
+	return path, &bodyReader{Handler: h, next: handler, writer: connect.NewErrorWriter()}
 }
 
 // Submit implements caller.v1.RouterService.
--- a/routers/caller/handler_test.go
+++ b/routers/caller/handler_test.go
@@ -40,6 +40,13 @@
 	return dispatch.Plan{}, func() { e.admitted-- }, nil
 }
 
+func (e *fakeEntry) Authenticate(token string) error {
+	if token == "bad" {
+		return refusal.New(refusal.Unauthenticated, 0, "the token is wrong")
+	}
+	return nil
+}
+
 func (e *fakeEntry) RecordAccepted(string, string)       {}
 func (e *fakeEntry) RecordFailure(string, string, error) {}
 func (e *fakeEntry) RecordResponse()                     {}
--- a/routers/front/front.go
+++ b/routers/front/front.go
@@ -12,9 +12,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/crocusline/crocusline/models/call"
-	"github.com/crocusline/crocusline/models/intake"
+	intakemodel "github.com/crocusline/crocusline/models/intake"
 	"github.com/crocusline/crocusline/models/refusal"
 	"github.com/crocusline/crocusline/models/route"
+	"github.com/crocusline/crocusline/services/intake"
 	"github.com/crocusline/crocusline/services/memory"
 	"github.com/crocusline/crocusline/services/relay"
 	"github.com/crocusline/crocusline/services/strain"
@@ -73,7 +74,7 @@
 
 // drain is a planned stop in progress.
 type drain struct {
-	intake.Stop
+	intakemodel.Stop
 	begunAt time.Time
 }
 
@@ -109,7 +110,7 @@
 
 // Drain begins a planned stop: every later response closes its connection, and the readiness check
 // fails. By the plan, requests are refused from a time on, and given up at another.
-func (h *Handler) Drain(plan intake.Stop) {
+func (h *Handler) Drain(plan intakemodel.Stop) {
 	if h.drainingSince.CompareAndSwap(nil, &drain{Stop: plan, begunAt: time.Now()}) {
 		time.AfterFunc(plan.GiveUpAfter, func() { h.giveUp(errStopping) })
 	}
@@ -151,11 +152,11 @@
 		h.refuseStopping(w, req)
 		return
 	}
-	limit := h.maxBodyBytes()
 	held := h.memory.NewReservation()
 	defer held.Release()
+	body := intake.New(w, r, held, intake.WithMaxBytes(h.maxBodyBytes()), intake.WithTimeout(bodyTimeout))
 	// The link doesn't carry a body that is refused here.
-	if err := reserve(held, r.ContentLength, limit); err != nil {
+	if err := reserve(held, body); err != nil {
 		h.refuseBody(w, req, r, err)
 		return
 	}
@@ -166,7 +167,7 @@
 		h.refuse(w, req, err)
 		return
 	}
-	if req.Body, err = h.readBody(w, r, held, limit); err != nil {
+	if req.Body, err = body.ReadAll(); err != nil {
 		h.refuseBody(w, req, r, err)
 		return
 	}
--- a/services/admission/admission.go
+++ b/services/admission/admission.go
@@ -4,6 +4,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,17 +27,52 @@
 
 // Service admits requests.
 type Service struct {
-	control  Control
+	control Control
+	// tokens is the index of the tables that were last in force.
+	tokens   atomic.Pointer[tokenIndex]
 	mu       sync.Mutex
 	gate     *admission.Gate
 	draining bool
 }
 
+// tokenIndex holds the hashes of all tokens in the tables.
+type tokenIndex struct {
+	tables *table.Tables
+	hashes map[string]struct{}
+}
+
 // New returns a service that admits requests by the current tables of control.
 func New(c Control, opts ...admission.Option) *Service {
 	return &Service{control: c, gate: admission.New(opts...)}
 }
 
+// Authenticate returns a *refusal.Error if the token is not one of any workspace in the tables in force. It needs nothing of the
+// request's body, which is then not read.
+func (s *Service) Authenticate(token string) error {
+	tables := s.control.State().Tables
+	if tables.Version == 0 {
+		return nil
+	}
+	if _, ok := s.indexTokens(tables).hashes[table.HashToken(token)]; !ok {
+		return refusal.New(refusal.Unauthenticated, 0, "the bearer token is not one of any workspace's")
+	}
+	return nil
+}
+
+func (s *Service) indexTokens(t *table.Tables) *tokenIndex {
+	if index := s.tokens.Load(); index != nil && index.tables == t {
+		return index
+	}
+	index := &tokenIndex{tables: t, hashes: map[string]struct{}{}}
+	for _, w := range t.Workspaces {
+		for _, hash := range w.Tokens {
+			index.hashes[hash] = struct{}{}
+		}
+	}
+	s.tokens.Store(index)
+	return index
+}
+
 // Admit returns the request's plan and a function that ends its admission, or a
 // *refusal.Error.
 func (s *Service) Admit(token string, req dispatch.Request) (dispatch.Plan, func(), error) {
--- a/services/refusalwire/refusalwire.go
+++ b/services/refusalwire/refusalwire.go
@@ -82,7 +82,7 @@
 // Code returns the Connect code of a refusal.
 func Code(e *refusal.Error) connect.Code {
 	switch e.Reason {
-	case refusal.InvalidRequest, refusal.BodyTooLarge, refusal.UnknownWorkspace, refusal.UnknownKind,
+	case refusal.InvalidRequest, refusal.UnknownWorkspace, refusal.UnknownKind,
 		refusal.MissingIdempotencyKey, refusal.ServerRejected:
 		return connect.CodeInvalidArgument
 	case refusal.Unauthenticated:
@@ -91,7 +91,7 @@
 		return connect.CodeDeadlineExceeded
 	case refusal.KeyReused:
 		return connect.CodeAlreadyExists
-	case refusal.BudgetExhausted, refusal.QueueFull, refusal.ShareExceeded, refusal.TooManyStreams, refusal.RetryBudget:
+	case refusal.BodyTooLarge, refusal.BudgetExhausted, refusal.QueueFull, refusal.ShareExceeded, refusal.TooManyStreams, refusal.RetryBudget:
 		return connect.CodeResourceExhausted
 	case refusal.Fenced, refusal.WrongIncarnation:
 		return connect.CodeFailedPrecondition
