Entry: reserve the memory of answers that callers don't read

600 callers of a plain service with answers of 1 MB, who don't read them, took an entry to 177 to 332 MB; without large answers, those of 4,000 tokens to 129 to 155 MB. Causes: a message of a sidecar is read whole into a buffer, decoded, and encoded again, and all three stay until the caller has read or the write times out; tokens of a stream are kept for another server without a limit.

Each large message of a sidecar's stream is now reserved three times before it is read (dispatch.LimitResponses), in the share of responses of the process's budget; so is the text of an answer in one message. If that doesn't fit, the caller gets overloaded with the outcome "unknown" and comes back with the same key, for which the sidecar keeps the answer. Tokens of a stream are kept for a server that fails while there is memory for them; without, the stream goes on, and ends only if its server fails. Sidecars no longer compress what they send to entries, as the size of a compressed message doesn't tell what it needs. The cost measurement, with 800 streams at one entry, sets a larger memory.

--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -98,7 +98,7 @@
 	e.memory = memory.New(p.settings.Instance.MemoryBytes, memory.WithMetrics(e.counters.metrics))
 	debug.SetMemoryLimit(e.memory.Plan().Runtime)
 	e.counters.metrics.Gauge(requestMemory, func() float64 { return float64(e.memory.Held()) })
-	e.pool = pool.New(p.log, p.control, p.peers.HTTP(),
+	e.pool = pool.New(p.log, p.control, dispatch.LimitResponses(p.peers.HTTP()),
 		placement.WithPolicy(policy),
 		placement.WithLocation(p.member.FailureDomain, p.member.Region))
 	e.receipt = receipt.New(p.log, p.ledger, e.pool, e.counters)
--- a/modules/web/handshake.go
+++ b/modules/web/handshake.go
@@ -1,6 +1,7 @@
 package web
 
 import (
+	"context"
 	"crypto/tls"
 	"fmt"
 	"io"
@@ -47,7 +48,8 @@
 // Read implements net.Conn.
 func (c *handshakingConn) Read(p []byte) (int, error) {
 	if c.limited != nil {
-		if err := c.Handshake(); err != nil {
+		// The deadline of the connection ends it.
+		if err := c.HandshakeContext(context.Background()); err != nil {
 			c.reportFailure(err)
 			return 0, err
 		}
--- a/modules/web/header_test.go
+++ b/modules/web/header_test.go
@@ -73,8 +73,8 @@
 				t.Errorf("%s, request %d: got status %d, want %d", tt.name, i, resp.StatusCode, tt.want)
 			}
 			if resp.StatusCode != http.StatusNoContent {
-				if _, err := http.ReadResponse(responses, nil); err == nil {
-					t.Errorf("%s: a second response to the request", tt.name)
+				if rest, _ := io.ReadAll(responses); len(rest) > 0 {
+					t.Errorf("%s: a second response to the request: %q", tt.name, rest)
 				}
 				break
 			}
--- a/routers/caller/body.go
+++ b/routers/caller/body.go
@@ -53,8 +53,11 @@
 	}
 	held := b.memory.NewReservation()
 	defer held.Release()
+	// It is held until the response is written, which Connect does after the handler of the call.
+	response := b.memory.NewResponse()
+	defer response.Release()
 	// net/http goes by the request as it was.
-	read := r.WithContext(r.Context())
+	read := r.WithContext(memory.WithResponse(r.Context(), response))
 	if err := b.read(w, read, held); err != nil {
 		b.refuseUnread(w, r, refusalForBody(err))
 		return
--- a/routers/caller/body_test.go
+++ b/routers/caller/body_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"context"
 	"encoding/binary"
 	"io"
 	"net"
@@ -20,6 +21,7 @@
 	callerv1 "github.com/crocusline/crocusline/modules/wire/caller/v1"
 	"github.com/crocusline/crocusline/modules/wire/caller/v1/callerv1connect"
 	"github.com/crocusline/crocusline/routers/caller"
+	"github.com/crocusline/crocusline/services/dispatch"
 	"github.com/crocusline/crocusline/services/memory"
 	"github.com/crocusline/crocusline/services/refusalwire"
 )
@@ -57,7 +59,7 @@
 }
 
 // post sends a body and returns the status and the text of the response.
-func post(t *testing.T, server *httptest.Server, path string, header http.Header, body []byte) (*http.Response, string) {
+func post(t *testing.T, server *httptest.Server, path string, header http.Header, body []byte) (int, string) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+path, bytes.NewReader(body))
 	if err != nil {
@@ -73,7 +75,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return resp, string(text)
+	return resp.StatusCode, string(text)
 }
 
 // TestBodyFramings guards against bodies that are not understood as Connect sends them, and against invalid ones that are
@@ -111,9 +113,9 @@
 			} else if tt.encoding != "" {
 				header.Set("Connect-Content-Encoding", tt.encoding)
 			}
-			resp, text := post(t, server, tt.path, header, tt.body)
-			if !strings.Contains(text, tt.want) && !strings.Contains(string(resp.Header.Get("Grpc-Message")), tt.want) {
-				t.Errorf("got status %d, %q, want %q", resp.StatusCode, text, tt.want)
+			status, text := post(t, server, tt.path, header, tt.body)
+			if !strings.Contains(text, tt.want) {
+				t.Errorf("got status %d, %q, want %q", status, text, tt.want)
 			}
 			if served := len(e.ids) == 1; served != strings.HasPrefix(tt.want, "a") {
 				t.Errorf("served: %t", served)
@@ -132,9 +134,9 @@
 	message := envelope(0, encodeMessage(t, &callerv1.SubmitRequest{Workspace: "w", Kind: "k", Prompt: "p"}))
 	for _, contentType := range []string{"application/grpc", "application/grpc+proto", "application/grpc-web+proto", "Application/GRPC-Web"} {
 		header := http.Header{"Content-Type": {contentType}, "Authorization": {"Bearer good"}}
-		resp, text := post(t, server, callerv1connect.RouterServiceSubmitProcedure, header, message)
-		if resp.StatusCode != http.StatusUnsupportedMediaType || len(e.ids) != 0 {
-			t.Errorf("%s: got status %d, %q", contentType, resp.StatusCode, text)
+		status, text := post(t, server, callerv1connect.RouterServiceSubmitProcedure, header, message)
+		if status != http.StatusUnsupportedMediaType || len(e.ids) != 0 {
+			t.Errorf("%s: got status %d, %q", contentType, status, text)
 		}
 	}
 }
@@ -194,3 +196,35 @@
 		}
 	}
 }
+
+// longEntry answers with more text than the memory allows.
+type longEntry struct{ *fakeEntry }
+
+func (e longEntry) Dispatch(_ context.Context, req dispatch.Request, _ dispatch.Plan, sink dispatch.Sink) (dispatch.Response, error) {
+	token := strings.Repeat("x", 10_000)
+	for i := range int64(1000) {
+		if err := sink.Tokens(i, []string{token}); err != nil {
+			return dispatch.Response{}, &dispatch.SinkError{Cause: err}
+		}
+	}
+	return dispatch.Response{RequestID: req.ID, Tokens: 1000}, nil
+}
+
+// TestWholeAnswerWithoutMemory guards against answers in one message that take more memory than the process has for
+// answers, and against a caller that isn't told when to come back.
+func TestWholeAnswerWithoutMemory(t *testing.T) {
+	e := &fakeEntry{ids: map[string]bool{}, refused: map[refusal.Reason]int{}}
+	m := memory.New(8 << 20)
+	mux := http.NewServeMux()
+	mux.Handle(caller.New(hclog.NewNullLogger(), e, longEntry{e}, e, e, maxBytes, caller.WithMemory(m)))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	_, err := call(t, callerv1connect.NewRouterServiceClient(server.Client(), server.URL), "good", &callerv1.SubmitRequest{Workspace: "w"})
+	if got, ok := refusalwire.Decode(err); !ok || got.Reason != refusal.Overloaded || got.Outcome != refusal.Unknown || got.RetryAfter == 0 {
+		t.Errorf("got %v", err)
+	}
+	server.Close()
+	if m.Held() != 0 {
+		t.Errorf("%d bytes are held", m.Held())
+	}
+}
--- a/routers/caller/handler.go
+++ b/routers/caller/handler.go
@@ -18,6 +18,7 @@
 	"github.com/crocusline/crocusline/modules/wire/caller/v1/callerv1connect"
 	commonv1 "github.com/crocusline/crocusline/modules/wire/common/v1"
 	"github.com/crocusline/crocusline/services/dispatch"
+	"github.com/crocusline/crocusline/services/intake"
 	"github.com/crocusline/crocusline/services/memory"
 	"github.com/crocusline/crocusline/services/refusalwire"
 )
@@ -109,7 +110,7 @@
 	if request == nil {
 		return nil, h.refuse(newRequestID(), "", refusal.New(refusal.InvalidRequest, 0, `the field "request" is missing`))
 	}
-	sink := &textSink{}
+	sink := &textSink{response: memory.ResponseOf(ctx)}
 	resp, err := h.serve(ctx, req.Header(), request, sink)
 	if err != nil {
 		return nil, err
@@ -155,6 +156,13 @@
 // refuse counts and logs the failure of a request and returns it as a Connect error
 // with the request's ID in its metadata.
 func (h *Handler) refuse(id, workspace string, err error) error {
+	var noMemory *memory.ResponseError
+	if errors.As(err, &noMemory) {
+		err = &refusal.Error{
+			Reason: refusal.Overloaded, Outcome: refusal.Unknown, RetryAfter: intake.MemoryRetryAfter,
+			Advice: "this entry has no memory for the response: retry with the same key, another entry has room",
+		}
+	}
 	var sinkErr *dispatch.SinkError
 	if errors.As(err, &sinkErr) {
 		h.log.Info("caller disconnected", "requestId", id, "workspace", workspace, "error", sinkErr.Cause)
--- a/routers/caller/sink.go
+++ b/routers/caller/sink.go
@@ -7,6 +7,7 @@
 
 	callerv1 "github.com/crocusline/crocusline/modules/wire/caller/v1"
 	"github.com/crocusline/crocusline/services/dispatch"
+	"github.com/crocusline/crocusline/services/memory"
 )
 
 // streamSink sends the tokens to the caller as they arrive.
@@ -27,13 +28,29 @@
 // textSink collects the tokens into one text.
 type textSink struct {
 	tokens []string
+	// response is the memory of the response, nil without a limit.
+	response *memory.Response
 }
 
+const (
+	// tokenBytes is what a token takes beside its text.
+	tokenBytes = 16
+	// textCopies is how often the whole text is held: joined, and in the encoded message, whose buffer may be twice as large.
+	textCopies = 3
+)
+
 func (s *textSink) Accepted(string, string, int64) error {
 	return nil
 }
 
 func (s *textSink) Tokens(_ int64, tokens []string) error {
+	size := tokenBytes * len(tokens)
+	for _, token := range tokens {
+		size += textCopies * len(token)
+	}
+	if !s.response.Grow(size) {
+		return &memory.ResponseError{Bytes: size}
+	}
 	s.tokens = append(s.tokens, tokens...)
 	return nil
 }
--- a/services/dispatch/dispatch.go
+++ b/services/dispatch/dispatch.go
@@ -19,6 +19,7 @@
 	commonv1 "github.com/crocusline/crocusline/modules/wire/common/v1"
 	"github.com/crocusline/crocusline/modules/wire/peer/v1/peerv1connect"
 	registry "github.com/crocusline/crocusline/services/ledger"
+	"github.com/crocusline/crocusline/services/memory"
 )
 
 // Ledger reserves budget and registers attempts of non-idempotent work. Errors
@@ -125,7 +126,7 @@
 }
 
 // Dispatch runs a request as planned. It returns when the response is complete.
-// The error is a *refusal.Error, or a *SinkError if the caller disconnected.
+// The error is a *refusal.Error, a *SinkError if the caller disconnected, or a *memory.ResponseError.
 func (d *Dispatcher) Dispatch(ctx context.Context, req Request, p Plan, sink Sink) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.Timeout)
 	defer cancel()
@@ -137,7 +138,7 @@
 		req:        req,
 		plan:       p,
 		requestID:  req.ID,
-		relay:      relay{sink: sink, firstWanted: req.FromToken},
+		relay:      relay{sink: sink, firstWanted: req.FromToken, response: memory.ResponseOf(ctx)},
 	}
 	if p.Route.Idempotent {
 		return j.runIdempotent(ctx)
--- a/services/dispatch/idempotent.go
+++ b/services/dispatch/idempotent.go
@@ -14,6 +14,7 @@
 	"github.com/crocusline/crocusline/models/retry"
 	"github.com/crocusline/crocusline/modules/delay"
 	peerv1 "github.com/crocusline/crocusline/modules/wire/peer/v1"
+	"github.com/crocusline/crocusline/services/memory"
 )
 
 // inquireTimeout bounds the search for a request that an earlier call of the
@@ -58,6 +59,11 @@
 			j.receipts.Reconcile(*j.newReceipt(call, j.requestID, hold, 0))
 			return Response{}, err
 		}
+		if j.relay.dropped {
+			// Another server can't go on with tokens that aren't known any more. The caller can, as it has them.
+			j.receipts.Reconcile(*j.newReceipt(call, j.requestID, hold, 0))
+			return Response{}, &memory.ResponseError{Bytes: tokenBytes * int(j.relay.received)}
+		}
 		exclude = append(exclude, call.sidecar.Server)
 		if !failed.notRun() {
 			// The server may have run part of the request: the hold stays reserved
@@ -133,7 +139,7 @@
 // does not cover earlier calls.
 func (j *job) adjustOutcome(err error) error {
 	e, ok := refusal.As(err)
-	if !ok || !j.mayHaveRun && len(j.relay.tokens) == 0 {
+	if !ok || !j.mayHaveRun && j.relay.received == 0 {
 		return err
 	}
 	partial := *e
--- a/services/dispatch/relay.go
+++ b/services/dispatch/relay.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+
+	"github.com/crocusline/crocusline/services/memory"
 )
 
 // SequenceError is returned if a sidecar's stream has a gap, or ends with another
@@ -39,8 +41,14 @@
 	sink Sink
 	// firstWanted is the index of the first token to forward.
 	firstWanted int64
-	// tokens are the response's tokens so far, from index 0.
-	tokens []string
+	// received is the number of the response's tokens so far. tokens are these, from index 0, until there is no memory for
+	// them any more (dropped), and retained is what is reserved for them.
+	received int64
+	tokens   []string
+	dropped  bool
+	retained int
+	// response is the memory of the response, nil without a limit.
+	response *memory.Response
 	// accepted is set once Sink.Accepted was called.
 	accepted bool
 }
@@ -60,7 +68,7 @@
 // add appends a chunk whose first token has the given index and forwards it.
 // Tokens that were received before are dropped.
 func (r *relay) add(first int64, chunk []string) error {
-	next := int64(len(r.tokens))
+	next := r.received
 	if first > next {
 		return &SequenceError{Want: next, Got: first}
 	}
@@ -69,10 +77,33 @@
 		return nil
 	}
 	fresh := chunk[duplicates:]
-	r.tokens = append(r.tokens, fresh...)
+	r.received += int64(len(fresh))
+	r.retain(fresh)
 	return r.forward(next, fresh)
 }
 
+// tokenBytes is what a token takes beside its text.
+const tokenBytes = 32
+
+// retain keeps tokens for the case that another server has to go on with the response. Without memory for them, a failure of
+// the server ends the response, but nothing else does.
+func (r *relay) retain(tokens []string) {
+	if r.dropped {
+		return
+	}
+	size := tokenBytes * len(tokens)
+	for _, token := range tokens {
+		size += len(token)
+	}
+	if r.response.Grow(size) {
+		r.tokens = append(r.tokens, tokens...)
+		r.retained += size
+		return
+	}
+	r.response.Shrink(r.retained)
+	r.tokens, r.retained, r.dropped = nil, 0, true
+}
+
 // forward sends the tokens to the caller, without those before firstWanted.
 func (r *relay) forward(first int64, tokens []string) error {
 	skip := r.firstWanted - first
@@ -91,8 +122,8 @@
 
 // checkComplete checks that all of the response's tokens were received.
 func (r *relay) checkComplete(total int64) error {
-	if total != int64(len(r.tokens)) {
-		return &SequenceError{Want: total, Got: int64(len(r.tokens))}
+	if total != r.received {
+		return &SequenceError{Want: total, Got: r.received}
 	}
 	return nil
 }
--- a/services/dispatch/sidecar_call.go
+++ b/services/dispatch/sidecar_call.go
@@ -11,6 +11,7 @@
 	"github.com/crocusline/crocusline/models/ledger"
 	"github.com/crocusline/crocusline/models/refusal"
 	peerv1 "github.com/crocusline/crocusline/modules/wire/peer/v1"
+	"github.com/crocusline/crocusline/services/memory"
 	"github.com/crocusline/crocusline/services/refusalwire"
 )
 
@@ -48,7 +49,7 @@
 }
 
 // callSidecar calls one sidecar and relays its stream to the caller. Its error is
-// a *SinkError or a *callError.
+// a *SinkError, a *memory.ResponseError or a *callError.
 func (j *job) callSidecar(ctx context.Context, call sidecarCall) (*peerv1.Finished, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -98,10 +99,14 @@
 	}
 }
 
-// classifyFailure returns a *callError, or a *SinkError if the caller
-// disconnected. A call that ended because its context is done is not recorded as a
+// classifyFailure returns a *callError, a *SinkError if the caller
+// disconnected, or a *memory.ResponseError. A call that ended because its context is done is not recorded as a
 // failure of the server.
 func (j *job) classifyFailure(ctx context.Context, call sidecarCall, err error) error {
+	var noMemory *memory.ResponseError
+	if errors.As(err, &noMemory) {
+		return noMemory
+	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return &SinkError{Cause: ctx.Err()}
 	}
--- a/services/intake/intake.go
+++ b/services/intake/intake.go
@@ -22,13 +22,14 @@
 	maxPartBytes   = 256 << 10
 	// joinCopies is how often a body in parts is held when they are joined.
 	joinCopies = 2
-	// memoryRetryAfter is when a caller may retry that was refused for lack of memory. It reaches another
-	// process then, and at this one most requests in progress have ended.
-	memoryRetryAfter = 250 * time.Millisecond
 )
 
+// MemoryRetryAfter is when a caller may retry that was refused for lack of memory. It reaches another process then, and at this
+// one most requests in progress have ended.
+const MemoryRetryAfter = 250 * time.Millisecond
+
 // ErrNoMemory means that the requests in progress leave no memory for this one.
-var ErrNoMemory = refusal.New(refusal.Overloaded, memoryRetryAfter, "this entry has no memory for the request: another one has room")
+var ErrNoMemory = refusal.New(refusal.Overloaded, MemoryRetryAfter, "this entry has no memory for the request: another one has room")
 
 // Body is the body of one request. It is used by one goroutine.
 type Body struct {
--- a/services/pool/pool.go
+++ b/services/pool/pool.go
@@ -179,7 +179,8 @@
 		}
 		client, ok := s.clients[m.Address]
 		if !ok {
-			client = peerv1connect.NewSidecarServiceClient(s.client, peer.URL(m.Address))
+			// The size of a compressed message doesn't tell how much memory it needs.
+			client = peerv1connect.NewSidecarServiceClient(s.client, peer.URL(m.Address), connect.WithAcceptCompression("gzip", nil, nil))
 			s.clients[m.Address] = client
 		}
 		s.sidecars[m.Server] = dispatch.Sidecar{Server: m.Server, Incarnation: m.Incarnation, Client: client}
--- a/standin/cluster/fleet.go
+++ b/standin/cluster/fleet.go
@@ -40,6 +40,8 @@
 	Slots int
 	// LogLevel is the log level of the entries and sidecars.
 	LogLevel string
+	// EntryMemoryBytes is the memory of an entry by its settings. 0 stands for the default.
+	EntryMemoryBytes int64
 	// TLS is whether entries serve callers over TLS.
 	TLS bool
 }
@@ -135,6 +137,9 @@
   region: local
   failureDomain: domain-1
   peerAddress: 127.0.0.1:{{.Peer}}
+{{- if .MemoryBytes}}
+  memoryBytes: {{.MemoryBytes}}
+{{- end}}
 platform:
   url: http://127.0.0.1:{{.Platform}}
 {{- if .Caller}}
@@ -172,6 +177,7 @@
 	Name, Server, Kind, LogLevel              string
 	Platform, Caller, Peer, Operator, Backend int
 	Slots, Shards                             int
+	MemoryBytes                               int64
 	TLS                                       bool
 }
 
@@ -182,7 +188,7 @@
 	}
 	for _, entry := range f.EntryNames() {
 		v := f.settingsValues(entry)
-		v.Caller = f.ports[entry]
+		v.Caller, v.MemoryBytes = f.ports[entry], f.spec.EntryMemoryBytes
 		if err := f.writeSettings(t, v); err != nil {
 			return err
 		}
--- a/standin/cost/cost.go
+++ b/standin/cost/cost.go
@@ -46,6 +46,8 @@
 		EngineFlags: []string{"--slots", "1000", "--token-interval", "20ms", "--cache-tokens", "0"},
 		Slots:       1000,
 		LogLevel:    "warn",
+		// The default admits some 400 streams.
+		EntryMemoryBytes: 1 << 30,
 	})
 	if err != nil {
 		return err
