Limit what the listener of operators holds

It now has 64 connections, headers of 16 KiB and 128 fields, messages of 64 KiB, 5 s for a body and 10 s for a part of an answer, and HTTP/1.1 only; the command line and scrapers of metrics use that. Sidecars have the same listener. web.WithReceiveBuffer, an option for HTTP/2 that no listener uses any more, is gone.

--- a/cmd/counters.go
+++ b/cmd/counters.go
@@ -50,3 +50,8 @@
 // ReceiptsWritten counts bills that the entry wrote to the ledger because the sidecar
 // had not.
 func (c *entryCounters) ReceiptsWritten(n int) { c.written.Add(n) }
+
+// operatorsLimited returns a function that counts the connections of operators that were closed or refused.
+func operatorsLimited(m *metric.Set) func() {
+	return m.Counter(fmt.Sprintf(connectionsLimited, "operators")).Inc
+}
--- a/cmd/entry.go
+++ b/cmd/entry.go
@@ -146,7 +146,7 @@
 		e.receipt,
 		e.status,
 		&listener{name: "peerListener", listen: e.listenPeers},
-		operator.New(e.log, e.settings.Operator.Listen, e.status, e.counters.metrics),
+		operator.New(e.log, e.settings.Operator.Listen, e.status, e.counters.metrics, operatorsLimited(e.counters.metrics)),
 		&listener{name: "callerListener", listen: e.listenCallers, beforeClose: e.admission.Drain},
 	}
 }
--- a/cmd/sidecar.go
+++ b/cmd/sidecar.go
@@ -116,9 +116,10 @@
 	if s.engine != nil {
 		services = append(services, order.New(s.engine))
 	}
+	metrics := metric.New()
 	return append(services,
 		&listener{name: "peerListener", listen: s.listenPeers, beforeClose: s.shutdown},
-		operator.New(s.log, s.settings.Operator.Listen, s.status, metric.New()),
+		operator.New(s.log, s.settings.Operator.Listen, s.status, metrics, operatorsLimited(metrics)),
 	)
 }
 
--- a/modules/web/connections.go
+++ b/modules/web/connections.go
@@ -19,10 +19,6 @@
 // connected has time to send one.
 const minIdleTime = 100 * time.Millisecond
 
-// http2FrameBytes is the smallest limit of a frame that HTTP/2 allows. Frames are held whole, by
-// default up to 1 MiB each.
-const http2FrameBytes = 16 << 10
-
 // WithMaxConnections limits the number of open connections. limit is called for each new one. When it is
 // reached, the connection that has had no request in progress for the longest time is closed. If all
 // have requests, or have been without one for a short time only, the new connection is refused with 503.
@@ -33,16 +29,6 @@
 	}
 }
 
-// WithReceiveBuffer limits the number of bytes that an HTTP/2 connection holds before they are read by
-// handlers.
-func WithReceiveBuffer(bytes int) Option {
-	return func(s *Server) {
-		s.http.HTTP2 = &http.HTTP2Config{
-			MaxReadFrameSize: http2FrameBytes, MaxReceiveBufferPerConnection: bytes, MaxReceiveBufferPerStream: bytes,
-		}
-	}
-}
-
 // connections limits the open connections of a server. It is safe for concurrent use.
 type connections struct {
 	limit   func() int
--- a/modules/web/connections_test.go
+++ b/modules/web/connections_test.go
@@ -37,7 +37,7 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	var err error
-	s.Server, err = web.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), handler, web.WithReceiveBuffer(64<<10),
+	s.Server, err = web.NewServer(netip.MustParseAddrPort("127.0.0.1:0"), handler,
 		web.WithMaxConnections(func() int { return 2 }, func() { s.limited.Add(1) }))
 	if err != nil {
 		t.Fatal(err)
--- a/routers/operator/operator.go
+++ b/routers/operator/operator.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
@@ -22,6 +23,16 @@
 // Name is the listener's name in the kernel.
 const Name = "operator"
 
+// Limits of what the listener holds for its callers: tools that ask for the status, and scrapers of metrics.
+const (
+	maxConnections  = 64
+	maxHeaderBytes  = 16 << 10
+	maxHeaderFields = 128
+	maxRequestBytes = 64 << 10
+	bodyTimeout     = 5 * time.Second
+	writeTimeout    = 10 * time.Second
+)
+
 // StatusSource provides the status that the handlers return.
 type StatusSource interface {
 	Status() *operatorv1.StatusResponse
@@ -35,13 +46,14 @@
 	log     hclog.Logger
 	address netip.AddrPort
 	handler http.Handler
+	onLimit func()
 	web     *web.Server
 }
 
 // New returns a listener at the address. /metrics returns the counters and the gauges of
-// the status.
-func New(log hclog.Logger, address netip.AddrPort, status StatusSource, counters http.Handler) *Server {
-	return &Server{log: log.Named(Name), address: address, handler: NewHandler(status, counters)}
+// the status. onLimit is called for each connection that is closed or refused because there are too many.
+func New(log hclog.Logger, address netip.AddrPort, status StatusSource, counters http.Handler, onLimit func()) *Server {
+	return &Server{log: log.Named(Name), address: address, handler: NewHandler(status, counters), onLimit: onLimit}
 }
 
 // Name implements kernel.Service.
@@ -49,7 +61,13 @@
 
 // Start implements kernel.Service.
 func (s *Server) Start(context.Context, *kernel.Kernel) error {
-	server, err := web.NewServer(s.address, s.handler)
+	server, err := web.NewServer(s.address, s.handler,
+		web.WithoutHTTP2(),
+		web.WithMaxHeaderBytes(maxHeaderBytes),
+		web.WithMaxHeaderFields(maxHeaderFields),
+		web.WithMaxConnections(func() int { return maxConnections }, s.onLimit),
+		web.WithBodyTimeout(bodyTimeout),
+		web.WithWriteTimeout(writeTimeout))
 	if err != nil {
 		return err
 	}
@@ -115,7 +133,7 @@
 // NewStatusHandler returns the path and the HTTP handler of the status service, which is
 // also served on the peer listener.
 func NewStatusHandler(status StatusSource) (string, http.Handler) {
-	return operatorv1connect.NewStatusServiceHandler(&statusHandler{status: status})
+	return operatorv1connect.NewStatusServiceHandler(&statusHandler{status: status}, connect.WithReadMaxBytes(maxRequestBytes))
 }
 
 // Status implements operator.v1.StatusService.
--- a/tests/entry/crowd_test.go
+++ b/tests/entry/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"context"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 
 	callerv1 "github.com/crocusline/crocusline/modules/wire/caller/v1"
 	"github.com/crocusline/crocusline/modules/wire/caller/v1/callerv1connect"
+	"github.com/crocusline/crocusline/modules/wire/operator/v1/operatorv1connect"
 	"github.com/crocusline/crocusline/standin/cluster"
 	"github.com/crocusline/crocusline/standin/crowd"
 	"github.com/crocusline/crocusline/tests/knownred"
@@ -56,6 +58,7 @@
 const (
 	callPath   = callerv1connect.RouterServiceCallProcedure
 	submitPath = callerv1connect.RouterServiceSubmitProcedure
+	statusPath = operatorv1connect.StatusServiceStatusProcedure
 )
 
 // callHead returns the start of a request to an entry, without the end of its last line.
@@ -273,10 +276,50 @@
 	}
 }
 
+// operatorCrowds are crowds that call the listener of operators.
+var operatorCrowds = []crowd.Crowd{
+	{Name: "bodies with a length", Callers: bodyCallers, Write: func(w io.Writer, _ int, complete bool) error {
+		return crowd.WriteLength(w, callHead(statusPath, "application/proto"), make([]byte, callBytes), complete, callBytes, 0)
+	}},
+	{Name: "parts of headers", Callers: headerCallers, Write: func(w io.Writer, _ int, _ bool) error {
+		_, err := io.WriteString(w, callHead(statusPath, "application/proto", crowd.LongField(10*headerBytes)))
+		return err
+	}},
+	{Name: "HTTP/2 headers", Callers: streamCallers, Write: func(w io.Writer, _ int, _ bool) error {
+		long := crowd.Field{Name: "x-long", Value: strings.Repeat("x", streamHeaderBytes)}
+		return crowd.WriteHTTP2(w, streamsPerConnection, func(int) []crowd.Field { return streamFields(long) }, nil)
+	}},
+}
+
+// TestOperatorCrowds guards against an entry that takes more memory than its settings allow, or stops serving, when many
+// clients send requests that they don't finish to its listener of operators.
+func TestOperatorCrowds(t *testing.T) {
+	f := newFleet(t, false)
+	for _, c := range operatorCrowds {
+		t.Run(c.Name, func(t *testing.T) {
+			f.restartEntry(t)
+			f.requireService(t, "before the crowd")
+			knownred.Report(t, f.runAt(t, c, f.OperatorURL(entryName), defaultMemory))
+			f.requireService(t, "after the crowd")
+			ctx, cancel := context.WithTimeout(t.Context(), startTimeout)
+			defer cancel()
+			if err := f.AwaitReady(ctx, entryName); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
 // run lets the crowd call the entry, and returns what is wrong with the entry meanwhile, or "".
 func (f *fleet) run(t *testing.T, c crowd.Crowd, memory int64) string {
 	t.Helper()
-	_, host, _ := strings.Cut(f.URL(entryName), "://")
+	return f.runAt(t, c, f.URL(entryName), memory)
+}
+
+// runAt does the same at one of the entry's listeners.
+func (f *fleet) runAt(t *testing.T, c crowd.Crowd, url string, memory int64) string {
+	t.Helper()
+	_, host, _ := strings.Cut(url, "://")
 	address := netip.MustParseAddrPort(host)
 	used, err := c.Measure(crowd.Process(f.ID(entryName)), address)
 	if err != nil || f.ID(entryName) == 0 {
