--- a/tests/faults/crowd_test.go
+++ b/tests/faults/crowd_test.go
@@ -37,6 +37,7 @@
 
 func callers(g *gateway) netip.AddrPort   { return g.callerAddress }
 func readiness(g *gateway) netip.AddrPort { return g.readyAddress }
+func peers(g *gateway) netip.AddrPort     { return g.peerAddress }
 
 // requestHead returns the start of a request to a gateway, with further fields.
 func requestHead(caller int, further ...string) string {
@@ -76,6 +77,17 @@
 		_, err := io.WriteString(w, "GET /x HTTP/1.1\r\n"+crowd.ShortFields(readinessHeaderBytes))
 		return err
 	}}, readiness},
+	{crowd.Crowd{Name: "parts of headers to peers", Callers: readinessCallers, Write: func(w io.Writer, _ int, _ bool) error {
+		_, err := io.WriteString(w, "POST /peer/x HTTP/1.1\r\n"+crowd.ShortFields(readinessHeaderBytes))
+		return err
+	}}, peers},
+	{crowd.Crowd{Name: "bodies to peers", Callers: readinessCallers, Write: func(w io.Writer, _ int, complete bool) error {
+		return crowd.WriteLength(w, "POST /peer/supersede HTTP/1.1\r\nHost: a", make([]byte, heldBodyBytes), complete, heldBodyBytes, 0)
+	}}, peers},
+	{crowd.Crowd{Name: "HTTP/2 headers to peers", Callers: connectionCallers, Write: func(w io.Writer, _ int, _ bool) error {
+		long := crowd.Field{Name: "x-long", Value: strings.Repeat("x", readinessHeaderBytes)}
+		return crowd.WriteHTTP2(w, streamsPerConnection, func(int) []crowd.Field { return crowd.Post(host, "/peer/x", long) }, make([]byte, streamBodyBytes))
+	}}, peers},
 }
 
 // process returns the id of the running process.
