Drop the fields after a body in chunks

net/http adds the fields that follow a body in chunks to the request, up to 4 KiB of them, whose short ones take some 20 times as much and are held as long as the request. Nothing forwards or reads them, and no reservation counts them. services/intake drops them once the body is read, for gateways and entries.

Found by reading; no crowd was run with them before.

--- a/routers/caller/body.go
+++ b/routers/caller/body.go
@@ -53,16 +53,19 @@
 	}
 	held := b.memory.NewReservation()
 	defer held.Release()
+	body, err := b.read(w, r, held)
+	if err != nil {
+		b.refuseUnread(w, r, refusalForBody(err))
+		return
+	}
 	// It is held until the response is written, which Connect does after the handler of the call.
 	response := b.memory.NewResponse()
 	defer response.Release()
 	// net/http goes by the request as it was.
-	read := r.WithContext(memory.WithResponse(r.Context(), response))
-	if err := b.read(w, read, held); err != nil {
-		b.refuseUnread(w, r, refusalForBody(err))
-		return
-	}
-	b.next.ServeHTTP(w, read)
+	call := r.WithContext(memory.WithResponse(r.Context(), response))
+	call.ContentLength = body.Len()
+	call.Body = io.NopCloser(&body)
+	b.next.ServeHTTP(w, call)
 }
 
 func isGRPC(r *http.Request) bool {
@@ -84,11 +87,10 @@
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(skipTimeout))
 }
 
-// read reserves memory for the call and reads its body. It replaces that of r, a copy of the request, by the body without
-// compression.
-func (b *bodyReader) read(w http.ResponseWriter, r *http.Request, held *memory.Reservation) error {
+// read reserves memory for the call and reads its body, without compression.
+func (b *bodyReader) read(w http.ResponseWriter, r *http.Request, held *memory.Reservation) (intake.Parts, error) {
 	if !held.Grow(model.CallBytes) {
-		return intake.ErrNoMemory
+		return nil, intake.ErrNoMemory
 	}
 	options := []intake.Option{
 		intake.WithMaxBytes(b.maxBytes), intake.WithTimeout(b.bodyTimeout), intake.WithCopies(model.CallCopies),
@@ -103,16 +105,15 @@
 		options = append(options, intake.WithDecoder(decoderBytes))
 	default:
 		// The handler refuses the encoding without the body.
-		r.Body, r.ContentLength = http.NoBody, 0
-		return nil
+		return nil, nil
 	}
 	body := intake.New(w, r, held, options...)
 	if err := body.Reserve(); err != nil || r.ContentLength == 0 {
-		return err
+		return nil, err
 	}
 	sent, err := body.Open()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	m := &message{body: body, sent: io.LimitReader(sent, b.maxBytes+envelopeHeaderBytes+1), compressed: encoding == "gzip", maxBytes: b.maxBytes}
 	var parts intake.Parts
@@ -123,10 +124,9 @@
 		r.Header.Del("Content-Encoding")
 	}
 	if err != nil {
-		return err
+		return nil, err
 	}
-	r.Body, r.ContentLength = io.NopCloser(&parts), parts.Len()
-	return body.End()
+	return parts, body.End()
 }
 
 // message is the message of a call while it is read.
--- a/services/intake/intake.go
+++ b/services/intake/intake.go
@@ -33,7 +33,7 @@
 
 // Body is the body of one request. It is used by one goroutine.
 type Body struct {
-	body     io.Reader
+	request  *http.Request
 	length   int64
 	held     *memory.Reservation
 	control  *http.ResponseController
@@ -65,7 +65,7 @@
 // New returns the body of a request. held is the request's reservation, which grows with the body. The caller releases it
 // after the last use of the body, also after an error.
 func New(w http.ResponseWriter, r *http.Request, held *memory.Reservation, opts ...Option) *Body {
-	b := &Body{body: r.Body, length: r.ContentLength, held: held, control: http.NewResponseController(w), copies: 1}
+	b := &Body{request: r, length: r.ContentLength, held: held, control: http.NewResponseController(w), copies: 1}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -179,8 +179,12 @@
 	}
 }
 
-// End removes the deadline of a body that was read.
-func (b *Body) End() error { return errors.WithStack(b.control.SetReadDeadline(time.Time{})) }
+// End removes the deadline of a body that was read. It drops the fields after chunks, which nothing uses and which may take many
+// times their bytes.
+func (b *Body) End() error {
+	b.request.Trailer = nil
+	return errors.WithStack(b.control.SetReadDeadline(time.Time{}))
+}
 
 // recordRead records that a part of the body arrived.
 func (b *Body) recordRead(size int) error {
@@ -200,7 +204,7 @@
 
 // Read implements io.Reader.
 func (r pacedReader) Read(p []byte) (int, error) {
-	n, err := r.b.body.Read(p)
+	n, err := r.b.request.Body.Read(p)
 	if err != nil {
 		return n, err
 	}
