Let answers that are not read stop no others of the same sidecar

An entry has one QUIC connection to each sidecar. In a test one response that nobody read took 796,000 bytes, and no other response arrived over the connection until the test ended after 20 s: a caller that doesn't read a long answer stops the answers of that server to all callers of the entry until its write times out. Cause: quic-go begins with windows of 512 KiB for a stream and 768 KiB for the connection; what is not read stays in both. A stream now has 32 KiB, which CallBytes covers, and the connection 64 MiB, more than all calls of an entry may leave unread.

--- a/modules/peer/client.go
+++ b/modules/peer/client.go
@@ -19,6 +19,11 @@
 	// connection sends within the idle timeout, so that the loss of one packet does
 	// not end the connection.
 	keepAlivesPerIdleTimeout = 3
+	// streamWindow is what a call holds of a response that is not read yet. Peers that are 1 ms away send 32 MB/s with it. connectionWindow is the
+	// same for all calls to a peer, enough for more of them than a process has at once, so that responses whose callers don't
+	// read stop no others.
+	streamWindow     = 32 << 10
+	connectionWindow = 64 << 20
 )
 
 // Client calls peers over HTTP/3. It opens a connection to a peer at the first
@@ -65,6 +70,11 @@
 			HandshakeIdleTimeout: defaultDialTimeout,
 			MaxIdleTimeout:       defaultIdleTimeout,
 			KeepAlivePeriod:      defaultIdleTimeout / keepAlivesPerIdleTimeout,
+
+			InitialStreamReceiveWindow:     streamWindow,
+			MaxStreamReceiveWindow:         streamWindow,
+			InitialConnectionReceiveWindow: connectionWindow,
+			MaxConnectionReceiveWindow:     connectionWindow,
 		},
 		sweepInterval: defaultSweepInterval,
 		stop:          make(chan struct{}),
