Entry: don't say "not run" of a call whose body did not arrive

A caller that sends a booking again, after an answer was lost, and whose body then stops on its way, was told "not run" although the earlier call may have run: only the body says whether it is a retry. It now has the outcome "unknown" and a time to come back, like one that is refused for lack of memory. Bodies that are too large or invalid never ran, whichever call had them.

TestUnreadBodies failed before with "notRun", and passes. Found by reading.

--- a/routers/caller/body.go
+++ b/routers/caller/body.go
@@ -207,6 +207,9 @@
 	return err
 }
 
+// lateRetryAfter is when a caller may retry whose body did not arrive.
+const lateRetryAfter = time.Second
+
 // refusalForBody returns the refusal of a call whose body could not be read. An earlier call of the same request may have
 // been admitted, which only the body says, so that a caller that may come back isn't told that it has not run.
 func refusalForBody(err error) *refusal.Error {
@@ -222,6 +225,8 @@
 	case errors.As(err, &invalid):
 		return refusal.New(refusal.InvalidRequest, 0, invalid.problem)
 	default:
-		return refusal.New(refusal.DeadlineExpired, 0, "the body did not arrive in time")
+		return &refusal.Error{
+			Reason: refusal.DeadlineExpired, Outcome: refusal.Unknown, RetryAfter: lateRetryAfter, Advice: "the body did not arrive in time",
+		}
 	}
 }
--- a/routers/caller/body_test.go
+++ b/routers/caller/body_test.go
@@ -168,9 +168,10 @@
 }
 
 // TestUnreadBodies guards against callers without a token of any workspace whose bodies are read, and against bodies that
-// stop short of their end and keep the memory and the connection.
+// stop short of their end and keep the memory and the connection, or whose callers are told that the request has not run
+// although an earlier call of it may have.
 func TestUnreadBodies(t *testing.T) {
-	for token, want := range map[string]string{"bad": "unauthenticated", "good": "deadline"} {
+	for token, want := range map[string]string{"bad": "unauthenticated", "good": `"outcome":"unknown"`} {
 		m := memory.New(memory.DefaultLimit)
 		_, server := serveWithin(t, m)
 		conn, err := net.Dial("tcp", server.Listener.Addr().String())
